--- a/src/budget/ledger.rs
+++ b/src/budget/ledger.rs
@@ -3,7 +3,7 @@
 //! For each budget, at each offset: unallotted + held + settled + in doubt = prepaid. The ledger
 //! asserts this itself after every record that touches a budget.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
@@ -59,7 +59,7 @@
     pub doubt: BTreeMap<(Incarnation, u64), Tokens>,
     /// Where somebody last got less than it asked for; holders then return what lies idle.
     pub scarce: Option<Offset>,
-    resolved: std::collections::VecDeque<(Incarnation, u64)>,
+    resolved: VecDeque<(Incarnation, u64, Tokens)>,
 }
 
 impl Budget {
@@ -74,7 +74,7 @@
             grants: BTreeMap::new(),
             doubt: BTreeMap::new(),
             scarce: None,
-            resolved: Default::default(),
+            resolved: VecDeque::new(),
         }
     }
 
@@ -384,19 +384,26 @@
     ) -> Result<(), Violation> {
         for budget in &mut self.budgets {
             let Some(reserved) = budget.doubt.remove(&(holder, nonce)) else {
-                if budget.resolved.contains(&(holder, nonce)) {
-                    let id = Id {
-                        incarnation: holder,
-                        nonce,
-                    };
-                    return Err(Violation::BilledTwice { id });
+                let known = budget
+                    .resolved
+                    .iter()
+                    .find(|known| (known.0, known.1) == (holder, nonce));
+                match known {
+                    None => continue,
+                    // A judge that lost its incarnation says the same again under the new one.
+                    Some((_, _, before)) if *before == billed => return Ok(()),
+                    Some(_) => {
+                        let incarnation = holder;
+                        return Err(Violation::BilledTwice {
+                            id: Id { incarnation, nonce },
+                        });
+                    }
                 }
-                continue;
             };
             let bill = billed.min(reserved);
             budget.settled += bill;
             budget.take_back(reserved - bill);
-            budget.resolved.push_back((holder, nonce));
+            budget.resolved.push_back((holder, nonce, billed));
             if budget.resolved.len() > RESOLVED_MAX {
                 budget.resolved.pop_front();
             }
--- /dev/null
+++ b/src/cmd/demo.rs
@@ -0,0 +1,369 @@
+//! `lanedeck demo`: a whole fleet on loopback in one process.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gumdrop::Options;
+use http::Method;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+
+use super::client::Client;
+use super::router::{self, bind};
+use super::{Error, Result, block_on, failed, print, start_logs};
+use crate::http::{BILLED, BUDGET, REASON, VERDICT};
+use crate::platform::Listed;
+use crate::standin::engine::{Engine, Shape};
+use crate::standin::hosts::Hosts;
+use crate::standin::log::Log;
+use crate::standin::serve;
+use crate::standin::service::Service;
+use crate::util::hash_secret;
+
+pub const ABOUT: &str = "Runs a log, a host list, two engines, a service and three routers on
+loopback, configures them by intents, and prints the addresses and a curl line that works as typed.
+With --once it makes a budget, serves a streamed model request, a call that may not be repeated and
+a refusal for an empty budget, checks the sums itself, and exits.
+
+Examples:
+  lanedeck demo
+  lanedeck demo --once
+";
+
+const OPERATOR: &str = "demo-operator";
+const CUSTOMER: &str = "kiosks";
+const SECRET: &str = "demo-secret";
+const FLEET_KEY: &str = "demo-fleet-key";
+const PREPAID: u64 = 100_000;
+const CALL_PRICE: u64 = 50;
+/// Longest wait until every router has read what was confirmed.
+const READY_WAIT: Duration = Duration::from_secs(10);
+
+#[derive(Debug, Options)]
+pub struct Args {
+    #[options(help = "print this")]
+    help: bool,
+    #[options(no_short, help = "show each promise, check the sums, exit")]
+    once: bool,
+    #[options(
+        no_short,
+        meta = "PORT",
+        default = "7000",
+        help = "port of the first router; others follow. --once takes free ones"
+    )]
+    port: u16,
+    #[options(
+        no_short,
+        meta = "LEVEL",
+        default = "warn",
+        help = "logs: error, warn, info, debug or trace"
+    )]
+    log_level: String,
+}
+
+struct Fleet {
+    routers: Vec<SocketAddr>,
+    log: SocketAddr,
+    operator: Client,
+    caller: Client,
+}
+
+pub fn run(args: &Args) -> Result<()> {
+    start_logs(&args.log_level);
+    block_on(4, async {
+        let fleet = start(if args.once { 0 } else { args.port }).await?;
+        configure(&fleet).await?;
+        if args.once {
+            return show(&fleet).await;
+        }
+        tour(&fleet)?;
+        let ended = tokio::signal::ctrl_c().await;
+        ended.map_err(|source| Error::Io {
+            what: "waiting for a signal".to_owned(),
+            source,
+        })
+    })
+}
+
+async fn listener(port: u16) -> Result<(TcpListener, SocketAddr)> {
+    let listener = bind("port", SocketAddr::from(([127, 0, 0, 1], port))).await?;
+    let address = listener.local_addr().map_err(|source| Error::Io {
+        what: "bound address".to_owned(),
+        source,
+    })?;
+    Ok((listener, address))
+}
+
+async fn start(port: u16) -> Result<Fleet> {
+    let (log_listener, log) = listener(0).await?;
+    tokio::spawn(serve(log_listener, Log::default().routes()));
+    let hosts = Hosts::default();
+    let (hosts_listener, hosts_address) = listener(0).await?;
+    tokio::spawn(serve(hosts_listener, hosts.routes()));
+
+    let mut routers = Vec::new();
+    let mut listed = Vec::new();
+    for (place, hall) in (0..).zip(["nacka", "solna", "kista"]) {
+        let entry = if port == 0 { 0 } else { port + place };
+        let options = router(entry, hall, log, hosts_address).await?;
+        routers.push(options.settings.me.entry);
+        listed.push(Listed {
+            address: options.settings.me.address,
+            leaving: false,
+        });
+        tokio::spawn(async move {
+            if let Err(error) = crate::router::run(options).await {
+                tracing::error!(event = "router_ended", %error);
+            }
+        });
+    }
+    hosts.set(listed);
+    Ok(Fleet {
+        routers,
+        log,
+        operator: Client::new(&format!("operator:{OPERATOR}")),
+        caller: Client::new(&format!("{CUSTOMER}:{SECRET}")),
+    })
+}
+
+async fn router(
+    port: u16,
+    hall: &str,
+    log: SocketAddr,
+    hosts: SocketAddr,
+) -> Result<crate::router::Options> {
+    let args = [
+        format!("--entry=127.0.0.1:{port}"),
+        "--peer=127.0.0.1:0".to_owned(),
+        format!("--hall={hall}"),
+        "--region=stockholm".to_owned(),
+        format!("--log={log}"),
+        format!("--hosts={hosts}"),
+        format!("--operator-hash={}", hash_secret(OPERATOR)),
+        format!("--fleet-key={FLEET_KEY}"),
+    ];
+    let args = router::Args::parse_args_default(&args).map_err(|error| Error::Usage {
+        message: error.to_string(),
+    })?;
+    router::bound(router::check(&args)?).await
+}
+
+fn target(address: SocketAddr, kind: &str, serves: &str, price: u64) -> Value {
+    json!({"target": {
+        "address": address, "kind": kind, "serves": serves, "hall": "nacka", "slots": 32,
+        "checks_fence": true, "draining": false, "call_price": price,
+    }})
+}
+
+async fn configure(fleet: &Fleet) -> Result<()> {
+    let mut targets = Vec::new();
+    for name in ["engine-1", "engine-2"] {
+        let (listener, address) = listener(0).await?;
+        tokio::spawn(serve(listener, Engine::new(Shape::default()).routes()));
+        targets.push((name, target(address, "engine", "assistant", 0)));
+    }
+    let (service_listener, address) = listener(0).await?;
+    tokio::spawn(serve(service_listener, Service::default().routes()));
+    targets.push((
+        "tickets-1",
+        target(address, "service", "tickets", CALL_PRICE),
+    ));
+
+    wait_ready(fleet).await?;
+    let class = json!({"class": {"rank": 0, "price_permille": 1000, "patience": 5000}});
+    put(fleet, "class", "counter", &class).await?;
+    let customer = json!({"customer": {
+        "key_hash": hash_secret(SECRET), "concurrency": 64, "classes": ["counter"],
+    }});
+    put(fleet, "customer", CUSTOMER, &customer).await?;
+    for (name, target) in &targets {
+        put(fleet, "target", name, target).await?;
+    }
+    for (name, prepaid) in [(CUSTOMER, PREPAID), ("empty", 0)] {
+        let intent = json!({"budget": {"name": name, "customer": CUSTOMER, "prepaid": prepaid}});
+        fleet.operator.apply(fleet.routers[0], &intent).await?;
+    }
+    wait_same(fleet).await
+}
+
+async fn put(fleet: &Fleet, kind: &str, name: &str, object: &Value) -> Result<()> {
+    let intent = json!({"put": {"key": {kind: name}, "object": object}});
+    fleet
+        .operator
+        .apply(fleet.routers[0], &intent)
+        .await
+        .map(|_| ())
+}
+
+async fn statuses(fleet: &Fleet) -> Vec<Value> {
+    let mut statuses = Vec::new();
+    for router in &fleet.routers {
+        statuses.extend(fleet.operator.get(*router, "/v1/status").await.ok());
+    }
+    statuses
+}
+
+/// Waits until something holds of all routers' statuses.
+async fn wait(fleet: &Fleet, what: &str, holds: impl Fn(&[Value]) -> bool) -> Result<()> {
+    let deadline = tokio::time::Instant::now() + READY_WAIT;
+    while tokio::time::Instant::now() < deadline {
+        let statuses = statuses(fleet).await;
+        if statuses.len() == fleet.routers.len() && holds(&statuses) {
+            return Ok(());
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    failed(format!("{what}: not within {READY_WAIT:?}"))
+}
+
+async fn wait_ready(fleet: &Fleet) -> Result<()> {
+    let ready = |status: &Value| status["ready"] == true && status["witness"].is_string();
+    wait(fleet, "routers ready", |all| all.iter().all(ready)).await
+}
+
+async fn wait_same(fleet: &Fleet) -> Result<()> {
+    wait(fleet, "the same offsets everywhere", |all| {
+        all.iter()
+            .all(|status| status["applied"] == all[0]["applied"])
+    })
+    .await
+}
+
+fn tour(fleet: &Fleet) -> Result<()> {
+    let entry = fleet.routers[0];
+    let mut text = String::new();
+    for router in &fleet.routers {
+        text.push_str(&format!("router={router}\n"));
+    }
+    text.push_str(&format!(
+        "log={}\n\n\
+         A model call, streamed:\n\
+         curl -N http://{entry}/v1/chat/completions -H 'authorization: Bearer {CUSTOMER}:{SECRET}' \
+         -d '{{\"model\":\"assistant\",\"max_tokens\":8,\"stream\":true,\
+         \"messages\":[{{\"role\":\"user\",\"content\":\"Is the 10:40 to Sandhamn running?\"}}]}}'\n\n\
+         Which addresses to use:\n\
+         curl http://{entry}/v1/entry -H 'authorization: Bearer {CUSTOMER}:{SECRET}'\n\n\
+         How things are:\n\
+         lanedeck intent --to {entry} --secret {OPERATOR} status\n\n\
+         Ctrl-C ends it.\n",
+        fleet.log
+    ));
+    print(&text)
+}
+
+/// What the ledgers say of a budget: unallotted, held, billed, in doubt, prepaid.
+async fn balance(fleet: &Fleet, name: &str) -> Result<[u64; 5]> {
+    let status = fleet.operator.get(fleet.routers[1], "/v1/status").await?;
+    let budgets = status["budgets"].as_array().cloned().unwrap_or_default();
+    let budget = budgets.iter().find(|budget| budget["name"] == name);
+    let Some(budget) = budget else {
+        return failed(format!("budget {name} is not there"));
+    };
+    let fields = ["unallotted", "held", "billed", "in_doubt", "prepaid"];
+    Ok(fields.map(|field| budget[field].as_u64().unwrap_or_default()))
+}
+
+async fn show(fleet: &Fleet) -> Result<()> {
+    let first = streamed(fleet).await?;
+    let second = not_repeatable(fleet).await?;
+    refused(fleet).await?;
+    let billed = first + second;
+    let deadline = tokio::time::Instant::now() + READY_WAIT;
+    loop {
+        let [unallotted, held, settled, doubt, prepaid] = balance(fleet, CUSTOMER).await?;
+        let sums = unallotted + held + settled + doubt == prepaid && prepaid == PREPAID;
+        if sums && settled == billed && doubt == 0 {
+            return print(&format!(
+                "check=ok prepaid={prepaid} unallotted={unallotted} held={held} billed={settled} \
+                 in_doubt={doubt}\n"
+            ));
+        }
+        if tokio::time::Instant::now() > deadline {
+            return failed(format!(
+                "the sums do not hold: prepaid={prepaid} unallotted={unallotted} held={held} \
+                 billed={settled} wanted={billed} in_doubt={doubt}"
+            ));
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+async fn line(fleet: &Fleet, what: &str, verdict: &str, billed: u64, budget: &str) -> Result<()> {
+    let [unallotted, held, settled, doubt, _] = balance(fleet, budget).await?;
+    print(&format!(
+        "request={what} verdict={verdict} billed={billed} budget={budget} unallotted={unallotted} \
+         held={held} settled={settled} in_doubt={doubt}\n"
+    ))
+}
+
+fn call() -> Bytes {
+    json!({
+        "model": "assistant",
+        "messages": [{"role": "user", "content": "Is the 10:40 to Sandhamn running?"}],
+        "max_tokens": 8,
+        "stream": true,
+    })
+    .to_string()
+    .into()
+}
+
+async fn streamed(fleet: &Fleet) -> Result<u64> {
+    let path = "/v1/chat/completions";
+    let sent = fleet
+        .caller
+        .whole(Method::POST, fleet.routers[0], path, &[], call())
+        .await?;
+    let text = String::from_utf8_lossy(&sent.2).into_owned();
+    let events: Vec<&str> = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "))
+        .collect();
+    let last = events.iter().rev().nth(1).copied().unwrap_or_default();
+    let last: Value = serde_json::from_str(last).unwrap_or_default();
+    let billed = last["lanedeck"]["billed"].as_u64();
+    match billed {
+        Some(billed) if events.last() == Some(&"[DONE]") && events.len() == 10 => {
+            line(fleet, "streamed", "ran", billed, CUSTOMER).await?;
+            Ok(billed)
+        }
+        _ => failed(format!("the streamed answer is not whole: {text}")),
+    }
+}
+
+async fn not_repeatable(fleet: &Fleet) -> Result<u64> {
+    let path = "/v1/services/tickets";
+    let body = Bytes::from_static(b"one ticket to Sandhamn");
+    let (_, headers, _) = fleet
+        .caller
+        .whole(Method::POST, fleet.routers[1], path, &[], body)
+        .await?;
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let billed = text(BILLED).and_then(|text| text.parse().ok());
+    match (text(VERDICT), billed) {
+        (Some("ran"), Some(CALL_PRICE)) => {
+            line(fleet, "not_repeatable", "ran", CALL_PRICE, CUSTOMER).await?;
+            Ok(CALL_PRICE)
+        }
+        (verdict, _) => failed(format!(
+            "the call did not run: {verdict:?} {:?}",
+            text(REASON)
+        )),
+    }
+}
+
+async fn refused(fleet: &Fleet) -> Result<()> {
+    let path = "/v1/chat/completions";
+    let headers = [(BUDGET, "empty")];
+    let sent = fleet
+        .caller
+        .whole(Method::POST, fleet.routers[2], path, &headers, call())
+        .await?;
+    let text = |name: &str| sent.1.get(name).and_then(|value| value.to_str().ok());
+    match (text(VERDICT), text(REASON)) {
+        (Some("not_run"), Some("budget_exhausted")) => {
+            line(fleet, "empty_budget", "not_run", 0, "empty").await
+        }
+        other => failed(format!("an empty budget gave {other:?}")),
+    }
+}
--- /dev/null
+++ b/src/cmd/load.rs
@@ -0,0 +1,206 @@
+//! `lanedeck load`: callers' traffic, with every answer checked to the byte.
+
+mod caller;
+mod tally;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use gumdrop::Options;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
+
+use self::caller::{Caller, Job, Plan};
+use self::tally::Tally;
+use super::client::{Client, address, addresses};
+use super::{Error, Result, block_on, print, usage};
+
+pub const ABOUT: &str = "Drives callers' traffic: asks for an entry answer, sends requests with ids
+of their own, sends them again with the same id where an answer is lost, and checks every byte of
+what comes back against what the stand-in engine must say. Prints rates, verdicts and latencies,
+and exits with 1 if an answer was wrong.
+
+Examples:
+  lanedeck load --entry 127.0.0.1:7000 --key kiosks:secret --model assistant --requests 500 --rate 50
+  lanedeck load --entry 127.0.0.1:7000 --key kiosks:secret --model assistant \\
+      --direct 127.0.0.1:7301 --requests 200      pairs each call with one straight to the engine
+";
+
+#[derive(Debug, Options)]
+pub struct Args {
+    #[options(help = "print this")]
+    help: bool,
+    #[options(
+        no_short,
+        meta = "IP:PORT",
+        help = "an entry address; may be given several times"
+    )]
+    entry: Vec<String>,
+    #[options(no_short, meta = "KEY", help = "CUSTOMER:SECRET")]
+    key: String,
+    #[options(
+        no_short,
+        meta = "NAME",
+        default = "assistant",
+        help = "the model that is called"
+    )]
+    model: String,
+    #[options(
+        no_short,
+        meta = "NAME",
+        help = "a service that is called as well, not repeatable"
+    )]
+    service: Option<String>,
+    #[options(
+        no_short,
+        meta = "N",
+        default = "100",
+        help = "share of service calls, in thousandths"
+    )]
+    service_share: u32,
+    #[options(
+        no_short,
+        meta = "NAME",
+        help = "the budget that pays; the customer's own if not given"
+    )]
+    budget: Option<String>,
+    #[options(
+        no_short,
+        meta = "NAME",
+        help = "the class; the customer's first if not given"
+    )]
+    class: Option<String>,
+    #[options(no_short, meta = "N", default = "100", help = "requests to send")]
+    requests: u64,
+    #[options(
+        no_short,
+        meta = "N",
+        default = "50",
+        help = "requests a second that arrive, whether or not others are done"
+    )]
+    rate: f64,
+    #[options(
+        no_short,
+        meta = "N",
+        default = "64",
+        help = "requests in progress, at most"
+    )]
+    callers: usize,
+    #[options(no_short, meta = "N", default = "20", help = "tokens of an answer")]
+    tokens: u64,
+    #[options(no_short, meta = "BYTES", default = "600", help = "length of a prompt")]
+    prompt: usize,
+    #[options(
+        no_short,
+        meta = "N",
+        default = "8",
+        help = "prompts that share a beginning; 0 for none"
+    )]
+    families: u64,
+    #[options(
+        no_short,
+        meta = "N",
+        default = "20",
+        help = "times that one request is sent, at most"
+    )]
+    tries: u32,
+    #[options(
+        no_short,
+        meta = "MS",
+        default = "1000",
+        help = "longest wait before a request is sent again, in milliseconds"
+    )]
+    wait_max: u64,
+    #[options(
+        no_short,
+        meta = "IP:PORT",
+        help = "an engine that each model call is paired with"
+    )]
+    direct: Option<String>,
+    #[options(no_short, meta = "FILE", help = "writes one JSON line a request")]
+    output: Option<String>,
+    #[options(no_short, meta = "N", default = "1", help = "seed of all draws")]
+    seed: u64,
+}
+
+pub fn run(args: &Args) -> Result<()> {
+    let entries = addresses("entry", &args.entry)?;
+    let direct = args
+        .direct
+        .as_deref()
+        .map(|text| address("direct", text))
+        .transpose()?;
+    if args.rate.is_nan() || args.rate <= 0.0 {
+        return usage("--rate: wanted is a number above 0");
+    }
+    let tally = block_on(4, drive(args, entries, direct))?;
+    if let Some(file) = &args.output {
+        std::fs::write(file, tally.lines()).map_err(|source| Error::Io {
+            what: file.clone(),
+            source,
+        })?;
+    }
+    print(&tally.report())?;
+    match tally.wrong() {
+        0 => Ok(()),
+        wrong => super::failed(format!("{wrong} answers were wrong")),
+    }
+}
+
+async fn drive(args: &Args, entries: Vec<SocketAddr>, direct: Option<SocketAddr>) -> Result<Tally> {
+    let plan = Plan {
+        model: args.model.clone(),
+        service: args.service.clone(),
+        budget: args.budget.clone(),
+        class: args.class.clone(),
+        tokens: args.tokens,
+        tries: args.tries,
+        wait_max: Duration::from_millis(args.wait_max),
+        direct,
+    };
+    let caller = Caller::new(Client::new(&args.key), entries, plan).await?;
+    let caller = Arc::new(caller);
+    let room = Arc::new(Semaphore::new(args.callers.max(1)));
+    let mut rng = StdRng::seed_from_u64(args.seed);
+    let mut tasks = JoinSet::new();
+    let start = Instant::now();
+    for number in 0..args.requests {
+        let at = start + Duration::from_secs_f64(number as f64 / args.rate);
+        tokio::time::sleep_until(at.into()).await;
+        let permit = Arc::clone(&room).acquire_owned().await;
+        let job = job(args, number, &mut rng);
+        let caller = Arc::clone(&caller);
+        tasks.spawn(async move {
+            let record = caller.serve(job).await;
+            drop(permit);
+            record
+        });
+    }
+    let mut tally = Tally::default();
+    while let Some(record) = tasks.join_next().await {
+        if let Ok(record) = record {
+            tally.add(record);
+        }
+    }
+    tally.elapsed = start.elapsed();
+    Ok(tally)
+}
+
+fn job(args: &Args, number: u64, rng: &mut StdRng) -> Job {
+    let service = args.service.is_some() && rng.random_range(0..1_000) < args.service_share;
+    let family = match args.families {
+        0 => number,
+        families => rng.random_range(0..families),
+    };
+    let mut text = format!("family {family} ").repeat(args.prompt / 10 + 1);
+    text.truncate(args.prompt);
+    text.push_str(&format!(" question {number}"));
+    Job {
+        number: rng.random_range(0..1 << 31),
+        service,
+        text,
+    }
+}
--- /dev/null
+++ b/src/cmd/load/tally.rs
@@ -0,0 +1,108 @@
+//! Sums over all requests of a run.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::time::Duration;
+
+use super::caller::Record;
+
+/// All records of a run.
+#[derive(Default)]
+pub struct Tally {
+    records: Vec<Record>,
+    pub elapsed: Duration,
+}
+
+impl Tally {
+    pub fn add(&mut self, record: Record) {
+        self.records.push(record);
+    }
+
+    /// Answers that were said to be whole and were not, or were another's.
+    pub fn wrong(&self) -> usize {
+        self.records.iter().filter(|record| record.wrong).count()
+    }
+
+    /// A JSON line for each request.
+    pub fn lines(&self) -> String {
+        let lines = self
+            .records
+            .iter()
+            .map(|record| serde_json::to_string(record).expect("records are plain data") + "\n");
+        lines.collect()
+    }
+
+    /// The report, as lines of key=value pairs.
+    pub fn report(&self) -> String {
+        let count = self.records.len();
+        let seconds = self.elapsed.as_secs_f64().max(0.001);
+        let tries: u64 = self
+            .records
+            .iter()
+            .map(|record| u64::from(record.tries))
+            .sum();
+        let billed: u64 = self.records.iter().map(|record| record.billed).sum();
+        let mut text = String::new();
+        let _ = writeln!(
+            text,
+            "requests={count} seconds={seconds:.2} rate={:.1} tries={tries} billed={billed} wrong={}",
+            count as f64 / seconds,
+            self.wrong()
+        );
+        let mut verdicts: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+        for record in &self.records {
+            *verdicts
+                .entry((&record.verdict, &record.reason))
+                .or_default() += 1;
+        }
+        for ((verdict, reason), count) in verdicts {
+            let reason = if verdict == "ran" || reason.is_empty() {
+                "none"
+            } else {
+                reason
+            };
+            let _ = writeln!(text, "verdict={verdict} last_reason={reason} count={count}");
+        }
+        let ran = || {
+            self.records
+                .iter()
+                .filter(|record| record.verdict == "ran" && !record.service)
+        };
+        latency(&mut text, "first", ran().map(|record| record.first_ms));
+        latency(&mut text, "total", ran().map(|record| record.total_ms));
+        let paired = || ran().filter(|record| record.direct_total_ms > 0.0);
+        if paired().next().is_some() {
+            latency(
+                &mut text,
+                "direct_first",
+                paired().map(|record| record.direct_first_ms),
+            );
+            latency(
+                &mut text,
+                "direct_total",
+                paired().map(|record| record.direct_total_ms),
+            );
+            let added = paired().map(|record| record.first_ms - record.direct_first_ms);
+            latency(&mut text, "added_first", added);
+            let added = paired().map(|record| record.total_ms - record.direct_total_ms);
+            latency(&mut text, "added_total", added);
+        }
+        text
+    }
+}
+
+fn latency(text: &mut String, name: &str, values: impl Iterator<Item = f64>) {
+    let mut values: Vec<f64> = values.collect();
+    if values.is_empty() {
+        return;
+    }
+    values.sort_by(f64::total_cmp);
+    let at = |share: f64| values[((values.len() - 1) as f64 * share).round() as usize];
+    let _ = writeln!(
+        text,
+        "latency={name} p50={:.2} p95={:.2} p99={:.2} unit=ms",
+        at(0.50),
+        at(0.95),
+        at(0.99)
+    );
+}
--- /dev/null
+++ b/src/cmd/router.rs
@@ -0,0 +1,342 @@
+//! `lanedeck router`: the process on an entry host.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use gumdrop::Options;
+use rand::RngExt;
+use tokio::net::TcpListener;
+
+use super::settings::Checker;
+use super::{Error, Result, block_on, print, start_logs};
+use crate::budget::Sizing;
+use crate::control::Settings;
+use crate::host::Peer;
+use crate::log::Incarnation;
+use crate::platform::{HttpHosts, HttpLog};
+use crate::request::Bound;
+use crate::router;
+use crate::units::{Millis, Offset};
+use crate::util::is_name;
+
+pub const ABOUT: &str = "Runs a router on an entry host until SIGTERM, and then until all that it
+has begun is done.
+
+Examples:
+  lanedeck router --entry 10.0.0.1:7000 --peer 10.0.0.1:7001 --hall nacka \\
+      --region stockholm --log 10.0.9.1:7100 --hosts 10.0.9.2:7200 \\
+      --operator-hash $(printf %s SECRET | sha256sum | cut -c1-64) --fleet-key KEY
+  LANEDECK_HALL=solna lanedeck check ...   checks all settings and starts nothing
+";
+
+#[derive(Debug, Options)]
+pub struct Args {
+    #[options(help = "print this")]
+    pub help: bool,
+    #[options(
+        no_short,
+        meta = "IP:PORT",
+        default = "127.0.0.1:7000",
+        help = "where callers and operators connect"
+    )]
+    pub entry: String,
+    #[options(
+        no_short,
+        meta = "IP:PORT",
+        default = "127.0.0.1:7001",
+        help = "where other routers connect"
+    )]
+    pub peer: String,
+    #[options(
+        no_short,
+        meta = "NAME",
+        default = "hall",
+        help = "this host's data hall: 1 to 64 letters, digits, dots, dashes, underscores"
+    )]
+    pub hall: String,
+    #[options(
+        no_short,
+        meta = "NAME",
+        default = "region",
+        help = "this host's region, likewise"
+    )]
+    pub region: String,
+    #[options(
+        no_short,
+        meta = "IP:PORT",
+        default = "127.0.0.1:7100",
+        help = "the platform's log"
+    )]
+    pub log: String,
+    #[options(
+        no_short,
+        meta = "IP:PORT",
+        default = "127.0.0.1:7200",
+        help = "the platform's host list"
+    )]
+    pub hosts: String,
+    #[options(
+        no_short,
+        meta = "HEX",
+        help = "SHA-256 of the operators' secret, 64 hexadecimal digits"
+    )]
+    pub operator_hash: String,
+    #[options(
+        no_short,
+        meta = "KEY",
+        help = "what routers of this fleet show each other, 8 to 256 visible characters"
+    )]
+    pub fleet_key: String,
+    #[options(
+        no_short,
+        meta = "POLICY",
+        default = "expected",
+        help = "choice of targets: least, two, prefix or expected"
+    )]
+    pub policy: String,
+    #[options(
+        no_short,
+        meta = "S",
+        default = "600",
+        help = "demand that a grant covers, in seconds, 1 to 86400"
+    )]
+    pub horizon: String,
+    #[options(
+        no_short,
+        meta = "MS",
+        default = "100",
+        help = "least time between two appends to a stream, in milliseconds, 1 to 60000"
+    )]
+    pub append_gap: String,
+    #[options(
+        no_short,
+        meta = "MS",
+        default = "4000",
+        help = "a holder silent for this long is closed by its witness, in milliseconds, 1000 to 600000"
+    )]
+    pub close_after: String,
+    #[options(
+        no_short,
+        meta = "N",
+        default = "5000",
+        help = "appends to a stream between two checkpoints, 10 to 10000000"
+    )]
+    pub checkpoint_every: String,
+    #[options(
+        no_short,
+        meta = "N",
+        default = "512",
+        help = "requests that wait for one model or service, 1 to 65536"
+    )]
+    pub queue: String,
+    #[options(
+        no_short,
+        meta = "MS",
+        default = "2000",
+        help = "head start of each rank over the next, in milliseconds, 0 to 600000"
+    )]
+    pub step: String,
+    #[options(
+        no_short,
+        meta = "BYTES",
+        default = "1048576",
+        help = "longest body of a request, in bytes, 1024 to 67108864"
+    )]
+    pub body_max: String,
+    #[options(
+        no_short,
+        meta = "MS",
+        default = "120000",
+        help = "longest silence of a target within an answer, in milliseconds, 100 to 3600000"
+    )]
+    pub silence: String,
+    #[options(
+        no_short,
+        meta = "N",
+        default = "2",
+        help = "threads for traffic, 1 to 64; the control state has one of its own"
+    )]
+    pub threads: String,
+    #[options(
+        no_short,
+        meta = "LEVEL",
+        default = "info",
+        help = "logs: error, warn, info, debug or trace"
+    )]
+    pub log_level: String,
+}
+
+/// Settings that have been checked.
+pub struct Checked {
+    pub settings: Settings,
+    pub entry: SocketAddr,
+    pub peer: SocketAddr,
+    pub log: SocketAddr,
+    pub hosts: SocketAddr,
+    pub operator_hash: String,
+    pub fleet_key: String,
+    pub body_max: usize,
+    pub silence: Duration,
+    pub threads: usize,
+    pub in_force: String,
+}
+
+const ADDRESS: &str = "an IP number and a port";
+const NAME: &str = "1 to 64 letters, digits, dots, dashes or underscores";
+
+fn address(checker: &mut Checker, name: &str, value: &str) -> Option<SocketAddr> {
+    checker.take(name, value, ADDRESS, |_| true)
+}
+
+fn span(checker: &mut Checker, name: &str, value: &str, least: u64, most: u64) -> Option<u64> {
+    let wanted = format!("a whole number from {least} to {most}");
+    checker.take(name, value, &wanted, |number| {
+        (least..=most).contains(number)
+    })
+}
+
+/// Checks all settings at once.
+pub fn check(args: &Args) -> Result<Checked> {
+    let mut checker = Checker::default();
+    let c = &mut checker;
+    let entry = address(c, "entry", &args.entry);
+    let peer = address(c, "peer", &args.peer);
+    let log = address(c, "log", &args.log);
+    let hosts = address(c, "hosts", &args.hosts);
+    let hall = c.take("hall", &args.hall, NAME, |name: &String| is_name(name));
+    let region = c.take("region", &args.region, NAME, |name: &String| is_name(name));
+    let policy = c.take(
+        "policy",
+        &args.policy,
+        "least, two, prefix or expected",
+        |_| true,
+    );
+    let horizon = span(c, "horizon", &args.horizon, 1, 86_400);
+    let append_gap = span(c, "append-gap", &args.append_gap, 1, 60_000);
+    let close_after = span(c, "close-after", &args.close_after, 1_000, 600_000);
+    let checkpoint_every = span(
+        c,
+        "checkpoint-every",
+        &args.checkpoint_every,
+        10,
+        10_000_000,
+    );
+    let queue = span(c, "queue", &args.queue, 1, 65_536);
+    let step = span(c, "step", &args.step, 0, 600_000);
+    let body_max = span(c, "body-max", &args.body_max, 1_024, 67_108_864);
+    let silence = span(c, "silence", &args.silence, 100, 3_600_000);
+    let threads = span(c, "threads", &args.threads, 1, 64);
+    let levels = "error, warn, info, debug or trace";
+    c.take("log-level", &args.log_level, levels, |level: &String| {
+        levels
+            .split([',', ' '])
+            .any(|known| known == level && known != "or")
+    });
+    let is_hash = |text: &String| text.len() == 64 && text.bytes().all(|b| b.is_ascii_hexdigit());
+    c.secret(
+        "operator-hash",
+        &args.operator_hash,
+        "64 hexadecimal digits",
+        is_hash,
+    );
+    let is_key = |text: &String| {
+        (8..=256).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_graphic())
+    };
+    c.secret(
+        "fleet-key",
+        &args.fleet_key,
+        "8 to 256 visible characters",
+        is_key,
+    );
+    let in_force = checker.finish()?;
+
+    let checked = || {
+        let me = Peer {
+            incarnation: Incarnation(rand::rng().random()),
+            counter: 0,
+            entry: entry?,
+            address: peer?,
+            hall: hall?,
+            region: region?,
+            epoch: 1,
+            leaving: false,
+            witness: None,
+            applied: Offset::ZERO,
+        };
+        let mut settings = Settings::new(me, rand::rng().random());
+        settings.policy = policy?;
+        settings.sizing = Sizing::Thin(Millis(horizon? * 1_000));
+        settings.append_gap = Millis(append_gap?);
+        settings.close_after = Millis(close_after?);
+        settings.checkpoint_every = checkpoint_every?;
+        settings.bound = Bound {
+            len: usize::try_from(queue?).ok()?,
+            step: Millis(step?),
+        };
+        Some(Checked {
+            settings,
+            entry: entry?,
+            peer: peer?,
+            log: log?,
+            hosts: hosts?,
+            operator_hash: args.operator_hash.to_ascii_lowercase(),
+            fleet_key: args.fleet_key.clone(),
+            body_max: usize::try_from(body_max?).ok()?,
+            silence: Duration::from_millis(silence?),
+            threads: usize::try_from(threads?).ok()?,
+            in_force,
+        })
+    };
+    checked().ok_or(Error::Usage {
+        message: "a setting is missing".to_owned(),
+    })
+}
+
+/// Binds an address, and says which where that fails.
+pub async fn bind(what: &str, address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| Error::Io {
+            what: format!("--{what} {address}"),
+            source,
+        })
+}
+
+/// Binds a router's addresses; those given with port 0 are filled in.
+pub async fn bound(mut checked: Checked) -> Result<router::Options> {
+    let entry = bind("entry", checked.entry).await?;
+    let peers = bind("peer", checked.peer).await?;
+    let local = |listener: &TcpListener| {
+        listener.local_addr().map_err(|source| Error::Io {
+            what: "bound address".to_owned(),
+            source,
+        })
+    };
+    checked.settings.me.entry = local(&entry)?;
+    checked.settings.me.address = local(&peers)?;
+    Ok(router::Options {
+        settings: checked.settings,
+        entry,
+        peers,
+        log: HttpLog::new(checked.log),
+        hosts: HttpHosts::new(checked.hosts),
+        operator_hash: checked.operator_hash,
+        fleet_key: checked.fleet_key,
+        body_max: checked.body_max,
+        silence: checked.silence,
+    })
+}
+
+pub fn run(args: &Args) -> Result<()> {
+    let checked = check(args)?;
+    start_logs(&args.log_level);
+    block_on(checked.threads, async {
+        let options = bound(checked).await?;
+        let me = &options.settings.me;
+        print(&format!("entry={} peer={}\n", me.entry, me.address))?;
+        tracing::info!(event = "listening", entry = %me.entry, peer = %me.address, incarnation = %me.incarnation);
+        router::run(options).await.map_err(|error| Error::Failed {
+            message: error.to_string(),
+        })
+    })
+}
--- a/src/control/action.rs
+++ b/src/control/action.rs
@@ -8,7 +8,7 @@
 use crate::budget::{BudgetKey, Violation};
 use crate::intent::{Config, Error, Intent, Kind, Outcome, Plan, Proposal};
 use crate::log::{Batch, Incarnation, Stream};
-use crate::request::{Id, Ticket, Verdict};
+use crate::request::{Id, Prefix, Ticket, Verdict};
 use crate::target::Choice;
 use crate::units::{Millis, Offset, Tokens};
 use crate::wire::{Reply, Request};
@@ -147,6 +147,13 @@
         /// Where the status goes.
         token: Token,
     },
+    /// A caller asks which addresses to use.
+    Entry {
+        /// Where the answer goes.
+        token: Token,
+        /// The customer.
+        customer: String,
+    },
     /// Time has passed.
     Tick,
     /// A planned stop begins.
@@ -229,6 +236,13 @@
         /// The status.
         status: Box<Status>,
     },
+    /// Answer a caller's question: addresses with the prefix of ids there, best first.
+    Entries {
+        /// Whom.
+        token: Token,
+        /// The addresses.
+        entries: Vec<(SocketAddr, Prefix)>,
+    },
     /// The configuration in force has changed.
     Publish {
         /// The configuration.
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -12,6 +12,8 @@
 const ATTEMPTS_MAX: u32 = 3;
 /// Retries that may be saved up.
 const RETRIES_MAX: f64 = 10.0;
+/// Retries that a process starts with.
+pub(super) const RETRIES_FIRST: f64 = 3.0;
 /// What each whole answer adds to the retries: one in ten requests may be tried again.
 const RETRY_SHARE: f64 = 0.1;
 /// Longest wait of a reservation for its witnesses.
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -6,7 +6,7 @@
 use crate::budget::{Answer, Replay, Taken};
 use crate::host::Peer;
 use crate::log::{Incarnation, Record, SHARDS, Stream};
-use crate::request::{EPOCH_KEEP, Id};
+use crate::request::{EPOCH_KEEP, Id, Prefix};
 use crate::units::Millis;
 use crate::wire::{Ask, Reply, Request};
 
@@ -16,6 +16,8 @@
 const PRUNE_EVERY: Millis = Millis(10_000);
 /// A ward silent for this long, whose ledgers name another witness, is forgotten.
 const FORGET_AFTER: Millis = Millis(3_600_000);
+/// Concurrency of a customer that gets a wider set of entry hosts.
+const LARGE: u32 = 256;
 /// A router behind the log asks a peer for its state this often.
 const STATE_EVERY: Millis = Millis(1_000);
 
@@ -83,6 +85,30 @@
         self.out.push(Action::Answer { token, reply });
     }
 
+    /// Which addresses a customer should use, with what to make ids of there.
+    pub(super) fn entry(&mut self, token: Token, customer: &str) {
+        let most = self
+            .config()
+            .customer(customer)
+            .map_or(0, |c| c.concurrency);
+        let share = 1 + (most / LARGE) as usize;
+        let me = self.prefix();
+        let peers = self.membership.entries(self.now, customer, share);
+        let entries = peers
+            .into_iter()
+            .map(|peer| {
+                let (incarnation, epoch) = (peer.incarnation, peer.epoch);
+                let prefix = if incarnation == me.incarnation {
+                    me
+                } else {
+                    Prefix { incarnation, epoch }
+                };
+                (peer.entry, prefix)
+            })
+            .collect();
+        self.out.push(Action::Entries { token, entries });
+    }
+
     fn hear(&mut self, peers: &[Peer]) {
         for peer in peers {
             self.membership.heard(self.now, peer);
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -17,8 +17,9 @@
 use crate::target::{Policy, Pool};
 use crate::units::{Millis, Offset};
 
-/// Numbers that a router gives to requests itself start here; callers' are below.
-pub(super) const OWN_NUMBERS: u32 = 1 << 31;
+/// Numbers in our books of requests that were taken over start here. Those of callers are below
+/// 2^31, and those that the caller's side gives to requests without an id lie between.
+pub(super) const OWN_NUMBERS: u32 = 3 << 30;
 
 /// What is fixed for the life of a process.
 #[derive(Clone, Debug)]
@@ -191,7 +192,7 @@
             by_nonce: BTreeMap::new(),
             queues: BTreeMap::new(),
             busy: HashMap::new(),
-            retries: 0.0,
+            retries: super::dispatch::RETRIES_FIRST,
             pool: Pool::new(settings.policy),
             membership: Membership::new(me),
             next_call: 1,
@@ -236,6 +237,7 @@
             Input::Intent { token, intent } => self.intent(token, &intent),
             Input::Confirm { token, plan } => self.confirm(token, plan),
             Input::Status { token } => self.status(token),
+            Input::Entry { token, customer } => self.entry(token, &customer),
             Input::Tick => self.tick(),
             Input::Stop => self.stop(),
         }
@@ -302,14 +304,6 @@
         self.prefix().with_number(self.next_number).nonce
     }
 
-    /// An id for a request that came without one.
-    pub fn make_id(&mut self) -> Id {
-        Id {
-            incarnation: self.incarnation(),
-            nonce: self.own_nonce(),
-        }
-    }
-
     /// The membership as this router sees it.
     pub fn membership(&self) -> &Membership {
         &self.membership
--- /dev/null
+++ b/src/http/operator.rs
@@ -0,0 +1,166 @@
+//! What operators ask: plans, confirms, status, the burn report, and why a request went as it did.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode, header};
+use serde::Serialize;
+use serde_json::json;
+use volo_http::response::Response;
+
+use super::reply;
+use super::reply::Wrong;
+use crate::control::{Action, Input};
+use crate::intent::{Intent, Outcome, Plan, Refused};
+use crate::router::Shared;
+use crate::util::secret_matches;
+
+/// Name in an operator's key, before the colon.
+const OPERATOR: &str = "operator";
+
+fn check(shared: &Shared, headers: &HeaderMap) -> Result<(), Wrong> {
+    let key = headers
+        .get(header::AUTHORIZATION)
+        .and_then(|value| value.to_str().ok());
+    let Some(key) = key.and_then(|key| key.strip_prefix("Bearer ")) else {
+        let message = "authorization: wanted is 'Bearer operator:SECRET'";
+        return Err(Wrong::new(StatusCode::UNAUTHORIZED, "no_key", message));
+    };
+    let secret = key.split_once(':').filter(|(name, _)| *name == OPERATOR);
+    let secret = secret.map_or("", |(_, secret)| secret);
+    if secret_matches(secret, &shared.operator_hash) {
+        return Ok(());
+    }
+    let message = "authorization: this is not an operator's key";
+    Err(Wrong::new(StatusCode::FORBIDDEN, "wrong_key", message))
+}
+
+fn parse<T: serde::de::DeserializeOwned>(body: &Bytes) -> Result<T, Wrong> {
+    serde_json::from_slice(body).map_err(|error| Wrong::field("body", format!("body: {error}")))
+}
+
+fn gone() -> Response {
+    Wrong::new(StatusCode::SERVICE_UNAVAILABLE, "stopping", "about to stop").reply()
+}
+
+/// `POST /v1/intents`: a plan, of which nothing takes effect before it is confirmed.
+pub async fn intent(shared: Arc<Shared>, headers: HeaderMap, body: Bytes) -> Response {
+    let intent: Intent = match check(&shared, &headers).and_then(|()| parse(&body)) {
+        Ok(intent) => intent,
+        Err(wrong) => return wrong.reply(),
+    };
+    match shared.ask(|token| Input::Intent { token, intent }).await {
+        Some(Action::Planned {
+            result: Ok(proposal),
+            ..
+        }) => reply::json(StatusCode::OK, &proposal),
+        Some(Action::Planned {
+            result: Err(error), ..
+        }) => Wrong::new(
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "intent",
+            error.to_string(),
+        )
+        .reply(),
+        _ => gone(),
+    }
+}
+
+/// What became of a confirm.
+#[derive(Debug, Serialize)]
+struct Confirmed {
+    result: &'static str,
+    offset: Option<u64>,
+    message: String,
+}
+
+/// `POST /v1/confirm`: puts a plan in force. May be repeated: a plan is confirmed once.
+pub async fn confirm(shared: Arc<Shared>, headers: HeaderMap, body: Bytes) -> Response {
+    let plan: Plan = match check(&shared, &headers).and_then(|()| parse(&body)) {
+        Ok(plan) => plan,
+        Err(wrong) => return wrong.reply(),
+    };
+    let Some(Action::Confirmed { outcome, .. }) =
+        shared.ask(|token| Input::Confirm { token, plan }).await
+    else {
+        return gone();
+    };
+    let (status, result, offset, message) = match outcome {
+        Some(Outcome::InForce(offset)) => {
+            let message = format!("in force from offset {offset} on");
+            (StatusCode::OK, "in_force", Some(offset.0), message)
+        }
+        Some(Outcome::Refused(Refused::Stale { version })) => {
+            let message =
+                format!("the object has changed since, and has version {version}: plan again");
+            (StatusCode::CONFLICT, "stale", None, message)
+        }
+        Some(Outcome::Refused(Refused::Unfit)) => {
+            let message = "the plan does not fit what it changes".to_owned();
+            (StatusCode::UNPROCESSABLE_ENTITY, "unfit", None, message)
+        }
+        None => {
+            let message = "the log has not been read back in time, so it may or may not be in \
+                           force: confirm the same plan again"
+                .to_owned();
+            (StatusCode::GATEWAY_TIMEOUT, "unknown", None, message)
+        }
+    };
+    reply::json(
+        status,
+        &Confirmed {
+            result,
+            offset,
+            message,
+        },
+    )
+}
+
+/// `GET /v1/status`
+pub async fn status(shared: Arc<Shared>, headers: HeaderMap) -> Response {
+    if let Err(wrong) = check(&shared, &headers) {
+        return wrong.reply();
+    }
+    match shared.ask(|token| Input::Status { token }).await {
+        Some(Action::Status { status, .. }) => reply::json(StatusCode::OK, &status),
+        _ => gone(),
+    }
+}
+
+/// `GET /v1/config`: all objects in force, with their versions.
+pub async fn config(shared: Arc<Shared>, headers: HeaderMap) -> Response {
+    if let Err(wrong) = check(&shared, &headers) {
+        return wrong.reply();
+    }
+    let config = shared.config.load();
+    let items: Vec<_> = config
+        .items()
+        .map(|(key, item)| json!({ "key": key, "version": item.version, "object": item.object }))
+        .collect();
+    reply::json(StatusCode::OK, &items)
+}
+
+/// `GET /v1/burn`
+pub async fn burn(shared: Arc<Shared>, headers: HeaderMap) -> Response {
+    if let Err(wrong) = check(&shared, &headers) {
+        return wrong.reply();
+    }
+    reply::json(StatusCode::OK, &shared.metrics.export())
+}
+
+/// `GET /v1/explain/{id}`
+pub async fn explain(shared: Arc<Shared>, id: String, headers: HeaderMap) -> Response {
+    if let Err(wrong) = check(&shared, &headers) {
+        return wrong.reply();
+    }
+    let steps = id.parse().ok().and_then(|id| shared.trail.get(id));
+    match steps {
+        Some(steps) => reply::json(StatusCode::OK, &steps),
+        None => Wrong::new(
+            StatusCode::NOT_FOUND,
+            "unknown",
+            "this router knows no such request",
+        )
+        .reply(),
+    }
+}
--- /dev/null
+++ b/src/http/relay.rs
@@ -0,0 +1,321 @@
+//! One dispatch: the request to the target, and the answer back, checked frame by frame.
+//!
+//! The client library does not repeat a request by itself. A request that may not be repeated
+//! goes over a connection of its own, since a kept one may have been closed by the target
+//! meanwhile, and then nobody knows whether it ran.
+
+use std::time::{Duration, Instant};
+
+use http::StatusCode;
+use serde::{Deserialize, Serialize};
+use volo_http::body::{Body, BodyConversion};
+use volo_http::client::sse::{SseExt, SseReader};
+use volo_http::error::client::ErrorKind;
+use volo_http::response::Response;
+
+use super::answer::{Answer, Whole, Work};
+use super::chat::Frame;
+use super::{ATTEMPT, FENCE, RANK, REQUEST_ID, VERDICT};
+use crate::control::End;
+use crate::intent::Kind;
+use crate::request::Id;
+use crate::target::Choice;
+use crate::units::{Millis, Tokens};
+
+/// Times that a broken stream is resumed.
+const RESUMES_MAX: u32 = 3;
+/// Wait before a stream is resumed.
+const RESUME_WAIT: Duration = Duration::from_millis(50);
+/// Connections kept to one target.
+const IDLE_MAX: usize = 64;
+
+type Client = volo_http::client::Client;
+
+/// Clients towards targets.
+#[derive(Clone)]
+pub struct Relay {
+    kept: Client,
+    single: Client,
+    /// Longest silence of a target in the midst of an answer.
+    silence: Duration,
+}
+
+/// One dispatch.
+#[derive(Clone, Copy, Debug)]
+pub struct Order {
+    /// The request.
+    pub id: Id,
+    /// Which dispatch of it this is.
+    pub attempt: u32,
+    /// Where to.
+    pub choice: Choice,
+    /// Rank of its class.
+    pub rank: u8,
+}
+
+/// What became of a request, as its target tells it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fate {
+    /// Whether it ran or runs there.
+    pub ran: bool,
+    /// Whether it is done.
+    pub done: bool,
+    /// Tokens used.
+    pub used: u64,
+}
+
+/// A target's report of its load and cache.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests that it has.
+    pub running: u32,
+    /// Where to read cache events on.
+    pub next: usize,
+    /// Blocks stored since.
+    pub stored: Vec<u64>,
+    /// Blocks dropped since.
+    pub evicted: Vec<u64>,
+}
+
+/// How a stream of frames ended.
+enum Read {
+    Whole,
+    Broken,
+}
+
+/// What was seen of a streamed answer so far.
+struct Progress {
+    next: u64,
+    used: u64,
+    first: Option<Millis>,
+    dropped: u32,
+}
+
+impl Relay {
+    /// Clients that wait this long for a silent target.
+    pub fn new(silence: Duration) -> Self {
+        let build = |idle: usize| {
+            let mut builder = volo_http::client::Client::builder();
+            builder.set_connect_timeout(Duration::from_secs(1));
+            builder.set_pool_idle_timeout(Duration::from_secs(20));
+            builder.set_max_idle_per_host(idle);
+            builder.build().expect("the client's settings are constant")
+        };
+        Self {
+            kept: build(IDLE_MAX),
+            single: build(0),
+            silence,
+        }
+    }
+
+    /// Sends a request and takes its answer in. `seen` is told the time since the arrival of each
+    /// frame that counts.
+    pub async fn run(&self, answer: &Answer, order: Order, seen: impl Fn(u64)) -> End {
+        match &answer.work {
+            Work::Chat(call) => {
+                let mut call = call.clone();
+                call.stream = true;
+                let body = serde_json::to_vec(&call).expect("a call is plain data");
+                self.chat(answer, order, body, seen).await
+            }
+            Work::Service(body) => self.service(answer, order, body.to_vec()).await,
+        }
+    }
+
+    async fn send(
+        &self,
+        path: &str,
+        repeatable: bool,
+        order: Order,
+        body: Vec<u8>,
+    ) -> Result<Response, End> {
+        let client = if repeatable { &self.kept } else { &self.single };
+        let request = client
+            .post(format!("http://{}{path}", order.choice.address))
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .header(REQUEST_ID, order.id.to_string())
+            .header(ATTEMPT, order.attempt.to_string())
+            .header(FENCE, order.choice.fence.to_string())
+            .header(RANK, order.rank.to_string())
+            .data(body);
+        let sent = tokio::time::timeout(self.silence, request.send()).await;
+        let broken = End::Broken {
+            used: Tokens::ZERO,
+            shown: false,
+        };
+        let response = match sent {
+            Err(_) => return Err(broken),
+            Ok(Err(error)) if *error.kind() == ErrorKind::Connect => return Err(End::Unsent),
+            Ok(Err(_)) => return Err(broken),
+            Ok(Ok(response)) => response,
+        };
+        let vouched = response
+            .headers()
+            .get(VERDICT)
+            .is_some_and(|value| value == "not_run");
+        if vouched && !response.status().is_success() {
+            return Err(End::Refused);
+        }
+        Ok(response)
+    }
+
+    async fn service(&self, answer: &Answer, order: Order, body: Vec<u8>) -> End {
+        let start = Instant::now();
+        let broken = End::Broken {
+            used: Tokens::ZERO,
+            shown: false,
+        };
+        let sent = self
+            .send("/call", answer.about.repeatable, order, body)
+            .await;
+        let response = match sent {
+            Ok(response) => response,
+            Err(end) => return end,
+        };
+        let first = millis(start);
+        let status = response.status();
+        let id = order.id.to_string();
+        let ours = response
+            .headers()
+            .get(REQUEST_ID)
+            .is_none_or(|value| value == id.as_str());
+        if status.is_server_error() || !ours {
+            return broken;
+        }
+        let body = tokio::time::timeout(self.silence, response.into_body().into_bytes()).await;
+        let Ok(Ok(body)) = body else {
+            return broken;
+        };
+        answer.set_whole(Whole { status, body });
+        End::Whole {
+            used: Tokens::ZERO,
+            first,
+            whole: millis(start),
+        }
+    }
+
+    async fn chat(&self, answer: &Answer, order: Order, body: Vec<u8>, seen: impl Fn(u64)) -> End {
+        let start = Instant::now();
+        let mut progress = Progress {
+            next: 0,
+            used: 0,
+            first: None,
+            dropped: 0,
+        };
+        let path = "/v1/chat/completions";
+        let sent = self.send(path, answer.about.repeatable, order, body).await;
+        let mut response = match sent {
+            Ok(response) => Some(response),
+            Err(end) => return end,
+        };
+        for _ in 0..=RESUMES_MAX {
+            if let Some(stream) = response.take()
+                && let Ok(reader) = stream.into_sse()
+                && let Read::Whole = self
+                    .read(answer, order, reader, &mut progress, &seen, start)
+                    .await
+            {
+                return End::Whole {
+                    used: Tokens(progress.used),
+                    first: progress.first.unwrap_or_default(),
+                    whole: millis(start),
+                };
+            }
+            tokio::time::sleep(RESUME_WAIT).await;
+            response = self.resume(order, progress.next).await;
+            if response.is_none() {
+                break;
+            }
+        }
+        let shown = answer.take_back();
+        End::Broken {
+            used: Tokens(progress.used),
+            shown,
+        }
+    }
+
+    /// Takes frames in order; one of another request, of another attempt, or seen before is
+    /// dropped, and a gap ends the reading, to be resumed from there.
+    async fn read(
+        &self,
+        answer: &Answer,
+        order: Order,
+        mut reader: SseReader<Body>,
+        progress: &mut Progress,
+        seen: &impl Fn(u64),
+        start: Instant,
+    ) -> Read {
+        let id = order.id.to_string();
+        loop {
+            let event = tokio::time::timeout(self.silence, reader.read()).await;
+            let Ok(Ok(Some(event))) = event else {
+                return Read::Broken;
+            };
+            let data = event.data().unwrap_or_default();
+            let Ok(frame) = serde_json::from_str::<Frame>(data) else {
+                return Read::Broken;
+            };
+            if frame.id != id || frame.attempt != order.attempt || frame.index < progress.next {
+                progress.dropped += 1;
+                tracing::info!(event = "frame_dropped", request = %id, got = %frame.id, index = frame.index);
+                continue;
+            }
+            if frame.index > progress.next {
+                return Read::Broken;
+            }
+            progress.next += 1;
+            progress.first.get_or_insert_with(|| millis(start));
+            match frame.usage {
+                Some(usage) => progress.used = usage.total_tokens,
+                None => progress.used += 1,
+            }
+            let last = frame.usage.is_some();
+            seen(frame.index);
+            answer.push(frame);
+            if last {
+                return Read::Whole;
+            }
+        }
+    }
+
+    async fn resume(&self, order: Order, from: u64) -> Option<Response> {
+        let address = order.choice.address;
+        let uri = format!("http://{address}/v1/requests/{}/stream/{from}", order.id);
+        let sent = tokio::time::timeout(self.silence, self.kept.get(uri).send()).await;
+        let response = sent.ok()?.ok()?;
+        response.status().is_success().then_some(response)
+    }
+
+    /// Asks a target for its load and its cache events since `from`.
+    pub async fn load(&self, address: std::net::SocketAddr, from: usize) -> Option<Load> {
+        self.get(format!("http://{address}/v1/load/{from}")).await
+    }
+
+    /// Asks a target what became of a request.
+    pub async fn fate(&self, address: std::net::SocketAddr, id: Id) -> Option<Fate> {
+        self.get(format!("http://{address}/v1/requests/{id}")).await
+    }
+
+    async fn get<T: serde::de::DeserializeOwned>(&self, uri: String) -> Option<T> {
+        let wait = Duration::from_secs(2);
+        let response = tokio::time::timeout(wait, self.kept.get(uri).send()).await;
+        let response = response.ok()?.ok()?;
+        if response.status() != StatusCode::OK {
+            return None;
+        }
+        let body = tokio::time::timeout(wait, response.into_body().into_bytes()).await;
+        serde_json::from_slice(&body.ok()?.ok()?).ok()
+    }
+}
+
+/// The kind of target that work is for.
+pub fn kind(work: &Work) -> Kind {
+    match work {
+        Work::Chat(_) => Kind::Engine,
+        Work::Service(_) => Kind::Service,
+    }
+}
+
+fn millis(since: Instant) -> Millis {
+    Millis(u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,12 +5,20 @@
 //! aggregates in [`budget`], [`request`], [`target`], [`host`], [`intent`]); sockets, clocks and
 //! randomness stay at the edge ([`http`], [`wire`], [`platform`]).
 
+#![warn(clippy::unwrap_used)]
+
 pub mod budget;
+pub mod cmd;
 pub mod control;
 pub mod host;
+pub mod http;
 pub mod intent;
 pub mod log;
+pub mod platform;
+pub mod report;
 pub mod request;
+pub mod router;
+pub mod standin;
 pub mod target;
 pub mod units;
 pub mod util;
--- a/src/log/follower.rs
+++ b/src/log/follower.rs
@@ -139,13 +139,13 @@
 
     fn compare(&self, theirs: &Checkpoint) -> Option<Violation> {
         let ours = self.mark.as_ref()?;
-        (ours.through == theirs.through && ours.digest != theirs.digest).then(|| {
+        (ours.through == theirs.through && ours.digest != theirs.digest).then_some(
             Violation::Digest {
                 through: theirs.through,
                 ours: ours.digest,
                 theirs: theirs.digest,
-            }
-        })
+            },
+        )
     }
 }
 
@@ -156,6 +156,5 @@
             Record::Checkpoint(checkpoint) => Some(checkpoint),
             _ => None,
         })
-        .filter(|checkpoint| checkpoint.through + Offset(1) >= first)
-        .last()
+        .rfind(|checkpoint| checkpoint.through + Offset(1) >= first)
 }
--- /dev/null
+++ b/src/router/edge.rs
@@ -0,0 +1,198 @@
+//! Does what the control state wants done.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::runtime::Handle;
+
+use super::Shared;
+use crate::control::{Action, Input};
+use crate::http::answer::{Answer, Work};
+use crate::http::relay::{Order, Relay};
+use crate::platform::Log;
+use crate::report::Key;
+use crate::request::{Ticket, Verdict};
+use crate::wire;
+
+/// The way out of the control thread.
+pub struct Edge {
+    traffic: Handle,
+    shared: Arc<Shared>,
+    relay: Relay,
+    peers: wire::Client,
+}
+
+impl Edge {
+    pub fn new(traffic: Handle, shared: Arc<Shared>, silence: Duration) -> Self {
+        Self {
+            traffic,
+            peers: wire::Client::new(&shared.fleet_key),
+            shared,
+            relay: Relay::new(silence),
+        }
+    }
+
+    /// Does one action; none of them waits here.
+    pub fn act(&self, action: Action) {
+        match action {
+            Action::Dispatch {
+                ticket,
+                id,
+                attempt,
+                choice,
+                rank,
+            } => {
+                let order = Order {
+                    id,
+                    attempt,
+                    choice,
+                    rank,
+                };
+                self.dispatch(ticket, order);
+            }
+            Action::Finish { ticket, verdict } => self.finish(ticket, verdict),
+            Action::Join { ticket, to } => self.join(ticket, to),
+            Action::Forget(tickets) => {
+                for ticket in tickets {
+                    self.shared.answers.remove(ticket);
+                }
+            }
+            Action::Append { stream, batch } => self.append(stream, batch),
+            Action::Call { call, to, request } => {
+                let (peers, shared) = (self.peers.clone(), Arc::clone(&self.shared));
+                self.traffic.spawn(async move {
+                    let reply = peers.ask(to, &request).await;
+                    shared.tell(Input::Replied { call, reply });
+                });
+            }
+            Action::Answer { token, .. }
+            | Action::Planned { token, .. }
+            | Action::Confirmed { token, .. }
+            | Action::Status { token, .. }
+            | Action::Entries { token, .. } => self.shared.reply(token, action),
+            Action::Publish { config } => {
+                tracing::info!(event = "config_in_force", objects = config.items().count());
+                self.shared.config.store(config);
+            }
+            Action::Reborn { incarnation } => {
+                tracing::warn!(event = "incarnation_closed", new = %incarnation);
+            }
+            Action::Violated(violation) => {
+                tracing::error!(event = "invariant_violated", evidence = %violation);
+            }
+            Action::Exit => {}
+        }
+    }
+
+    fn append(&self, stream: crate::log::Stream, batch: crate::log::Batch) {
+        let shared = Arc::clone(&self.shared);
+        let log = shared.log.clone();
+        self.traffic.spawn(async move {
+            let appended = log.append(stream, &batch).await;
+            if let Err(error) = &appended {
+                tracing::warn!(event = "append_failed", %stream, %error);
+            }
+            let taken = appended.is_ok();
+            shared.tell(Input::Appended { stream, taken });
+        });
+    }
+
+    fn dispatch(&self, ticket: Ticket, order: Order) {
+        let Some(answer) = self.shared.answers.get(ticket) else {
+            return;
+        };
+        let target = order.choice.address;
+        let what = format!(
+            "dispatch {} to {target}, fence {}",
+            order.attempt, order.choice.fence
+        );
+        self.shared.trail.note(order.id, what);
+        tracing::debug!(event = "dispatched", request = %order.id, %target, attempt = order.attempt);
+        let (relay, shared) = (self.relay.clone(), Arc::clone(&self.shared));
+        self.traffic.spawn(async move {
+            shared.note_active(target);
+            let end = run(&relay, &shared, &answer, order).await;
+            shared.trail.note(
+                order.id,
+                format!("attempt {} ended: {end:?}", order.attempt),
+            );
+            shared.tell(Input::Ended { ticket, end });
+        });
+    }
+
+    fn finish(&self, ticket: Ticket, verdict: Verdict) {
+        let Some(answer) = self.shared.answers.get(ticket) else {
+            return;
+        };
+        let about = &answer.about;
+        let key = key(&answer);
+        let objective = self.shared.config.load().objective(&about.class);
+        let sample = answer.watch.sample();
+        self.shared.metrics.note(&key, objective, &verdict, sample);
+        let reason = verdict.reason().map_or("none", |reason| reason.word());
+        let billed = match verdict {
+            Verdict::Ran { billed } => billed.0,
+            _ => 0,
+        };
+        tracing::info!(
+            event = "request_finished",
+            request = %about.id,
+            customer = about.customer,
+            class = about.class,
+            serves = about.serves,
+            verdict = verdict.word(),
+            reason,
+            billed,
+            first_ms = sample.first_ms,
+            total_ms = about.arrived.elapsed().as_millis() as u64,
+        );
+        self.shared.trail.note(
+            about.id,
+            format!("verdict {}: {reason}, billed {billed}", verdict.word()),
+        );
+        answer.end(verdict);
+        // What did not run may come again as new; its answer is not kept.
+        if matches!(verdict, Verdict::NotRun { .. }) {
+            self.shared.answers.remove(ticket);
+        }
+    }
+
+    fn join(&self, ticket: Ticket, to: Ticket) {
+        let Some(answer) = self.shared.answers.remove(ticket) else {
+            return;
+        };
+        self.shared.trail.note(
+            answer.about.id,
+            "a retry joined the first arrival".to_owned(),
+        );
+        match self.shared.answers.get(to) {
+            Some(first) => answer.join(first),
+            None => answer.end(Verdict::MayHaveRun {
+                reason: crate::request::Reason::Expired,
+            }),
+        }
+    }
+}
+
+fn key(answer: &Answer) -> Key {
+    Key {
+        customer: answer.about.customer.clone(),
+        class: answer.about.class.clone(),
+        serves: answer.about.serves.clone(),
+    }
+}
+
+async fn run(relay: &Relay, shared: &Shared, answer: &Answer, order: Order) -> crate::control::End {
+    let key = key(answer);
+    let seen = |_index| {
+        let at = u64::try_from(answer.about.arrived.elapsed().as_millis()).unwrap_or(u64::MAX);
+        if let Some(gap) = answer.watch.frame(at) {
+            shared.metrics.note_gap(&key, gap);
+        }
+    };
+    let end = relay.run(answer, order, seen).await;
+    if matches!(answer.work, Work::Service(_)) {
+        seen(0);
+    }
+    end
+}
--- /dev/null
+++ b/src/router/feed.rs
@@ -0,0 +1,145 @@
+//! What comes in by itself: the log, the host list, and the targets' reports.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Shared;
+use crate::control::Input;
+use crate::http::relay::Relay;
+use crate::log::Stream;
+use crate::platform::{Cursor, HostList, Log, Page};
+use crate::units::{Millis, Offset};
+
+/// Longest wait of a read for something new.
+const READ_WAIT: Millis = Millis(5_000);
+/// Wait after a read that failed.
+const READ_AGAIN: Duration = Duration::from_millis(250);
+/// Time between two looks at the host list.
+const HOSTS_EVERY: Duration = Duration::from_millis(1_000);
+/// Time between two reports of a target that has work of ours.
+const LOAD_EVERY: Duration = Duration::from_millis(1_000);
+/// Longest wait for a target's report.
+const LOAD_WAIT: Duration = Duration::from_secs(1);
+
+/// Starts them all.
+pub fn spawn<L: Log, H: HostList>(shared: &Arc<Shared>, log: L, hosts: H) {
+    tokio::spawn(follow_log(Arc::clone(shared), log));
+    tokio::spawn(follow_hosts(Arc::clone(shared), hosts));
+    tokio::spawn(follow_targets(Arc::clone(shared)));
+}
+
+async fn follow_log<L: Log>(shared: Arc<Shared>, log: L) {
+    let mut next: BTreeMap<Stream, Offset> = Stream::all().map(|s| (s, Offset(1))).collect();
+    catch_up(&shared, &log, &mut next).await;
+    loop {
+        match log.read(&cursors(&next), READ_WAIT).await {
+            Ok(pages) => {
+                shared.tell(Input::LogUp(true));
+                for page in pages {
+                    deliver(&shared, page, &mut next);
+                }
+            }
+            Err(error) => retry(&shared, &error).await,
+        }
+    }
+}
+
+/// Reads every stream to its end before anything is delivered: a reader behind the log's
+/// retention has to have the newest checkpoint together with what follows it.
+async fn catch_up<L: Log>(shared: &Shared, log: &L, next: &mut BTreeMap<Stream, Offset>) {
+    let mut read: BTreeMap<Stream, Page> = BTreeMap::new();
+    loop {
+        let pages = match log.read(&cursors(next), Millis::ZERO).await {
+            Ok(pages) => pages,
+            Err(error) => {
+                retry(shared, &error).await;
+                continue;
+            }
+        };
+        if pages.is_empty() {
+            break;
+        }
+        for page in pages {
+            if let Some((last, _)) = page.batches.last() {
+                next.insert(page.stream, *last + Offset(1));
+            }
+            match read.get_mut(&page.stream) {
+                Some(known) => known.batches.extend(page.batches),
+                None => {
+                    read.insert(page.stream, page);
+                }
+            }
+        }
+    }
+    shared.tell(Input::LogUp(true));
+    for stream in Stream::all() {
+        let page = read.remove(&stream).unwrap_or(Page {
+            stream,
+            first: Offset(1),
+            batches: Vec::new(),
+        });
+        deliver(shared, page, next);
+    }
+}
+
+fn cursors(next: &BTreeMap<Stream, Offset>) -> Vec<Cursor> {
+    let cursors = next.iter().map(|(stream, from)| Cursor {
+        stream: *stream,
+        from: *from,
+    });
+    cursors.collect()
+}
+
+fn deliver(shared: &Shared, page: Page, next: &mut BTreeMap<Stream, Offset>) {
+    if let Some((last, _)) = page.batches.last() {
+        next.insert(page.stream, *last + Offset(1));
+    }
+    shared.tell(Input::Read {
+        stream: page.stream,
+        first: page.first,
+        batches: page.batches,
+    });
+}
+
+async fn retry(shared: &Shared, error: &crate::platform::Error) {
+    tracing::warn!(event = "log_read_failed", %error);
+    shared.tell(Input::LogUp(false));
+    tokio::time::sleep(READ_AGAIN).await;
+}
+
+async fn follow_hosts<H: HostList>(shared: Arc<Shared>, hosts: H) {
+    loop {
+        match hosts.list().await {
+            Ok(listed) => {
+                let listed = listed.into_iter().map(|host| (host.address, host.leaving));
+                shared.tell(Input::Hosts(listed.collect()));
+            }
+            Err(error) => tracing::warn!(event = "host_list_failed", %error),
+        }
+        tokio::time::sleep(HOSTS_EVERY).await;
+    }
+}
+
+/// Asks the targets that have had work of ours lately; the others' load is of no use here.
+async fn follow_targets(shared: Arc<Shared>) {
+    let relay = Relay::new(LOAD_WAIT);
+    let mut cursors: HashMap<SocketAddr, usize> = HashMap::new();
+    loop {
+        tokio::time::sleep(LOAD_EVERY).await;
+        for address in shared.active_targets() {
+            let from = cursors.get(&address).copied().unwrap_or_default();
+            let Some(load) = relay.load(address, from).await else {
+                continue;
+            };
+            cursors.insert(address, load.next);
+            shared.tell(Input::Report {
+                address,
+                running: load.running,
+                stored: load.stored,
+                evicted: load.evicted,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/router/shared.rs
@@ -0,0 +1,172 @@
+//! What the threads of a router share.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+use tokio::sync::{mpsc, oneshot};
+
+use super::Options;
+use crate::control::{Action, Input, Spec, Token};
+use crate::http::answer::{Answer, Answers};
+use crate::http::caller::Use;
+use crate::intent::Config;
+use crate::log::Incarnation;
+use crate::platform::HttpLog;
+use crate::report::{Metrics, Trail};
+use crate::request::{Id, Prefix, Ticket};
+use crate::wire::{Reply, Request};
+
+/// Numbers of requests that came without an id: between callers' and those of takeovers.
+const NUMBERS: std::ops::Range<u32> = 1 << 31..3 << 30;
+
+/// A target counts as active for this long after work of ours.
+const ACTIVE: Duration = Duration::from_secs(10);
+
+/// The shared state.
+pub struct Shared {
+    input: mpsc::UnboundedSender<Input>,
+    /// The configuration in force.
+    pub config: ArcSwap<Config>,
+    /// What ids are made of now.
+    pub prefix: ArcSwap<Prefix>,
+    /// Answers in progress, and those kept for retries.
+    pub answers: Answers,
+    /// Latencies and burn.
+    pub metrics: Metrics,
+    /// Decisions on recent requests.
+    pub trail: Trail,
+    /// Streams open towards callers.
+    pub streams: Arc<AtomicUsize>,
+    /// Hash of the operators' secret.
+    pub operator_hash: String,
+    /// The fleet's key.
+    pub fleet_key: String,
+    pub(super) log: HttpLog,
+    active: Mutex<HashMap<SocketAddr, Instant>>,
+    waiting: Mutex<HashMap<Token, oneshot::Sender<Action>>>,
+    next: AtomicU64,
+    number: AtomicU32,
+}
+
+impl Shared {
+    pub(super) fn new(input: mpsc::UnboundedSender<Input>, options: &Options) -> Self {
+        let prefix = Prefix {
+            incarnation: options.settings.me.incarnation,
+            epoch: 1,
+        };
+        Self {
+            input,
+            config: ArcSwap::from_pointee(Config::default()),
+            prefix: ArcSwap::from_pointee(prefix),
+            answers: Answers::default(),
+            metrics: Metrics::default(),
+            trail: Trail::default(),
+            streams: Arc::default(),
+            operator_hash: options.operator_hash.clone(),
+            fleet_key: options.fleet_key.clone(),
+            log: options.log.clone(),
+            active: Mutex::default(),
+            waiting: Mutex::default(),
+            next: AtomicU64::new(1),
+            number: AtomicU32::new(NUMBERS.start),
+        }
+    }
+
+    /// Tells the control state something.
+    pub fn tell(&self, input: Input) {
+        // The control thread ends only with the process.
+        let _ = self.input.send(input);
+    }
+
+    /// Asks the control state something; `None` where the process ends first.
+    pub async fn ask(&self, question: impl FnOnce(Token) -> Input) -> Option<Action> {
+        let token = self.next.fetch_add(1, Ordering::Relaxed);
+        let (send, receive) = oneshot::channel();
+        self.waiting
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .insert(token, send);
+        self.tell(question(token));
+        receive.await.ok()
+    }
+
+    /// Gives an answer to whoever waits for it.
+    pub(super) fn reply(&self, token: Token, action: Action) {
+        let waiting = self
+            .waiting
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .remove(&token);
+        if let Some(waiting) = waiting {
+            let _ = waiting.send(action);
+        }
+    }
+
+    pub(super) async fn answer_peer(&self, request: Request) -> Option<Reply> {
+        match self.ask(|token| Input::Asked { token, request }).await {
+            Some(Action::Answer { reply, .. }) => Some(reply),
+            _ => None,
+        }
+    }
+
+    /// Addresses that a customer should use.
+    pub async fn entries(&self, customer: String) -> Option<Vec<Use>> {
+        match self.ask(|token| Input::Entry { token, customer }).await {
+            Some(Action::Entries { entries, .. }) => {
+                let uses = entries.into_iter().map(|(address, prefix)| Use {
+                    address,
+                    prefix: prefix.to_string(),
+                });
+                Some(uses.collect())
+            }
+            _ => None,
+        }
+    }
+
+    /// A ticket for an arrival.
+    pub fn ticket(&self) -> Ticket {
+        Ticket(self.next.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// An id for a request that came without one.
+    pub fn own_id(&self) -> Id {
+        let number = self.number.fetch_add(1, Ordering::Relaxed);
+        let span = NUMBERS.end - NUMBERS.start;
+        let number = NUMBERS.start + number.wrapping_sub(NUMBERS.start) % span;
+        self.prefix.load().with_number(number)
+    }
+
+    /// Hands an arrival over.
+    pub fn arrive(&self, spec: Spec, answer: Arc<Answer>) {
+        self.answers.insert(spec.ticket, answer);
+        self.tell(Input::Arrive(spec));
+    }
+
+    /// A target has work of ours.
+    pub(super) fn note_active(&self, target: SocketAddr) {
+        let mut active = self.active.lock().unwrap_or_else(PoisonError::into_inner);
+        active.insert(target, Instant::now());
+    }
+
+    /// Targets that have had work of ours lately.
+    pub(super) fn active_targets(&self) -> Vec<SocketAddr> {
+        let mut active = self.active.lock().unwrap_or_else(PoisonError::into_inner);
+        active.retain(|_, at| at.elapsed() < ACTIVE);
+        active.keys().copied().collect()
+    }
+
+    pub(super) fn has_streams(&self) -> bool {
+        self.streams.load(Ordering::Acquire) > 0
+    }
+
+    pub(super) fn set_incarnation(&self, incarnation: Incarnation, epoch: u32) {
+        let prefix = Prefix { incarnation, epoch };
+        if **self.prefix.load() != prefix {
+            self.prefix.store(Arc::new(prefix));
+        }
+    }
+}
--- /dev/null
+++ b/src/standin/service.rs
@@ -0,0 +1,148 @@
+//! A plain service, such as one that issues tickets: it counts how often each request ran.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode};
+use serde::{Deserialize, Serialize};
+use volo_http::response::Response;
+use volo_http::server::Router;
+use volo_http::server::param::PathParams;
+use volo_http::server::route::{get, post};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::engine::{Order, not_run};
+use super::{empty, json, lock, set_faults};
+use crate::http::Headers;
+use crate::http::relay::{Fate, Load};
+
+/// Faults of a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Waits this long before it answers, in milliseconds; it has acted by then.
+    pub delay_ms: u64,
+    /// Acts, and answers with an error.
+    pub acts_and_fails: bool,
+    /// Refuses everything and vouches for not running it.
+    pub refuses: bool,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    faults: Faults,
+    ran: HashMap<String, u32>,
+    running: u32,
+}
+
+/// The service's state.
+#[derive(Clone, Debug, Default)]
+pub struct Service {
+    inner: Arc<Mutex<Inner>>,
+}
+
+/// A call's answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Receipt {
+    /// The request.
+    pub request_id: String,
+    /// Hash of what was sent.
+    pub receipt: String,
+}
+
+/// The receipt's number for a body.
+pub fn receipt(body: &[u8]) -> String {
+    format!("{:016x}", xxh3_64(body))
+}
+
+impl Service {
+    /// The routes that serve it.
+    pub fn routes(&self) -> Router {
+        let (a, b, c) = (self.clone(), self.clone(), self.clone());
+        let (d, e) = (self.clone(), self.clone());
+        Router::new()
+            .route(
+                "/call",
+                post(move |headers: Headers, body: Bytes| async move {
+                    a.call(&headers.0, &body).await
+                }),
+            )
+            .route(
+                "/v1/requests/{id}",
+                get(move |PathParams(id): PathParams<String>| async move { b.fate(&id) }),
+            )
+            .route("/v1/load/{from}", get(move || async move { c.load() }))
+            .route("/v1/ran", get(move || async move { d.ran() }))
+            .route(
+                "/v1/faults",
+                post(move |body: Bytes| async move { e.set_faults(&body) }),
+            )
+    }
+
+    async fn call(&self, headers: &HeaderMap, body: &Bytes) -> Response {
+        let order = match Order::read(headers) {
+            Ok(order) => order,
+            Err(why) => return json(StatusCode::BAD_REQUEST, &why),
+        };
+        let faults = {
+            let mut inner = lock(&self.inner);
+            if inner.faults.refuses {
+                return not_run();
+            }
+            *inner.ran.entry(order.id.clone()).or_default() += 1;
+            inner.running += 1;
+            inner.faults
+        };
+        tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        lock(&self.inner).running -= 1;
+        if faults.acts_and_fails {
+            return empty(StatusCode::INTERNAL_SERVER_ERROR);
+        }
+        let value = http::HeaderValue::from_str(&order.id);
+        let receipt = receipt(body);
+        let mut response = json(
+            StatusCode::OK,
+            &Receipt {
+                request_id: order.id,
+                receipt,
+            },
+        );
+        if let Ok(value) = value {
+            response
+                .headers_mut()
+                .insert(crate::http::REQUEST_ID, value);
+        }
+        response
+    }
+
+    fn fate(&self, id: &str) -> Response {
+        let ran = lock(&self.inner).ran.contains_key(id);
+        let fate = Fate {
+            ran,
+            done: ran,
+            used: 0,
+        };
+        json(StatusCode::OK, &fate)
+    }
+
+    fn load(&self) -> Response {
+        let running = lock(&self.inner).running;
+        json(
+            StatusCode::OK,
+            &Load {
+                running,
+                ..Load::default()
+            },
+        )
+    }
+
+    fn ran(&self) -> Response {
+        json(StatusCode::OK, &lock(&self.inner).ran)
+    }
+
+    fn set_faults(&self, body: &Bytes) -> Response {
+        set_faults(body, |faults| lock(&self.inner).faults = faults)
+    }
+}
--- a/src/wire/client.rs
+++ b/src/wire/client.rs
@@ -0,0 +1,113 @@
+//! The asking side: one connection a peer, made again when it has gone.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use h2::client::SendRequest;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use super::server::{WINDOW, collect};
+use super::{Reply, Request};
+use crate::util;
+
+/// Longest wait for a connection, and for an answer.
+const WAIT: Duration = Duration::from_millis(1_500);
+
+type Slot = Arc<tokio::sync::Mutex<Option<SendRequest<Bytes>>>>;
+
+/// Connections to peers.
+#[derive(Clone, Debug)]
+pub struct Client {
+    key: String,
+    slots: Arc<Mutex<HashMap<SocketAddr, Slot>>>,
+}
+
+impl Client {
+    /// A client that shows the fleet's key.
+    pub fn new(key: &str) -> Self {
+        Self {
+            key: key.to_owned(),
+            slots: Arc::default(),
+        }
+    }
+
+    /// Asks a peer; `None` where there is no answer in time. A question may have been taken all
+    /// the same, so those that must count once carry a sequence number.
+    pub async fn ask(&self, to: SocketAddr, request: &Request) -> Option<Reply> {
+        let result = timeout(WAIT, self.exchange(to, request)).await;
+        match result {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(error)) => {
+                tracing::debug!(event = "peer_call_failed", %to, %error);
+                None
+            }
+            Err(_) => {
+                // A peer that is frozen keeps its connection; the next call tries a new one.
+                self.forget(to).await;
+                None
+            }
+        }
+    }
+
+    async fn exchange(
+        &self,
+        to: SocketAddr,
+        request: &Request,
+    ) -> Result<Option<Reply>, h2::Error> {
+        let sender = self.sender(to).await?;
+        let mut sender = sender.ready().await?;
+        let head = http::Request::post(format!("http://{to}/"))
+            .header(http::header::AUTHORIZATION, &self.key)
+            .body(())
+            .expect("a peer's address and the checked key make a request");
+        let (response, mut send) = sender.send_request(head, false)?;
+        send.send_data(util::encode(request).into(), true)?;
+        let response = response.await?;
+        if !response.status().is_success() {
+            return Ok(None);
+        }
+        let body = collect(response.into_body()).await?;
+        Ok(body.and_then(|bytes| util::decode(&bytes)))
+    }
+
+    fn slot(&self, to: SocketAddr) -> Slot {
+        let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(slots.entry(to).or_default())
+    }
+
+    async fn forget(&self, to: SocketAddr) {
+        *self.slot(to).lock().await = None;
+    }
+
+    async fn sender(&self, to: SocketAddr) -> Result<SendRequest<Bytes>, h2::Error> {
+        let slot = self.slot(to);
+        let mut slot = slot.lock().await;
+        if let Some(sender) = slot.clone() {
+            match sender.ready().await {
+                Ok(sender) => return Ok(sender),
+                Err(_) => *slot = None,
+            }
+        }
+        let stream = TcpStream::connect(to).await.map_err(io_error)?;
+        stream.set_nodelay(true).map_err(io_error)?;
+        let (sender, connection) = h2::client::Builder::new()
+            .initial_window_size(WINDOW)
+            .initial_connection_window_size(WINDOW)
+            .handshake(stream)
+            .await?;
+        tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        *slot = Some(sender.clone());
+        Ok(sender)
+    }
+}
+
+fn io_error(error: std::io::Error) -> h2::Error {
+    tracing::debug!(event = "peer_connect_failed", %error);
+    h2::Error::from(h2::Reason::CONNECT_ERROR)
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,8 +1,12 @@
 //! What routers say to each other: h2 streams that carry one bincode frame each way.
 
+mod client;
 mod frame;
+mod server;
 
+pub use client::Client;
 pub use frame::{Ask, Reply, Request};
+pub use server::serve;
 
 /// Longest frame taken, in bytes.
 const FRAME_MAX: usize = 16 << 20;
--- a/src/wire/server.rs
+++ b/src/wire/server.rs
@@ -0,0 +1,120 @@
+//! The answering side.
+
+use std::future::Future;
+use std::io;
+
+use bytes::{Bytes, BytesMut};
+use h2::RecvStream;
+use h2::server::SendResponse;
+use http::{Response, StatusCode};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::{FRAME_MAX, Reply, Request};
+use crate::util;
+
+/// Flow-control window of a stream and of a connection, in bytes.
+pub(super) const WINDOW: u32 = 1 << 20;
+
+/// Serves peers until the listener fails. A peer must show the fleet's key; `answer` gives the
+/// reply to each question, or `None` where this process is about to end.
+///
+/// # Errors
+/// The listener's error.
+pub async fn serve<F, A>(listener: TcpListener, key_hash: String, answer: F) -> io::Result<()>
+where
+    F: Fn(Request) -> A + Clone + Send + Sync + 'static,
+    A: Future<Output = Option<Reply>> + Send + 'static,
+{
+    loop {
+        let (stream, peer) = listener.accept().await?;
+        let (answer, key_hash) = (answer.clone(), key_hash.clone());
+        tokio::spawn(async move {
+            if let Err(error) = connection(stream, &key_hash, answer).await {
+                tracing::debug!(event = "peer_connection_ended", %peer, %error);
+            }
+        });
+    }
+}
+
+async fn connection<F, A>(stream: TcpStream, key_hash: &str, answer: F) -> Result<(), h2::Error>
+where
+    F: Fn(Request) -> A + Clone + Send + Sync + 'static,
+    A: Future<Output = Option<Reply>> + Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let mut connection = h2::server::Builder::new()
+        .initial_window_size(WINDOW)
+        .initial_connection_window_size(WINDOW)
+        .handshake::<_, Bytes>(stream)
+        .await?;
+    while let Some(accepted) = connection.accept().await {
+        let (request, respond) = accepted?;
+        let known = is_known(&request, key_hash);
+        let answer = answer.clone();
+        tokio::spawn(async move {
+            let result = if known {
+                exchange(request.into_body(), respond, answer).await
+            } else {
+                refuse(respond)
+            };
+            if let Err(error) = result {
+                tracing::debug!(event = "peer_exchange_failed", %error);
+            }
+        });
+    }
+    Ok(())
+}
+
+fn is_known<B>(request: &http::Request<B>, key_hash: &str) -> bool {
+    let key = request.headers().get(http::header::AUTHORIZATION);
+    let key = key.and_then(|value| value.to_str().ok());
+    key.is_some_and(|key| util::secret_matches(key, key_hash))
+}
+
+fn refuse(mut respond: SendResponse<Bytes>) -> Result<(), h2::Error> {
+    tracing::warn!(event = "peer_refused", reason = "wrong fleet key");
+    respond.send_response(status(StatusCode::FORBIDDEN), true)?;
+    Ok(())
+}
+
+async fn exchange<F, A>(
+    body: RecvStream,
+    mut respond: SendResponse<Bytes>,
+    answer: F,
+) -> Result<(), h2::Error>
+where
+    F: Fn(Request) -> A,
+    A: Future<Output = Option<Reply>>,
+{
+    let request = collect(body).await?;
+    let Some(request) = request.and_then(|bytes| util::decode(&bytes)) else {
+        respond.send_response(status(StatusCode::BAD_REQUEST), true)?;
+        return Ok(());
+    };
+    let Some(reply) = answer(request).await else {
+        respond.send_response(status(StatusCode::SERVICE_UNAVAILABLE), true)?;
+        return Ok(());
+    };
+    let mut send = respond.send_response(status(StatusCode::OK), false)?;
+    send.send_data(util::encode(&reply).into(), true)
+}
+
+fn status(status: StatusCode) -> Response<()> {
+    let mut response = Response::new(());
+    *response.status_mut() = status;
+    response
+}
+
+/// Reads a body whole; `None` where it is longer than a frame may be.
+pub(super) async fn collect(mut body: RecvStream) -> Result<Option<Bytes>, h2::Error> {
+    let mut whole = BytesMut::new();
+    while let Some(part) = body.data().await {
+        let part = part?;
+        body.flow_control().release_capacity(part.len())?;
+        whole.extend_from_slice(&part);
+        if whole.len() > FRAME_MAX {
+            return Ok(None);
+        }
+    }
+    Ok(Some(whole.freeze()))
+}
--- a/tests/common/area.rs
+++ b/tests/common/area.rs
@@ -1,1 +1,491 @@
+//! A work area: the real binary in separate processes on loopback, ended when the test ends.
 
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use http::{HeaderMap, Method};
+use lanedeck::util::hash_secret;
+use serde_json::{Value, json};
+use volo_http::body::BodyConversion;
+
+pub const OPERATOR: &str = "op-secret";
+pub const SECRET: &str = "k-secret";
+pub const FLEET_KEY: &str = "fleet-key";
+pub const PREPAID: u64 = 1_000_000;
+
+/// One started process.
+pub struct Process {
+    child: Child,
+    pub address: SocketAddr,
+    pub peer: SocketAddr,
+}
+
+impl Process {
+    fn start(args: &[String]) -> Self {
+        let mut command = binary();
+        command
+            .args(args)
+            .stdout(Stdio::piped())
+            .stderr(log_file(&args[0]));
+        let mut child = command.spawn().expect("the binary starts");
+        let out = child.stdout.take().expect("a pipe");
+        let mut line = String::new();
+        BufReader::new(out)
+            .read_line(&mut line)
+            .expect("a first line");
+        let addresses: Vec<SocketAddr> = line
+            .split_whitespace()
+            .filter_map(|pair| pair.split_once('=').and_then(|(_, text)| text.parse().ok()))
+            .collect();
+        let address = *addresses
+            .first()
+            .unwrap_or_else(|| panic!("no address: {line:?} {args:?}"));
+        let peer = *addresses.last().unwrap();
+        Self {
+            child,
+            address,
+            peer,
+        }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill")
+            .args([&format!("-{name}"), &pid])
+            .status();
+        assert!(status.unwrap().success());
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for the process to end by itself; its exit status.
+    pub fn wait(&mut self, most: Duration) -> Option<i32> {
+        let deadline = Instant::now() + most;
+        while Instant::now() < deadline {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.code();
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        None
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Logs of children go to a file where `LANEDECK_TEST_LOGS` names a folder.
+fn log_file(name: &str) -> Stdio {
+    let Some(folder) = std::env::var_os("LANEDECK_TEST_LOGS") else {
+        return Stdio::null();
+    };
+    let name = format!("{name}-{}.log", rand::random::<u32>());
+    std::fs::File::create(std::path::Path::new(&folder).join(name))
+        .map_or(Stdio::null(), Into::into)
+}
+
+fn binary() -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lanedeck"));
+    for (name, _) in std::env::vars().filter(|(name, _)| name.starts_with("LANEDECK_")) {
+        command.env_remove(name);
+    }
+    command
+}
+
+/// Runs a command of the binary to its end.
+pub fn lanedeck(args: &[&str]) -> Output {
+    binary().args(args).output().expect("the binary starts")
+}
+
+pub fn text(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr)
+}
+
+/// One answer.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: HeaderMap,
+    pub body: String,
+}
+
+impl Answer {
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap_or(Value::Null)
+    }
+
+    pub fn header(&self, name: &str) -> &str {
+        self.headers
+            .get(name)
+            .map_or("", |value| value.to_str().unwrap())
+    }
+
+    /// Data of the events of a streamed answer.
+    pub fn events(&self) -> Vec<&str> {
+        self.body
+            .lines()
+            .filter_map(|line| line.strip_prefix("data: "))
+            .collect()
+    }
+}
+
+/// A fleet with its platform and targets.
+pub struct Area {
+    runtime: tokio::runtime::Runtime,
+    client: volo_http::client::Client,
+    pub log: Process,
+    pub hosts: Process,
+    pub engines: Vec<Process>,
+    pub services: Vec<Process>,
+    pub routers: Vec<Process>,
+    options: Vec<String>,
+}
+
+impl Area {
+    /// A log, a host list, engines, one service and routers, configured and ready.
+    pub fn new(engines: usize, routers: usize) -> Self {
+        Self::with_options(engines, routers, &[], &[])
+    }
+
+    pub fn with_options(
+        engines: usize,
+        routers: usize,
+        router_options: &[&str],
+        engine_options: &[&str],
+    ) -> Self {
+        let standin = |kind: &str, options: &[&str]| {
+            let mut args = vec!["standin".to_owned(), kind.to_owned()];
+            args.extend(options.iter().map(|option| (*option).to_owned()));
+            Process::start(&args)
+        };
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .unwrap();
+        let mut builder = volo_http::client::Client::builder();
+        builder.set_max_idle_per_host(0);
+        let mut area = Self {
+            runtime,
+            client: builder.build().unwrap(),
+            log: standin("log", &[]),
+            hosts: standin("hosts", &[]),
+            engines: (0..engines)
+                .map(|_| standin("engine", engine_options))
+                .collect(),
+            services: vec![standin("service", &[])],
+            routers: Vec::new(),
+            options: router_options
+                .iter()
+                .map(|option| (*option).to_owned())
+                .collect(),
+        };
+        for place in 0..routers {
+            area.start_router(place);
+        }
+        area.list_hosts(&[]);
+        area.wait("routers ready", |area| {
+            let statuses = area.statuses();
+            statuses.len() == routers
+                && statuses.iter().all(|status| {
+                    status["ready"] == true && (routers == 1 || status["witness"].is_string())
+                })
+        });
+        area.configure();
+        area
+    }
+
+    /// Starts a router in a place; a free port is taken.
+    pub fn start_router(&mut self, place: usize) {
+        let router = Process::start(&self.router_args(place, "127.0.0.1:0", "127.0.0.1:0"));
+        if place < self.routers.len() {
+            self.routers[place] = router;
+        } else {
+            self.routers.push(router);
+        }
+    }
+
+    fn router_args(&self, place: usize, entry: &str, peer: &str) -> Vec<String> {
+        let hall = ["nacka", "solna", "kista"][place % 3];
+        let mut args = vec![
+            "router".to_owned(),
+            format!("--entry={entry}"),
+            format!("--peer={peer}"),
+            format!("--hall={hall}"),
+            format!("--log={}", self.log.address),
+            format!("--hosts={}", self.hosts.address),
+            format!("--operator-hash={}", hash_secret(OPERATOR)),
+            format!("--fleet-key={FLEET_KEY}"),
+        ];
+        args.extend(self.options.iter().cloned());
+        args
+    }
+
+    /// Starts a router again on the addresses that it had.
+    pub fn restart_router(&mut self, place: usize) {
+        let (entry, peer) = (self.routers[place].address, self.routers[place].peer);
+        self.routers[place].kill();
+        let args = self.router_args(place, &entry.to_string(), &peer.to_string());
+        self.routers[place] = Process::start(&args);
+    }
+
+    /// Tells the host list all routers; those in `leaving` are leaving.
+    pub fn list_hosts(&self, leaving: &[usize]) {
+        let hosts: Vec<Value> = self
+            .routers
+            .iter()
+            .enumerate()
+            .map(|(place, router)| {
+                json!({"address": router.peer, "leaving": leaving.contains(&place)})
+            })
+            .collect();
+        self.post(self.hosts.address, "/v1/hosts", "", &json!(hosts));
+    }
+
+    fn configure(&self) {
+        for (name, rank, price) in [("std", 1, 1_000), ("fast", 0, 2_000)] {
+            let class =
+                json!({"class": {"rank": rank, "price_permille": price, "patience": 8_000}});
+            self.put("class", name, &class);
+        }
+        for name in ["kiosks", "cooks"] {
+            let customer = json!({"customer": {
+                "key_hash": hash_secret(SECRET), "concurrency": 500, "classes": ["std", "fast"],
+            }});
+            self.put("customer", name, &customer);
+            self.budget(name, name, PREPAID);
+        }
+        for (place, engine) in self.engines.iter().enumerate() {
+            self.put(
+                "target",
+                &format!("engine-{place}"),
+                &target(engine, "engine", "assistant"),
+            );
+        }
+        for (place, service) in self.services.iter().enumerate() {
+            self.put(
+                "target",
+                &format!("tickets-{place}"),
+                &target(service, "service", "tickets"),
+            );
+        }
+        self.wait_same();
+    }
+
+    /// Plans and confirms an object.
+    pub fn put(&self, kind: &str, name: &str, object: &Value) {
+        self.apply(&json!({"put": {"key": {kind: name}, "object": object}}));
+    }
+
+    pub fn budget(&self, name: &str, customer: &str, prepaid: u64) {
+        let budget = json!({"name": name, "customer": customer, "prepaid": prepaid});
+        self.apply(&json!({"budget": budget}));
+    }
+
+    /// Plans an intent and confirms it; both must go well.
+    pub fn apply(&self, intent: &Value) -> Answer {
+        let plan = self.plan(0, intent);
+        let answer = self.confirm(0, &plan);
+        assert_eq!(answer.status, 200, "{answer:?}");
+        answer
+    }
+
+    pub fn plan(&self, router: usize, intent: &Value) -> Value {
+        let answer = self.operate(router, "/v1/intents", intent);
+        assert_eq!(answer.status, 200, "{answer:?}");
+        answer.json()["plan"].clone()
+    }
+
+    pub fn confirm(&self, router: usize, plan: &Value) -> Answer {
+        self.operate(router, "/v1/confirm", plan)
+    }
+
+    fn operate(&self, router: usize, path: &str, body: &Value) -> Answer {
+        let key = format!("operator:{OPERATOR}");
+        self.post(self.routers[router].address, path, &key, body)
+    }
+
+    pub fn statuses(&self) -> Vec<Value> {
+        let key = format!("operator:{OPERATOR}");
+        let get = |router: &Process| {
+            self.try_send(Method::GET, router.address, "/v1/status", &key, &[], "")
+        };
+        self.routers
+            .iter()
+            .filter_map(get)
+            .map(|answer| answer.json())
+            .collect()
+    }
+
+    /// A budget as the first router that answers sees it.
+    pub fn seen(&self, name: &str) -> Value {
+        let statuses = self.statuses();
+        let budgets = statuses.first().map(|status| status["budgets"].clone());
+        let budgets = budgets.unwrap_or_default();
+        let all = budgets.as_array().cloned().unwrap_or_default();
+        all.into_iter()
+            .find(|budget| budget["name"] == name)
+            .unwrap_or_default()
+    }
+
+    /// Waits until all routers have read the same.
+    pub fn wait_same(&self) {
+        self.wait("the same offsets", |area| {
+            let all = area.statuses();
+            !all.is_empty() && all.iter().all(|one| one["applied"] == all[0]["applied"])
+        });
+    }
+
+    /// Waits, far longer than it should take, for something to hold.
+    pub fn wait(&self, what: &str, holds: impl Fn(&Self) -> bool) {
+        let deadline = Instant::now() + Duration::from_secs(40);
+        while !holds(self) {
+            assert!(Instant::now() < deadline, "{what}: {:#?}", self.statuses());
+            std::thread::sleep(Duration::from_millis(30));
+        }
+    }
+
+    pub fn post(&self, to: SocketAddr, path: &str, key: &str, body: &Value) -> Answer {
+        self.send(Method::POST, to, path, key, &[], &body.to_string())
+    }
+
+    pub fn get(&self, to: SocketAddr, path: &str, key: &str) -> Answer {
+        self.send(Method::GET, to, path, key, &[], "")
+    }
+
+    pub fn faults(&self, process: &Process, faults: &Value) {
+        let answer = self.post(process.address, "/v1/faults", "", faults);
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+
+    pub fn send(
+        &self,
+        method: Method,
+        to: SocketAddr,
+        path: &str,
+        key: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Answer {
+        let answer = self.try_send(method, to, path, key, headers, body);
+        answer.unwrap_or_else(|| panic!("{to}{path} did not answer"))
+    }
+
+    pub fn try_send(
+        &self,
+        method: Method,
+        to: SocketAddr,
+        path: &str,
+        key: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Option<Answer> {
+        let mut request = self
+            .client
+            .request(method, format!("http://{to}{path}"))
+            .header("authorization", format!("Bearer {key}"))
+            .data(body.to_owned());
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        self.runtime.block_on(async {
+            let response = request.send::<volo_http::body::Body>().await.ok()?;
+            let (status, headers) = (response.status().as_u16(), response.headers().clone());
+            let body = response.into_body().into_string().await.ok()?;
+            Some(Answer {
+                status,
+                headers,
+                body,
+            })
+        })
+    }
+
+    /// The first address of an entry answer, with the prefix of ids there.
+    pub fn entry(&self, router: usize, key: &str) -> (SocketAddr, String) {
+        let answer = self.get(self.routers[router].address, "/v1/entry", key);
+        let first = answer.json()["use"][0].clone();
+        let address = first["address"].as_str().unwrap_or_default().parse();
+        (
+            address.expect("an address"),
+            first["prefix"].as_str().unwrap().to_owned(),
+        )
+    }
+
+    /// The prefix of ids that a router itself gives out, whichever the customer should use.
+    pub fn prefix_of(&self, router: usize) -> String {
+        let key = key("kiosks");
+        let to = self.routers[router].address;
+        let answer = self.get(to, "/v1/entry", &key).json();
+        let all = answer["use"].as_array().cloned().unwrap_or_default();
+        let own = all.into_iter().find(|one| one["address"] == to.to_string());
+        own.expect("every router is named")["prefix"]
+            .as_str()
+            .unwrap()
+            .to_owned()
+    }
+
+    /// How often each request ran, over all targets.
+    pub fn ran(&self) -> std::collections::BTreeMap<String, u64> {
+        let mut all = std::collections::BTreeMap::new();
+        for process in self.engines.iter().chain(&self.services) {
+            let ran = self.get(process.address, "/v1/ran", "").json();
+            for (id, times) in ran.as_object().cloned().unwrap_or_default() {
+                *all.entry(id).or_default() += times.as_u64().unwrap_or_default();
+            }
+        }
+        all
+    }
+
+    /// Waits until every bill is in the log, and gives what the budget was billed.
+    pub fn settled(&self, budget: &str, want: u64) -> Value {
+        self.wait(&format!("{budget} billed {want}"), |area| {
+            area.seen(budget)["billed"] == want
+        });
+        self.seen(budget)
+    }
+}
+
+pub fn key(customer: &str) -> String {
+    format!("{customer}:{SECRET}")
+}
+
+pub fn target(process: &Process, kind: &str, serves: &str) -> Value {
+    let price = if kind == "service" { 50 } else { 0 };
+    json!({"target": {
+        "address": process.address, "kind": kind, "serves": serves, "hall": "nacka", "slots": 200,
+        "checks_fence": true, "draining": false, "call_price": price,
+    }})
+}
+
+/// A streamed model call.
+pub fn chat(content: &str, tokens: u64) -> String {
+    json!({
+        "model": "assistant",
+        "messages": [{"role": "user", "content": content}],
+        "max_tokens": tokens,
+        "stream": true,
+    })
+    .to_string()
+}
+
+/// What a streamed answer to `chat(content, tokens)` says, word by word.
+pub fn words(content: &str, tokens: u64) -> Vec<String> {
+    let prompt = format!("user: {content}\n");
+    (0..tokens)
+        .map(|place| lanedeck::standin::engine::word(&prompt, place))
+        .collect()
+}
+
+/// Sends a request and closes the connection before an answer can come.
+pub fn send_and_leave(to: SocketAddr, request: &str) {
+    let mut stream = TcpStream::connect(to).unwrap();
+    stream.write_all(request.as_bytes()).unwrap();
+}
--- a/tests/common/world.rs
+++ b/tests/common/world.rs
@@ -543,6 +543,7 @@
             | Action::Planned { .. }
             | Action::Confirmed { .. }
             | Action::Status { .. }
+            | Action::Entries { .. }
             | Action::Publish { .. } => {}
         }
     }
