--- a/src/budget/holder.rs
+++ b/src/budget/holder.rs
@@ -193,7 +193,7 @@
         Some(account.returned)
     }
 
-    /// Gives back all that is free; for a planned stop.
+    /// Gives back all that is free.
     pub fn return_all(&mut self, key: BudgetKey, grant: Grant) -> Option<Tokens> {
         let account = self.accounts.entry(key).or_default();
         let free = account.free(grant);
--- a/src/budget/mod.rs
+++ b/src/budget/mod.rs
@@ -9,6 +9,7 @@
 mod demand;
 mod holder;
 mod ledger;
+mod pledge;
 mod sequence;
 mod violation;
 mod witness;
@@ -16,6 +17,7 @@
 pub use demand::{Demand, Sizing};
 pub use holder::{Holder, Shortage};
 pub use ledger::{Budget, Grant, Ledger, PREPAID_MAX};
+pub use pledge::{Pledge, Price};
 pub use sequence::{Member, Sequence};
 pub use violation::Violation;
 pub use witness::{Answer, Replay, Resolved, State, Taken, Ward, Witness};
--- a/src/budget/witness.rs
+++ b/src/budget/witness.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::BudgetKey;
+use super::{BudgetKey, Pledge};
 use crate::log::{Closed, Incarnation, Open};
 use crate::request::{EPOCH_KEEP, Id, epoch_of};
 use crate::units::{Millis, Tokens};
@@ -20,8 +20,8 @@
 /// State of a ward's request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
-    /// Dispatched, or about to be; holds the most that it can cost.
-    Open(Tokens),
+    /// Dispatched, or about to be.
+    Open(Pledge),
     /// Billed.
     Settled(Tokens),
     /// Another router runs it.
@@ -49,8 +49,8 @@
     Fresh,
     /// It was dispatched and not settled; it is released from the bill there: run and bill it.
     Open,
-    /// It was billed already: run it again at no charge.
-    Settled,
+    /// It was billed this much already: run it again at no charge.
+    Settled(Tokens),
     /// The asker was given it before.
     Yours,
     /// Another router has it.
@@ -86,13 +86,13 @@
     /// A holder's books, for a new witness: totals, open requests, settled requests.
     pub fn new(
         totals: &[(BudgetKey, Tokens)],
-        open: &[(BudgetKey, Open)],
+        open: &[(BudgetKey, u64, Pledge)],
         settled: &[(BudgetKey, u64, Tokens)],
         epoch: u32,
     ) -> Self {
         let open = open
             .iter()
-            .map(|(key, open)| (open.nonce, (*key, State::Open(open.reserved))));
+            .map(|(key, nonce, pledge)| (*nonce, (*key, State::Open(*pledge))));
         let settled = settled
             .iter()
             .map(|(key, nonce, billed)| (*nonce, (*key, State::Settled(*billed))));
@@ -115,9 +115,10 @@
             entry.settled = *settled;
         }
         for (nonce, (budget, state)) in &self.entries {
-            if let State::Open(reserved) = *state {
+            if let State::Open(pledge) = *state {
                 let entry = budgets.entry(*budget).or_insert_with(|| blank(*budget));
                 let nonce = *nonce;
+                let reserved = pledge.reserved;
                 entry.open.push(Open { nonce, reserved });
             }
         }
@@ -193,7 +194,7 @@
     }
 
     /// The holder is about to dispatch a request.
-    pub fn open(&mut self, now: Millis, id: Id, budget: BudgetKey, reserved: Tokens) -> Answer {
+    pub fn open(&mut self, now: Millis, id: Id, budget: BudgetKey, pledge: Pledge) -> Answer {
         let Some(held) = self.wards.get_mut(&id.incarnation) else {
             return Answer::Unknown;
         };
@@ -203,8 +204,11 @@
         held.heard = now;
         held.ward.epoch = held.ward.epoch.max(id.epoch());
         let entry = held.ward.entries.entry(id.nonce);
-        // A repeated message must not reopen what is settled.
-        entry.or_insert((budget, State::Open(reserved)));
+        let (_, state) = entry.or_insert((budget, State::Open(pledge)));
+        // Another dispatch of it may go elsewhere; what is settled stays settled.
+        if let State::Open(known) = state {
+            *known = pledge;
+        }
         Answer::Noted
     }
 
@@ -342,7 +346,7 @@
         match *state {
             State::Taken(other) if other == by => Taken::Yours,
             State::Taken(other) => Taken::Other(other),
-            State::Settled(_) => Taken::Settled,
+            State::Settled(billed) => Taken::Settled(billed),
             State::Open(_) if repeatable => {
                 *state = State::Taken(by);
                 held.resolved.push(Resolved {
@@ -372,18 +376,32 @@
     }
 
     /// Requests of closed holders that are still open: ask their targets.
-    pub fn doubtful(&self) -> Vec<Id> {
+    pub fn doubtful(&self) -> Vec<(Id, Pledge)> {
         let closed = self.wards.iter().filter(|(_, held)| held.closed.is_some());
-        closed
-            .flat_map(|(holder, held)| {
-                let open = held.ward.entries.iter();
-                open.filter(|(_, (_, state))| matches!(state, State::Open(_)))
-                    .map(|(nonce, _)| Id {
-                        incarnation: *holder,
-                        nonce: *nonce,
-                    })
-            })
-            .collect()
+        let entries = closed.flat_map(|(holder, held)| {
+            let entries = held.ward.entries.iter();
+            entries.map(|(nonce, (_, state))| (*holder, *nonce, *state))
+        });
+        let open = entries.filter_map(|(incarnation, nonce, state)| match state {
+            State::Open(pledge) => Some((Id { incarnation, nonce }, pledge)),
+            State::Settled(_) | State::Taken(_) => None,
+        });
+        open.collect()
+    }
+
+    /// The target of a closed holder's request says that it is done, and what it used.
+    pub fn told(&mut self, now: Millis, id: Id, used: Tokens) {
+        let held = self.wards.get(&id.incarnation);
+        let entry = held.and_then(|held| held.ward.entries.get(&id.nonce));
+        if let Some((_, State::Open(pledge))) = entry.copied()
+            && self.is_closed(id.incarnation)
+        {
+            let heard = self
+                .wards
+                .get(&id.incarnation)
+                .map_or(now, |held| held.heard);
+            self.settle(heard, id, Some(pledge.bill(used)));
+        }
     }
 
     /// Forgets a holder that has found another witness.
--- a/src/control/action.rs
+++ b/src/control/action.rs
@@ -154,6 +154,13 @@
         /// The customer.
         customer: String,
     },
+    /// A target has told that a request in doubt is done.
+    Told {
+        /// The request in its holder's books.
+        id: Id,
+        /// Tokens used, before the price.
+        used: Tokens,
+    },
     /// Time has passed.
     Tick,
     /// A planned stop begins.
@@ -192,6 +199,15 @@
     },
     /// Answers that need not be kept any more.
     Forget(Vec<Ticket>),
+    /// Ask a target what became of a request in doubt.
+    Inquire {
+        /// The request in its holder's books.
+        id: Id,
+        /// Its id as the target knows it.
+        request: Id,
+        /// The target.
+        target: SocketAddr,
+    },
     /// Append to the log.
     Append {
         /// The stream.
--- a/src/control/arrive.rs
+++ b/src/control/arrive.rs
@@ -75,7 +75,7 @@
             budget,
             nonce: spec.id.nonce,
             most,
-            free: false,
+            paid: None,
             doubted: false,
             seen: None,
             holder: self.incarnation(),
@@ -170,16 +170,20 @@
         if job.stage == Stage::Opening {
             self.unreserve(&job);
         }
-        let own = job.spec.id.incarnation == self.incarnation();
-        // A router that its witness may have closed by now cannot speak for its own ids: another
-        // may have been given them.
-        let sure = !job.doubted && (!own || self.is_sure());
-        let verdict = if sure && job.stage != Stage::Judged {
+        let verdict = self.refusal(&job, reason);
+        self.finish(ticket, verdict);
+    }
+
+    /// The verdict on a request that this router has not run. "Not run" is only said where nobody
+    /// else can have been given it: a router that its witness may have closed by now cannot speak
+    /// for its own ids, nor for what it had under an earlier incarnation.
+    pub(super) fn refusal(&mut self, job: &Job, reason: Reason) -> Verdict {
+        let ours = job.holder == self.incarnation() && job.stage != Stage::Judged;
+        if ours && !job.doubted && self.is_sure() {
             self.not_run(reason)
         } else {
             Verdict::MayHaveRun { reason }
-        };
-        self.finish(ticket, verdict);
+        }
     }
 
     /// Takes a job out of all that it is in.
@@ -262,17 +266,17 @@
         self.table.remove(job.spec.id);
         let repeatable = job.spec.repeatable;
         let run = match taken {
-            Taken::Fresh => Ok((false, false)),
-            Taken::Yours => Ok((false, true)),
-            Taken::Open if repeatable => Ok((false, true)),
-            Taken::Settled if repeatable => Ok((true, true)),
-            Taken::Open | Taken::Settled | Taken::Unknown => Err(Reason::Lost),
+            Taken::Fresh => Ok((None, false)),
+            Taken::Yours => Ok((None, true)),
+            Taken::Open if repeatable => Ok((None, true)),
+            Taken::Settled(billed) if repeatable => Ok((Some(billed), true)),
+            Taken::Open | Taken::Settled(_) | Taken::Unknown => Err(Reason::Lost),
             Taken::Other(_) | Taken::Alive => Err(Reason::Elsewhere),
             Taken::Expired => Err(Reason::Expired),
         };
         match run {
-            Ok((free, doubted)) => {
-                job.free = free;
+            Ok((paid, doubted)) => {
+                job.paid = paid;
                 job.doubted = doubted;
                 job.nonce = self.own_nonce();
                 self.admit(job);
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -99,15 +99,14 @@
         job.stage = Stage::Opening;
         job.opening_since = self.now;
         job.choice = Some(choice);
-        let (budget, nonce, reserved) = (job.budget, job.nonce, job.reservation());
+        let ask = job.open_ask();
+        let nonce = job.nonce;
         self.pool
             .dispatched(self.now, choice.target, &job.spec.blocks);
         self.by_nonce.insert(nonce, ticket);
-        self.tell_witnesses(&Ask::Open {
-            nonce,
-            budget,
-            reserved,
-        });
+        if let Some(ask) = ask {
+            self.tell_witnesses(&ask);
+        }
         self.try_dispatch(ticket);
     }
 
@@ -199,9 +198,14 @@
             return false;
         };
         job.choice = Some(choice);
+        let ask = job.open_ask();
         self.retries -= 1.0;
         self.pool
             .dispatched(self.now, choice.target, &job.spec.blocks);
+        // The witness has the reservation already; this tells it where to ask.
+        if let Some(ask) = ask {
+            self.tell_witnesses(&ask);
+        }
         self.dispatch(ticket);
         true
     }
@@ -238,7 +242,11 @@
         let Some(job) = self.take_out(ticket) else {
             return;
         };
-        let cost = if job.free { Tokens::ZERO } else { cost };
+        let cost = if job.paid.is_some() {
+            Tokens::ZERO
+        } else {
+            cost
+        };
         if job.holder != self.incarnation() {
             let billed = cost.min(job.reservation());
             self.settle_late(&job, billed, verdict(billed));
@@ -246,7 +254,8 @@
         }
         match self.holder.settle(job.budget, job.nonce, cost) {
             Ok(billed) => {
-                let verdict = Some((ticket, verdict(billed)));
+                let told = job.paid.unwrap_or(billed);
+                let verdict = Some((ticket, verdict(told)));
                 self.start_settling(&job, Some(billed), verdict);
             }
             Err(violation) => {
@@ -263,11 +272,7 @@
             return;
         };
         self.table.remove(job.spec.id);
-        let verdict = if job.doubted {
-            Verdict::MayHaveRun { reason }
-        } else {
-            self.not_run(reason)
-        };
+        let verdict = self.refusal(&job, reason);
         if job.holder == self.incarnation() {
             self.holder.cancel(job.budget, job.nonce);
             self.start_settling(&job, None, None);
--- a/src/control/job.rs
+++ b/src/control/job.rs
@@ -1,10 +1,12 @@
 //! One request on its way.
 
-use crate::budget::BudgetKey;
+use crate::budget::{BudgetKey, Pledge, Price};
+use crate::intent::Kind;
 use crate::log::Incarnation;
 use crate::request::{Ticket, Verdict};
 use crate::target::{Choice, TargetKey};
 use crate::units::{Millis, Tokens};
+use crate::wire::Ask;
 
 use super::Spec;
 
@@ -35,8 +37,8 @@
     pub nonce: u64,
     /// The most tokens that it can use, before the price.
     pub most: Tokens,
-    /// Whether it was billed elsewhere already.
-    pub free: bool,
+    /// What it was billed elsewhere already; it costs nothing more here.
+    pub paid: Option<Tokens>,
     /// Whether it may have run before it came here, so that "not run" must not be said of it.
     pub doubted: bool,
     /// Tokens seen of an attempt that broke off.
@@ -56,16 +58,38 @@
 impl Job {
     /// The most that it can cost.
     pub fn reservation(&self) -> Tokens {
-        if self.free {
+        if self.paid.is_some() {
             return Tokens::ZERO;
         }
         self.priced(self.most)
     }
 
-    /// A cost at the job's price, rounded up.
+    /// A cost at the job's price.
     pub fn priced(&self, used: Tokens) -> Tokens {
-        let permille = u128::from(used.0) * u128::from(self.price_permille);
-        Tokens(u64::try_from(permille.div_ceil(1_000)).unwrap_or(u64::MAX))
+        used.priced(self.price_permille)
+    }
+
+    /// What its witness has to know, once it has a target.
+    pub fn pledge(&self) -> Option<Pledge> {
+        let price = match self.spec.kind {
+            Kind::Engine => Price::Permille(self.price_permille),
+            Kind::Service => Price::Whole,
+        };
+        Some(Pledge {
+            reserved: self.reservation(),
+            request: self.spec.id,
+            target: self.choice?.address,
+            price,
+        })
+    }
+
+    /// What opens it at its witness.
+    pub fn open_ask(&self) -> Option<Ask> {
+        Some(Ask::Open {
+            nonce: self.nonce,
+            budget: self.budget,
+            pledge: self.pledge()?,
+        })
     }
 }
 
--- a/src/control/money.rs
+++ b/src/control/money.rs
@@ -92,7 +92,12 @@
 
     pub(super) fn write_settlements(&mut self) {
         let due: Vec<_> = self.holder.unrecorded(|key| self.grant(key)).collect();
+        let me = self.incarnation();
         for (budget, settled) in due {
+            // A ledger that we have left has taken all bills, and our grant with them.
+            if self.ledger(budget.shard).sequence().is_gone(me) {
+                continue;
+            }
             let same = |record: &Record| match record {
                 Record::Settle {
                     budget: known,
@@ -123,21 +128,26 @@
         }
     }
 
-    /// Somebody got less than it asked for: what lies idle here goes back.
+    /// Gives back what lies idle where somebody got less than it asked for, and all that is free
+    /// while a smaller budget waits for returns.
     fn return_if_scarce(&mut self, key: BudgetKey) {
-        let scarce = self
-            .ledger(key.shard)
-            .budget(key.index)
-            .and_then(|budget| budget.scarce);
-        let Some(scarce) = scarce else {
+        let Some(budget) = self.ledger(key.shard).budget(key.index) else {
             return;
         };
-        let seen = self.scarce_seen.insert(key, scarce);
-        if seen.is_some_and(|seen| seen >= scarce) {
+        let owed = budget.prepaid > budget.terms.prepaid;
+        let scarce = budget.scarce;
+        let seen = self.scarce_seen.get(&key).copied();
+        if !owed && (scarce.is_none() || seen >= scarce) {
             return;
         }
+        self.scarce_seen.extend(scarce.map(|scarce| (key, scarce)));
         let grant = self.grant(key);
-        if let Some(returned) = self.holder.return_idle(self.now, key, grant) {
+        let returned = if owed {
+            self.holder.return_all(key, grant)
+        } else {
+            self.holder.return_idle(self.now, key, grant)
+        };
+        if let Some(returned) = returned {
             let record = Record::Return {
                 budget: key,
                 returned,
@@ -166,7 +176,7 @@
                 Stream::Shard(shard) => self.ledger(shard).sequence().member(me),
             };
             let writer = self.writer(stream);
-            let wrote = known.seq > 0 || !writer.is_empty();
+            let wrote = known.gone.is_none() && (known.seq > 0 || !writer.is_empty());
             if wrote && !writer.holds(|record| matches!(record, Record::Leave)) {
                 writer.push(Record::Leave);
             }
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -7,7 +7,7 @@
 use crate::host::Peer;
 use crate::log::{Incarnation, Record, SHARDS, Stream};
 use crate::request::{EPOCH_KEEP, Id, Prefix};
-use crate::units::Millis;
+use crate::units::{Millis, Tokens};
 use crate::wire::{Ask, Reply, Request};
 
 /// Time between two rounds of heartbeats.
@@ -16,6 +16,10 @@
 const PRUNE_EVERY: Millis = Millis(10_000);
 /// A ward silent for this long, whose ledgers name another witness, is forgotten.
 const FORGET_AFTER: Millis = Millis(3_600_000);
+/// Time between two rounds of questions to targets about requests in doubt.
+const INQUIRE_EVERY: Millis = Millis(1_000);
+/// Questions in a round.
+const INQUIRIES: usize = 64;
 /// Concurrency of a customer that gets a wider set of entry hosts.
 const LARGE: u32 = 256;
 /// A router behind the log asks a peer for its state this often.
@@ -158,8 +162,8 @@
             Ask::Open {
                 nonce,
                 budget,
-                reserved,
-            } => self.witness.open(now, id(nonce), budget, reserved),
+                pledge,
+            } => self.witness.open(now, id(nonce), budget, pledge),
             Ask::Settle { nonce, billed } => self.witness.settle(now, id(nonce), billed),
             Ask::Heard { epoch } => self.witness.heard(now, holder, epoch),
         }
@@ -205,6 +209,27 @@
         self.write_closes();
     }
 
+    /// Asks the targets of closed wards' requests what became of them.
+    pub(super) fn inquire(&mut self) {
+        if self.now < self.last_inquiry + INQUIRE_EVERY {
+            return;
+        }
+        self.last_inquiry = self.now;
+        for (id, pledge) in self.witness.doubtful().into_iter().take(INQUIRIES) {
+            self.out.push(Action::Inquire {
+                id,
+                request: pledge.request,
+                target: pledge.target,
+            });
+        }
+    }
+
+    /// A target has told that a request of a closed ward is done.
+    pub(super) fn told(&mut self, id: Id, used: Tokens) {
+        self.witness.told(self.now, id, used);
+        self.write_closes();
+    }
+
     fn is_witness_in(&self, shard: u8, holder: Incarnation) -> bool {
         let member = self.ledger(shard).sequence().member(holder);
         member.gone.is_none() && member.witness == Some(self.incarnation())
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -153,6 +153,7 @@
     pub(super) last_books: Millis,
     pub(super) last_prune: Millis,
     pub(super) last_peer_state: Millis,
+    pub(super) last_inquiry: Millis,
     pub(super) violations: u64,
     pub(super) frozen: BTreeSet<String>,
 }
@@ -206,6 +207,7 @@
             last_books: Millis::ZERO,
             last_prune: now,
             last_peer_state: now,
+            last_inquiry: now,
             violations: 0,
             frozen: BTreeSet::new(),
             settings,
@@ -238,6 +240,7 @@
             Input::Confirm { token, plan } => self.confirm(token, plan),
             Input::Status { token } => self.status(token),
             Input::Entry { token, customer } => self.entry(token, &customer),
+            Input::Told { id, used } => self.told(id, used),
             Input::Tick => self.tick(),
             Input::Stop => self.stop(),
         }
@@ -249,6 +252,7 @@
         self.expire_jobs();
         self.watch_witness();
         self.watch_wards();
+        self.inquire();
         self.keep_books();
         self.expire_confirms();
         self.write_checkpoints();
--- a/src/control/vouch.rs
+++ b/src/control/vouch.rs
@@ -104,10 +104,15 @@
     }
 
     fn books(&self) -> Ward {
-        let mut open = Vec::new();
-        for key in self.holder.keys() {
-            open.extend(self.holder.open(key).into_iter().map(|open| (key, open)));
-        }
+        let me = self.incarnation();
+        let ours = self
+            .by_nonce
+            .values()
+            .filter_map(|ticket| self.jobs.get(ticket));
+        let open: Vec<_> = ours
+            .filter(|job| job.holder == me)
+            .filter_map(|job| Some((job.budget, job.nonce, job.pledge()?)))
+            .collect();
         let (totals, settled) = (self.holder.totals(), self.holder.settled());
         Ward::new(&totals, &open, &settled, self.epoch())
     }
--- a/src/router/edge.rs
+++ b/src/router/edge.rs
@@ -12,6 +12,7 @@
 use crate::platform::Log;
 use crate::report::Key;
 use crate::request::{Ticket, Verdict};
+use crate::units::Tokens;
 use crate::wire;
 
 /// The way out of the control thread.
@@ -57,6 +58,20 @@
                     self.shared.answers.remove(ticket);
                 }
             }
+            Action::Inquire {
+                id,
+                request,
+                target,
+            } => {
+                let (relay, shared) = (self.relay.clone(), Arc::clone(&self.shared));
+                self.traffic.spawn(async move {
+                    let fate = relay.fate(target, request).await;
+                    if let Some(fate) = fate.filter(|fate| fate.ran && fate.done) {
+                        let used = Tokens(fate.used);
+                        shared.tell(Input::Told { id, used });
+                    }
+                });
+            }
             Action::Append { stream, batch } => self.append(stream, batch),
             Action::Call { call, to, request } => {
                 let (peers, shared) = (self.peers.clone(), Arc::clone(&self.shared));
--- a/src/units.rs
+++ b/src/units.rs
@@ -76,3 +76,11 @@
     /// Milliseconds of a process's monotonic clock, or a span of them.
     Millis
 );
+
+impl Tokens {
+    /// The cost of so many tokens at a price in thousandths, rounded up.
+    pub fn priced(self, permille: u32) -> Self {
+        let cost = (u128::from(self.0) * u128::from(permille)).div_ceil(1_000);
+        Self(u64::try_from(cost).unwrap_or(u64::MAX))
+    }
+}
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::budget::{Answer, BudgetKey, Taken, Ward};
+use crate::budget::{Answer, BudgetKey, Pledge, Taken, Ward};
 use crate::host::Peer;
 use crate::log::{Checkpoint, Incarnation, Stream};
 use crate::request::Id;
@@ -19,8 +19,8 @@
         nonce: u64,
         /// The budget that pays.
         budget: BudgetKey,
-        /// The most that it can cost.
-        reserved: Tokens,
+        /// What may be billed, and where it goes.
+        pledge: Pledge,
     },
     /// A request is billed, or was never dispatched.
     Settle {
--- a/tests/common/area.rs
+++ b/tests/common/area.rs
@@ -192,15 +192,38 @@
             area.start_router(place);
         }
         area.list_hosts(&[]);
-        area.wait("routers ready", |area| {
+        area.wait_ready();
+        area.configure();
+        area
+    }
+
+    /// Waits until every router has read the log, has a witness, and knows all others.
+    pub fn wait_ready(&self) {
+        let routers = self.routers.len();
+        let knows_all = |status: &Value| {
+            let peers = status["peers"].as_array().cloned().unwrap_or_default();
+            let well: std::collections::BTreeSet<String> = peers
+                .iter()
+                .filter(|peer| peer["standing"] == "Well")
+                .map(|peer| peer["entry"].to_string())
+                .collect();
+            well.len() == routers - 1
+        };
+        self.wait("routers ready", |area| {
             let statuses = area.statuses();
             statuses.len() == routers
                 && statuses.iter().all(|status| {
-                    status["ready"] == true && (routers == 1 || status["witness"].is_string())
+                    let witnessed = routers == 1 || status["witness"].is_string();
+                    status["ready"] == true && witnessed && knows_all(status)
                 })
         });
-        area.configure();
-        area
+    }
+
+    /// How one router sees things.
+    pub fn status(&self, router: usize) -> Value {
+        let key = format!("operator:{OPERATOR}");
+        self.get(self.routers[router].address, "/v1/status", &key)
+            .json()
     }
 
     /// Starts a router in a place; a free port is taken.
--- a/tests/common/world.rs
+++ b/tests/common/world.rs
@@ -84,6 +84,7 @@
     pub verdicts: BTreeMap<&'static str, u64>,
     calm: bool,
     witnessed: bool,
+    traced: bool,
 }
 
 fn address(node: usize, port: u16) -> SocketAddr {
@@ -114,6 +115,7 @@
             verdicts: BTreeMap::new(),
             calm: false,
             witnessed: true,
+            traced: std::env::var_os("LANEDECK_TRACE").is_some(),
         };
         world.configure();
         for node in 0..NODES {
@@ -213,6 +215,13 @@
         self.queue.push(Reverse((self.now + wait, key)));
     }
 
+    /// Prints a step where `LANEDECK_TRACE` is set.
+    fn trace(&self, what: impl FnOnce() -> String) {
+        if self.traced {
+            println!("{} {}", self.now, what());
+        }
+    }
+
     fn lag(&mut self) -> u64 {
         if !self.calm && self.rng.random_bool(0.02) {
             self.faults.note("late message");
@@ -531,6 +540,13 @@
                     self.after(lag, Event::Answer(from, life, call, Some(reply)));
                 }
             }
+            Action::Inquire { id, request, .. } => {
+                if self.ran_at.contains_key(&request) {
+                    self.faults.note("target told a fate");
+                    let used = Tokens(self.cost[&request]);
+                    self.after(5, Event::ToNode(node, life, Input::Told { id, used }));
+                }
+            }
             Action::Violated(violation) => panic!("violated: {violation}"),
             Action::Exit => {
                 self.faults.note("stop done");
@@ -538,7 +554,10 @@
                 self.nodes[node].life += 1;
                 self.after(500, Event::Start(node));
             }
-            Action::Reborn { .. } => self.faults.note("closed while alive"),
+            Action::Reborn { incarnation } => {
+                self.trace(|| format!("reborn node={node} life={life} {incarnation}"));
+                self.faults.note("closed while alive");
+            }
             Action::Forget(_)
             | Action::Planned { .. }
             | Action::Confirmed { .. }
@@ -564,6 +583,7 @@
                 whole,
             },
         };
+        self.trace(|| format!("dispatch node={node} life={life} {id} {end:?}"));
         if !matches!(end, End::Unsent | End::Refused) {
             *self.ran_at.entry(id).or_default() += 1;
         }
@@ -634,14 +654,19 @@
 
     fn finish(&mut self, node: usize, life: u64, ticket: Ticket, verdict: Verdict) {
         *self.verdicts.entry(verdict.word()).or_default() += 1;
+        let caller = self.tickets.get(&(node, life, ticket)).copied();
+        self.trace(|| {
+            let id = caller.map(|caller| self.callers[caller].id.to_string());
+            format!(
+                "finish node={node} life={life} {} {verdict:?}",
+                id.unwrap_or_default()
+            )
+        });
         let Some(caller) = self.tickets.get(&(node, life, ticket)).copied() else {
             return;
         };
         let one = &mut self.callers[caller];
         let id = one.id;
-        if std::env::var_os("LANEDECK_TRACE").is_some() {
-            println!("{} node={node} life={life} id={id} {verdict:?}", self.now);
-        }
         match verdict {
             Verdict::Ran { billed } => {
                 one.done = true;
--- /dev/null
+++ b/tests/planned_stop.rs
@@ -0,0 +1,132 @@
+//! A planned stop cuts nothing off, gives everything back, and says where to go instead.
+
+mod common;
+
+use std::time::Duration;
+
+use common::area::{Area, chat, key, words};
+use http::Method;
+
+const CHAT: &str = "/v1/chat/completions";
+
+/// Longer than the HTTP server itself waits for open connections after a signal: 32 s.
+const LONG_TOKENS: u64 = 360;
+
+#[test]
+fn long_stream() {
+    let mut area = Area::with_options(1, 2, &[], &["--between=100"]);
+    let (to, prefix) = area.entry(0, &key("kiosks"));
+    let home = usize::from(area.routers[1].address == to);
+    let id = format!("{prefix}00000009");
+    let answer = std::thread::scope(|scope| {
+        let area = &area;
+        let stream = scope.spawn(move || {
+            let headers = [("lanedeck-request-id", id.as_str())];
+            let body = chat("long", LONG_TOKENS);
+            area.send(Method::POST, to, CHAT, &key("kiosks"), &headers, &body)
+        });
+        std::thread::sleep(Duration::from_millis(700));
+        area.routers[home].signal("TERM");
+        std::thread::sleep(Duration::from_millis(300));
+
+        // New work is sent elsewhere; the other router takes it.
+        let new = area.send(Method::POST, to, CHAT, &key("kiosks"), &[], &chat("new", 5));
+        assert_eq!(
+            (new.status, new.header("lanedeck-reason")),
+            (503, "stopping")
+        );
+        assert!(!new.header("retry-after").is_empty());
+        area.wait("the entry answer leaves it out", |area| {
+            area.entry(1 - home, &key("kiosks")).0 == area.routers[1 - home].address
+        });
+        let other = area.routers[1 - home].address;
+        let new = area.send(
+            Method::POST,
+            other,
+            CHAT,
+            &key("kiosks"),
+            &[],
+            &chat("new", 5),
+        );
+        assert_eq!(new.events().last(), Some(&"[DONE]"));
+        stream.join().unwrap()
+    });
+    let events = answer.events();
+    assert_eq!(events.len() as u64, LONG_TOKENS + 2);
+    assert_eq!(events.last(), Some(&"[DONE]"));
+    let words = words("long", LONG_TOKENS).concat();
+    let content: String = events
+        .iter()
+        .filter_map(|event| serde_json::from_str::<serde_json::Value>(event).ok())
+        .filter_map(|frame| {
+            frame["choices"][0]["delta"]["content"]
+                .as_str()
+                .map(str::to_owned)
+        })
+        .collect();
+    assert_eq!(content, words);
+
+    assert_eq!(area.routers[home].wait(Duration::from_secs(40)), Some(0));
+    area.routers.remove(home);
+    let seen = area.settled("kiosks", 3 + LONG_TOKENS + 3 + 5);
+    assert_eq!(seen["in_doubt"], 0);
+    assert_eq!(seen["holders"].as_array().map(Vec::len), Some(1), "{seen}");
+}
+
+#[test]
+fn all_one_by_one() {
+    let mut area = Area::new(1, 3);
+    for place in 0..3 {
+        let to = area.routers[place].address;
+        let answer = area.send(Method::POST, to, CHAT, &key("kiosks"), &[], &chat("x", 5));
+        assert_eq!(answer.events().last(), Some(&"[DONE]"));
+        area.routers[place].signal("TERM");
+        // Well under the time for which a stop waits for a log that is out.
+        assert_eq!(area.routers[place].wait(Duration::from_secs(20)), Some(0));
+        area.restart_router(place);
+        area.wait_ready();
+    }
+    let seen = area.settled("kiosks", 3 * (2 + 5));
+    assert_eq!(
+        (&seen["in_doubt"], &seen["held"]),
+        (&0.into(), &0.into()),
+        "{seen}"
+    );
+}
+
+#[test]
+fn log_out() {
+    let mut area = Area::new(1, 2);
+    let to = area.routers[0].address;
+    area.send(Method::POST, to, CHAT, &key("kiosks"), &[], &chat("x", 5));
+    area.settled("kiosks", 7);
+    area.faults(&area.log, &serde_json::json!({"down": true}));
+    // A router that is started now has its configuration from its peer.
+    area.routers[1].signal("TERM");
+    assert_eq!(area.routers[1].wait(Duration::from_secs(60)), Some(0));
+    area.restart_router(1);
+    area.wait("ready without the log", |area| {
+        area.status(1)["ready"] == true
+    });
+    let status = area.status(1);
+    assert_eq!(status["applied"], area.status(0)["applied"]);
+    let answer = area.send(
+        Method::POST,
+        area.routers[1].address,
+        CHAT,
+        &key("kiosks"),
+        &[],
+        &chat("x", 5),
+    );
+    assert_eq!(
+        answer.header("lanedeck-reason"),
+        "log_unavailable",
+        "{answer:?}"
+    );
+    area.faults(&area.log, &serde_json::json!({"down": false}));
+    area.wait("it serves again", |area| {
+        let to = area.routers[1].address;
+        let answer = area.send(Method::POST, to, CHAT, &key("kiosks"), &[], &chat("x", 5));
+        answer.events().last() == Some(&"[DONE]")
+    });
+}
