Choose targets by two random choices, measured against three others

Cause: the default was an expected-wait estimate of our own over all candidates, never measured.

The deepest prefix was at first one of the four engines that last saw a customer's system prompt, so all routers sent there together.

Change: two random choices by default; the estimate keeps its last form. A target counts as slow from three times the middle on.

--- a/src/cmd/router.rs
+++ b/src/cmd/router.rs
@@ -90,14 +90,14 @@
     #[options(
         no_short,
         meta = "POLICY",
-        default = "expected",
+        default = "two",
         help = "choice of targets: least, two, prefix or expected"
     )]
     pub policy: String,
     #[options(
         no_short,
         meta = "S",
-        default = "600",
+        default = "3600",
         help = "demand that a grant covers, in seconds, 1 to 86400"
     )]
     pub horizon: String,
--- a/src/target/policy.rs
+++ b/src/target/policy.rs
@@ -7,9 +7,14 @@
 
 use super::TargetKey;
 
-/// Time that an engine is taken to need for an uncached block, in units of one queued request.
-/// Measured in the policies bench; see docs/BENCHMARKS.md.
-const BLOCK_COST: f64 = 0.08;
+/// Time that an engine is taken to need for an uncached block, against that for a first token
+/// when all is cached. Chosen by the policies bench; see docs/BENCHMARKS.md.
+const BLOCK_COST: f64 = 0.15;
+/// Candidates drawn by the expected-wait policy. Routers do not see each other's dispatches at
+/// once, so one that always takes the best sends all of them to the same target.
+const DRAWN: usize = 2;
+/// Load, as a share of the slots, at which the wait is taken to be endless.
+const HEADROOM: f64 = 1.1;
 
 /// A target that may be chosen.
 #[derive(Clone, Copy, Debug)]
@@ -31,13 +36,14 @@
 pub enum Policy {
     /// The one with the least load.
     Least,
-    /// The less loaded of two drawn at random.
+    /// The less loaded of two drawn at random. The default: with routers that do not see each
+    /// other and loads that lag, every policy that prefers a place sends too much there at once.
+    #[default]
     Two,
     /// Cached share less load relative to the pool's mean, as in the prefix-affinity paper.
     Prefix,
-    /// Least expected wait: load, uncached blocks and slowness in one estimate, of a few drawn at
-    /// random together with those that have the prefix.
-    #[default]
+    /// Least expected wait, of load, uncached blocks and slowness, among two drawn at random and
+    /// the one that has most of the prompt, where it is not more loaded than they are.
     Expected,
 }
 
@@ -72,15 +78,30 @@
                     (one.load - mean) / mean.max(1.0) - share
                 })
             }
-            Self::Expected => best(candidates, rng, |one| {
-                let uncached = blocks.saturating_sub(one.cached) as f64;
-                let queue = (one.load + 1.0) / one.slots;
-                (queue + uncached * BLOCK_COST) * one.slowness
-            }),
+            Self::Expected => {
+                let mut drawn: Vec<Candidate> = Vec::with_capacity(DRAWN + 1);
+                drawn.extend((0..DRAWN).filter_map(|_| draw(candidates, rng)));
+                let least = drawn
+                    .iter()
+                    .map(|one| one.load)
+                    .fold(f64::INFINITY, f64::min);
+                let fit = candidates
+                    .iter()
+                    .filter(|one| one.cached * 2 > blocks && one.load <= least);
+                drawn.extend(fit.max_by_key(|one| one.cached));
+                best(&drawn, rng, |one| expected_wait(one, blocks))
+            }
         }
     }
 }
 
+/// Wait for the first token, in units of an idle engine's with all cached.
+fn expected_wait(one: &Candidate, blocks: usize) -> f64 {
+    let uncached = blocks.saturating_sub(one.cached) as f64;
+    let free = (HEADROOM - (one.load + 1.0) / one.slots).max(0.02);
+    (1.0 + uncached * BLOCK_COST) / free * one.slowness
+}
+
 impl fmt::Display for Policy {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
--- a/src/target/pool.rs
+++ b/src/target/pool.rs
@@ -13,6 +13,9 @@
 const EJECTED_SHARE: usize = 50;
 /// A load report older than this counts for nothing.
 const REPORT_KEEP: Millis = Millis(5_000);
+/// A target up to this many times slower than the middle one counts as average: what is below is
+/// mostly load that all routers see alike, and would all answer by going elsewhere together.
+const SLOWNESS_MIN: f64 = 3.0;
 /// A target this many times slower than the middle one counts as that slow, not more.
 const SLOWNESS_MAX: f64 = 20.0;
 
@@ -304,7 +307,9 @@
 
 fn slowness(first: Option<f64>, middle: Option<f64>) -> f64 {
     match (first, middle) {
-        (Some(first), Some(middle)) => (first.max(1.0) / middle.max(1.0)).clamp(0.5, SLOWNESS_MAX),
+        (Some(first), Some(middle)) if first > middle.max(1.0) * SLOWNESS_MIN => {
+            (first / middle.max(1.0)).min(SLOWNESS_MAX)
+        }
         _ => 1.0,
     }
 }
