Size grants by an hour's demand, and try arrivals before the queue

Cause: the horizon of ten minutes was a guess.

Change: demand over an hour, capped by a share of what is left, is the default. An arrival is tried by itself; what waits for money is tried when the ledger moves. The choice comes after the check of the grant.

--- a/src/budget/demand.rs
+++ b/src/budget/demand.rs
@@ -47,7 +47,7 @@
 
 impl Default for Sizing {
     fn default() -> Self {
-        Self::Thin(Millis(600_000))
+        Self::Thin(Millis(3_600_000))
     }
 }
 
--- a/src/control/arrive.rs
+++ b/src/control/arrive.rs
@@ -158,7 +158,7 @@
         if let Some(shed) = shed {
             self.refuse(shed.ticket, Reason::Overloaded);
         }
-        self.pump_group(&group);
+        self.pump_arrival(&group, ticket);
     }
 
     /// Refuses a request that has not been dispatched: the id may come again.
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -53,17 +53,51 @@
             } else {
                 self.start(one.ticket)
             };
-            match start {
-                Start::Started => {
-                    if let Some(queue) = self.queues.get_mut(group) {
-                        queue.remove(&one);
-                    }
+            if !self.started(group, &one, start) {
+                break;
+            }
+        }
+        self.refuse_hopeless(group);
+    }
+
+    /// Starts a request that has just come, unless others wait for a target before it. Those that
+    /// wait for money are tried again when the ledger moves, not with each arrival.
+    pub(super) fn pump_arrival(&mut self, group: &(Kind, String), ticket: Ticket) {
+        let Some(queue) = self.queues.get(group) else {
+            return;
+        };
+        let jobs = &self.jobs;
+        let short = |one: &Waiting| {
+            jobs.get(&one.ticket)
+                .is_some_and(|job| job.short_since.is_some())
+        };
+        let first = queue
+            .iter()
+            .find(|one| one.ticket == ticket || !short(one))
+            .copied();
+        if let Some(first) = first.filter(|first| first.ticket == ticket) {
+            let start = self.start(ticket);
+            self.started(group, &first, start);
+        }
+        self.refuse_hopeless(group);
+    }
+
+    /// Takes a request that was tried out of its queue, if it is to go; whether more can be tried.
+    fn started(&mut self, group: &(Kind, String), one: &Waiting, start: Start) -> bool {
+        match start {
+            Start::Started => {
+                if let Some(queue) = self.queues.get_mut(group) {
+                    queue.remove(one);
                 }
-                Start::Blocked => {}
-                Start::NoSlot => break,
-                Start::Refused(reason) => self.refuse(one.ticket, reason),
             }
+            Start::Blocked => {}
+            Start::NoSlot => return false,
+            Start::Refused(reason) => self.refuse(one.ticket, reason),
         }
+        true
+    }
+
+    fn refuse_hopeless(&mut self, group: &(Kind, String)) {
         let rate = self.pool.rate(self.now, group.0, &group.1);
         if let Some(queue) = self.queues.get_mut(group) {
             for late in queue.hopeless(self.now, rate) {
@@ -76,17 +110,21 @@
         let Some(job) = self.jobs.get(&ticket) else {
             return Start::Started;
         };
-        let Some(choice) = choose(&self.pool, self.now, job, &mut self.rng) else {
-            return Start::NoSlot;
-        };
         let (key, nonce, amount) = (job.budget, job.nonce, job.reservation());
         let grant = self.grant(key);
-        if let Err(short) = self.holder.reserve(key, nonce, amount, grant) {
-            return match self.want_grant(ticket, key, short.0) {
+        let short = amount.saturating_sub(self.holder.free(key, grant));
+        if short > Tokens::ZERO {
+            return match self.want_grant(ticket, key, short) {
                 Some(reason) => Start::Refused(reason),
                 None => Start::Blocked,
             };
         }
+        let Some(choice) = choose(&self.pool, self.now, job, &mut self.rng) else {
+            return Start::NoSlot;
+        };
+        if self.holder.reserve(key, nonce, amount, grant).is_err() {
+            return Start::Blocked;
+        }
         self.open(ticket, choice);
         Start::Started
     }
--- a/src/http/relay.rs
+++ b/src/http/relay.rs
@@ -22,7 +22,7 @@
 use crate::target::Choice;
 use crate::units::{Millis, Tokens};
 
-/// Times that a broken stream is resumed.
+/// Times in a row that a broken stream is resumed without anything new.
 const RESUMES_MAX: u32 = 3;
 /// Wait before a stream is resumed.
 const RESUME_WAIT: Duration = Duration::from_millis(50);
@@ -83,6 +83,16 @@
     Broken,
 }
 
+/// What came of asking for the rest of a stream.
+enum Resumed {
+    /// The rest.
+    Stream(Response),
+    /// The target knows nothing of it, or cannot resume.
+    Unknown,
+    /// No answer.
+    Unreachable,
+}
+
 /// What was seen of a streamed answer so far.
 struct Progress {
     next: u64,
@@ -208,7 +218,9 @@
             Ok(response) => Some(response),
             Err(end) => return end,
         };
-        for _ in 0..=RESUMES_MAX {
+        let mut idle = 0;
+        while idle <= RESUMES_MAX {
+            let before = progress.next;
             if let Some(stream) = response.take()
                 && let Ok(reader) = stream.into_sse()
                 && let Read::Whole = self
@@ -221,10 +233,12 @@
                     whole: millis(start),
                 };
             }
+            idle = if progress.next > before { 0 } else { idle + 1 };
             tokio::time::sleep(RESUME_WAIT).await;
-            response = self.resume(order, progress.next).await;
-            if response.is_none() {
-                break;
+            match self.resume(order, progress.next).await {
+                Resumed::Stream(stream) => response = Some(stream),
+                Resumed::Unknown => break,
+                Resumed::Unreachable => {}
             }
         }
         let shown = answer.take_back();
@@ -278,12 +292,16 @@
         }
     }
 
-    async fn resume(&self, order: Order, from: u64) -> Option<Response> {
+    async fn resume(&self, order: Order, from: u64) -> Resumed {
         let address = order.choice.address;
         let uri = format!("http://{address}/v1/requests/{}/stream/{from}", order.id);
         let sent = tokio::time::timeout(self.silence, self.kept.get(uri).send()).await;
-        let response = sent.ok()?.ok()?;
-        response.status().is_success().then_some(response)
+        match sent {
+            Ok(Ok(response)) if response.status().is_success() => Resumed::Stream(response),
+            Ok(Ok(_)) => Resumed::Unknown,
+            // A kept connection may be the one that was cut.
+            Ok(Err(_)) | Err(_) => Resumed::Unreachable,
+        }
     }
 
     /// Asks a target for its load and its cache events since `from`.
--- /dev/null
+++ b/tests/burn_sums.rs
@@ -0,0 +1,104 @@
+//! The arithmetic of the burn report, by numbers worked out by hand.
+
+use std::collections::BTreeMap;
+
+use lanedeck::intent::Objective;
+use lanedeck::report::{Key, Metrics, Minute, Sample, burn, is_good, page};
+use lanedeck::request::{Reason, Verdict};
+use lanedeck::units::{Millis, Tokens};
+
+const OBJECTIVE: Objective = Objective {
+    first_token: Millis(590),
+    between_tokens: Millis(34),
+    share_permille: 950,
+};
+
+fn minute(ago: u64, good: u64, bad: u64) -> Minute {
+    Minute { ago, good, bad }
+}
+
+#[test]
+fn burn_rates() {
+    let minutes = [
+        minute(0, 90, 10),
+        minute(4, 100, 0),
+        minute(5, 0, 100),
+        minute(59, 100, 0),
+    ];
+    // 10 of 200 missed, 5 in 100 may: the allowance is used up exactly.
+    assert!((burn::rate(&minutes, OBJECTIVE, burn::SHORT) - 1.0).abs() < 1e-9);
+    // 110 of 400 missed: 27.5 in 100, 5.5 times what may be.
+    assert!((burn::rate(&minutes, OBJECTIVE, burn::LONG) - 5.5).abs() < 1e-9);
+    assert!(burn::rate(&[], OBJECTIVE, burn::LONG) == 0.0);
+}
+
+#[test]
+fn good_or_bad() {
+    let ran = Verdict::Ran { billed: Tokens(5) };
+    let sample = |first, between| Sample {
+        first_ms: Some(first),
+        between_ms: Some(between),
+    };
+    assert_eq!(is_good(OBJECTIVE, &ran, sample(590, 34)), Some(true));
+    assert_eq!(is_good(OBJECTIVE, &ran, sample(591, 34)), Some(false));
+    assert_eq!(is_good(OBJECTIVE, &ran, sample(590, 35)), Some(false));
+    let refused = |reason| Verdict::NotRun {
+        reason,
+        retry_after: Millis(1),
+    };
+    assert_eq!(
+        is_good(OBJECTIVE, &refused(Reason::Overloaded), Sample::default()),
+        Some(false)
+    );
+    // An empty budget is the customer's affair, and burns nothing.
+    assert_eq!(
+        is_good(
+            OBJECTIVE,
+            &refused(Reason::BudgetExhausted),
+            Sample::default()
+        ),
+        None
+    );
+}
+
+#[test]
+fn merged() {
+    let key = Key {
+        customer: "k<b>".into(),
+        class: "std".into(),
+        serves: "m".into(),
+    };
+    let one = |firsts: std::ops::RangeInclusive<u64>| {
+        let metrics = Metrics::default();
+        for first in firsts {
+            let sample = Sample {
+                first_ms: Some(first),
+                between_ms: Some(10),
+            };
+            metrics.note(&key, OBJECTIVE, &Verdict::Ran { billed: Tokens(2) }, sample);
+            metrics.note_gap(&key, 10);
+        }
+        let refused = Verdict::NotRun {
+            reason: Reason::TooLate,
+            retry_after: Millis(1),
+        };
+        metrics.note(&key, OBJECTIVE, &refused, Sample::default());
+        metrics.export()
+    };
+    let rows = burn::merge(one(1..=50).into_iter().chain(one(51..=100)));
+    let [row] = &rows[..] else {
+        panic!("one row: {rows:?}")
+    };
+    assert_eq!((row.requests, row.ran, row.billed), (102, 100, 200));
+    assert_eq!(row.refused, BTreeMap::from([("too_late".to_owned(), 2)]));
+    assert_eq!(row.first_ms, [50, 95, 99]);
+    assert_eq!(row.between_ms, [10, 10, 10]);
+    // 2 of 102 missed, against 5 in 100.
+    assert!((row.burn_short - 2.0 / 102.0 / 0.05).abs() < 1e-9);
+    let page = page(&rows);
+    assert!(
+        page.contains("k&lt;b&gt;") && page.contains("<svg"),
+        "{page}"
+    );
+    assert!(burn::table(&rows).contains("too_late=2"));
+}
--- /dev/null
+++ b/tests/entry_answers.rs
@@ -0,0 +1,131 @@
+//! Which hosts a customer is sent to.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use lanedeck::host::{Membership, Peer};
+use lanedeck::log::Incarnation;
+use lanedeck::units::{Millis, Offset};
+
+fn peer(place: u16) -> Peer {
+    Peer {
+        incarnation: Incarnation(u64::from(place) + 1),
+        counter: 1,
+        entry: ([127, 0, 0, 1], 7_000 + place).into(),
+        address: ([127, 0, 0, 1], 8_000 + place).into(),
+        hall: format!("h{}", place % 4),
+        region: "r".into(),
+        epoch: 1,
+        leaving: false,
+        witness: None,
+        applied: Offset(0),
+    }
+}
+
+fn membership(hosts: u16, without: Option<u16>) -> Membership {
+    let mut membership = Membership::new(peer(0));
+    for place in (1..hosts).filter(|place| Some(*place) != without) {
+        membership.heard(Millis(1), &peer(place));
+    }
+    membership
+}
+
+fn entries(membership: &Membership, share: usize) -> BTreeMap<String, Vec<SocketAddr>> {
+    let customers = (0..1_000).map(|one| format!("customer-{one}"));
+    customers
+        .map(|name| {
+            let hosts = membership.entries(Millis(2), &name, share);
+            let hosts = hosts.into_iter().map(|peer| peer.entry).collect();
+            (name, hosts)
+        })
+        .collect()
+}
+
+#[test]
+fn host_lost() {
+    let lost = peer(5).entry;
+    let before = entries(&membership(8, None), 1);
+    let after = entries(&membership(8, Some(5)), 1);
+    let mut moved = 0;
+    for (name, hosts) in &before {
+        let kept: Vec<_> = hosts.iter().filter(|host| **host != lost).collect();
+        let still: Vec<_> = after[name].iter().take(kept.len()).collect();
+        assert_eq!(kept, still, "{name} keeps its other hosts, in their order");
+        moved += usize::from(kept.len() < hosts.len());
+    }
+    // Three of eight hosts each: the lost one had three in eight of the customers.
+    assert!(
+        (300..450).contains(&moved),
+        "{moved} of 1000 had the lost host"
+    );
+}
+
+#[test]
+fn even_shares() {
+    let mut first: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+    for hosts in entries(&membership(8, None), 1).values() {
+        assert_eq!(hosts.len(), 3);
+        *first.entry(hosts[0]).or_default() += 1;
+    }
+    assert!(
+        first.values().all(|count| (80..180).contains(count)),
+        "{first:?}"
+    );
+    assert!(
+        entries(&membership(8, None), 2)
+            .values()
+            .all(|hosts| hosts.len() == 6)
+    );
+}
+
+#[test]
+fn ill_and_leaving() {
+    let mut membership = membership(4, None);
+    let named = |membership: &Membership, now: u64, place: u16| {
+        let hosts = membership.entries(Millis(now), "c", 4);
+        hosts.iter().any(|one| one.entry == peer(place).entry)
+    };
+    assert!(named(&membership, 2, 1));
+    membership.list(&[(peer(1).address, true), (peer(2).address, false)]);
+    assert!(!named(&membership, 2, 1), "the list says that it leaves");
+    assert!(named(&membership, 2, 3), "missing in a list that lags");
+    // A host that the list still shows, but that does not go on, is left out, and is back.
+    assert!(!named(&membership, 10_000, 2));
+    membership.heard(
+        Millis(10_000),
+        &Peer {
+            counter: 2,
+            ..peer(2)
+        },
+    );
+    assert!(named(&membership, 10_001, 2));
+    membership.heard(
+        Millis(10_000),
+        &Peer {
+            counter: 3,
+            leaving: true,
+            ..peer(2)
+        },
+    );
+    assert!(!named(&membership, 10_001, 2));
+    // An older word does not take the newer back.
+    membership.heard(
+        Millis(10_002),
+        &Peer {
+            counter: 2,
+            ..peer(2)
+        },
+    );
+    assert!(!named(&membership, 10_003, 2));
+}
+
+#[test]
+fn witness_elsewhere() {
+    let membership = membership(8, None);
+    let witness = membership.witness(Millis(2), |_| true).unwrap();
+    assert_ne!(witness.hall, "h0", "in another hall");
+    let only = membership
+        .witness(Millis(2), |peer| peer.hall == "h0")
+        .unwrap();
+    assert_eq!(only.hall, "h0", "unless there is none");
+}
--- /dev/null
+++ b/tests/queue_order.rs
@@ -0,0 +1,83 @@
+//! Who waits, who is shed, and who is told at once.
+
+use lanedeck::request::{Bound, Queue, Ticket, Waiting};
+use lanedeck::units::Millis;
+
+fn waiting(ticket: u64, rank: u8, arrived: u64) -> Waiting {
+    Waiting {
+        ticket: Ticket(ticket),
+        rank,
+        arrived: Millis(arrived),
+        patience: Millis(5_000),
+    }
+}
+
+fn order(queue: &Queue) -> Vec<u64> {
+    queue.iter().map(|one| one.ticket.0).collect()
+}
+
+#[test]
+fn shed_order() {
+    let mut queue = Queue::new(Bound {
+        len: 3,
+        step: Millis(2_000),
+    });
+    assert_eq!(queue.push(waiting(1, 2, 0)), None);
+    assert_eq!(queue.push(waiting(2, 0, 10)), None);
+    assert_eq!(queue.push(waiting(3, 1, 20)), None);
+    // The lowest class goes first of all, whoever came first.
+    assert_eq!(
+        queue.push(waiting(4, 0, 30)).map(|one| one.ticket.0),
+        Some(1)
+    );
+    assert_eq!(
+        queue.push(waiting(5, 0, 40)).map(|one| one.ticket.0),
+        Some(3)
+    );
+    // Within a class it is the newest, here the newcomer itself.
+    assert_eq!(
+        queue.push(waiting(6, 0, 50)).map(|one| one.ticket.0),
+        Some(6)
+    );
+    assert_eq!(order(&queue), [2, 4, 5]);
+}
+
+#[test]
+fn starvation_bound() {
+    let mut queue = Queue::new(Bound {
+        len: 10_000,
+        step: Millis(2_000),
+    });
+    queue.push(waiting(1, 2, 0));
+    let mut overtaken_by = 0;
+    for turn in 0..1_000 {
+        queue.push(waiting(10 + turn, 0, 10 * turn));
+        let first = *queue.first().unwrap();
+        queue.remove(&first);
+        if first.ticket == Ticket(1) {
+            break;
+        }
+        overtaken_by = 10 * turn;
+    }
+    // Two ranks apart: nobody who comes more than two steps later goes first.
+    assert!(
+        (3_900..=4_000).contains(&overtaken_by),
+        "overtaken until {overtaken_by} ms"
+    );
+}
+
+#[test]
+fn told_at_once() {
+    let mut queue = Queue::new(Bound::default());
+    for ticket in 0..100 {
+        queue.push(waiting(ticket, 0, 0));
+    }
+    // At ten a second, fifty can start within five seconds, and the one at the very end of them.
+    let gone = queue.hopeless(Millis(0), 10.0);
+    assert_eq!(gone.len(), 49);
+    assert_eq!(gone[0].ticket, Ticket(51));
+    assert!(queue.hopeless(Millis(0), 10.0).is_empty());
+    // Nobody waits past its patience.
+    assert_eq!(queue.hopeless(Millis(5_001), 1e9).len(), 51);
+    assert!(queue.is_empty());
+}
