Let only the witness that closed a holder bill its requests in doubt

Ruled out: the holder's own settlement, a repeated append, and a second takeover, none of which was in the trace.

Change: the fold takes a resolve only from the witness on record when the holder was closed, and nobody else writes one. A witness that lost its own incarnation can no longer resolve; such requests stay in doubt.

--- a/src/budget/ledger.rs
+++ b/src/budget/ledger.rs
@@ -461,21 +461,25 @@
                 let result = self.close(offset, writer, *holder, budgets);
                 result.and(self.check_all())
             }
+            // Only the witness that closed the holder judges its requests: an earlier one, with old
+            // books, may think that it still does.
             Record::Resolve {
                 holder,
                 nonce,
                 billed,
-            } => {
+            } if self.sequence.member(*holder).witness == Some(writer) => {
                 let result = self.resolve(*holder, *nonce, *billed);
                 result.and(self.check_all())
             }
             Record::Change(plan) => self.confirm(offset, plan),
-            // A closed writer's grants, settlements and returns are void; the rest is not for us.
+            // A closed writer's grants, settlements and returns are void, and so is the word of one
+            // that is not the judge; the rest is not for us.
             Record::Grant { .. }
             | Record::Settle { .. }
             | Record::Return { .. }
             | Record::Witness { .. }
             | Record::Leave
+            | Record::Resolve { .. }
             | Record::Mark
             | Record::Checkpoint(_) => Ok(()),
         }
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -266,9 +266,11 @@
             return;
         }
         let key = (id.incarnation, id.nonce);
-        let doubted = ledger
-            .budget(budget.index)
-            .is_some_and(|budget| budget.doubt.contains_key(&key));
+        let judge = ledger.sequence().member(id.incarnation).witness;
+        let doubted = judge == Some(self.incarnation())
+            && ledger
+                .budget(budget.index)
+                .is_some_and(|budget| budget.doubt.contains_key(&key));
         if !doubted {
             self.witness.written(id);
             return;
--- a/tests/common/world.rs
+++ b/tests/common/world.rs
@@ -320,7 +320,7 @@
             applied: Offset(0),
         };
         let mut settings = Settings::new(me, self.rng.random()).with_witnessed(self.witnessed);
-        settings.checkpoint_every = 200;
+        settings.checkpoint_every = 60;
         let hosts = (0..NODES).map(|one| (address(one, 8_000), false)).collect();
         let one = &mut self.nodes[node];
         one.life += 1;
@@ -547,7 +547,12 @@
                     self.after(5, Event::ToNode(node, life, Input::Told { id, used }));
                 }
             }
-            Action::Violated(violation) => panic!("violated: {violation}"),
+            Action::Violated(violation) => {
+                panic!(
+                    "violated at {}, node {node}, life {life}: {violation}",
+                    self.now
+                )
+            }
             Action::Exit => {
                 self.faults.note("stop done");
                 self.nodes[node].state = None;
--- a/tests/ledger_sums.rs
+++ b/tests/ledger_sums.rs
@@ -141,6 +141,11 @@
         nonce: 5,
         billed: Tokens(billed),
     };
+    // Nobody but the witness that closed it judges its requests.
+    ledger
+        .apply(Offset(6), Incarnation(8), &resolve(9))
+        .unwrap();
+    assert_eq!(parts(&ledger), [60, 0, 30, 10]);
     ledger.apply(Offset(7), WITNESS, &resolve(4)).unwrap();
     assert_eq!(parts(&ledger), [66, 0, 34, 0]);
     ledger.apply(Offset(8), WITNESS, &resolve(4)).unwrap();
