--- a/src/host/member.rs
+++ b/src/host/member.rs
@@ -19,8 +19,10 @@
 const FAN_OUT: usize = 3;
 /// Hosts told of in a message.
 const TOLD_MAX: usize = 8;
-/// A host whose counter has stood still for this long is not given to callers.
+/// A host whose counter has stood still for this long, in a small fleet, is not given to callers.
 const ILL_AFTER: Millis = Millis(3_000);
+/// What each known host adds to that: news of one reaches a given other less often among many.
+const ILL_PER_PEER: Millis = Millis(30);
 /// A host whose counter has stood still for this long is forgotten.
 const FORGET_AFTER: Millis = Millis(60_000);
 /// Addresses in an entry answer for an ordinary customer.
@@ -152,10 +154,11 @@
 
     /// What to tell: this router first, then a few others that are well.
     pub fn tell<R: Rng>(&self, now: Millis, rng: &mut R) -> Vec<Peer> {
+        let ill_after = self.ill_after();
         let well = self
             .known
             .values()
-            .filter(|known| now <= known.moved + ILL_AFTER);
+            .filter(|known| now <= known.moved + ill_after);
         let mut told = vec![self.me.clone()];
         told.extend(well.map(|known| known.peer.clone()).sample(rng, TOLD_MAX));
         told
@@ -179,8 +182,12 @@
         }
     }
 
+    fn ill_after(&self) -> Millis {
+        ILL_AFTER + Millis(ILL_PER_PEER.0 * self.known.len() as u64)
+    }
+
     fn stand(&self, now: Millis, known: &Known) -> Standing {
-        if now > known.moved + ILL_AFTER {
+        if now > known.moved + self.ill_after() {
             Standing::Ill
         } else if known.peer.leaving || self.leaving.contains(&known.peer.address) {
             Standing::Leaving
