Remove what the witness's books made dead

Cause: on reading the change again. Since a witness keeps pledges, books are made from jobs, and Holder::open and Holder::is_quiet had no caller; told took a time that it never used; a comment spoke of a judge that the fold no longer hears.

Change: these are gone, and the comment says what holds. Behaviour is the same; a test calls told without the time, its assertions are as they were.

--- a/src/budget/holder.rs
+++ b/src/budget/holder.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 
 use super::{BudgetKey, Demand, Grant, Sizing, Violation};
-use crate::log::{Incarnation, Open};
+use crate::log::Incarnation;
 use crate::request::Id;
 use crate::units::{Millis, Tokens};
 
@@ -209,23 +209,6 @@
             .collect()
     }
 
-    /// Requests that are open, of one budget.
-    pub fn open(&self, key: BudgetKey) -> Vec<Open> {
-        let account = self.accounts.get(&key);
-        let entries = account.map(|account| account.entries.iter());
-        let open = entries
-            .into_iter()
-            .flatten()
-            .filter_map(|(nonce, entry)| match entry {
-                Entry::Open(reserved) => Some(Open {
-                    nonce: *nonce,
-                    reserved: *reserved,
-                }),
-                Entry::Settled(_) => None,
-            });
-        open.collect()
-    }
-
     /// Requests settled and still remembered: budget, number, what they were billed.
     pub fn settled(&self) -> Vec<(BudgetKey, u64, Tokens)> {
         let mut settled = Vec::new();
@@ -239,12 +222,6 @@
         settled
     }
 
-    /// Whether nothing is open.
-    pub fn is_quiet(&self) -> bool {
-        let mut accounts = self.accounts.values();
-        accounts.all(|account| account.reserved == Tokens::ZERO)
-    }
-
     /// Budgets that these books name.
     pub fn keys(&self) -> Vec<BudgetKey> {
         self.accounts.keys().copied().collect()
--- a/src/budget/ledger.rs
+++ b/src/budget/ledger.rs
@@ -387,7 +387,7 @@
                     .find(|known| (known.0, known.1) == (holder, nonce));
                 match known {
                     None => continue,
-                    // A judge that lost its incarnation says the same again under the new one.
+                    // The same bill again changes nothing.
                     Some((_, _, before)) if *before == billed => return Ok(()),
                     Some(_) => {
                         let incarnation = holder;
--- a/src/budget/witness.rs
+++ b/src/budget/witness.rs
@@ -390,17 +390,14 @@
     }
 
     /// The target of a closed holder's request says that it is done, and what it used.
-    pub fn told(&mut self, now: Millis, id: Id, used: Tokens) {
+    pub fn told(&mut self, id: Id, used: Tokens) {
         let held = self.wards.get(&id.incarnation);
-        let entry = held.and_then(|held| held.ward.entries.get(&id.nonce));
-        if let Some((_, State::Open(pledge))) = entry.copied()
-            && self.is_closed(id.incarnation)
-        {
-            let heard = self
-                .wards
-                .get(&id.incarnation)
-                .map_or(now, |held| held.heard);
-            self.settle(heard, id, Some(pledge.bill(used)));
+        let Some(held) = held.filter(|held| held.closed.is_some()) else {
+            return;
+        };
+        if let Some((_, State::Open(pledge))) = held.ward.entries.get(&id.nonce) {
+            let (heard, billed) = (held.heard, pledge.bill(used));
+            self.settle(heard, id, Some(billed));
         }
     }
 
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -226,7 +226,7 @@
 
     /// A target has told that a request of a closed ward is done.
     pub(super) fn told(&mut self, id: Id, used: Tokens) {
-        self.witness.told(self.now, id, used);
+        self.witness.told(id, used);
         self.write_closes();
     }
 
--- a/tests/witness_rules.rs
+++ b/tests/witness_rules.rs
@@ -102,14 +102,14 @@
 fn told_by_target() {
     let mut witness = witness();
     open(&mut witness, 1);
-    witness.told(Millis(1), id(1), Tokens(10));
+    witness.told(id(1), Tokens(10));
     assert!(
         witness.unwritten().is_empty(),
         "a live holder bills for itself"
     );
     witness.close(Millis(2), HOLDER);
     assert_eq!(witness.doubtful().len(), 1);
-    witness.told(Millis(3), id(1), Tokens(10));
+    witness.told(id(1), Tokens(10));
     assert_eq!(
         witness.unwritten()[0].billed,
         Tokens(20),
