--- /dev/null
+++ b/src/cmd/gateway.rs
@@ -0,0 +1,300 @@
+//! `lanedeck gateway`: a router towards callers that speak the deployment's dialect.
+
+use std::net::SocketAddr;
+
+use gumdrop::Options;
+use rand::RngExt;
+
+use super::router::bind;
+use super::settings::Checker;
+use super::{Adapter, Command, Error, Result, dropped_lines, parse, start_output_logs};
+use crate::gateway;
+use crate::gateway::fleet::Settings;
+use crate::gateway::members::Router;
+use crate::gateway::retry;
+use crate::units::Millis;
+use crate::util::is_name;
+
+pub const ABOUT: &str = "Runs a router towards callers that speak the deployment's dialect, until
+SIGTERM, and then until all that it has begun is done or --grace is over. What lasts is kept in
+the deployment's store. SIGHUP reads and checks the settings again.
+
+Every option can stand in the settings file of the deployment too, a line NAME=value each, by its
+name in the environment. The command line goes first, then the environment, then the file.
+
+Example:
+  lanedeck gateway --name a --front 10.0.0.1:8000 --ready 10.0.0.1:8001 \\
+      --directory 10.0.0.1:8002 --link 10.0.0.1:8003 --store 10.0.9.1:7100
+";
+
+#[derive(Debug, Options)]
+pub struct Args {
+    #[options(help = "print this")]
+    pub help: bool,
+    #[options(
+        no_short,
+        meta = "NAME",
+        default = "router",
+        help = "this host's name, which the next process on it has too: 1 to 64 letters, digits, dots, dashes, underscores"
+    )]
+    pub name: String,
+    #[options(
+        no_short,
+        meta = "IP:PORT",
+        default = "127.0.0.1:8000",
+        help = "where callers connect"
+    )]
+    pub front: String,
+    #[options(
+        no_short,
+        meta = "IP:PORT",
+        default = "127.0.0.1:8001",
+        help = "where readiness is asked"
+    )]
+    pub ready: String,
+    #[options(
+        no_short,
+        meta = "IP:PORT",
+        default = "127.0.0.1:8002",
+        help = "where callers ask which addresses to use"
+    )]
+    pub directory: String,
+    #[options(
+        no_short,
+        meta = "IP:PORT",
+        default = "127.0.0.1:8003",
+        help = "where other routers connect"
+    )]
+    pub link: String,
+    #[options(
+        no_short,
+        meta = "IP:PORT",
+        default = "127.0.0.1:8004",
+        help = "where counters are asked"
+    )]
+    pub metrics: String,
+    #[options(
+        no_short,
+        meta = "IP:PORT",
+        default = "127.0.0.1:7100",
+        help = "the deployment's store"
+    )]
+    pub store: String,
+    #[options(
+        no_short,
+        meta = "NAME",
+        default = "hall",
+        help = "this host's data hall: 1 to 64 letters, digits, dots, dashes, underscores"
+    )]
+    pub hall: String,
+    #[options(
+        no_short,
+        meta = "MS",
+        default = "1200",
+        help = "between two heartbeats, in milliseconds, 50 to 60000"
+    )]
+    pub heartbeat: String,
+    #[options(
+        no_short,
+        meta = "MS",
+        default = "2000",
+        help = "how long callers may keep addresses, in milliseconds, 100 to 600000"
+    )]
+    pub keep: String,
+    #[options(
+        no_short,
+        meta = "MS",
+        default = "30000",
+        help = "longest time to stop, in milliseconds, 1000 to 3600000"
+    )]
+    pub grace: String,
+    #[options(
+        no_short,
+        meta = "X",
+        default = "0.2",
+        help = "repeats for each request of the window, 0 to 10"
+    )]
+    pub repeat_ratio: String,
+    #[options(
+        no_short,
+        meta = "MS",
+        default = "10000",
+        help = "window of the budget of repeats, in milliseconds, 100 to 600000"
+    )]
+    pub repeat_window: String,
+    #[options(
+        no_short,
+        meta = "N",
+        default = "20",
+        help = "repeats in each window beside those, over the whole fleet, 0 to 1000000"
+    )]
+    pub repeat_extra: String,
+    #[options(
+        no_short,
+        meta = "MS",
+        default = "10000",
+        help = "demand that a grant of prepaid tokens covers, in milliseconds, 100 to 86400000"
+    )]
+    pub horizon: String,
+    #[options(
+        no_short,
+        meta = "LEVEL",
+        default = "info",
+        help = "logs: error, warn, info, debug or trace"
+    )]
+    pub log_level: String,
+}
+
+/// Settings that have been checked.
+struct Checked {
+    settings: Settings,
+    ready: SocketAddr,
+    directory: SocketAddr,
+    metrics: SocketAddr,
+    store: SocketAddr,
+    keep: Millis,
+    grace: Millis,
+    log_level: String,
+    in_force: String,
+}
+
+const ADDRESS: &str = "an IP number and a port";
+const NAME: &str = "1 to 64 letters, digits, dots, dashes or underscores";
+
+fn address(checker: &mut Checker, name: &str, value: &str) -> Option<SocketAddr> {
+    checker.take(name, value, ADDRESS, |_| true)
+}
+
+fn number(checker: &mut Checker, name: &str, value: &str, least: f64, most: f64) -> Option<f64> {
+    let wanted = format!("{least} to {most}");
+    checker.take(name, value, &wanted, |number: &f64| {
+        (least..=most).contains(number)
+    })
+}
+
+fn span(checker: &mut Checker, name: &str, value: &str, least: f64, most: f64) -> Option<Millis> {
+    number(checker, name, value, least, most).map(|number| Millis(number as u64))
+}
+
+fn check(args: &Args) -> Result<Checked> {
+    let mut checker = Checker::default();
+    let c = &mut checker;
+    let name = c.take("name", &args.name, NAME, |name: &String| is_name(name));
+    let front = address(c, "front", &args.front);
+    let ready = address(c, "ready", &args.ready);
+    let directory = address(c, "directory", &args.directory);
+    let link = address(c, "link", &args.link);
+    let metrics = address(c, "metrics", &args.metrics);
+    let store = address(c, "store", &args.store);
+    let hall = c.take("hall", &args.hall, NAME, |name: &String| is_name(name));
+    let heartbeat = span(c, "heartbeat", &args.heartbeat, 50.0, 60_000.0);
+    let keep = span(c, "keep", &args.keep, 100.0, 600_000.0);
+    let grace = span(c, "grace", &args.grace, 1_000.0, 3_600_000.0);
+    let ratio = number(c, "repeat-ratio", &args.repeat_ratio, 0.0, 10.0);
+    let window = span(c, "repeat-window", &args.repeat_window, 100.0, 600_000.0);
+    let extra = number(c, "repeat-extra", &args.repeat_extra, 0.0, 1e6);
+    let horizon = span(c, "horizon", &args.horizon, 100.0, 86_400_000.0);
+    let levels = ["error", "warn", "info", "debug", "trace"];
+    let log_level = c.take(
+        "log-level",
+        &args.log_level,
+        "error, warn, info, debug or trace",
+        |level: &String| levels.contains(&level.as_str()),
+    );
+    let in_force = checker.finish()?;
+    let checked = || {
+        let me = Router {
+            name: name?,
+            incarnation: rand::rng().random(),
+            front: front?,
+            link: link?,
+            hall: hall?,
+            is_ready: false,
+            beat: 0,
+        };
+        Some(Checked {
+            settings: Settings {
+                me,
+                heartbeat: heartbeat?,
+                repeats: retry::Bound {
+                    ratio: ratio?,
+                    window: window?,
+                    extra: extra?,
+                },
+                horizon: horizon?,
+                seed: rand::rng().random(),
+            },
+            ready: ready?,
+            directory: directory?,
+            metrics: metrics?,
+            store: store?,
+            keep: keep?,
+            grace: grace?,
+            log_level: log_level?,
+            in_force,
+        })
+    };
+    checked().ok_or(Error::Usage {
+        message: "a setting is missing".to_owned(),
+    })
+}
+
+fn read(args: &[String], adapter: &Adapter) -> Result<Checked> {
+    match parse(args, adapter)?.command {
+        Some(Command::Gateway(args)) => check(&args),
+        _ => super::usage("no gateway command"),
+    }
+}
+
+pub fn run(args: &[String], adapter: &Adapter) -> Result<()> {
+    let checked = read(args, adapter)?;
+    let logs = start_output_logs(&checked.log_level);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|source| Error::Io {
+            what: "starting threads".to_owned(),
+            source,
+        })?;
+    let args = args.to_vec();
+    let adapter = Adapter {
+        dialect: adapter.dialect.clone(),
+        store: adapter.store,
+        settings: adapter.settings.clone(),
+    };
+    let result = runtime.block_on(serve(checked, args, adapter));
+    drop(logs);
+    result
+}
+
+async fn serve(checked: Checked, args: Vec<String>, adapter: Adapter) -> Result<()> {
+    let front = bind("front", checked.settings.me.front).await?;
+    let ready = bind("ready", checked.ready).await?;
+    let directory = bind("directory", checked.directory).await?;
+    let metrics = bind("metrics", checked.metrics).await?;
+    let dialect = adapter.dialect.clone();
+    let store = (adapter.store)(checked.store);
+    let in_force = checked.in_force.replace('\n', " ");
+    tracing::info!(event = "settings", in_force);
+    let reload = move || match read(&args, &adapter) {
+        Ok(checked) => Ok(checked.in_force.replace('\n', " ")),
+        Err(error) => Err(error.to_string()),
+    };
+    let options = gateway::Options {
+        settings: checked.settings,
+        front,
+        ready,
+        directory,
+        metrics: Some(metrics),
+        keep: checked.keep,
+        grace: checked.grace,
+        dialect,
+        store,
+        reload: Box::new(reload),
+        dropped: dropped_lines,
+    };
+    gateway::run(options).await.map_err(|source| Error::Io {
+        what: "signals".to_owned(),
+        source,
+    })
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod check;
 mod client;
 mod demo;
+mod gateway;
 mod intent;
 mod load;
 mod router;
@@ -12,10 +13,15 @@
 
 use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
 
 use gumdrop::Options;
 use snafu::Snafu;
 
+use crate::gateway::Dialect;
+use crate::store::Store;
+
 const ABOUT: &str = "lanedeck: a router fleet for prepaid token budgets
 
 Examples:
@@ -71,6 +77,16 @@
     }
 }
 
+/// What the binary is built with for the deployment that it runs on.
+pub struct Adapter {
+    /// What callers and targets speak there.
+    pub dialect: Arc<dyn Dialect>,
+    /// Makes a client of the store at an address.
+    pub store: fn(SocketAddr) -> Arc<dyn Store>,
+    /// The deployment's settings file, where there is one.
+    pub settings: Option<String>,
+}
+
 /// A command's result.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -98,6 +114,8 @@
 enum Command {
     #[options(help = "run a router on an entry host")]
     Router(router::Args),
+    #[options(help = "run a router towards callers that speak the deployment's dialect")]
+    Gateway(gateway::Args),
     #[options(help = "plan, confirm and look, for operators")]
     Intent(intent::Args),
     #[options(help = "report service-level burn")]
@@ -116,17 +134,9 @@
 ///
 /// # Errors
 /// What is wrong with the command line, or why the command failed.
-pub fn run(args: &[String]) -> Result<()> {
+pub fn run(args: &[String], adapter: &Adapter) -> Result<()> {
     let name = args.first().map_or("", String::as_str);
-    let args = match Command::command_usage(name) {
-        Some(usage) => settings::with_environment(usage, args, std::env::vars()),
-        None => args.to_vec(),
-    };
-    let parsed = Args::parse_args(&args, gumdrop::ParsingStyle::AllOptions);
-    let parsed = match parsed {
-        Ok(parsed) => parsed,
-        Err(error) => return usage(format!("{error}; see lanedeck {name} --help")),
-    };
+    let parsed = parse(args, adapter)?;
     if parsed.version {
         return print(&format!("lanedeck {}\n", env!("CARGO_PKG_VERSION")));
     }
@@ -135,6 +145,7 @@
     }
     match parsed.command {
         Some(Command::Router(args)) => router::run(&args),
+        Some(Command::Gateway(_)) => gateway::run(args, adapter),
         Some(Command::Check(args)) => check::run(&args),
         Some(Command::Intent(args)) => intent::run(&args),
         Some(Command::Burn(args)) => burn::run(&args),
@@ -145,9 +156,31 @@
     }
 }
 
+/// Parses a command line, with what the environment and the settings file give besides.
+fn parse(args: &[String], adapter: &Adapter) -> Result<Args> {
+    let name = args.first().map_or("", String::as_str);
+    let args = match Command::command_usage(name) {
+        Some(usage) => {
+            let args = settings::with_environment(usage, args, std::env::vars());
+            match &adapter.settings {
+                Some(path) => {
+                    let pairs = settings::read_file(path)?;
+                    settings::with_environment(usage, &args, pairs.into_iter())
+                }
+                None => args,
+            }
+        }
+        None => args.to_vec(),
+    };
+    Args::parse_args(&args, gumdrop::ParsingStyle::AllOptions).map_err(|error| Error::Usage {
+        message: format!("{error}; see lanedeck {name} --help"),
+    })
+}
+
 fn help(parsed: &Args, name: &str) -> String {
     let about = match parsed.command {
         Some(Command::Router(_)) => router::ABOUT,
+        Some(Command::Gateway(_)) => gateway::ABOUT,
         Some(Command::Check(_)) => check::ABOUT,
         Some(Command::Intent(_)) => intent::ABOUT,
         Some(Command::Burn(_)) => burn::ABOUT,
@@ -193,6 +226,43 @@
     }
 }
 
+/// Log lines that wait to be written; more are dropped and counted.
+const LOG_LINES_MAX: usize = 8_192;
+
+static DROPPED: std::sync::OnceLock<tracing_appender::non_blocking::ErrorCounter> =
+    std::sync::OnceLock::new();
+
+/// Log lines that were dropped since the reader is too slow.
+pub(crate) fn dropped_lines() -> u64 {
+    DROPPED
+        .get()
+        .map_or(0, |counter| counter.dropped_lines() as u64)
+}
+
+/// Logs to standard output, a line of key=value pairs an event, without ever waiting for its
+/// reader. What is returned writes the last lines when dropped.
+pub(crate) fn start_output_logs(level: &str) -> tracing_appender::non_blocking::WorkerGuard {
+    use tracing_subscriber::EnvFilter;
+    use tracing_subscriber::layer::SubscriberExt;
+    use tracing_subscriber::util::SubscriberInitExt;
+    let (writer, guard) = tracing_appender::non_blocking::NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(LOG_LINES_MAX)
+        .finish(io::stdout());
+    let _ = DROPPED.set(writer.error_counter());
+    let filter = EnvFilter::new(format!("warn,lanedeck={level}"));
+    let layer = tracing_logfmt::builder()
+        .with_target(false)
+        .with_span_name(false)
+        .layer()
+        .with_writer(writer);
+    let _ = tracing_subscriber::registry()
+        .with(filter)
+        .with(layer)
+        .try_init();
+    guard
+}
+
 /// Logs to standard error, a line of key=value pairs an event.
 pub(crate) fn start_logs(level: &str) {
     use tracing_subscriber::EnvFilter;
--- a/src/cmd/router.rs
+++ b/src/cmd/router.rs
@@ -13,9 +13,9 @@
 use crate::control::Settings;
 use crate::host::Peer;
 use crate::log::Incarnation;
-use crate::platform::{HttpHosts, HttpLog};
 use crate::request::Bound;
 use crate::router;
+use crate::store::{HttpHosts, HttpLog};
 use crate::units::{Millis, Offset};
 use crate::util::is_name;
 
--- a/src/cmd/settings.rs
+++ b/src/cmd/settings.rs
@@ -34,6 +34,34 @@
     all
 }
 
+/// Reads a settings file: a line `NAME=value` for each, of the names that the environment uses.
+/// Empty lines and those that begin with `#` say nothing.
+///
+/// # Errors
+/// The system's, or all lines that make no sense.
+pub fn read_file(path: &str) -> Result<Vec<(String, String)>> {
+    let text = std::fs::read_to_string(path).map_err(|source| Error::Io {
+        what: path.to_owned(),
+        source,
+    })?;
+    let lines = text.lines().map(str::trim).enumerate();
+    let lines = lines.filter(|(_, line)| !line.is_empty() && !line.starts_with('#'));
+    let mut pairs = Vec::new();
+    let mut wrong = Vec::new();
+    for (index, line) in lines {
+        match line.split_once('=') {
+            Some((name, value)) => pairs.push((name.trim().to_owned(), value.trim().to_owned())),
+            None => wrong.push(format!("line {}: wanted is NAME=value", index + 1)),
+        }
+    }
+    if wrong.is_empty() {
+        return Ok(pairs);
+    }
+    Err(Error::Usage {
+        message: format!("{path}:\n  {}", wrong.join("\n  ")),
+    })
+}
+
 /// Whether a usage text shows the option with a value, which it writes in capitals.
 fn takes_value(usage: &str, flag: &str) -> bool {
     usage.lines().any(|line| {
--- /dev/null
+++ b/src/gateway/control.rs
@@ -0,0 +1,253 @@
+//! The thread of the control state: it answers what the traffic asks, and keeps in step with the
+//! store.
+
+mod follow;
+mod ledger;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::task::LocalSet;
+use tokio::time::Instant;
+
+use super::dialect::{Dialect, Load};
+use super::fleet::{Arrival, Ending, Fleet, Go, Job, Refusal, Settings, Ticket};
+use super::shared::Shared;
+use crate::store::Store;
+use crate::units::Millis;
+
+/// What the traffic asks of the control state, and tells it.
+#[derive(Debug)]
+pub enum Message {
+    /// May this request run, and where? The answer may take `wait`.
+    Begin {
+        /// The request.
+        job: Job,
+        /// Longest wait for a grant.
+        wait: Duration,
+        /// Gets the answer.
+        reply: oneshot::Sender<Result<Go, Refusal>>,
+    },
+    /// A try has ended without an answer: where next?
+    Again {
+        /// The request.
+        ticket: Ticket,
+        /// The end of the try.
+        ending: Ending,
+        /// Whether the target has seen it.
+        arrival: Arrival,
+        /// Gets the answer.
+        reply: oneshot::Sender<Result<Go, Refusal>>,
+    },
+    /// A target has begun to answer.
+    Answered {
+        /// The request.
+        ticket: Ticket,
+        /// What the target told of its load.
+        load: Option<Load>,
+    },
+    /// A request has ended.
+    End {
+        /// The request.
+        ticket: Ticket,
+        /// How.
+        ending: Ending,
+    },
+    /// The process is stopping: callers are to go elsewhere.
+    Leave,
+    /// Nothing runs any more: give grants back, and tell when that is done.
+    Close {
+        /// Gets word.
+        done: oneshot::Sender<()>,
+    },
+}
+
+/// What waits for a grant.
+struct Waiting {
+    job: Job,
+    until: Instant,
+    reply: oneshot::Sender<Result<Go, Refusal>>,
+}
+
+/// All that the tasks of the control thread share.
+struct Control {
+    fleet: RefCell<Fleet>,
+    waiting: RefCell<Vec<Waiting>>,
+    /// Wakes the ledger's task.
+    urgent: Notify,
+    shared: Arc<Shared>,
+    store: Arc<dyn Store>,
+    dialect: Arc<dyn Dialect>,
+    started: Instant,
+}
+
+impl Control {
+    fn now(&self) -> Millis {
+        // Times before the start are needed for differences, so the clock does not begin at zero.
+        const BEGIN: u64 = 1_000_000;
+        Millis(BEGIN + u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX))
+    }
+
+    /// Tells the traffic where callers may connect.
+    fn publish_fronts(&self) {
+        let fronts = self.fleet.borrow().members.fronts(self.now());
+        self.shared.set_fronts(fronts);
+    }
+}
+
+/// Starts the control thread.
+pub fn spawn(
+    settings: Settings,
+    shared: Arc<Shared>,
+    store: Arc<dyn Store>,
+    dialect: Arc<dyn Dialect>,
+    messages: mpsc::UnboundedReceiver<Message>,
+) {
+    std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+                .expect("a runtime starts");
+            let control = Rc::new(Control {
+                fleet: RefCell::new(Fleet::new(settings)),
+                waiting: RefCell::default(),
+                urgent: Notify::new(),
+                shared,
+                store,
+                dialect,
+                started: Instant::now(),
+            });
+            let tasks = LocalSet::new();
+            tasks.spawn_local(follow::config(Rc::clone(&control)));
+            tasks.spawn_local(follow::targets(Rc::clone(&control)));
+            tasks.spawn_local(follow::routers(Rc::clone(&control)));
+            tasks.spawn_local(ledger::keep(Rc::clone(&control)));
+            tasks.block_on(&runtime, serve(control, messages));
+        })
+        .expect("a thread starts");
+}
+
+async fn serve(control: Rc<Control>, mut messages: mpsc::UnboundedReceiver<Message>) {
+    loop {
+        let until = control
+            .waiting
+            .borrow()
+            .iter()
+            .map(|waiting| waiting.until)
+            .min();
+        tokio::select! {
+            message = messages.recv() => match message {
+                Some(message) => handle(&control, message),
+                None => return,
+            },
+            () = sleep_until(until) => expire(&control),
+        }
+    }
+}
+
+async fn sleep_until(until: Option<Instant>) {
+    match until {
+        Some(until) => tokio::time::sleep_until(until).await,
+        None => std::future::pending().await,
+    }
+}
+
+fn handle(control: &Rc<Control>, message: Message) {
+    let now = control.now();
+    match message {
+        Message::Begin { job, wait, reply } => begin(control, job, wait, reply),
+        Message::Again {
+            ticket,
+            ending,
+            arrival,
+            reply,
+        } => {
+            let next = control
+                .fleet
+                .borrow_mut()
+                .again(now, ticket, ending, arrival);
+            answer(control, reply, next);
+        }
+        Message::Answered { ticket, load } => {
+            control.fleet.borrow_mut().answered(now, ticket, load);
+        }
+        Message::End { ticket, ending } => control.fleet.borrow_mut().end(now, ticket, ending),
+        Message::Leave => {
+            control.fleet.borrow_mut().members.me.is_ready = false;
+            control.shared.members_changed.notify_one();
+            control.publish_fronts();
+        }
+        Message::Close { done } => {
+            let control = Rc::clone(control);
+            tokio::task::spawn_local(async move {
+                ledger::give_back(&control).await;
+                let _ = done.send(());
+            });
+        }
+    }
+}
+
+fn begin(control: &Control, job: Job, wait: Duration, reply: oneshot::Sender<Result<Go, Refusal>>) {
+    let now = control.now();
+    let mut fleet = control.fleet.borrow_mut();
+    fleet.note_demand(now, &job);
+    let result = fleet.begin(now, job.clone());
+    drop(fleet);
+    if result == Err(Refusal::Short) && control.shared.store_answers() {
+        let until = Instant::now() + wait;
+        control
+            .waiting
+            .borrow_mut()
+            .push(Waiting { job, until, reply });
+        control.urgent.notify_one();
+        return;
+    }
+    answer(control, reply, result);
+}
+
+/// Answers; a caller that has gone meanwhile gives its place back.
+fn answer(
+    control: &Control,
+    reply: oneshot::Sender<Result<Go, Refusal>>,
+    result: Result<Go, Refusal>,
+) {
+    if let Err(Ok(go)) = reply.send(result) {
+        let ending = Ending {
+            outcome: None,
+            cost: super::fleet::Cost::Nothing,
+        };
+        control
+            .fleet
+            .borrow_mut()
+            .end(control.now(), go.ticket, ending);
+    }
+}
+
+/// Tries again what waits for a grant.
+fn retry_waiting(control: &Control) {
+    let now = control.now();
+    for waiting in control.waiting.take() {
+        let result = control.fleet.borrow_mut().begin(now, waiting.job.clone());
+        if result == Err(Refusal::Short) {
+            control.waiting.borrow_mut().push(waiting);
+        } else {
+            answer(control, waiting.reply, result);
+        }
+    }
+}
+
+fn expire(control: &Control) {
+    let now = Instant::now();
+    for waiting in control.waiting.take() {
+        if waiting.until <= now {
+            let _ = waiting.reply.send(Err(Refusal::Short));
+        } else {
+            control.waiting.borrow_mut().push(waiting);
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/escrow.rs
@@ -0,0 +1,281 @@
+//! Prepaid budgets, shared by escrow.
+//!
+//! Each customer's budget is a set of rows in the store, one a router. A row says what the router
+//! was granted; the sum over all rows never passes what was prepaid, since a row is only written
+//! if nothing else has been written since its writer last read. A router spends only what its row
+//! grants. What a router had when it died stays spent: nobody can tell how much of it was.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::units::{Millis, Tokens};
+
+/// How fast the estimate of demand follows, in milliseconds.
+const DEMAND_SPAN: f64 = 5_000.0;
+/// Part of what is left that a router may hold at once with demand, of its share of all demand.
+const SHARE: f64 = 0.9;
+/// Part of what is left that is spread over all routers, whatever their demand.
+const SPREAD: f64 = 0.25;
+
+/// A router's part of a customer's budget, as the store keeps it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// The process that holds it.
+    pub incarnation: u64,
+    /// What earlier processes of the router have spent, or may have.
+    pub closed: Tokens,
+    /// What this process may spend, in all.
+    pub granted: Tokens,
+    /// What it had spent when it wrote this.
+    pub spent: Tokens,
+    /// Tokens that are asked of it in a second.
+    pub demand: u64,
+}
+
+/// All rows of a customer, as of the last read.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    rows: HashMap<String, Row>,
+}
+
+impl Ledger {
+    /// Takes a row in, as the store has it.
+    pub fn set(&mut self, router: &str, row: Option<Row>) {
+        match row {
+            Some(row) => self.rows.insert(router.to_owned(), row),
+            None => self.rows.remove(router),
+        };
+    }
+
+    /// A router's row.
+    pub fn row(&self, router: &str) -> Option<&Row> {
+        self.rows.get(router)
+    }
+
+    /// What is granted or spent, except by this router.
+    fn committed_by_others(&self, router: &str) -> Tokens {
+        let others = self.rows.iter().filter(|(name, _)| *name != router);
+        others.map(|(_, row)| row.closed + row.granted).sum()
+    }
+
+    /// What has been spent as far as it is told, except by this router.
+    fn spent_by_others(&self, router: &str) -> Tokens {
+        let others = self.rows.iter().filter(|(name, _)| *name != router);
+        others.map(|(_, row)| row.closed + row.spent).sum()
+    }
+
+    fn demand_of_others(&self, router: &str) -> u64 {
+        let others = self.rows.iter().filter(|(name, _)| *name != router);
+        others.map(|(_, row)| row.demand).sum()
+    }
+}
+
+/// Why a request cannot be paid for now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Short {
+    /// What is left of the whole budget does not hold it.
+    Exhausted,
+    /// This router's part does not hold it; more may come.
+    Here,
+}
+
+/// What grants are sized by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sizing {
+    /// Demand that a grant covers.
+    pub horizon: Millis,
+    /// Routers that share a budget.
+    pub routers: usize,
+}
+
+/// This router's part of one customer's budget.
+#[derive(Clone, Debug, Default)]
+pub struct Account {
+    closed: Tokens,
+    /// What the store has acknowledged.
+    granted: Tokens,
+    /// What may be spent: less than `granted` while a lower row may be on its way.
+    limit: Tokens,
+    spent: Tokens,
+    reserved: Tokens,
+    demand: f64,
+    demand_at: Millis,
+    /// Largest request of late.
+    largest: Tokens,
+    /// What a row that was sent would grant.
+    sent: Option<Tokens>,
+    written: Option<Row>,
+}
+
+impl Account {
+    /// What can still be reserved.
+    pub fn available(&self) -> Tokens {
+        self.limit.saturating_sub(self.spent + self.reserved)
+    }
+
+    /// Notes that a request of this size was asked for.
+    pub fn note_demand(&mut self, now: Millis, tokens: Tokens) {
+        self.decay(now);
+        self.demand += tokens.0 as f64 * 1_000.0 / DEMAND_SPAN;
+        self.largest = self.largest.max(tokens);
+    }
+
+    fn decay(&mut self, now: Millis) {
+        let elapsed = now.saturating_sub(self.demand_at).0 as f64;
+        self.demand *= (-elapsed / DEMAND_SPAN).exp();
+        self.demand_at = now;
+    }
+
+    /// Sets tokens aside for a request.
+    ///
+    /// # Errors
+    /// Why it cannot be paid for.
+    pub fn reserve(
+        &mut self,
+        tokens: Tokens,
+        prepaid: Tokens,
+        ledger: &Ledger,
+        router: &str,
+    ) -> Result<(), Short> {
+        if tokens <= self.available() {
+            self.reserved += tokens;
+            self.check();
+            return Ok(());
+        }
+        let used = ledger.spent_by_others(router) + self.closed + self.spent + self.reserved;
+        if used + tokens > prepaid {
+            return Err(Short::Exhausted);
+        }
+        Err(Short::Here)
+    }
+
+    /// Settles a reservation at what it has cost, at most what was reserved.
+    pub fn settle(&mut self, reserved: Tokens, cost: Tokens) {
+        assert!(reserved <= self.reserved, "what is settled was reserved");
+        self.reserved = self.reserved - reserved;
+        self.spent += cost.min(reserved);
+        self.check();
+    }
+
+    fn check(&self) {
+        assert!(
+            self.spent + self.reserved <= self.granted,
+            "spend stays within the grant"
+        );
+    }
+
+    /// The row that this router should have, from what the store was read to have.
+    pub fn wanted(
+        &mut self,
+        now: Millis,
+        ledger: &Ledger,
+        router: &str,
+        incarnation: u64,
+        prepaid: Tokens,
+        sizing: &Sizing,
+    ) -> Row {
+        self.decay(now);
+        self.adopt(ledger.row(router), incarnation);
+        let used = self.spent + self.reserved;
+        let committed = ledger.committed_by_others(router) + self.closed;
+        let free = prepaid.saturating_sub(committed);
+        let left = prepaid.saturating_sub(ledger.spent_by_others(router) + self.closed + used);
+        let unspent = self.unspent_wanted(ledger, router, left, sizing);
+        // What is already used stays granted, also where a budget was lowered below it.
+        let granted = (used + unspent).min(free).max(used.min(self.granted));
+        Row {
+            incarnation,
+            closed: self.closed,
+            granted,
+            spent: used,
+            demand: self.demand as u64,
+        }
+    }
+
+    fn unspent_wanted(
+        &self,
+        ledger: &Ledger,
+        router: &str,
+        left: Tokens,
+        sizing: &Sizing,
+    ) -> Tokens {
+        let left = left.0 as f64;
+        let horizon = sizing.horizon.0 as f64 / 1_000.0;
+        let spread = left * SPREAD / sizing.routers.max(1) as f64;
+        let all = self.demand + ledger.demand_of_others(router) as f64;
+        let share = if all > 0.0 {
+            left * SHARE * self.demand / all
+        } else {
+            0.0
+        };
+        let covered = (self.demand * horizon + self.largest.0 as f64).min(share);
+        Tokens(covered.max(spread) as u64)
+    }
+
+    /// Whether a row differs enough from what was last written to be worth a call.
+    pub fn is_worth_writing(&self, row: &Row) -> bool {
+        let Some(written) = self.written else {
+            return true;
+        };
+        let near = |a: u64, b: u64| a.abs_diff(b) <= a.max(b) / 20;
+        !near(written.granted.0, row.granted.0)
+            || !near(written.spent.0, row.spent.0)
+            || written.closed != row.closed
+    }
+
+    /// Takes over what the store has of an earlier process of this router, which is gone.
+    fn adopt(&mut self, row: Option<&Row>, incarnation: u64) {
+        let Some(row) = row else {
+            return;
+        };
+        if row.incarnation != incarnation {
+            let closed = row.closed + row.granted;
+            self.closed = self.closed.max(closed);
+        }
+    }
+
+    /// Notes that a row is on its way to the store: from now on the lower grant holds.
+    pub fn send(&mut self, row: &Row) {
+        // An earlier row may still be on its way too, so the least of all holds.
+        let before = if self.sent.is_some() {
+            self.limit
+        } else {
+            self.granted
+        };
+        self.limit = before.min(row.granted);
+        self.sent = Some(row.granted);
+    }
+
+    /// Notes that the store has this row.
+    pub fn acknowledge(&mut self, row: &Row) {
+        self.granted = row.granted;
+        self.limit = row.granted;
+        self.sent = None;
+        self.written = Some(*row);
+        self.check();
+    }
+
+    /// Notes that a row that was sent is not in the store and never will be.
+    pub fn withdraw(&mut self) {
+        self.sent = None;
+        self.limit = self.granted;
+    }
+
+    /// Whether a row is on its way.
+    pub fn is_sending(&self) -> bool {
+        self.sent.is_some()
+    }
+
+    /// The row that gives everything back, once nothing runs any more.
+    pub fn last_row(&self, incarnation: u64) -> Row {
+        let used = self.spent + self.reserved;
+        Row {
+            incarnation,
+            closed: self.closed,
+            granted: used,
+            spent: used,
+            demand: 0,
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/fleet.rs
@@ -0,0 +1,415 @@
+//! The control state of a gateway: it decides whether a request may run, and on which target.
+//!
+//! Pure code: it is told the time, and does nothing but change its own state and answer.
+
+use std::collections::HashMap;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use super::dialect::{Listing, Load, Prompt};
+use super::escrow::{Account, Ledger, Row, Short, Sizing};
+use super::members::{Members, Router};
+use super::retry::{self, Budget};
+use super::target::{Change, Key, Targets};
+use crate::target::Outcome;
+use crate::units::{Millis, Tokens};
+
+/// Settings of the control state.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// This router.
+    pub me: Router,
+    /// Interval of heartbeats.
+    pub heartbeat: Millis,
+    /// Bound on repeats.
+    pub repeats: retry::Bound,
+    /// Demand that a grant covers.
+    pub horizon: Millis,
+    /// Seed of random choices.
+    pub seed: u64,
+}
+
+/// What a request needs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Job {
+    /// Its id, for logs.
+    pub id: String,
+    /// The services that may run it, with their weights.
+    pub services: Vec<(String, f64)>,
+    /// Set for a model request.
+    pub prompt: Option<Prompt>,
+    /// Who pays, and all that it has prepaid.
+    pub payer: Option<(String, Tokens)>,
+}
+
+impl Job {
+    fn cost(&self) -> Tokens {
+        self.prompt
+            .as_ref()
+            .map_or(Tokens::ZERO, |prompt| prompt.tokens + prompt.most)
+    }
+}
+
+/// A request that is under way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Ticket(pub u64);
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Go {
+    /// The request.
+    pub ticket: Ticket,
+    /// The target.
+    pub target: Key,
+    /// The instance that is meant.
+    pub instance: String,
+    /// Its address.
+    pub address: std::net::SocketAddr,
+}
+
+/// Why a request does not go anywhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No target takes work.
+    NoTarget,
+    /// The budget of repeats is used up.
+    NoRepeats,
+    /// What is left of the prepaid budget does not hold it.
+    Exhausted,
+    /// This router's part of the budget does not hold it, and no more came in time.
+    Short,
+}
+
+/// What came of a try.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Cost {
+    /// It did not run.
+    Nothing,
+    /// It ran, and handed out so many tokens beside the prompt's.
+    Out(Tokens),
+    /// It may have run, and cost anything up to the most.
+    Most,
+}
+
+/// The end of a try.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ending {
+    /// How the target is judged by it; `None` where it tells nothing of the target.
+    pub outcome: Option<Outcome>,
+    /// What it cost.
+    pub cost: Cost,
+}
+
+#[derive(Debug)]
+struct Running {
+    job: Job,
+    service: String,
+    tried: Vec<Key>,
+    target: Option<Key>,
+    unread: u64,
+    reserved: Tokens,
+}
+
+/// The control state.
+#[derive(Debug)]
+pub struct Fleet {
+    settings: Settings,
+    /// The targets.
+    pub targets: Targets,
+    /// The routers.
+    pub members: Members,
+    accounts: HashMap<String, Account>,
+    ledgers: HashMap<String, Ledger>,
+    prepaid: HashMap<String, Tokens>,
+    budgets: HashMap<String, Budget>,
+    running: HashMap<Ticket, Running>,
+    next: u64,
+    random: StdRng,
+}
+
+impl Fleet {
+    /// The state of a router that knows nothing yet.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            members: Members::new(settings.me.clone(), settings.heartbeat),
+            random: StdRng::seed_from_u64(settings.seed),
+            settings,
+            targets: Targets::default(),
+            accounts: HashMap::new(),
+            ledgers: HashMap::new(),
+            prepaid: HashMap::new(),
+            budgets: HashMap::new(),
+            running: HashMap::new(),
+            next: 1,
+        }
+    }
+
+    /// Requests under way.
+    pub fn in_flight(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Decides on a request that has arrived.
+    ///
+    /// # Errors
+    /// Why it does not go anywhere. [`Refusal::Short`] may change with the next grant.
+    pub fn begin(&mut self, now: Millis, job: Job) -> Result<Go, Refusal> {
+        let service = self.draw_service(&job);
+        let mut running = Running {
+            service,
+            tried: Vec::new(),
+            target: None,
+            unread: 0,
+            reserved: Tokens::ZERO,
+            job,
+        };
+        let target = self.choose(now, &running).ok_or(Refusal::NoTarget)?;
+        running.reserved = self.reserve(&running.job)?;
+        let budget = self.budgets.entry(running.service.clone()).or_default();
+        budget.note_request(now, &self.settings.repeats);
+        let ticket = Ticket(self.next);
+        self.next += 1;
+        Ok(self.send(ticket, running, target))
+    }
+
+    /// Notes what a customer asks for, whether or not it is granted.
+    pub fn note_demand(&mut self, now: Millis, job: &Job) {
+        if let Some((customer, prepaid)) = &job.payer {
+            self.prepaid.insert(customer.clone(), *prepaid);
+            let account = self.accounts.entry(customer.clone()).or_default();
+            account.note_demand(now, job.cost());
+        }
+    }
+
+    /// Decides where a request goes next whose last try has ended without an answer.
+    ///
+    /// # Errors
+    /// Why it does not go anywhere; it has then ended.
+    pub fn again(
+        &mut self,
+        now: Millis,
+        ticket: Ticket,
+        ending: Ending,
+        arrived: Arrival,
+    ) -> Result<Go, Refusal> {
+        let Some(mut running) = self.running.remove(&ticket) else {
+            return Err(Refusal::NoTarget);
+        };
+        self.finish_try(now, &mut running, ending);
+        if let Some(key) = running.target.take() {
+            running.tried.push(key);
+        }
+        let target = self.choose(now, &running).ok_or(Refusal::NoTarget)?;
+        if arrived == Arrival::Yes {
+            let routers = self.members.count();
+            let budget = self.budgets.entry(running.service.clone()).or_default();
+            if !budget.take(now, &self.settings.repeats, routers) {
+                return Err(Refusal::NoRepeats);
+            }
+        }
+        running.reserved = self.reserve(&running.job)?;
+        Ok(self.send(ticket, running, target))
+    }
+
+    fn send(&mut self, ticket: Ticket, mut running: Running, target: Key) -> Go {
+        let prompt = running.job.prompt.as_ref();
+        running.unread = prompt.map_or(0, |prompt| prompt.tokens.0);
+        running.target = Some(target);
+        self.targets.begin(target, running.unread);
+        self.running.insert(ticket, running);
+        let listing = &self.targets.get(target).listing;
+        Go {
+            ticket,
+            target,
+            instance: listing.instance.clone(),
+            address: listing.address,
+        }
+    }
+
+    /// Notes that a target has begun to answer, and what it told of its load.
+    pub fn answered(&mut self, now: Millis, ticket: Ticket, load: Option<Load>) {
+        let Some(running) = self.running.get_mut(&ticket) else {
+            return;
+        };
+        let Some(target) = running.target else {
+            return;
+        };
+        let read = std::mem::take(&mut running.unread);
+        self.targets.read(target, read);
+        if let Some(load) = load {
+            self.targets.note_load(now, target, load);
+        }
+    }
+
+    /// Notes that a request has ended.
+    pub fn end(&mut self, now: Millis, ticket: Ticket, ending: Ending) {
+        if let Some(mut running) = self.running.remove(&ticket) {
+            self.finish_try(now, &mut running, ending);
+        }
+    }
+
+    fn finish_try(&mut self, now: Millis, running: &mut Running, ending: Ending) {
+        if let Some(target) = running.target {
+            let unread = std::mem::take(&mut running.unread);
+            self.targets.read(target, unread);
+            self.targets.end(target);
+            if let Some(outcome) = ending.outcome
+                && self.targets.note(now, target, outcome)
+            {
+                let instance = &self.targets.get(target).listing.instance;
+                tracing::warn!(event = "target_ejected", %instance);
+            }
+        }
+        let reserved = std::mem::take(&mut running.reserved);
+        let prompt = running.job.prompt.as_ref();
+        let cost = match ending.cost {
+            Cost::Nothing => Tokens::ZERO,
+            Cost::Most => reserved,
+            Cost::Out(out) => prompt.map_or(Tokens::ZERO, |prompt| prompt.tokens) + out,
+        };
+        if let Some((customer, _)) = &running.job.payer
+            && let Some(account) = self.accounts.get_mut(customer)
+        {
+            account.settle(reserved, cost);
+        }
+    }
+
+    fn draw_service(&mut self, job: &Job) -> String {
+        let total: f64 = job.services.iter().map(|(_, weight)| weight).sum();
+        let mut at = self.random.random::<f64>() * total;
+        for (service, weight) in &job.services {
+            at -= weight;
+            if at < 0.0 {
+                return service.clone();
+            }
+        }
+        job.services
+            .last()
+            .map(|(service, _)| service.clone())
+            .unwrap_or_default()
+    }
+
+    fn choose(&mut self, now: Millis, running: &Running) -> Option<Key> {
+        let hall = &self.settings.me.hall;
+        let candidates = self
+            .targets
+            .candidates(now, &running.service, &running.tried);
+        match &running.job.prompt {
+            Some(prompt) => self.targets.choose_model(now, &candidates, hall, prompt),
+            None => {
+                let seed = self.random.random();
+                self.targets.choose_plain(now, &candidates, hall, seed)
+            }
+        }
+    }
+
+    fn reserve(&mut self, job: &Job) -> Result<Tokens, Refusal> {
+        let Some((customer, prepaid)) = &job.payer else {
+            return Ok(Tokens::ZERO);
+        };
+        let cost = job.cost();
+        let ledger = self.ledgers.entry(customer.clone()).or_default();
+        let account = self.accounts.entry(customer.clone()).or_default();
+        let name = &self.settings.me.name;
+        match account.reserve(cost, *prepaid, ledger, name) {
+            Ok(()) => Ok(cost),
+            Err(Short::Exhausted) => Err(Refusal::Exhausted),
+            Err(Short::Here) => Err(Refusal::Short),
+        }
+    }
+
+    /// Takes in what a target lists of itself.
+    pub fn list_target(&mut self, listing: Listing) -> Change {
+        self.targets.list(listing)
+    }
+
+    /// Takes in what the configuration says a customer has prepaid.
+    pub fn set_prepaid(&mut self, customer: &str, prepaid: Tokens) {
+        self.prepaid.insert(customer.to_owned(), prepaid);
+    }
+
+    /// Takes in a row of the store.
+    pub fn set_row(&mut self, customer: &str, router: &str, row: Option<Row>) {
+        let ledger = self.ledgers.entry(customer.to_owned()).or_default();
+        ledger.set(router, row);
+    }
+
+    /// The rows that are worth writing now, by customer; with `urgent`, for these customers in any
+    /// case. All ledgers must be as of the offset that the rows are written at.
+    pub fn rows(&mut self, now: Millis, urgent: &[String]) -> Vec<(String, Row)> {
+        let me = &self.settings.me;
+        let sizing = Sizing {
+            horizon: self.settings.horizon,
+            routers: self.members.count(),
+        };
+        let mut rows = Vec::new();
+        for (customer, prepaid) in &self.prepaid {
+            let ledger = self.ledgers.entry(customer.clone()).or_default();
+            let account = self.accounts.entry(customer.clone()).or_default();
+            let row = account.wanted(now, ledger, &me.name, me.incarnation, *prepaid, &sizing);
+            if account.is_worth_writing(&row) || urgent.contains(customer) {
+                rows.push((customer.clone(), row));
+            }
+        }
+        rows
+    }
+
+    /// The rows that give back all that is not used.
+    pub fn last_rows(&self) -> Vec<(String, Row)> {
+        let incarnation = self.settings.me.incarnation;
+        let accounts = self.accounts.iter();
+        accounts
+            .map(|(customer, account)| (customer.clone(), account.last_row(incarnation)))
+            .collect()
+    }
+
+    /// Notes what became of rows: they are being sent.
+    pub fn rows_sent(&mut self, rows: &[(String, Row)]) {
+        self.each_account(rows, |account, row| account.send(row));
+    }
+
+    /// Notes that the store has these rows.
+    pub fn rows_acknowledged(&mut self, rows: &[(String, Row)]) {
+        self.each_account(rows, |account, row| account.acknowledge(row));
+        let name = self.settings.me.name.clone();
+        for (customer, row) in rows {
+            self.set_row(customer, &name, Some(*row));
+        }
+    }
+
+    /// Notes that these rows are not in the store and never will be.
+    pub fn rows_withdrawn(&mut self, rows: &[(String, Row)]) {
+        self.each_account(rows, |account, _| account.withdraw());
+    }
+
+    fn each_account(&mut self, rows: &[(String, Row)], act: impl Fn(&mut Account, &Row)) {
+        for (customer, row) in rows {
+            if let Some(account) = self.accounts.get_mut(customer) {
+                act(account, row);
+            }
+        }
+    }
+
+    /// What this router has in the store, of a customer.
+    pub fn own_row(&self, customer: &str) -> Option<Row> {
+        self.ledgers
+            .get(customer)?
+            .row(&self.settings.me.name)
+            .copied()
+    }
+
+    /// This process.
+    pub fn incarnation(&self) -> u64 {
+        self.settings.me.incarnation
+    }
+}
+
+/// Whether a try has reached its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Arrival {
+    /// It did, or may have.
+    Yes,
+    /// It did not.
+    No,
+}
--- /dev/null
+++ b/src/gateway/front.rs
@@ -0,0 +1,125 @@
+//! The listeners of a gateway, and what each of them answers.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{HeaderValue, Response, StatusCode, header};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::body::Body;
+use super::dialect::Dialect;
+use super::relay::Relay;
+use super::shared::Shared;
+use crate::units::Millis;
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Least buffer for a head and the start of a body, in bytes.
+const BUFFER_MIN: usize = 16 << 10;
+
+/// What one listener answers.
+#[derive(Clone)]
+pub enum Door {
+    /// Callers' requests.
+    Front(Arc<Relay>),
+    /// Whether this router is ready.
+    Ready(Arc<Shared>, Arc<dyn Dialect>),
+    /// Which addresses to use, and for how long an answer may be kept.
+    Directory(Arc<Shared>, Arc<dyn Dialect>, Millis),
+    /// Counters; the function tells how many log lines were dropped.
+    Metrics(Arc<Shared>, fn() -> u64),
+}
+
+impl Door {
+    async fn answer(&self, request: hyper::Request<Incoming>) -> Response<Body> {
+        match self {
+            Self::Front(relay) => relay.serve(request).await,
+            Self::Ready(shared, dialect) => {
+                let asks = dialect.is_ready_check(request.uri());
+                let status = match (asks, shared.is_ready()) {
+                    (false, _) => StatusCode::NOT_FOUND,
+                    (true, true) => StatusCode::OK,
+                    (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+                };
+                plain(status, "text/plain", Body::whole(""))
+            }
+            Self::Directory(shared, dialect, keep) => {
+                if dialect.asks_addresses(request.uri()).is_none() {
+                    return plain(StatusCode::NOT_FOUND, "text/plain", Body::whole(""));
+                }
+                let body = dialect.addresses(&shared.fronts.load(), *keep);
+                plain(StatusCode::OK, "application/json", Body::whole(body))
+            }
+            Self::Metrics(shared, dropped) => {
+                let text = shared.metrics.text(dropped());
+                plain(StatusCode::OK, "text/plain", Body::whole(text))
+            }
+        }
+    }
+}
+
+fn plain(status: StatusCode, kind: &'static str, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    let kind = HeaderValue::from_static(kind);
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
+/// Serves a door until the process ends.
+pub async fn serve(listener: TcpListener, shared: Arc<Shared>, door: Door) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let (shared, door) = (Arc::clone(&shared), door.clone());
+                tokio::spawn(connection(stream, shared, door));
+            }
+            Err(error) => {
+                tracing::warn!(event = "accept_failed", %error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn connection(
+    stream: TcpStream,
+    shared: Arc<Shared>,
+    door: Door,
+) -> impl Future<Output = ()> + Send {
+    let config = shared.config.load();
+    let limits = config
+        .as_ref()
+        .map(|config| config.limits)
+        .unwrap_or_default();
+    let service = service_fn(move |request| {
+        let (shared, door) = (Arc::clone(&shared), door.clone());
+        async move {
+            let mut response = door.answer(request).await;
+            if shared.is_stopping() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let _ = stream.set_nodelay(true);
+    // The time for a head also runs while a connection rests, so it is that of the rest.
+    let idle = Duration::from_millis(limits.idle_time.0);
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(limits.header_bytes.max(BUFFER_MIN))
+        .serve_connection(TokioIo::new(stream), service);
+    async move {
+        if let Err(error) = connection.await {
+            tracing::debug!(event = "caller_connection_ended", %error);
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/members.rs
@@ -0,0 +1,149 @@
+//! The routers of the fleet, as they list themselves in the store and are heard on their links.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::units::Millis;
+
+/// Heartbeats that may be missed before a router counts as gone.
+const MISSED_MAX: u64 = 3;
+/// Addresses of one answer.
+const ADDRESSES_MAX: usize = 64;
+
+/// A router, as it lists itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Router {
+    /// Its name, which a process that follows on the same host has too.
+    pub name: String,
+    /// This process.
+    pub incarnation: u64,
+    /// Where callers connect.
+    pub front: SocketAddr,
+    /// Where other routers connect.
+    pub link: SocketAddr,
+    /// Its hall.
+    pub hall: String,
+    /// Whether it takes callers.
+    pub is_ready: bool,
+    /// Counts its heartbeats.
+    pub beat: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    router: Router,
+    heard: Millis,
+    refused: bool,
+}
+
+/// The routers that are known.
+#[derive(Debug)]
+pub struct Members {
+    /// This router.
+    pub me: Router,
+    interval: Millis,
+    known: BTreeMap<String, Member>,
+    most: usize,
+}
+
+impl Members {
+    /// Only this router, with the interval of heartbeats.
+    pub fn new(me: Router, interval: Millis) -> Self {
+        Self {
+            me,
+            interval,
+            known: BTreeMap::new(),
+            most: 1,
+        }
+    }
+
+    /// Takes in what a router tells of itself. Whether that is a change is returned.
+    pub fn hear(&mut self, now: Millis, router: Router) -> bool {
+        if router.name == self.me.name {
+            return false;
+        }
+        let known = self.known.get(&router.name);
+        let newer = known.is_none_or(|member| {
+            member.router.incarnation != router.incarnation || member.router.beat < router.beat
+        });
+        if !newer {
+            return false;
+        }
+        let changed = known.is_none_or(|member| {
+            member.router.incarnation != router.incarnation
+                || member.router.is_ready != router.is_ready
+                || !self.is_live(now, member)
+        });
+        let member = Member {
+            heard: now,
+            refused: false,
+            router,
+        };
+        self.known.insert(member.router.name.clone(), member);
+        self.most = self.most.max(self.known.len() + 1);
+        changed
+    }
+
+    /// Notes that nothing listens where a router was.
+    pub fn refuse(&mut self, name: &str, incarnation: u64) -> bool {
+        match self.known.get_mut(name) {
+            Some(member) if member.router.incarnation == incarnation => {
+                !std::mem::replace(&mut member.refused, true)
+            }
+            _ => false,
+        }
+    }
+
+    fn is_live(&self, now: Millis, member: &Member) -> bool {
+        let silent = now.saturating_sub(member.heard);
+        !member.refused && silent.0 <= self.interval.0 * MISSED_MAX
+    }
+
+    /// Interval of heartbeats.
+    pub fn interval(&self) -> std::time::Duration {
+        std::time::Duration::from_millis(self.interval.0)
+    }
+
+    /// The other routers, live ones only.
+    pub fn live(&self, now: Millis) -> impl Iterator<Item = &Router> {
+        let live = self
+            .known
+            .values()
+            .filter(move |member| self.is_live(now, member));
+        live.map(|member| &member.router)
+    }
+
+    /// All other routers that were ever heard of.
+    pub fn known(&self) -> impl Iterator<Item = &Router> {
+        self.known.values().map(|member| &member.router)
+    }
+
+    /// Routers of the fleet, at most seen so far.
+    pub fn count(&self) -> usize {
+        self.most
+    }
+
+    /// Where callers may connect: the live routers that take them. Where nobody is heard, silence
+    /// proves nothing about the others, so all that are known are told.
+    pub fn fronts(&self, now: Millis) -> Vec<SocketAddr> {
+        let ready = |router: &&Router| router.is_ready;
+        let mut fronts: Vec<SocketAddr> = self
+            .live(now)
+            .filter(ready)
+            .map(|router| router.front)
+            .collect();
+        if self.live(now).next().is_none() {
+            let members = self.known.values().filter(|member| !member.refused);
+            let routers = members.map(|member| &member.router);
+            fronts = routers.filter(ready).map(|router| router.front).collect();
+        }
+        if self.me.is_ready || fronts.is_empty() {
+            fronts.push(self.me.front);
+        }
+        fronts.sort_unstable();
+        fronts.truncate(ADDRESSES_MAX);
+        fronts
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,26 @@
+//! A gateway: the router process towards callers that speak a deployment's own dialect.
+//!
+//! [`fleet`] decides, on the control thread; [`relay`] carries bytes, on the traffic thread. What a
+//! deployment calls things is the business of its [`Dialect`] and of its [`Store`](crate::store::Store).
+
+mod body;
+pub mod control;
+pub mod dialect;
+pub mod escrow;
+pub mod fleet;
+mod front;
+pub mod members;
+pub mod metrics;
+mod process;
+mod relay;
+mod reply;
+pub mod retry;
+pub mod shared;
+mod sse;
+mod stream;
+pub mod target;
+mod ticket;
+
+pub use dialect::{Ask, BadHeader, Dialect, Listing, Load, Order, Part, Prompt, Told};
+pub use process::{Options, run};
+pub use sse::Events;
--- /dev/null
+++ b/src/gateway/target.rs
@@ -0,0 +1,330 @@
+//! The targets as this router sees them, and which of them a request goes to.
+//!
+//! A model request goes where its shared parts are thought to be cached: the first target in an
+//! order that depends only on the last shared part, so that routers agree without a word. It
+//! leaves that target when the work ahead there is longer than what reading the parts anew costs.
+
+use std::collections::{HashMap, HashSet};
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::dialect::{Listing, Load, Prompt};
+use crate::target::{Health, Outcome};
+use crate::units::Millis;
+
+/// A target; keys are not used again within a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Key(pub usize);
+
+/// Tokens of a prompt that weigh as much as one more running request.
+const RUNNING_COST: f64 = 60.0;
+/// Tokens that a request is taken to have which waits at a target for others.
+const WAITING_COST: f64 = 2_500.0;
+/// How long a load that a target told counts.
+const LOAD_KEPT: Millis = Millis(1_000);
+/// What another hall costs a plain request, in requests running at the target.
+const HALL_COST: f64 = 1.5;
+/// What another hall costs a model request, in tokens.
+const HALL_TOKENS: f64 = 150.0;
+/// Cost of a target whose slots are all taken.
+const FULL_COST: f64 = 1e6;
+/// Share of a group's targets that may be ejected.
+const EJECTED_SHARE: f64 = 0.5;
+
+/// One target.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// As it lists itself.
+    pub listing: Listing,
+    /// Requests of this router that it has.
+    pub in_flight: u32,
+    /// Tokens of prompts of this router's that it has not answered yet.
+    pub backlog: u64,
+    /// The same of other routers.
+    pub others: Outstanding,
+    load: Option<(Millis, Load)>,
+    health: Health,
+    listed: bool,
+}
+
+/// Work at a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Outstanding {
+    /// Requests.
+    pub in_flight: u32,
+    /// Tokens of prompts that are not answered yet.
+    pub backlog: u64,
+}
+
+/// All targets.
+#[derive(Debug, Default)]
+pub struct Targets {
+    all: Vec<Target>,
+    by_instance: HashMap<String, Key>,
+    by_service: HashMap<String, Vec<Key>>,
+}
+
+/// How a change of the list differs from what was known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A target that was not known.
+    Added,
+    /// It takes no more work.
+    Leaving,
+    /// It takes work again.
+    Returned,
+    /// Nothing that matters.
+    Same,
+}
+
+impl Targets {
+    /// Takes a listing in.
+    pub fn list(&mut self, listing: Listing) -> Change {
+        let Some(key) = self.by_instance.get(&listing.instance).copied() else {
+            return self.add(listing);
+        };
+        let target = &mut self.all[key.0];
+        let was_ready = target.listed && target.listing.is_ready;
+        let is_ready = listing.is_ready;
+        target.listing = listing;
+        target.listed = true;
+        match (was_ready, is_ready) {
+            (true, false) => Change::Leaving,
+            (false, true) => Change::Returned,
+            _ => Change::Same,
+        }
+    }
+
+    fn add(&mut self, listing: Listing) -> Change {
+        let key = Key(self.all.len());
+        self.by_instance.insert(listing.instance.clone(), key);
+        let of_service = self.by_service.entry(listing.service.clone()).or_default();
+        of_service.push(key);
+        self.all.push(Target {
+            listing,
+            in_flight: 0,
+            backlog: 0,
+            others: Outstanding::default(),
+            load: None,
+            health: Health::default(),
+            listed: true,
+        });
+        Change::Added
+    }
+
+    /// Takes a target off the list. Whether it was there is returned.
+    pub fn unlist(&mut self, instance: &str) -> bool {
+        let Some(key) = self.by_instance.get(instance) else {
+            return false;
+        };
+        std::mem::replace(&mut self.all[key.0].listed, false)
+    }
+
+    /// The instances that are listed.
+    pub fn listed(&self) -> impl Iterator<Item = &Target> {
+        self.all.iter().filter(|target| target.listed)
+    }
+
+    /// A target.
+    pub fn get(&self, key: Key) -> &Target {
+        &self.all[key.0]
+    }
+
+    /// Finds a target by instance.
+    pub fn find(&self, instance: &str) -> Option<Key> {
+        self.by_instance.get(instance).copied()
+    }
+
+    /// Counts a request that is sent there, with so many tokens of prompt.
+    pub fn begin(&mut self, key: Key, tokens: u64) {
+        let target = &mut self.all[key.0];
+        target.in_flight += 1;
+        target.backlog += tokens;
+    }
+
+    /// Counts that a prompt has been read.
+    pub fn read(&mut self, key: Key, tokens: u64) {
+        let target = &mut self.all[key.0];
+        target.backlog = target.backlog.saturating_sub(tokens);
+    }
+
+    /// Counts that a request has ended there.
+    pub fn end(&mut self, key: Key) {
+        let target = &mut self.all[key.0];
+        assert!(target.in_flight > 0, "a request that ends has begun");
+        target.in_flight -= 1;
+    }
+
+    /// Notes what a target told of its load.
+    pub fn note_load(&mut self, now: Millis, key: Key, load: Load) {
+        self.all[key.0].load = Some((now, load));
+    }
+
+    /// Notes how a request ended there. Whether the target is ejected by it is returned.
+    pub fn note(&mut self, now: Millis, key: Key, outcome: Outcome) -> bool {
+        let wants = self.all[key.0].health.note(outcome);
+        if !wants || self.all[key.0].health.is_ejected(now) {
+            return false;
+        }
+        let service = &self.all[key.0].listing.service;
+        let group = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let usable = group.iter().filter(|key| self.is_open(**key)).count();
+        let ejected = group
+            .iter()
+            .filter(|key| self.is_open(**key) && self.all[key.0].health.is_ejected(now))
+            .count();
+        if (ejected + 1) as f64 > usable as f64 * EJECTED_SHARE {
+            return false;
+        }
+        self.all[key.0].health.eject(now);
+        true
+    }
+
+    fn is_open(&self, key: Key) -> bool {
+        let target = &self.all[key.0];
+        target.listed && target.listing.is_ready
+    }
+
+    /// Targets of a service that take work, without those that were tried. Ejected ones count only
+    /// where there are no others.
+    pub fn candidates(&self, now: Millis, service: &str, tried: &[Key]) -> Vec<Key> {
+        let group = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let open = |key: &Key| self.is_open(*key) && !tried.contains(key);
+        let open: Vec<Key> = group.iter().copied().filter(open).collect();
+        let well = |key: &Key| !self.all[key.0].health.is_ejected(now);
+        let well: Vec<Key> = open.iter().copied().filter(well).collect();
+        if well.is_empty() { open } else { well }
+    }
+
+    /// Chooses for a plain request: the least busy, the own hall first.
+    pub fn choose_plain(
+        &self,
+        now: Millis,
+        candidates: &[Key],
+        hall: &str,
+        seed: u64,
+    ) -> Option<Key> {
+        let cost = |key: &Key| {
+            let target = &self.all[key.0];
+            let slots = f64::from(target.listing.slots);
+            let busy = target.busy(now);
+            let away = if target.listing.hall == hall {
+                0.0
+            } else {
+                HALL_COST
+            };
+            let failing = target.health.failures() * slots;
+            let full = if busy >= slots { FULL_COST } else { 0.0 };
+            (busy + away + failing + full, tie(key, seed))
+        };
+        least(candidates, cost)
+    }
+
+    /// Chooses for a model request: the least work before its first token.
+    pub fn choose_model(
+        &self,
+        now: Millis,
+        candidates: &[Key],
+        hall: &str,
+        prompt: &Prompt,
+    ) -> Option<Key> {
+        let shared = prompt.parts.len().saturating_sub(1);
+        let shared = &prompt.parts[..shared];
+        let anchor = shared.last().map_or(0, |part| part.id);
+        let shared: u64 = shared.iter().map(|part| part.tokens.0).sum();
+        let affine = candidates
+            .iter()
+            .copied()
+            .max_by_key(|key| self.affinity(*key, anchor));
+        let cost = |key: &Key| {
+            let target = &self.all[key.0];
+            let anew = if Some(*key) == affine {
+                0.0
+            } else {
+                shared as f64
+            };
+            let away = if target.listing.hall == hall {
+                0.0
+            } else {
+                HALL_TOKENS
+            };
+            let cost = target.queued(now) + anew + away;
+            (cost, u64::MAX - self.affinity(*key, anchor))
+        };
+        least(candidates, cost)
+    }
+
+    fn affinity(&self, key: Key, anchor: u64) -> u64 {
+        xxh3_64_with_seed(self.all[key.0].listing.instance.as_bytes(), anchor)
+    }
+
+    /// Addresses of the listed targets.
+    pub fn addresses(&self) -> HashSet<std::net::SocketAddr> {
+        self.listed().map(|target| target.listing.address).collect()
+    }
+
+    /// Forgets what other routers told, and takes this in its place.
+    pub fn set_others(&mut self, others: impl IntoIterator<Item = (Key, Outstanding)>) {
+        for target in &mut self.all {
+            target.others = Outstanding::default();
+        }
+        for (key, outstanding) in others {
+            let sum = &mut self.all[key.0].others;
+            sum.in_flight += outstanding.in_flight;
+            sum.backlog += outstanding.backlog;
+        }
+    }
+
+    /// What this router has at each target.
+    pub fn outstanding(&self) -> impl Iterator<Item = (&str, Outstanding)> {
+        let busy = self.all.iter().filter(|target| target.in_flight > 0);
+        busy.map(|target| {
+            let outstanding = Outstanding {
+                in_flight: target.in_flight,
+                backlog: target.backlog,
+            };
+            (target.listing.instance.as_str(), outstanding)
+        })
+    }
+}
+
+impl Target {
+    /// Requests that it is thought to have.
+    fn busy(&self, now: Millis) -> f64 {
+        let seen = f64::from(self.in_flight + self.others.in_flight);
+        let told = self
+            .told(now)
+            .map_or(0.0, |load| f64::from(load.running + load.waiting));
+        seen.max(told)
+    }
+
+    /// Work before a new request's first token, in tokens.
+    fn queued(&self, now: Millis) -> f64 {
+        let told = self.told(now).unwrap_or_default();
+        let waiting = f64::from(told.waiting) * WAITING_COST;
+        let seen = (self.backlog + self.others.backlog) as f64;
+        let busy = self.busy(now);
+        let full = if busy >= f64::from(self.listing.slots) {
+            FULL_COST
+        } else {
+            0.0
+        };
+        let failing = self.health.failures() * FULL_COST / 100.0;
+        waiting.max(seen) + busy * RUNNING_COST + full + failing
+    }
+
+    fn told(&self, now: Millis) -> Option<Load> {
+        let (since, load) = self.load?;
+        (now.saturating_sub(since) < LOAD_KEPT).then_some(load)
+    }
+}
+
+fn tie(key: &Key, seed: u64) -> u64 {
+    xxh3_64_with_seed(&key.0.to_le_bytes(), seed)
+}
+
+fn least(candidates: &[Key], cost: impl Fn(&Key) -> (f64, u64)) -> Option<Key> {
+    let costs = candidates.iter().map(|key| (cost(key), *key));
+    let least = costs.min_by(|(a, _), (b, _)| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+    least.map(|(_, key)| key)
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,12 +1,21 @@
-//! The lanedeck binary: finds the command and runs it.
+//! The lanedeck binary: finds the command and runs it, with the adapter of its deployment.
+
+#[path = "../platform/mod.rs"]
+mod platform;
 
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use lanedeck::cmd;
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
-    match cmd::run(&args) {
+    let adapter = cmd::Adapter {
+        dialect: Arc::new(platform::Platform),
+        store: |address| Arc::new(platform::LogStore::new(address)),
+        settings: platform::settings_path(),
+    };
+    match cmd::run(&args, &adapter) {
         Ok(()) | Err(cmd::Error::Closed) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("lanedeck: {error}");
--- /dev/null
+++ b/src/net/line.rs
@@ -0,0 +1,101 @@
+//! One connection. It is used for one request at a time, and closed when its holder lets go of it
+//! before an answer is whole.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use snafu::Snafu;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// A request with its whole body.
+pub type Request = http::Request<Full<Bytes>>;
+/// An answer whose body is still to come.
+pub type Response = http::Response<Incoming>;
+
+/// A target answers this many headers at most.
+const HEADERS_MAX: usize = 64;
+/// Longest buffer of bytes that were read and not yet passed on.
+const BUFFER_MAX: usize = 64 << 10;
+
+/// A request without an answer.
+#[derive(Debug, Snafu)]
+#[snafu(display("{source}"))]
+pub struct SendError {
+    /// Whether nothing of it has been written.
+    pub was_not_sent: bool,
+    source: hyper::Error,
+}
+
+/// An open connection.
+#[derive(Debug)]
+pub struct Line {
+    sender: http1::SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    expires: Option<Instant>,
+}
+
+impl Drop for Line {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Connects, within a time. Data that is not acknowledged for `silence` fails the connection.
+///
+/// # Errors
+/// The system's error; `TimedOut` where the time is over.
+pub async fn open(address: SocketAddr, limit: Duration, silence: Duration) -> io::Result<Line> {
+    let connect = TcpStream::connect(address);
+    let stream = tokio::time::timeout(limit, connect)
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    stream.set_nodelay(true)?;
+    socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(silence))?;
+    let (sender, connection) = http1::Builder::new()
+        .max_headers(HEADERS_MAX)
+        .max_buf_size(BUFFER_MAX)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(io::Error::other)?;
+    let task = tokio::spawn(async move {
+        let _ = connection.await;
+    });
+    Ok(Line {
+        sender,
+        task: task.abort_handle(),
+        expires: None,
+    })
+}
+
+impl Line {
+    /// Sends a request. The next may be sent once the answer's body has been read to its end.
+    ///
+    /// # Errors
+    /// The connection's error, and whether the request may have arrived.
+    pub async fn send(&mut self, request: Request) -> Result<Response, SendError> {
+        self.sender
+            .try_send_request(request)
+            .await
+            .map_err(|mut error| SendError {
+                was_not_sent: error.take_message().is_some(),
+                source: error.into_error(),
+            })
+    }
+
+    /// Whether it can take a request now.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        self.sender.is_ready() && self.expires.is_none_or(|expires| now < expires)
+    }
+
+    /// Notes that it rests from now on, and how long the other side keeps it.
+    pub fn rest(&mut self, keep: Duration) {
+        self.expires = Some(Instant::now() + keep);
+    }
+}
--- a/src/router/edge.rs
+++ b/src/router/edge.rs
@@ -9,9 +9,9 @@
 use crate::control::{Action, Input};
 use crate::http::answer::{Answer, Work};
 use crate::http::relay::{Order, Relay};
-use crate::platform::Log;
 use crate::report::Key;
 use crate::request::{Ticket, Verdict};
+use crate::store::Log;
 use crate::units::Tokens;
 use crate::wire;
 
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -21,7 +21,7 @@
 
 use crate::control::{Input, Settings};
 use crate::http::{Headers, caller, operator};
-use crate::platform::{HttpHosts, HttpLog};
+use crate::store::{HttpHosts, HttpLog};
 use crate::wire;
 
 /// How often a stopping router looks whether its streams have ended.
--- a/src/router/shared.rs
+++ b/src/router/shared.rs
@@ -15,9 +15,9 @@
 use crate::http::caller::Use;
 use crate::intent::Config;
 use crate::log::Incarnation;
-use crate::platform::HttpLog;
 use crate::report::{Metrics, Trail};
 use crate::request::{Id, Prefix, Ticket};
+use crate::store::HttpLog;
 use crate::wire::{Reply, Request};
 
 /// Numbers of requests that came without an id: between callers' and those of takeovers.
--- a/src/platform/mod.rs
+++ b/src/store/mod.rs
@@ -1,12 +1,14 @@
-//! The platform at the process's edge: the log service and the host list.
+//! What lasts, at the process's edge: the log service, the host list, and a store of topics.
 //!
-//! Each is a trait, since another platform will speak otherwise, and one client over HTTP.
+//! Each is a trait, since another platform will speak otherwise.
 
 mod hosts;
 mod log;
+mod topics;
 
 pub use hosts::{HostList, HttpHosts, Listed};
 pub use log::{Appended, Cursor, HttpLog, Log, Page, ReadAnswer, ReadRequest, StreamPage};
+pub use topics::{CallError, Page as TopicPage, Partition, Record, Store, Topic};
 
 use snafu::Snafu;
 
