Link the routers: load, configuration and loans between them

Cause: a router cut off from the store refused what others had grants for, and kept an old configuration.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -136,6 +136,13 @@
         help = "demand that a grant of prepaid tokens covers, in milliseconds, 100 to 86400000"
     )]
     pub horizon: String,
+    #[options(
+        no_short,
+        meta = "KEY",
+        default = "lanedeck-fleet",
+        help = "what routers of this fleet show each other, 8 to 256 visible characters; give one of your own where others can reach --link"
+    )]
+    pub fleet_key: String,
     #[options(
         no_short,
         meta = "LEVEL",
@@ -154,6 +161,7 @@
     store: SocketAddr,
     keep: Millis,
     grace: Millis,
+    fleet_key: String,
     log_level: String,
     in_force: String,
 }
@@ -201,6 +209,15 @@
         "error, warn, info, debug or trace",
         |level: &String| levels.contains(&level.as_str()),
     );
+    let is_key = |text: &String| {
+        (8..=256).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_graphic())
+    };
+    c.secret(
+        "fleet-key",
+        &args.fleet_key,
+        "8 to 256 visible characters",
+        is_key,
+    );
     let in_force = checker.finish()?;
     let checked = || {
         let me = Router {
@@ -230,6 +247,7 @@
             store: store?,
             keep: keep?,
             grace: grace?,
+            fleet_key: args.fleet_key.clone(),
             log_level: log_level?,
             in_force,
         })
@@ -269,6 +287,7 @@
 
 async fn serve(checked: Checked, args: Vec<String>, adapter: Adapter) -> Result<()> {
     let front = bind("front", checked.settings.me.front).await?;
+    let link = bind("link", checked.settings.me.link).await?;
     let ready = bind("ready", checked.ready).await?;
     let directory = bind("directory", checked.directory).await?;
     let metrics = bind("metrics", checked.metrics).await?;
@@ -283,6 +302,8 @@
     let options = gateway::Options {
         settings: checked.settings,
         front,
+        link,
+        fleet_key: checked.fleet_key,
         ready,
         directory,
         metrics: Some(metrics),
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -3,8 +3,10 @@
 
 mod follow;
 mod ledger;
+mod link;
 
 use std::cell::RefCell;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,6 +20,7 @@
 use super::shared::Shared;
 use crate::store::Store;
 use crate::units::Millis;
+use crate::wire;
 
 /// What the traffic asks of the control state, and tells it.
 #[derive(Debug)]
@@ -81,6 +84,10 @@
     shared: Arc<Shared>,
     store: Arc<dyn Store>,
     dialect: Arc<dyn Dialect>,
+    links: wire::Client,
+    loads: RefCell<link::Loads>,
+    /// Customers for whom a loan is being asked for.
+    borrowing: RefCell<HashSet<String>>,
     started: Instant,
 }
 
@@ -98,14 +105,26 @@
     }
 }
 
+/// What the control thread is started with.
+pub struct Parts {
+    /// Settings of the control state.
+    pub settings: Settings,
+    /// What the traffic sees.
+    pub shared: Arc<Shared>,
+    /// The deployment's store.
+    pub store: Arc<dyn Store>,
+    /// What the deployment speaks.
+    pub dialect: Arc<dyn Dialect>,
+    /// For other routers.
+    pub link: std::net::TcpListener,
+    /// What routers of this fleet show each other.
+    pub fleet_key: String,
+    /// What the traffic asks.
+    pub messages: mpsc::UnboundedReceiver<Message>,
+}
+
 /// Starts the control thread.
-pub fn spawn(
-    settings: Settings,
-    shared: Arc<Shared>,
-    store: Arc<dyn Store>,
-    dialect: Arc<dyn Dialect>,
-    messages: mpsc::UnboundedReceiver<Message>,
-) {
+pub fn spawn(parts: Parts) {
     std::thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || {
@@ -114,25 +133,35 @@
                 .build()
                 .expect("a runtime starts");
             let control = Rc::new(Control {
-                fleet: RefCell::new(Fleet::new(settings)),
+                fleet: RefCell::new(Fleet::new(parts.settings)),
                 waiting: RefCell::default(),
                 urgent: Notify::new(),
-                shared,
-                store,
-                dialect,
+                shared: parts.shared,
+                store: parts.store,
+                dialect: parts.dialect,
+                links: link::client(&parts.fleet_key),
+                loads: RefCell::default(),
+                borrowing: RefCell::default(),
                 started: Instant::now(),
             });
+            let (asked, questions) = mpsc::unbounded_channel();
             let tasks = LocalSet::new();
             tasks.spawn_local(follow::config(Rc::clone(&control)));
             tasks.spawn_local(follow::targets(Rc::clone(&control)));
             tasks.spawn_local(follow::routers(Rc::clone(&control)));
             tasks.spawn_local(ledger::keep(Rc::clone(&control)));
-            tasks.block_on(&runtime, serve(control, messages));
+            tasks.spawn_local(link::listen(parts.link, parts.fleet_key, asked));
+            tasks.spawn_local(link::beat(Rc::clone(&control)));
+            tasks.block_on(&runtime, serve(control, parts.messages, questions));
         })
         .expect("a thread starts");
 }
 
-async fn serve(control: Rc<Control>, mut messages: mpsc::UnboundedReceiver<Message>) {
+async fn serve(
+    control: Rc<Control>,
+    mut messages: mpsc::UnboundedReceiver<Message>,
+    mut questions: mpsc::UnboundedReceiver<link::Asked>,
+) {
     loop {
         let until = control
             .waiting
@@ -145,6 +174,9 @@
                 Some(message) => handle(&control, message),
                 None => return,
             },
+            Some((question, reply)) = questions.recv() => {
+                let _ = reply.send(link::answer(&control, question));
+            }
             () = sleep_until(until) => expire(&control),
         }
     }
@@ -210,6 +242,22 @@
     answer(control, reply, result);
 }
 
+/// Asks other routers for what a request costs.
+fn borrow(control: &Rc<Control>, job: &Job) {
+    if let Some((customer, _)) = &job.payer {
+        let loan = link::borrow(Rc::clone(control), customer.clone(), job.cost());
+        tokio::task::spawn_local(loan);
+    }
+}
+
+/// Asks other routers for what still waits after the grants were renewed.
+fn borrow_for_waiting(control: &Rc<Control>) {
+    let waiting = control.waiting.borrow();
+    for waiting in waiting.iter() {
+        borrow(control, &waiting.job);
+    }
+}
+
 /// Answers; a caller that has gone meanwhile gives its place back.
 fn answer(
     control: &Control,
--- a/src/gateway/control/follow.rs
+++ b/src/gateway/control/follow.rs
@@ -7,7 +7,8 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::Control;
-use crate::gateway::members::Router;
+use crate::gateway::dialect::Listing;
+use crate::gateway::members::{Router, Source};
 use crate::gateway::target::Change;
 use crate::store::{CallError, Partition, Record, Topic, TopicPage};
 use crate::util;
@@ -161,6 +162,15 @@
     }
 }
 
+/// Takes in what another router lists, while this one is cut off from the store.
+pub(super) fn take_listings(control: &Control, listings: Vec<Listing>) {
+    for listing in listings {
+        take_listing(control, listing);
+    }
+    let addresses = control.fleet.borrow().targets.addresses();
+    control.shared.set_targets(addresses);
+}
+
 /// Takes a whole list in. Targets that it lacks are taken off if `drop_absent`; whether none was
 /// left on for that is returned.
 fn whole_list(control: &Control, page: &TopicPage, drop_absent: bool) -> bool {
@@ -201,17 +211,19 @@
         return;
     };
     match control.dialect.listing(&record.key, value) {
-        Ok(listing) => {
-            let instance = listing.instance.clone();
-            let change = control.fleet.borrow_mut().list_target(listing);
-            if change != Change::Same {
-                tracing::info!(event = "target_listed", %instance, ?change);
-            }
-        }
+        Ok(listing) => take_listing(control, listing),
         Err(error) => tracing::warn!(event = "listing_refused", key = %record.key, %error),
     }
 }
 
+fn take_listing(control: &Control, listing: Listing) {
+    let instance = listing.instance.clone();
+    let change = control.fleet.borrow_mut().list_target(listing);
+    if change != Change::Same {
+        tracing::info!(event = "target_listed", %instance, ?change);
+    }
+}
+
 /// Tells the other routers of this one, and follows what they tell.
 pub async fn routers(control: Rc<Control>) {
     let mut follower = Follower::new(Topic::Routers);
@@ -236,12 +248,13 @@
         return;
     };
     let (name, is_ready) = (router.name.clone(), router.is_ready);
-    if control
+    let now = control.now();
+    let changed = control
         .fleet
         .borrow_mut()
         .members
-        .hear(control.now(), router)
-    {
+        .hear(now, router, Source::Store);
+    if changed {
         tracing::info!(event = "router_heard", %name, is_ready);
     }
 }
--- a/src/gateway/control/ledger.rs
+++ b/src/gateway/control/ledger.rs
@@ -7,7 +7,7 @@
 use rand::RngExt;
 use tokio::time::{sleep, timeout};
 
-use super::{Control, retry_waiting};
+use super::{Control, borrow_for_waiting, retry_waiting};
 use crate::gateway::escrow::Row;
 use crate::store::{CallError, Partition, Record, Topic, TopicPage};
 use crate::util;
@@ -50,6 +50,7 @@
             sleep(RETRY_GAP).await;
         }
         retry_waiting(&control);
+        borrow_for_waiting(&control);
     }
 }
 
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Uri};
+use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
 use crate::route::Config;
@@ -99,7 +100,7 @@
 }
 
 /// A target as it lists itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing {
     /// This start of it.
     pub instance: String,
--- a/src/gateway/escrow.rs
+++ b/src/gateway/escrow.rs
@@ -97,6 +97,8 @@
     granted: Tokens,
     /// What may be spent: less than `granted` while a lower row may be on its way.
     limit: Tokens,
+    /// What other routers have counted as spent for this one.
+    borrowed: Tokens,
     spent: Tokens,
     reserved: Tokens,
     demand: f64,
@@ -111,7 +113,41 @@
 impl Account {
     /// What can still be reserved.
     pub fn available(&self) -> Tokens {
-        self.limit.saturating_sub(self.spent + self.reserved)
+        (self.limit + self.borrowed).saturating_sub(self.spent + self.reserved)
+    }
+
+    /// What this router's own grant has to cover.
+    fn used(&self) -> Tokens {
+        (self.spent + self.reserved).saturating_sub(self.borrowed)
+    }
+
+    /// Counts tokens as spent for another router. What is lent is returned: at least `least`, at
+    /// most `most`, or nothing. A lender that can renew its grant lends all that it has, another
+    /// keeps half.
+    pub fn lend(&mut self, least: Tokens, most: Tokens, can_renew: bool) -> Tokens {
+        let available = self.available();
+        let spare = if can_renew {
+            available
+        } else {
+            Tokens(available.0 / 2)
+        };
+        let lent = most.min(spare);
+        if lent < least {
+            return Tokens::ZERO;
+        }
+        self.spent += lent;
+        self.check();
+        lent
+    }
+
+    /// Adds what another router has lent.
+    pub fn borrow(&mut self, lent: Tokens) {
+        self.borrowed += lent;
+    }
+
+    /// Tokens that are asked for in a second.
+    pub fn demand(&self) -> Tokens {
+        Tokens(self.demand as u64)
     }
 
     /// Notes that a request of this size was asked for.
@@ -143,7 +179,7 @@
             self.check();
             return Ok(());
         }
-        let used = ledger.spent_by_others(router) + self.closed + self.spent + self.reserved;
+        let used = ledger.spent_by_others(router) + self.closed + self.used();
         if used + tokens > prepaid {
             return Err(Short::Exhausted);
         }
@@ -160,8 +196,8 @@
 
     fn check(&self) {
         assert!(
-            self.spent + self.reserved <= self.granted,
-            "spend stays within the grant"
+            self.spent + self.reserved <= self.granted + self.borrowed,
+            "spend stays within what is granted and lent"
         );
     }
 
@@ -177,7 +213,7 @@
     ) -> Row {
         self.decay(now);
         self.adopt(ledger.row(router), incarnation);
-        let used = self.spent + self.reserved;
+        let used = self.used();
         let committed = ledger.committed_by_others(router) + self.closed;
         let free = prepaid.saturating_sub(committed);
         let left = prepaid.saturating_sub(ledger.spent_by_others(router) + self.closed + used);
@@ -269,7 +305,7 @@
 
     /// The row that gives everything back, once nothing runs any more.
     pub fn last_row(&self, incarnation: u64) -> Row {
-        let used = self.spent + self.reserved;
+        let used = self.used();
         Row {
             incarnation,
             closed: self.closed,
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -44,7 +44,8 @@
 }
 
 impl Job {
-    fn cost(&self) -> Tokens {
+    /// The most that it may cost.
+    pub fn cost(&self) -> Tokens {
         self.prompt
             .as_ref()
             .map_or(Tokens::ZERO, |prompt| prompt.tokens + prompt.most)
@@ -391,6 +392,29 @@
         }
     }
 
+    /// Lends tokens to another router; see [`Account::lend`].
+    pub fn lend(&mut self, customer: &str, least: Tokens, most: Tokens, can_renew: bool) -> Tokens {
+        let account = self.accounts.get_mut(customer);
+        account.map_or(Tokens::ZERO, |account| account.lend(least, most, can_renew))
+    }
+
+    /// Adds what another router has lent.
+    pub fn borrow(&mut self, customer: &str, lent: Tokens) {
+        if let Some(account) = self.accounts.get_mut(customer) {
+            account.borrow(lent);
+        }
+    }
+
+    /// What to ask another router for, where a request of this cost cannot be paid for here.
+    pub fn loan_wanted(&self, customer: &str, cost: Tokens) -> Tokens {
+        const AHEAD_S: u64 = 2;
+        let demand = self
+            .accounts
+            .get(customer)
+            .map_or(Tokens::ZERO, Account::demand);
+        cost + Tokens(demand.0 * AHEAD_S)
+    }
+
     /// What this router has in the store, of a customer.
     pub fn own_row(&self, customer: &str) -> Option<Row> {
         self.ledgers
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -35,7 +35,16 @@
 struct Member {
     router: Router,
     heard: Millis,
-    refused: bool,
+    unreachable: bool,
+}
+
+/// How a router was heard of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// By what it wrote to the store, at some time.
+    Store,
+    /// By itself, now.
+    Link,
 }
 
 /// The routers that are known.
@@ -60,7 +69,7 @@
     }
 
     /// Takes in what a router tells of itself. Whether that is a change is returned.
-    pub fn hear(&mut self, now: Millis, router: Router) -> bool {
+    pub fn hear(&mut self, now: Millis, router: Router, source: Source) -> bool {
         if router.name == self.me.name {
             return false;
         }
@@ -68,7 +77,7 @@
         let newer = known.is_none_or(|member| {
             member.router.incarnation != router.incarnation || member.router.beat < router.beat
         });
-        if !newer {
+        if !newer && source == Source::Store {
             return false;
         }
         let changed = known.is_none_or(|member| {
@@ -78,7 +87,7 @@
         });
         let member = Member {
             heard: now,
-            refused: false,
+            unreachable: false,
             router,
         };
         self.known.insert(member.router.name.clone(), member);
@@ -86,11 +95,11 @@
         changed
     }
 
-    /// Notes that nothing listens where a router was.
-    pub fn refuse(&mut self, name: &str, incarnation: u64) -> bool {
+    /// Notes that a router does not answer on its link.
+    pub fn miss(&mut self, name: &str, incarnation: u64) -> bool {
         match self.known.get_mut(name) {
             Some(member) if member.router.incarnation == incarnation => {
-                !std::mem::replace(&mut member.refused, true)
+                !std::mem::replace(&mut member.unreachable, true)
             }
             _ => false,
         }
@@ -98,7 +107,7 @@
 
     fn is_live(&self, now: Millis, member: &Member) -> bool {
         let silent = now.saturating_sub(member.heard);
-        !member.refused && silent.0 <= self.interval.0 * MISSED_MAX
+        !member.unreachable && silent.0 <= self.interval.0 * MISSED_MAX
     }
 
     /// Interval of heartbeats.
@@ -135,8 +144,7 @@
             .map(|router| router.front)
             .collect();
         if self.live(now).next().is_none() {
-            let members = self.known.values().filter(|member| !member.refused);
-            let routers = members.map(|member| &member.router);
+            let routers = self.known.values().map(|member| &member.router);
             fronts = routers.filter(ready).map(|router| router.front).collect();
         }
         if self.me.is_ready || fronts.is_empty() {
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -34,6 +34,10 @@
     pub settings: Settings,
     /// For callers.
     pub front: TcpListener,
+    /// For other routers.
+    pub link: TcpListener,
+    /// What routers of this fleet show each other.
+    pub fleet_key: String,
     /// For questions about readiness.
     pub ready: TcpListener,
     /// For questions about addresses.
@@ -74,13 +78,15 @@
         hall = %options.settings.me.hall
     );
     let dialect = Arc::clone(&options.dialect);
-    control::spawn(
-        options.settings,
-        Arc::clone(&shared),
-        options.store,
-        Arc::clone(&dialect),
+    control::spawn(control::Parts {
+        settings: options.settings,
+        shared: Arc::clone(&shared),
+        store: options.store,
+        dialect: Arc::clone(&dialect),
+        link: options.link.into_std()?,
+        fleet_key: options.fleet_key,
         messages,
-    );
+    });
     let desk = Desk::new(sender);
     let relay = Arc::new(Relay {
         shared: Arc::clone(&shared),
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -6,7 +6,8 @@
 
 use std::collections::{HashMap, HashSet};
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::dialect::{Listing, Load, Prompt};
 use crate::target::{Health, Outcome};
@@ -48,8 +49,10 @@
 }
 
 /// Work at a target.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Outstanding {
+    /// Hash of the target's instance.
+    pub instance: u64,
     /// Requests.
     pub in_flight: u32,
     /// Tokens of prompts that are not answered yet.
@@ -61,6 +64,7 @@
 pub struct Targets {
     all: Vec<Target>,
     by_instance: HashMap<String, Key>,
+    by_hash: HashMap<u64, Key>,
     by_service: HashMap<String, Vec<Key>>,
 }
 
@@ -98,6 +102,8 @@
     fn add(&mut self, listing: Listing) -> Change {
         let key = Key(self.all.len());
         self.by_instance.insert(listing.instance.clone(), key);
+        self.by_hash
+            .insert(xxh3_64(listing.instance.as_bytes()), key);
         let of_service = self.by_service.entry(listing.service.clone()).or_default();
         of_service.push(key);
         self.all.push(Target {
@@ -130,11 +136,6 @@
         &self.all[key.0]
     }
 
-    /// Finds a target by instance.
-    pub fn find(&self, instance: &str) -> Option<Key> {
-        self.by_instance.get(instance).copied()
-    }
-
     /// Counts a request that is sent there, with so many tokens of prompt.
     pub fn begin(&mut self, key: Key, tokens: u64) {
         let target = &mut self.all[key.0];
@@ -264,27 +265,28 @@
     }
 
     /// Forgets what other routers told, and takes this in its place.
-    pub fn set_others(&mut self, others: impl IntoIterator<Item = (Key, Outstanding)>) {
+    pub fn set_others<'a>(&mut self, others: impl Iterator<Item = &'a Outstanding>) {
         for target in &mut self.all {
             target.others = Outstanding::default();
         }
-        for (key, outstanding) in others {
-            let sum = &mut self.all[key.0].others;
-            sum.in_flight += outstanding.in_flight;
-            sum.backlog += outstanding.backlog;
+        for outstanding in others {
+            if let Some(key) = self.by_hash.get(&outstanding.instance) {
+                let sum = &mut self.all[key.0].others;
+                sum.in_flight += outstanding.in_flight;
+                sum.backlog += outstanding.backlog;
+            }
         }
     }
 
     /// What this router has at each target.
-    pub fn outstanding(&self) -> impl Iterator<Item = (&str, Outstanding)> {
+    pub fn outstanding(&self) -> Vec<Outstanding> {
         let busy = self.all.iter().filter(|target| target.in_flight > 0);
-        busy.map(|target| {
-            let outstanding = Outstanding {
-                in_flight: target.in_flight,
-                backlog: target.backlog,
-            };
-            (target.listing.instance.as_str(), outstanding)
+        busy.map(|target| Outstanding {
+            instance: xxh3_64(target.listing.instance.as_bytes()),
+            in_flight: target.in_flight,
+            backlog: target.backlog,
         })
+        .collect()
     }
 }
 
--- a/src/wire/client.rs
+++ b/src/wire/client.rs
@@ -7,22 +7,39 @@
 
 use bytes::Bytes;
 use h2::client::SendRequest;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snafu::Snafu;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use super::server::{WINDOW, collect};
-use super::{Reply, Request};
 use crate::util;
 
-/// Longest wait for a connection, and for an answer.
+/// Longest wait for a connection, and for an answer, where nothing else is said.
 const WAIT: Duration = Duration::from_millis(1_500);
 
+/// Why a peer gave no answer. Unless it says so, the question may have been taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum Missing {
+    /// Nothing listens there; the question has not been taken.
+    #[snafu(display("refused"))]
+    Refused,
+    /// The time was over.
+    #[snafu(display("silent"))]
+    Silent,
+    /// The connection failed, or the answer made no sense.
+    #[snafu(display("failed"))]
+    Failed,
+}
+
 type Slot = Arc<tokio::sync::Mutex<Option<SendRequest<Bytes>>>>;
 
 /// Connections to peers.
 #[derive(Clone, Debug)]
 pub struct Client {
     key: String,
+    wait: Duration,
     slots: Arc<Mutex<HashMap<SocketAddr, Slot>>>,
 }
 
@@ -31,33 +48,51 @@
     pub fn new(key: &str) -> Self {
         Self {
             key: key.to_owned(),
+            wait: WAIT,
             slots: Arc::default(),
         }
     }
 
-    /// Asks a peer; `None` where there is no answer in time. A question may have been taken all
-    /// the same, so those that must count once carry a sequence number.
-    pub async fn ask(&self, to: SocketAddr, request: &Request) -> Option<Reply> {
-        let result = timeout(WAIT, self.exchange(to, request)).await;
-        match result {
-            Ok(Ok(reply)) => reply,
+    /// The same with another longest wait.
+    pub fn with_wait(self, wait: Duration) -> Self {
+        Self { wait, ..self }
+    }
+
+    /// Asks a peer. A question may have been taken although there is no answer, so those that must
+    /// count once carry a sequence number.
+    ///
+    /// # Errors
+    /// Why there is no answer.
+    pub async fn ask<Q, R>(&self, to: SocketAddr, request: &Q) -> Result<R, Missing>
+    where
+        Q: Serialize,
+        R: DeserializeOwned,
+    {
+        match timeout(self.wait, self.exchange(to, request)).await {
+            Ok(Ok(Some(reply))) => Ok(reply),
+            Ok(Ok(None)) => Err(Missing::Failed),
             Ok(Err(error)) => {
                 tracing::debug!(event = "peer_call_failed", %to, %error);
-                None
+                let refused = error.reason() == Some(h2::Reason::CONNECT_ERROR);
+                Err(if refused {
+                    Missing::Refused
+                } else {
+                    Missing::Failed
+                })
             }
             Err(_) => {
                 // A peer that is frozen keeps its connection; the next call tries a new one.
                 self.forget(to).await;
-                None
+                Err(Missing::Silent)
             }
         }
     }
 
-    async fn exchange(
-        &self,
-        to: SocketAddr,
-        request: &Request,
-    ) -> Result<Option<Reply>, h2::Error> {
+    async fn exchange<Q, R>(&self, to: SocketAddr, request: &Q) -> Result<Option<R>, h2::Error>
+    where
+        Q: Serialize,
+        R: DeserializeOwned,
+    {
         let sender = self.sender(to).await?;
         let mut sender = sender.ready().await?;
         let head = http::Request::post(format!("http://{to}/"))
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -4,7 +4,7 @@
 mod frame;
 mod server;
 
-pub use client::Client;
+pub use client::{Client, Missing};
 pub use frame::{Ask, Reply, Request};
 pub use server::serve;
 
--- a/src/wire/server.rs
+++ b/src/wire/server.rs
@@ -9,7 +9,10 @@
 use http::{Response, StatusCode};
 use tokio::net::{TcpListener, TcpStream};
 
-use super::{FRAME_MAX, Reply, Request};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::FRAME_MAX;
 use crate::util;
 
 /// Flow-control window of a stream and of a connection, in bytes.
@@ -20,10 +23,12 @@
 ///
 /// # Errors
 /// The listener's error.
-pub async fn serve<F, A>(listener: TcpListener, key_hash: String, answer: F) -> io::Result<()>
+pub async fn serve<Q, R, F, A>(listener: TcpListener, key_hash: String, answer: F) -> io::Result<()>
 where
-    F: Fn(Request) -> A + Clone + Send + Sync + 'static,
-    A: Future<Output = Option<Reply>> + Send + 'static,
+    Q: DeserializeOwned + Send + 'static,
+    R: Serialize + Send + 'static,
+    F: Fn(Q) -> A + Clone + Send + Sync + 'static,
+    A: Future<Output = Option<R>> + Send + 'static,
 {
     loop {
         let (stream, peer) = listener.accept().await?;
@@ -36,10 +41,16 @@
     }
 }
 
-async fn connection<F, A>(stream: TcpStream, key_hash: &str, answer: F) -> Result<(), h2::Error>
+async fn connection<Q, R, F, A>(
+    stream: TcpStream,
+    key_hash: &str,
+    answer: F,
+) -> Result<(), h2::Error>
 where
-    F: Fn(Request) -> A + Clone + Send + Sync + 'static,
-    A: Future<Output = Option<Reply>> + Send + 'static,
+    Q: DeserializeOwned + Send + 'static,
+    R: Serialize + Send + 'static,
+    F: Fn(Q) -> A + Clone + Send + Sync + 'static,
+    A: Future<Output = Option<R>> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
     let mut connection = h2::server::Builder::new()
@@ -77,14 +88,16 @@
     Ok(())
 }
 
-async fn exchange<F, A>(
+async fn exchange<Q, R, F, A>(
     body: RecvStream,
     mut respond: SendResponse<Bytes>,
     answer: F,
 ) -> Result<(), h2::Error>
 where
-    F: Fn(Request) -> A,
-    A: Future<Output = Option<Reply>>,
+    Q: DeserializeOwned,
+    R: Serialize,
+    F: Fn(Q) -> A,
+    A: Future<Output = Option<R>>,
 {
     let request = collect(body).await?;
     let Some(request) = request.and_then(|bytes| util::decode(&bytes)) else {
