Grant ahead only above a floor of the budget, and a grant a request below

Change: grants ahead are part of what is left above 0.3 of the budget; a waiting request's cost is always asked for; small changes are written.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -9,6 +9,7 @@
 use super::settings::Checker;
 use super::{Adapter, Command, Error, Result, dropped_lines, parse, start_output_logs};
 use crate::gateway;
+use crate::gateway::escrow::Sizing;
 use crate::gateway::fleet::Settings;
 use crate::gateway::members::Router;
 use crate::gateway::retry;
@@ -132,10 +133,31 @@
     #[options(
         no_short,
         meta = "MS",
-        default = "10000",
+        default = "8000",
         help = "demand that a grant of prepaid tokens covers, in milliseconds, 100 to 86400000"
     )]
     pub horizon: String,
+    #[options(
+        no_short,
+        meta = "X",
+        default = "0.3",
+        help = "part of a prepaid budget; nothing is granted ahead of need once no more than this is left, 0 to 1"
+    )]
+    pub floor: String,
+    #[options(
+        no_short,
+        meta = "X",
+        default = "0.8",
+        help = "part of what is left above the floor that all routers together may hold ahead of need, 0 to 1"
+    )]
+    pub share: String,
+    #[options(
+        no_short,
+        meta = "X",
+        default = "0.05",
+        help = "part of what is left above the floor that is spread over all routers whatever their demand, 0 to 1"
+    )]
+    pub spread: String,
     #[options(
         no_short,
         meta = "KEY",
@@ -202,6 +224,9 @@
     let window = span(c, "repeat-window", &args.repeat_window, 100.0, 600_000.0);
     let extra = number(c, "repeat-extra", &args.repeat_extra, 0.0, 1e6);
     let horizon = span(c, "horizon", &args.horizon, 100.0, 86_400_000.0);
+    let floor = number(c, "floor", &args.floor, 0.0, 1.0);
+    let share = number(c, "share", &args.share, 0.0, 1.0);
+    let spread = number(c, "spread", &args.spread, 0.0, 1.0);
     let levels = ["error", "warn", "info", "debug", "trace"];
     let log_level = c.take(
         "log-level",
@@ -238,7 +263,13 @@
                     window: window?,
                     extra: extra?,
                 },
-                horizon: horizon?,
+                sizing: Sizing {
+                    horizon: horizon?,
+                    floor: floor?,
+                    share: share?,
+                    spread: spread?,
+                    routers: 1,
+                },
                 seed: rand::rng().random(),
             },
             ready: ready?,
--- a/src/gateway/control/ledger.rs
+++ b/src/gateway/control/ledger.rs
@@ -1,6 +1,7 @@
 //! Keeps this router's rows of the prepaid budgets: reads what others wrote, and writes its own
 //! only where nothing has come in between.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,10 +11,13 @@
 use super::{Control, borrow_for_waiting, retry_waiting};
 use crate::gateway::escrow::Row;
 use crate::store::{CallError, Partition, Record, Topic, TopicPage};
+use crate::units::Tokens;
 use crate::util;
 
 /// Between two looks while nobody waits.
 const GAP: Duration = Duration::from_millis(1_000);
+/// The same while the store does not answer.
+const LOST_GAP: Duration = Duration::from_millis(250);
 /// Tries in a row where others write at the same time.
 const TRIES_MAX: u32 = 12;
 /// Longest pause after others have written first, in milliseconds.
@@ -41,7 +45,12 @@
 pub async fn keep(control: Rc<Control>) {
     let mut place = Place::default();
     loop {
-        let _ = timeout(GAP, control.urgent.notified()).await;
+        let gap = if control.shared.store_answers() {
+            GAP
+        } else {
+            LOST_GAP
+        };
+        let _ = timeout(gap, control.urgent.notified()).await;
         if control.shared.is_closed() {
             return;
         }
@@ -94,8 +103,8 @@
     change: impl Fn(&Vec<(String, Row)>) -> Vec<(String, Row)>,
 ) -> Result<(), CallError> {
     let next = read(control, place).await?;
-    let urgent = urgent(control);
-    let rows = control.fleet.borrow_mut().rows(control.now(), &urgent);
+    let waiting = waiting(control);
+    let rows = control.fleet.borrow_mut().rows(control.now(), &waiting);
     let rows = change(&rows);
     if rows.is_empty() {
         return Ok(());
@@ -124,12 +133,15 @@
     }
 }
 
-fn urgent(control: &Control) -> Vec<String> {
-    let waiting = control.waiting.borrow();
-    let payers = waiting
-        .iter()
-        .filter_map(|waiting| waiting.job.payer.as_ref());
-    payers.map(|(customer, _)| customer.clone()).collect()
+/// What waits for a grant, by customer.
+fn waiting(control: &Control) -> HashMap<String, Tokens> {
+    let mut needed: HashMap<String, Tokens> = HashMap::new();
+    for waiting in control.waiting.borrow().iter() {
+        if let Some((customer, _)) = &waiting.job.payer {
+            *needed.entry(customer.clone()).or_default() += waiting.job.cost();
+        }
+    }
+    needed
 }
 
 fn records(control: &Control, rows: &[(String, Row)]) -> Vec<Record> {
--- a/src/gateway/escrow.rs
+++ b/src/gateway/escrow.rs
@@ -13,10 +13,9 @@
 
 /// How fast the estimate of demand follows, in milliseconds.
 const DEMAND_SPAN: f64 = 5_000.0;
-/// Part of what is left that a router may hold at once with demand, of its share of all demand.
-const SHARE: f64 = 0.9;
-/// Part of what is left that is spread over all routers, whatever their demand.
-const SPREAD: f64 = 0.25;
+
+/// Changes of less than one part in this many of the prepaid budget are not written by themselves.
+const UNTOLD_DIVISOR: u64 = 1_000;
 
 /// A router's part of a customer's budget, as the store keeps it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -80,15 +79,33 @@
     Here,
 }
 
-/// What grants are sized by.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// What grants are sized by. Tokens that are granted ahead of need carry a router through a time
+/// without the store, but are lost if it dies. While much of a budget is left the first weighs
+/// more; towards its end a lost grant would refuse requests that are paid for, so nothing is
+/// granted ahead any more and each request waits for its own grant.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Sizing {
-    /// Demand that a grant covers.
+    /// Demand that grants ahead cover.
     pub horizon: Millis,
+    /// Part of the prepaid budget, 0 to 1; nothing is granted ahead once no more than this is left.
+    pub floor: f64,
+    /// Part of what is left above the floor that all routers together may have ahead, 0 to 1.
+    pub share: f64,
+    /// Part of what is left above the floor that is spread over all routers whatever their demand.
+    pub spread: f64,
     /// Routers that share a budget.
     pub routers: usize,
 }
 
+/// Whose row it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Holder<'a> {
+    /// The router's name.
+    pub router: &'a str,
+    /// Its process.
+    pub incarnation: u64,
+}
+
 /// This router's part of one customer's budget.
 #[derive(Clone, Debug, Default)]
 pub struct Account {
@@ -103,8 +120,6 @@
     reserved: Tokens,
     demand: f64,
     demand_at: Millis,
-    /// Largest request of late.
-    largest: Tokens,
     /// What a row that was sent would grant.
     sent: Option<Tokens>,
     written: Option<Row>,
@@ -154,7 +169,6 @@
     pub fn note_demand(&mut self, now: Millis, tokens: Tokens) {
         self.decay(now);
         self.demand += tokens.0 as f64 * 1_000.0 / DEMAND_SPAN;
-        self.largest = self.largest.max(tokens);
     }
 
     fn decay(&mut self, now: Millis) {
@@ -201,23 +215,29 @@
         );
     }
 
-    /// The row that this router should have, from what the store was read to have.
+    /// The row that this router should have, from what the store was read to have. Requests that
+    /// wait need `waiting` tokens.
     pub fn wanted(
         &mut self,
         now: Millis,
         ledger: &Ledger,
-        router: &str,
-        incarnation: u64,
+        holder: &Holder<'_>,
         prepaid: Tokens,
         sizing: &Sizing,
+        waiting: Tokens,
     ) -> Row {
+        let Holder {
+            router,
+            incarnation,
+        } = *holder;
         self.decay(now);
         self.adopt(ledger.row(router), incarnation);
         let used = self.used();
         let committed = ledger.committed_by_others(router) + self.closed;
         let free = prepaid.saturating_sub(committed);
         let left = prepaid.saturating_sub(ledger.spent_by_others(router) + self.closed + used);
-        let unspent = self.unspent_wanted(ledger, router, left, sizing);
+        let ahead = self.ahead(ledger, router, prepaid, left, sizing);
+        let unspent = ahead.max(waiting);
         // What is already used stays granted, also where a budget was lowered below it.
         let granted = (used + unspent).min(free).max(used.min(self.granted));
         Row {
@@ -229,34 +249,36 @@
         }
     }
 
-    fn unspent_wanted(
+    /// What this router should hold beyond what it uses, with so much left of the budget.
+    fn ahead(
         &self,
         ledger: &Ledger,
         router: &str,
+        prepaid: Tokens,
         left: Tokens,
         sizing: &Sizing,
     ) -> Tokens {
-        let left = left.0 as f64;
+        let above = (left.0 as f64 - prepaid.0 as f64 * sizing.floor).max(0.0);
         let horizon = sizing.horizon.0 as f64 / 1_000.0;
-        let spread = left * SPREAD / sizing.routers.max(1) as f64;
+        let spread = above * sizing.spread / sizing.routers.max(1) as f64;
         let all = self.demand + ledger.demand_of_others(router) as f64;
         let share = if all > 0.0 {
-            left * SHARE * self.demand / all
+            above * sizing.share * self.demand / all
         } else {
             0.0
         };
-        let covered = (self.demand * horizon + self.largest.0 as f64).min(share);
+        let covered = (self.demand * horizon).min(share);
         Tokens(covered.max(spread) as u64)
     }
 
     /// Whether a row differs enough from what was last written to be worth a call.
-    pub fn is_worth_writing(&self, row: &Row) -> bool {
+    pub fn is_worth_writing(&self, row: &Row, prepaid: Tokens) -> bool {
         let Some(written) = self.written else {
             return true;
         };
-        let near = |a: u64, b: u64| a.abs_diff(b) <= a.max(b) / 20;
-        !near(written.granted.0, row.granted.0)
-            || !near(written.spent.0, row.spent.0)
+        let near = |a: Tokens, b: Tokens| a.0.abs_diff(b.0) <= prepaid.0 / UNTOLD_DIVISOR;
+        !near(written.granted, row.granted)
+            || !near(written.spent, row.spent)
             || written.closed != row.closed
     }
 
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -8,7 +8,7 @@
 use rand::{RngExt, SeedableRng};
 
 use super::dialect::{Listing, Load, Prompt};
-use super::escrow::{Account, Ledger, Row, Short, Sizing};
+use super::escrow::{Account, Holder, Ledger, Row, Short, Sizing};
 use super::members::{Members, Router};
 use super::retry::{self, Budget};
 use super::target::{Change, Key, Targets};
@@ -24,8 +24,8 @@
     pub heartbeat: Millis,
     /// Bound on repeats.
     pub repeats: retry::Bound,
-    /// Demand that a grant covers.
-    pub horizon: Millis,
+    /// How grants are sized; the number of routers is filled in from those that are known.
+    pub sizing: Sizing,
     /// Seed of random choices.
     pub seed: u64,
 }
@@ -336,20 +336,25 @@
         ledger.set(router, row);
     }
 
-    /// The rows that are worth writing now, by customer; with `urgent`, for these customers in any
-    /// case. All ledgers must be as of the offset that the rows are written at.
-    pub fn rows(&mut self, now: Millis, urgent: &[String]) -> Vec<(String, Row)> {
+    /// The rows that are worth writing now, by customer. `waiting` says what requests need that
+    /// wait for a grant. All ledgers must be as of the offset that the rows are written at.
+    pub fn rows(&mut self, now: Millis, waiting: &HashMap<String, Tokens>) -> Vec<(String, Row)> {
         let me = &self.settings.me;
+        let holder = Holder {
+            router: &me.name,
+            incarnation: me.incarnation,
+        };
         let sizing = Sizing {
-            horizon: self.settings.horizon,
             routers: self.members.count(),
+            ..self.settings.sizing
         };
         let mut rows = Vec::new();
         for (customer, prepaid) in &self.prepaid {
             let ledger = self.ledgers.entry(customer.clone()).or_default();
             let account = self.accounts.entry(customer.clone()).or_default();
-            let row = account.wanted(now, ledger, &me.name, me.incarnation, *prepaid, &sizing);
-            if account.is_worth_writing(&row) || urgent.contains(customer) {
+            let needed = waiting.get(customer).copied().unwrap_or_default();
+            let row = account.wanted(now, ledger, &holder, *prepaid, &sizing, needed);
+            if account.is_worth_writing(&row, *prepaid) || needed > Tokens::ZERO {
                 rows.push((customer.clone(), row));
             }
         }
