Size grants ahead by how long a budget lasts, and remember cached parts

Cause: a floor as a share of the budget says nothing of how soon it ends; a request that left its first target was placed anywhere, so its parts were read on many targets; a refusal for want of grants in a cut came back at once and was refused again. Change: nothing ahead of a budget that lasts under 12 s at the present demand; parts that this router sent to a target in 20 s count as cached there; come back in 5 s.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -139,23 +139,23 @@
     pub horizon: String,
     #[options(
         no_short,
-        meta = "X",
-        default = "0.3",
-        help = "part of a prepaid budget; nothing is granted ahead of need once no more than this is left, 0 to 1"
+        meta = "MS",
+        default = "12000",
+        help = "nothing is granted ahead of a prepaid budget that lasts no longer than this at the present demand, in milliseconds, 0 to 86400000"
     )]
-    pub floor: String,
+    pub exact: String,
     #[options(
         no_short,
         meta = "X",
         default = "0.8",
-        help = "part of what is left above the floor that all routers together may hold ahead of need, 0 to 1"
+        help = "part of what is left beyond --exact that all routers together may hold ahead of need, 0 to 1"
     )]
     pub share: String,
     #[options(
         no_short,
         meta = "X",
         default = "0.05",
-        help = "part of what is left above the floor that is spread over all routers whatever their demand, 0 to 1"
+        help = "part of what is left beyond --exact that is spread over all routers whatever their demand, 0 to 1"
     )]
     pub spread: String,
     #[options(
@@ -224,7 +224,7 @@
     let window = span(c, "repeat-window", &args.repeat_window, 100.0, 600_000.0);
     let extra = number(c, "repeat-extra", &args.repeat_extra, 0.0, 1e6);
     let horizon = span(c, "horizon", &args.horizon, 100.0, 86_400_000.0);
-    let floor = number(c, "floor", &args.floor, 0.0, 1.0);
+    let exact = span(c, "exact", &args.exact, 0.0, 86_400_000.0);
     let share = number(c, "share", &args.share, 0.0, 1.0);
     let spread = number(c, "spread", &args.spread, 0.0, 1.0);
     let levels = ["error", "warn", "info", "debug", "trace"];
@@ -265,7 +265,7 @@
                 },
                 sizing: Sizing {
                     horizon: horizon?,
-                    floor: floor?,
+                    exact: exact?,
                     share: share?,
                     spread: spread?,
                     routers: 1,
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -239,6 +239,9 @@
         control.urgent.notify_one();
         return;
     }
+    if result == Err(Refusal::Exhausted) {
+        log_short(control, &job, Refusal::Exhausted);
+    }
     answer(control, reply, result);
 }
 
@@ -258,6 +261,25 @@
     }
 }
 
+/// Logs what decided that a request cannot be paid for.
+fn log_short(control: &Control, job: &Job, refusal: Refusal) {
+    let Some((customer, prepaid)) = &job.payer else {
+        return;
+    };
+    let (available, spent) = control.fleet.borrow().standing(customer);
+    tracing::info!(
+        event = "not_paid",
+        id = %job.id,
+        %customer,
+        ?refusal,
+        cost = job.cost().0,
+        available = available.0,
+        spent = spent.0,
+        prepaid = prepaid.0,
+        store = control.shared.store_answers()
+    );
+}
+
 /// Answers; a caller that has gone meanwhile gives its place back.
 fn answer(
     control: &Control,
@@ -293,6 +315,7 @@
     let now = Instant::now();
     for waiting in control.waiting.take() {
         if waiting.until <= now {
+            log_short(control, &waiting.job, Refusal::Short);
             let _ = waiting.reply.send(Err(Refusal::Short));
         } else {
             control.waiting.borrow_mut().push(waiting);
--- a/src/gateway/escrow.rs
+++ b/src/gateway/escrow.rs
@@ -80,18 +80,18 @@
 }
 
 /// What grants are sized by. Tokens that are granted ahead of need carry a router through a time
-/// without the store, but are lost if it dies. While much of a budget is left the first weighs
+/// without the store, but are lost if it dies. While a budget lasts for long the first weighs
 /// more; towards its end a lost grant would refuse requests that are paid for, so nothing is
 /// granted ahead any more and each request waits for its own grant.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Sizing {
     /// Demand that grants ahead cover.
     pub horizon: Millis,
-    /// Part of the prepaid budget, 0 to 1; nothing is granted ahead once no more than this is left.
-    pub floor: f64,
-    /// Part of what is left above the floor that all routers together may have ahead, 0 to 1.
+    /// Nothing is granted ahead of a budget that lasts no longer than this at the present demand.
+    pub exact: Millis,
+    /// Part of what is left beyond that which all routers together may have ahead, 0 to 1.
     pub share: f64,
-    /// Part of what is left above the floor that is spread over all routers whatever their demand.
+    /// Part of what is left beyond that which is spread over all routers whatever their demand.
     pub spread: f64,
     /// Routers that share a budget.
     pub routers: usize,
@@ -131,6 +131,11 @@
         (self.limit + self.borrowed).saturating_sub(self.spent + self.reserved)
     }
 
+    /// What all routers together have spent, as far as they told.
+    pub fn spent(&self, ledger: &Ledger, router: &str) -> Tokens {
+        ledger.spent_by_others(router) + self.closed + self.used()
+    }
+
     /// What this router's own grant has to cover.
     fn used(&self) -> Tokens {
         (self.spent + self.reserved).saturating_sub(self.borrowed)
@@ -193,8 +198,7 @@
             self.check();
             return Ok(());
         }
-        let used = ledger.spent_by_others(router) + self.closed + self.used();
-        if used + tokens > prepaid {
+        if self.spent(ledger, router) + tokens > prepaid {
             return Err(Short::Exhausted);
         }
         Err(Short::Here)
@@ -236,7 +240,7 @@
         let committed = ledger.committed_by_others(router) + self.closed;
         let free = prepaid.saturating_sub(committed);
         let left = prepaid.saturating_sub(ledger.spent_by_others(router) + self.closed + used);
-        let ahead = self.ahead(ledger, router, prepaid, left, sizing);
+        let ahead = self.ahead(ledger, router, left, sizing);
         let unspent = ahead.max(waiting);
         // What is already used stays granted, also where a budget was lowered below it.
         let granted = (used + unspent).min(free).max(used.min(self.granted));
@@ -250,18 +254,12 @@
     }
 
     /// What this router should hold beyond what it uses, with so much left of the budget.
-    fn ahead(
-        &self,
-        ledger: &Ledger,
-        router: &str,
-        prepaid: Tokens,
-        left: Tokens,
-        sizing: &Sizing,
-    ) -> Tokens {
-        let above = (left.0 as f64 - prepaid.0 as f64 * sizing.floor).max(0.0);
+    fn ahead(&self, ledger: &Ledger, router: &str, left: Tokens, sizing: &Sizing) -> Tokens {
+        let all = self.demand + ledger.demand_of_others(router) as f64;
+        let exact = all * sizing.exact.0 as f64 / 1_000.0;
+        let above = (left.0 as f64 - exact).max(0.0);
         let horizon = sizing.horizon.0 as f64 / 1_000.0;
         let spread = above * sizing.spread / sizing.routers.max(1) as f64;
-        let all = self.demand + ledger.demand_of_others(router) as f64;
         let share = if all > 0.0 {
             above * sizing.share * self.demand / all
         } else {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -93,6 +93,17 @@
     Most,
 }
 
+impl Cost {
+    /// The word in logs.
+    fn word(self) -> &'static str {
+        match self {
+            Self::Nothing => "not_run",
+            Self::Out(_) => "told",
+            Self::Most => "may_have_run",
+        }
+    }
+}
+
 /// The end of a try.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Ending {
@@ -238,6 +249,9 @@
         };
         let read = std::mem::take(&mut running.unread);
         self.targets.read(target, read);
+        if let Some(prompt) = &running.job.prompt {
+            self.targets.note_parts(now, target, prompt);
+        }
         if let Some(load) = load {
             self.targets.note_load(now, target, load);
         }
@@ -273,6 +287,14 @@
             && let Some(account) = self.accounts.get_mut(customer)
         {
             account.settle(reserved, cost);
+            tracing::info!(
+                event = "settled",
+                id = %running.job.id,
+                %customer,
+                reserved = reserved.0,
+                cost = cost.0,
+                basis = ending.cost.word()
+            );
         }
     }
 
@@ -397,6 +419,18 @@
         }
     }
 
+    /// What this router can still reserve for a customer, and what all routers together have spent
+    /// as far as that is known.
+    pub fn standing(&self, customer: &str) -> (Tokens, Tokens) {
+        let (Some(account), Some(ledger)) =
+            (self.accounts.get(customer), self.ledgers.get(customer))
+        else {
+            return (Tokens::ZERO, Tokens::ZERO);
+        };
+        let spent = account.spent(ledger, &self.settings.me.name);
+        (account.available(), spent)
+    }
+
     /// Lends tokens to another router; see [`Account::lend`].
     pub fn lend(&mut self, customer: &str, least: Tokens, most: Tokens, can_renew: bool) -> Tokens {
         let account = self.accounts.get_mut(customer);
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -63,7 +63,7 @@
         match self {
             Self::NoConfig => Some(Millis(300)),
             Self::Stopping => Some(Millis(20)),
-            Self::Refused(Refusal::Short) => Some(Millis(400)),
+            Self::Refused(Refusal::Short) => Some(Millis(5_000)),
             Self::Refused(Refusal::NoTarget) | Self::Unreachable => Some(Millis(250)),
             Self::Refused(Refusal::NoRepeats) | Self::TargetRefused => Some(Millis(100)),
             _ => None,
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::dialect::{Listing, Load, Prompt};
+use super::dialect::{Listing, Load, Part, Prompt};
 use crate::target::{Health, Outcome};
 use crate::units::Millis;
 
@@ -32,6 +32,11 @@
 /// Share of a group's targets that may be ejected.
 const EJECTED_SHARE: f64 = 0.5;
 
+/// How long a target is thought to keep a part after its last use.
+const CACHE_KEPT: Millis = Millis(20_000);
+/// Parts remembered before those that count no more are forgotten.
+const SENT_MAX: usize = 20_000;
+
 /// One target.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -66,6 +71,7 @@
     by_instance: HashMap<String, Key>,
     by_hash: HashMap<u64, Key>,
     by_service: HashMap<String, Vec<Key>>,
+    sent: HashMap<(Key, u64), Millis>,
 }
 
 /// How a change of the list differs from what was known.
@@ -232,18 +238,19 @@
         let shared = prompt.parts.len().saturating_sub(1);
         let shared = &prompt.parts[..shared];
         let anchor = shared.last().map_or(0, |part| part.id);
-        let shared: u64 = shared.iter().map(|part| part.tokens.0).sum();
         let affine = candidates
             .iter()
             .copied()
             .max_by_key(|key| self.affinity(*key, anchor));
         let cost = |key: &Key| {
             let target = &self.all[key.0];
-            let anew = if Some(*key) == affine {
-                0.0
+            let is_affine = Some(*key) == affine;
+            let anew = if is_affine {
+                0
             } else {
-                shared as f64
+                self.uncached(now, *key, shared)
             };
+            let anew = anew as f64;
             let away = if target.listing.hall == hall {
                 0.0
             } else {
@@ -255,6 +262,29 @@
         least(candidates, cost)
     }
 
+    /// Tokens of shared parts that a target would read anew, as far as this router knows. A part is
+    /// kept only where all before it are.
+    fn uncached(&self, now: Millis, key: Key, shared: &[Part]) -> u64 {
+        let is_cached = |part: &&Part| {
+            let sent = self.sent.get(&(key, part.id));
+            sent.is_some_and(|at| now.saturating_sub(*at) < CACHE_KEPT)
+        };
+        let cached = shared.iter().take_while(is_cached).count();
+        shared[cached..].iter().map(|part| part.tokens.0).sum()
+    }
+
+    /// Notes the shared parts that a target has read.
+    pub fn note_parts(&mut self, now: Millis, key: Key, prompt: &Prompt) {
+        let shared = prompt.parts.len().saturating_sub(1);
+        for part in &prompt.parts[..shared] {
+            self.sent.insert((key, part.id), now);
+        }
+        if self.sent.len() > SENT_MAX {
+            self.sent
+                .retain(|_, at| now.saturating_sub(*at) < CACHE_KEPT);
+        }
+    }
+
     fn affinity(&self, key: Key, anchor: u64) -> u64 {
         xxh3_64_with_seed(self.all[key.0].listing.instance.as_bytes(), anchor)
     }
