Spread the ledger over partitions and borrow at once when cut off

Cause: 73 routers wrote to one partition in turn; loans were only asked for after a failed renewal; a refusal for want of a grant told callers of 5 s also where the store answered.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -158,6 +158,13 @@
         help = "part of what is left beyond --exact that is spread over all routers whatever their demand, 0 to 1"
     )]
     pub spread: String,
+    #[options(
+        no_short,
+        meta = "N",
+        default = "24",
+        help = "partitions of the store that customers are spread over, 1 to 10000; the same at all routers, and for as long as the store keeps budgets"
+    )]
+    pub partitions: String,
     #[options(
         no_short,
         meta = "KEY",
@@ -184,6 +191,7 @@
     keep: Millis,
     grace: Millis,
     fleet_key: String,
+    partitions: u32,
     log_level: String,
     in_force: String,
 }
@@ -227,6 +235,10 @@
     let exact = span(c, "exact", &args.exact, 0.0, 86_400_000.0);
     let share = number(c, "share", &args.share, 0.0, 1.0);
     let spread = number(c, "spread", &args.spread, 0.0, 1.0);
+    let wanted = "1 to 10000";
+    let partitions = c.take("partitions", &args.partitions, wanted, |number: &u32| {
+        (1..=10_000).contains(number)
+    });
     let levels = ["error", "warn", "info", "debug", "trace"];
     let log_level = c.take(
         "log-level",
@@ -279,6 +291,7 @@
             keep: keep?,
             grace: grace?,
             fleet_key: args.fleet_key.clone(),
+            partitions: partitions?,
             log_level: log_level?,
             in_force,
         })
@@ -335,6 +348,7 @@
         front,
         link,
         fleet_key: checked.fleet_key,
+        partitions: checked.partitions,
         ready,
         directory,
         metrics: Some(metrics),
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -6,7 +6,7 @@
 mod link;
 
 use std::cell::RefCell;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -79,8 +79,10 @@
 struct Control {
     fleet: RefCell<Fleet>,
     waiting: RefCell<Vec<Waiting>>,
-    /// Wakes the ledger's task.
-    urgent: Notify,
+    /// Wakes the tasks of the ledger, by partition.
+    shards: RefCell<HashMap<u32, Rc<Notify>>>,
+    /// Partitions that customers are spread over.
+    partitions: u32,
     shared: Arc<Shared>,
     store: Arc<dyn Store>,
     dialect: Arc<dyn Dialect>,
@@ -119,6 +121,8 @@
     pub link: std::net::TcpListener,
     /// What routers of this fleet show each other.
     pub fleet_key: String,
+    /// Partitions of the store that customers are spread over.
+    pub partitions: u32,
     /// What the traffic asks.
     pub messages: mpsc::UnboundedReceiver<Message>,
 }
@@ -135,7 +139,8 @@
             let control = Rc::new(Control {
                 fleet: RefCell::new(Fleet::new(parts.settings)),
                 waiting: RefCell::default(),
-                urgent: Notify::new(),
+                shards: RefCell::default(),
+                partitions: parts.partitions,
                 shared: parts.shared,
                 store: parts.store,
                 dialect: parts.dialect,
@@ -149,7 +154,6 @@
             tasks.spawn_local(follow::config(Rc::clone(&control)));
             tasks.spawn_local(follow::targets(Rc::clone(&control)));
             tasks.spawn_local(follow::routers(Rc::clone(&control)));
-            tasks.spawn_local(ledger::keep(Rc::clone(&control)));
             tasks.spawn_local(link::listen(parts.link, parts.fleet_key, asked));
             tasks.spawn_local(link::beat(Rc::clone(&control)));
             tasks.block_on(&runtime, serve(control, parts.messages, questions));
@@ -224,25 +228,49 @@
     }
 }
 
-fn begin(control: &Control, job: Job, wait: Duration, reply: oneshot::Sender<Result<Go, Refusal>>) {
+fn begin(
+    control: &Rc<Control>,
+    job: Job,
+    wait: Duration,
+    reply: oneshot::Sender<Result<Go, Refusal>>,
+) {
     let now = control.now();
     let mut fleet = control.fleet.borrow_mut();
     fleet.note_demand(now, &job);
     let result = fleet.begin(now, job.clone());
     drop(fleet);
-    if result == Err(Refusal::Short) && control.shared.store_answers() {
-        let until = Instant::now() + wait;
-        control
-            .waiting
-            .borrow_mut()
-            .push(Waiting { job, until, reply });
-        control.urgent.notify_one();
-        return;
+    match result {
+        Err(Refusal::Short) => wait_for_grant(control, job, wait, reply),
+        Err(Refusal::Exhausted) => {
+            log_short(control, &job, Refusal::Exhausted);
+            answer(control, reply, result);
+        }
+        _ => answer(control, reply, result),
     }
-    if result == Err(Refusal::Exhausted) {
-        log_short(control, &job, Refusal::Exhausted);
+}
+
+/// Keeps a request until a grant or a loan comes, or its time to wait is over.
+fn wait_for_grant(
+    control: &Rc<Control>,
+    job: Job,
+    wait: Duration,
+    reply: oneshot::Sender<Result<Go, Refusal>>,
+) {
+    if control.shared.store_answers() {
+        hurry(control, &job);
+    } else {
+        borrow(control, &job);
+    }
+    let until = Instant::now() + wait;
+    let waiting = Waiting { job, until, reply };
+    control.waiting.borrow_mut().push(waiting);
+}
+
+/// Has the grant renewed that a request waits for.
+fn hurry(control: &Control, job: &Job) {
+    if let Some((customer, _)) = &job.payer {
+        ledger::hurry(control, customer);
     }
-    answer(control, reply, result);
 }
 
 /// Asks other routers for what a request costs.
@@ -315,8 +343,13 @@
     let now = Instant::now();
     for waiting in control.waiting.take() {
         if waiting.until <= now {
-            log_short(control, &waiting.job, Refusal::Short);
-            let _ = waiting.reply.send(Err(Refusal::Short));
+            let refusal = if control.shared.store_answers() {
+                Refusal::Short
+            } else {
+                Refusal::CutOff
+            };
+            log_short(control, &waiting.job, refusal);
+            let _ = waiting.reply.send(Err(refusal));
         } else {
             control.waiting.borrow_mut().push(waiting);
         }
--- a/src/gateway/control/follow.rs
+++ b/src/gateway/control/follow.rs
@@ -6,7 +6,7 @@
 
 use tokio::time::{Instant, sleep, timeout};
 
-use super::Control;
+use super::{Control, ledger};
 use crate::gateway::dialect::Listing;
 use crate::gateway::members::{Router, Source};
 use crate::gateway::target::Change;
@@ -94,7 +94,7 @@
 }
 
 /// Puts a configuration in force if it is newer.
-pub(super) fn take_config(control: &Control, bytes: &bytes::Bytes) {
+pub(super) fn take_config(control: &Rc<Control>, bytes: &bytes::Bytes) {
     let config = match control.dialect.config(bytes) {
         Ok(config) => config,
         Err(error) => {
@@ -122,7 +122,8 @@
         customers = config.customers().len()
     );
     control.shared.set_config(config, bytes.clone());
-    control.urgent.notify_one();
+    ledger::start_shards(control);
+    ledger::hurry_all(control);
 }
 
 /// Follows the list of targets.
--- a/src/gateway/control/ledger.rs
+++ b/src/gateway/control/ledger.rs
@@ -1,12 +1,17 @@
 //! Keeps this router's rows of the prepaid budgets: reads what others wrote, and writes its own
 //! only where nothing has come in between.
+//!
+//! Customers are spread over the partitions of the topic, so that routers seldom write to the same
+//! one at the same time. Each partition in use has a task.
 
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use rand::RngExt;
+use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Control, borrow_for_waiting, retry_waiting};
 use crate::gateway::escrow::Row;
@@ -14,9 +19,11 @@
 use crate::units::Tokens;
 use crate::util;
 
-/// Between two looks while nobody waits.
+/// Between two looks while nobody waits, in a small fleet.
 const GAP: Duration = Duration::from_millis(1_000);
-/// The same while the store does not answer.
+/// Routers of a small fleet; in a larger one there is more time between two looks.
+const SMALL_FLEET: usize = 16;
+/// Between two looks while the store does not answer.
 const LOST_GAP: Duration = Duration::from_millis(250);
 /// Tries in a row where others write at the same time.
 const TRIES_MAX: u32 = 12;
@@ -27,65 +34,130 @@
 /// Separates customer and router in a key.
 const SEPARATOR: char = '/';
 
-const PARTITION: Partition = Partition {
-    topic: Topic::Prepaid,
-    number: 0,
-};
+/// The partition that has a customer's rows.
+fn number_of(customer: &str, partitions: u32) -> u32 {
+    let hash = xxh3_64(customer.as_bytes()) % u64::from(partitions.max(1));
+    u32::try_from(hash).expect("a remainder of a number of 32 bits")
+}
 
-/// Where the rows stand.
-#[derive(Debug, Default)]
-struct Place {
+/// One partition, and where its rows stand.
+#[derive(Debug)]
+struct Shard {
+    partition: Partition,
     /// The offset up to which rows are known.
     next: Option<u64>,
     /// Rows whose append was not answered.
     unknown: Vec<(String, Row)>,
 }
 
-/// Keeps the rows for as long as the process runs.
-pub async fn keep(control: Rc<Control>) {
-    let mut place = Place::default();
+impl Shard {
+    fn new(number: u32) -> Self {
+        Self {
+            partition: Partition {
+                topic: Topic::Prepaid,
+                number,
+            },
+            next: None,
+            unknown: Vec::new(),
+        }
+    }
+}
+
+/// What to write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Purpose {
+    /// Rows that are worth it.
+    Renew,
+    /// All rows, without what is not used.
+    GiveBack,
+}
+
+/// Sees to it that each partition with customers has its task.
+pub fn start_shards(control: &Rc<Control>) {
+    let customers = control.fleet.borrow().payers();
+    for customer in customers {
+        let number = number_of(&customer, control.partitions);
+        let mut shards = control.shards.borrow_mut();
+        if let std::collections::hash_map::Entry::Vacant(vacant) = shards.entry(number) {
+            let urgent = Rc::new(Notify::new());
+            vacant.insert(Rc::clone(&urgent));
+            tokio::task::spawn_local(keep(Rc::clone(control), number, urgent));
+        }
+    }
+}
+
+/// Has the rows of a customer looked at now.
+pub fn hurry(control: &Control, customer: &str) {
+    let number = number_of(customer, control.partitions);
+    if let Some(urgent) = control.shards.borrow().get(&number) {
+        urgent.notify_one();
+    }
+}
+
+/// Has all rows looked at now.
+pub fn hurry_all(control: &Control) {
+    for urgent in control.shards.borrow().values() {
+        urgent.notify_one();
+    }
+}
+
+/// Keeps the rows of a partition for as long as the process runs.
+async fn keep(control: Rc<Control>, number: u32, urgent: Rc<Notify>) {
+    let mut shard = Shard::new(number);
     loop {
-        let gap = if control.shared.store_answers() {
-            GAP
-        } else {
-            LOST_GAP
-        };
-        let _ = timeout(gap, control.urgent.notified()).await;
         if control.shared.is_closed() {
             return;
         }
-        if let Err(error) = write(&control, &mut place, Vec::clone).await {
-            tracing::warn!(event = "grants_not_renewed", %error);
+        if let Err(error) = write(&control, &mut shard, Purpose::Renew).await {
+            tracing::warn!(event = "grants_not_renewed", partition = number, %error);
             sleep(RETRY_GAP).await;
         }
         retry_waiting(&control);
         borrow_for_waiting(&control);
+        let _ = timeout(gap(&control), urgent.notified()).await;
     }
 }
 
+fn gap(control: &Control) -> Duration {
+    if !control.shared.store_answers() {
+        return LOST_GAP;
+    }
+    let routers = control.fleet.borrow().members.count();
+    GAP.mul_f64((routers as f64 / SMALL_FLEET as f64).max(1.0))
+}
+
 /// Gives back what is not used; nothing runs any more.
-pub async fn give_back(control: &Control) {
+pub async fn give_back(control: &Rc<Control>) {
     control.shared.set_closed();
-    let mut place = Place::default();
-    let last = |_: &Vec<(String, Row)>| control.fleet.borrow().last_rows();
-    match write(control, &mut place, last).await {
-        Ok(()) => tracing::info!(event = "grants_given_back"),
-        Err(error) => tracing::warn!(event = "grants_not_given_back", %error),
-    }
+    let numbers: Vec<u32> = control.shards.borrow().keys().copied().collect();
+    let tasks = numbers.into_iter().map(|number| {
+        let control = Rc::clone(control);
+        async move {
+            let mut shard = Shard::new(number);
+            match write(&control, &mut shard, Purpose::GiveBack).await {
+                Ok(()) => tracing::info!(event = "grants_given_back", partition = number),
+                Err(error) => {
+                    tracing::warn!(event = "grants_not_given_back", partition = number, %error);
+                }
+            }
+        }
+    });
+    futures::future::join_all(tasks).await;
 }
 
-/// Reads, and writes the rows that `change` makes of those that are worth writing.
-async fn write(
-    control: &Control,
-    place: &mut Place,
-    change: impl Fn(&Vec<(String, Row)>) -> Vec<(String, Row)>,
-) -> Result<(), CallError> {
+/// Reads and writes until nobody else has written in between.
+async fn write(control: &Control, shard: &mut Shard, purpose: Purpose) -> Result<(), CallError> {
     let mut result = Ok(());
     for _ in 0..TRIES_MAX {
-        result = write_once(control, place, &change).await;
-        control
-            .shared
-            .note_call(Topic::Prepaid, &result.as_ref().map(|_| ()));
+        if shard.next.is_some()
+            && shard.unknown.is_empty()
+            && rows(control, shard, purpose).is_empty()
+        {
+            return Ok(());
+        }
+        result = write_once(control, shard, purpose).await;
+        let noted = result.as_ref().map(|_| ());
+        control.shared.note_call(Topic::Prepaid, &noted);
         match &result {
             Err(CallError::Moved { .. } | CallError::Gone { .. }) => {
                 let pause = rand::rng().random_range(0..CLASH_PAUSE_MS);
@@ -99,33 +171,35 @@
 
 async fn write_once(
     control: &Control,
-    place: &mut Place,
-    change: impl Fn(&Vec<(String, Row)>) -> Vec<(String, Row)>,
+    shard: &mut Shard,
+    purpose: Purpose,
 ) -> Result<(), CallError> {
-    let next = read(control, place).await?;
-    let waiting = waiting(control);
-    let rows = control.fleet.borrow_mut().rows(control.now(), &waiting);
-    let rows = change(&rows);
+    let next = read(control, shard).await?;
+    let rows = rows(control, shard, purpose);
     if rows.is_empty() {
         return Ok(());
     }
     control.fleet.borrow_mut().rows_sent(&rows);
     let records = records(control, &rows);
-    match control.store.append(PARTITION, &records, Some(next)).await {
+    let appended = control
+        .store
+        .append(shard.partition, &records, Some(next))
+        .await;
+    match appended {
         Ok(end) => {
-            place.next = Some(end);
-            place.unknown.clear();
+            shard.next = Some(end);
+            shard.unknown.clear();
             control.fleet.borrow_mut().rows_acknowledged(&rows);
             log(&rows, next);
             Ok(())
         }
         Err(error) if error.may_be_done() => {
-            place.unknown.extend(rows);
+            shard.unknown.extend(rows);
             Err(error)
         }
         Err(error) => {
             // What was sent before may still be on its way, so only these rows are known not to be.
-            if place.unknown.is_empty() {
+            if shard.unknown.is_empty() {
                 control.fleet.borrow_mut().rows_withdrawn(&rows);
             }
             Err(error)
@@ -133,6 +207,24 @@
     }
 }
 
+/// The rows of a partition that are to be written.
+fn rows(control: &Control, shard: &Shard, purpose: Purpose) -> Vec<(String, Row)> {
+    let number = shard.partition.number;
+    let is_here = |customer: &str| number_of(customer, control.partitions) == number;
+    match purpose {
+        Purpose::Renew => {
+            let waiting = waiting(control);
+            let mut fleet = control.fleet.borrow_mut();
+            fleet.rows(control.now(), &waiting, is_here)
+        }
+        Purpose::GiveBack => {
+            let mut rows = control.fleet.borrow().last_rows();
+            rows.retain(|(customer, _)| is_here(customer));
+            rows
+        }
+    }
+}
+
 /// What waits for a grant, by customer.
 fn waiting(control: &Control) -> HashMap<String, Tokens> {
     let mut needed: HashMap<String, Tokens> = HashMap::new();
@@ -169,27 +261,30 @@
 }
 
 /// Reads up to the end of the partition, and returns that end.
-async fn read(control: &Control, place: &mut Place) -> Result<u64, CallError> {
+async fn read(control: &Control, shard: &mut Shard) -> Result<u64, CallError> {
     loop {
-        let page = match place.next {
-            None => control.store.newest(PARTITION).await?,
-            Some(from) => match control.store.read(PARTITION, from, Duration::ZERO).await {
-                Err(error @ CallError::Gone { .. }) => {
-                    place.next = None;
-                    return Err(error);
+        let page = match shard.next {
+            None => control.store.newest(shard.partition).await?,
+            Some(from) => {
+                let page = control
+                    .store
+                    .read(shard.partition, from, Duration::ZERO)
+                    .await;
+                if let Err(CallError::Gone { .. }) = page {
+                    shard.next = None;
                 }
-                result => result?,
-            },
+                page?
+            }
         };
-        take(control, place, &page);
-        place.next = Some(page.next);
+        take(control, shard, &page);
+        shard.next = Some(page.next);
         if page.next >= page.end {
             return Ok(page.next);
         }
     }
 }
 
-fn take(control: &Control, place: &mut Place, page: &TopicPage) {
+fn take(control: &Control, shard: &mut Shard, page: &TopicPage) {
     let mut fleet = control.fleet.borrow_mut();
     let me = fleet.members.me.name.clone();
     let incarnation = fleet.incarnation();
@@ -207,9 +302,9 @@
             own.push((customer.to_owned(), row));
         }
     }
-    if !place.unknown.is_empty() && !page.records.is_empty() {
+    if !shard.unknown.is_empty() && !page.records.is_empty() {
         // The partition has moved on, so what was sent is either here or never will be.
-        let unknown = std::mem::take(&mut place.unknown);
+        let unknown = std::mem::take(&mut shard.unknown);
         fleet.rows_withdrawn(&unknown);
         fleet.rows_acknowledged(&own);
     }
--- a/src/gateway/control/link.rs
+++ b/src/gateway/control/link.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep};
 
-use super::{Control, follow, retry_waiting};
+use super::{Control, follow, ledger, retry_waiting};
 use crate::gateway::dialect::Listing;
 use crate::gateway::members::{Router, Source};
 use crate::gateway::target::Outstanding;
@@ -135,7 +135,7 @@
             drop(fleet);
             tracing::info!(event = "lent", %customer, wanted = most.0, lent = lent.0);
             if can_renew {
-                control.urgent.notify_one();
+                ledger::hurry(control, &customer);
             }
             Answer::Lent(lent)
         }
@@ -213,7 +213,7 @@
         .collect()
 }
 
-async fn tell(control: &Control, router: Router) {
+async fn tell(control: &Rc<Control>, router: Router) {
     let question = Question::Beat(beat_of(control));
     match control.links.ask(router.link, &question).await {
         Ok(Answer::Beat {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -80,6 +80,8 @@
     Exhausted,
     /// This router's part of the budget does not hold it, and no more came in time.
     Short,
+    /// The same, while the store does not answer.
+    CutOff,
 }
 
 /// What came of a try.
@@ -352,15 +354,25 @@
         self.prepaid.insert(customer.to_owned(), prepaid);
     }
 
+    /// The customers whose budgets are kept.
+    pub fn payers(&self) -> Vec<String> {
+        self.prepaid.keys().cloned().collect()
+    }
+
     /// Takes in a row of the store.
     pub fn set_row(&mut self, customer: &str, router: &str, row: Option<Row>) {
         let ledger = self.ledgers.entry(customer.to_owned()).or_default();
         ledger.set(router, row);
     }
 
-    /// The rows that are worth writing now, by customer. `waiting` says what requests need that
-    /// wait for a grant. All ledgers must be as of the offset that the rows are written at.
-    pub fn rows(&mut self, now: Millis, waiting: &HashMap<String, Tokens>) -> Vec<(String, Row)> {
+    /// The rows that are worth writing now, of the customers that `includes` names. `waiting` says
+    /// what requests need that wait for a grant. All ledgers must be as of the offset that the rows are written at.
+    pub fn rows(
+        &mut self,
+        now: Millis,
+        waiting: &HashMap<String, Tokens>,
+        includes: impl Fn(&str) -> bool,
+    ) -> Vec<(String, Row)> {
         let me = &self.settings.me;
         let holder = Holder {
             router: &me.name,
@@ -372,6 +384,9 @@
         };
         let mut rows = Vec::new();
         for (customer, prepaid) in &self.prepaid {
+            if !includes(customer) {
+                continue;
+            }
             let ledger = self.ledgers.entry(customer.clone()).or_default();
             let account = self.accounts.entry(customer.clone()).or_default();
             let needed = waiting.get(customer).copied().unwrap_or_default();
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -38,6 +38,8 @@
     pub link: TcpListener,
     /// What routers of this fleet show each other.
     pub fleet_key: String,
+    /// Partitions of the store that customers are spread over.
+    pub partitions: u32,
     /// For questions about readiness.
     pub ready: TcpListener,
     /// For questions about addresses.
@@ -85,6 +87,7 @@
         dialect: Arc::clone(&dialect),
         link: options.link.into_std()?,
         fleet_key: options.fleet_key,
+        partitions: options.partitions,
         messages,
     });
     let desk = Desk::new(sender);
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -63,7 +63,8 @@
         match self {
             Self::NoConfig => Some(Millis(300)),
             Self::Stopping => Some(Millis(20)),
-            Self::Refused(Refusal::Short) => Some(Millis(5_000)),
+            Self::Refused(Refusal::Short) => Some(Millis(250)),
+            Self::Refused(Refusal::CutOff) => Some(Millis(5_000)),
             Self::Refused(Refusal::NoTarget) | Self::Unreachable => Some(Millis(250)),
             Self::Refused(Refusal::NoRepeats) | Self::TargetRefused => Some(Millis(100)),
             _ => None,
@@ -84,6 +85,7 @@
             Self::Refused(Refusal::NoRepeats) => "no_repeats",
             Self::Refused(Refusal::Exhausted) => "budget_exhausted",
             Self::Refused(Refusal::Short) => "budget_short_here",
+            Self::Refused(Refusal::CutOff) => "budget_short_and_cut_off",
             Self::TargetRefused => "target_refused",
             Self::Unreachable => "unreachable",
             Self::Late => "late",
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -114,7 +114,7 @@
         self.closed.load(Ordering::Relaxed)
     }
 
-    /// Whether the store answered the last call for grants.
+    /// Whether the store answered the last call for grants or targets.
     pub fn store_answers(&self) -> bool {
         !self.store_lost.load(Ordering::Relaxed)
     }
@@ -129,7 +129,7 @@
         if lost {
             self.metrics.store_failures.add(1);
         }
-        if topic != Topic::Prepaid {
+        if !matches!(topic, Topic::Prepaid | Topic::Targets) {
             return;
         }
         if self.store_lost.swap(lost, Ordering::Relaxed) != lost {
