Share how tries end at targets, and let connections rest longer

Cause: a router sees a target too seldom to notice in a few seconds that it loses answers. Change: routers tell each other fading counts of failed and answered tries, and choose by the share over all; connections rest 0.85 of the time told.

--- a/src/gateway/control/link.rs
+++ b/src/gateway/control/link.rs
@@ -172,7 +172,7 @@
         router,
         config: config.as_ref().map_or(0, |config| config.version),
         in_contact: control.shared.store_answers(),
-        outstanding: fleet.targets.outstanding(),
+        outstanding: fleet.targets.outstanding(control.now()),
     }
 }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -32,7 +32,7 @@
 /// How long a connection rests where the target does not say how long it keeps it.
 const REST: Duration = Duration::from_millis(4_000);
 /// Part of the time that a target keeps a resting connection for which it is used.
-const REST_SHARE: f64 = 0.6;
+const REST_SHARE: f64 = 0.85;
 /// Targets that are tried in vain, without a connection, before a request is given up.
 const UNREACHED_MAX: u32 = 3;
 /// A grant is waited for during this part of the goal.
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -32,6 +32,17 @@
 /// Share of a group's targets that may be ejected.
 const EJECTED_SHARE: f64 = 0.5;
 
+/// How fast counts of tries fade, in milliseconds.
+const TRIES_SPAN: f64 = 3_000.0;
+/// Counts below this are not told.
+const TRIES_MIN: f64 = 0.1;
+/// Tries that are taken to have been answered before any are known.
+const TRIES_PRIOR: f64 = 2.0;
+/// What a target costs of which all tries fail, in tokens.
+const FAILING_TOKENS: f64 = 20_000.0;
+/// The same for plain requests, in slots of the target.
+const FAILING_SLOTS: f64 = 2.0;
+
 /// How long a target is thought to keep a part after its last use.
 const CACHE_KEPT: Millis = Millis(20_000);
 /// Parts remembered before those that count no more are forgotten.
@@ -50,11 +61,40 @@
     pub others: Outstanding,
     load: Option<(Millis, Load)>,
     health: Health,
+    tries: Tries,
     listed: bool,
 }
 
-/// Work at a target.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// How tries ended of late: counts that fade.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tries {
+    failed: f64,
+    answered: f64,
+    at: Millis,
+}
+
+impl Tries {
+    fn at(self, now: Millis) -> Self {
+        let elapsed = now.saturating_sub(self.at).0 as f64;
+        let fade = (-elapsed / TRIES_SPAN).exp();
+        Self {
+            failed: self.failed * fade,
+            answered: self.answered * fade,
+            at: now,
+        }
+    }
+
+    fn note(&mut self, now: Millis, outcome: Outcome) {
+        *self = self.at(now);
+        match outcome {
+            Outcome::Failed => self.failed += 1.0,
+            Outcome::Answered { .. } => self.answered += 1.0,
+        }
+    }
+}
+
+/// Work at a target, and how tries there ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Outstanding {
     /// Hash of the target's instance.
     pub instance: u64,
@@ -62,6 +102,10 @@
     pub in_flight: u32,
     /// Tokens of prompts that are not answered yet.
     pub backlog: u64,
+    /// Tries of late that failed; older ones count less.
+    pub failed: f32,
+    /// Tries of late that were answered, likewise.
+    pub answered: f32,
 }
 
 /// All targets.
@@ -119,6 +163,7 @@
             others: Outstanding::default(),
             load: None,
             health: Health::default(),
+            tries: Tries::default(),
             listed: true,
         });
         Change::Added
@@ -169,6 +214,7 @@
 
     /// Notes how a request ended there. Whether the target is ejected by it is returned.
     pub fn note(&mut self, now: Millis, key: Key, outcome: Outcome) -> bool {
+        self.all[key.0].tries.note(now, outcome);
         let wants = self.all[key.0].health.note(outcome);
         if !wants || self.all[key.0].health.is_ejected(now) {
             return false;
@@ -220,7 +266,7 @@
             } else {
                 HALL_COST
             };
-            let failing = target.health.failures() * slots;
+            let failing = target.failing(now) * slots * FAILING_SLOTS;
             let full = if busy >= slots { FULL_COST } else { 0.0 };
             (busy + away + failing + full, tie(key, seed))
         };
@@ -304,19 +350,27 @@
                 let sum = &mut self.all[key.0].others;
                 sum.in_flight += outstanding.in_flight;
                 sum.backlog += outstanding.backlog;
+                sum.failed += outstanding.failed;
+                sum.answered += outstanding.answered;
             }
         }
     }
 
-    /// What this router has at each target.
-    pub fn outstanding(&self) -> Vec<Outstanding> {
-        let busy = self.all.iter().filter(|target| target.in_flight > 0);
-        busy.map(|target| Outstanding {
-            instance: xxh3_64(target.listing.instance.as_bytes()),
-            in_flight: target.in_flight,
-            backlog: target.backlog,
-        })
-        .collect()
+    /// What this router has at each target, and how its tries ended there.
+    pub fn outstanding(&self, now: Millis) -> Vec<Outstanding> {
+        let told = self.all.iter().filter_map(|target| {
+            let tries = target.tries.at(now);
+            let is_quiet = tries.failed < TRIES_MIN && tries.answered < TRIES_MIN;
+            let outstanding = Outstanding {
+                instance: xxh3_64(target.listing.instance.as_bytes()),
+                in_flight: target.in_flight,
+                backlog: target.backlog,
+                failed: tries.failed as f32,
+                answered: tries.answered as f32,
+            };
+            (target.in_flight > 0 || !is_quiet).then_some(outstanding)
+        });
+        told.collect()
     }
 }
 
@@ -341,10 +395,18 @@
         } else {
             0.0
         };
-        let failing = self.health.failures() * FULL_COST / 100.0;
+        let failing = self.failing(now) * FAILING_TOKENS;
         waiting.max(seen) + busy * RUNNING_COST + full + failing
     }
 
+    /// Share of tries of late that failed, over all routers; few tries say little.
+    fn failing(&self, now: Millis) -> f64 {
+        let own = self.tries.at(now);
+        let failed = own.failed + f64::from(self.others.failed);
+        let answered = own.answered + f64::from(self.others.answered);
+        failed / (failed + answered + TRIES_PRIOR)
+    }
+
     fn told(&self, now: Millis) -> Option<Load> {
         let (since, load) = self.load?;
         (now.saturating_sub(since) < LOAD_KEPT).then_some(load)
