Lend what is lacking, log callers that leave early, and test the gateway over processes

Cause: near the end of a budget each of two routers asked the other for the whole cost of a request while holding part of it, so a request that fits was refused for ever with 503 (found by tests/gateway_path.rs exhausted_budget). Change: loans are of what is lacking, gathered from several routers; departures are logged and counted; a stand-in of the deployment under tests/.

--- a/src/gateway/control/link.rs
+++ b/src/gateway/control/link.rs
@@ -51,10 +51,8 @@
     Lend {
         /// The customer.
         customer: String,
-        /// Fewest that help.
-        least: Tokens,
         /// Most that are wanted.
-        most: Tokens,
+        wanted: Tokens,
     },
 }
 
@@ -124,16 +122,12 @@
 pub fn answer(control: &Control, question: Question) -> Answer {
     match question {
         Question::Beat(beat) => answer_beat(control, beat),
-        Question::Lend {
-            customer,
-            least,
-            most,
-        } => {
+        Question::Lend { customer, wanted } => {
             let can_renew = control.shared.store_answers();
             let mut fleet = control.fleet.borrow_mut();
-            let lent = fleet.lend(&customer, least, most, can_renew);
+            let lent = fleet.lend(&customer, wanted, can_renew);
             drop(fleet);
-            tracing::info!(event = "lent", %customer, wanted = most.0, lent = lent.0);
+            tracing::info!(event = "lent", %customer, wanted = wanted.0, lent = lent.0);
             if can_renew {
                 ledger::hurry(control, &customer);
             }
@@ -246,31 +240,40 @@
     }
 }
 
-/// Borrows what waiting requests need, from routers that may have it.
-pub async fn borrow(control: Rc<Control>, customer: String, least: Tokens) {
+/// Borrows what a waiting request lacks, from as many routers as it takes.
+pub async fn borrow(control: Rc<Control>, customer: String, cost: Tokens) {
     if !control.borrowing.borrow_mut().insert(customer.clone()) {
         return;
     }
-    let most = control.fleet.borrow().loan_wanted(&customer, least);
-    let lenders = live(&control, LENDERS);
-    for link in lenders {
+    for link in live(&control, LENDERS) {
+        let wanted = loan_wanted(&control, &customer, cost);
+        if wanted == Tokens::ZERO {
+            break;
+        }
         let question = Question::Lend {
             customer: customer.clone(),
-            least,
-            most,
+            wanted,
         };
-        if let Ok(Answer::Lent(lent)) = control.links.ask(link, &question).await
-            && lent > Tokens::ZERO
-        {
+        if let Ok(Answer::Lent(lent)) = control.links.ask(link, &question).await {
             control.fleet.borrow_mut().borrow(&customer, lent);
-            tracing::info!(event = "borrowed", %customer, %link, lent = lent.0);
-            break;
+            tracing::info!(event = "borrowed", %customer, %link, wanted = wanted.0, lent = lent.0);
         }
     }
     control.borrowing.borrow_mut().remove(&customer);
     retry_waiting(&control);
 }
 
+/// What is lacking; without the store, also what will soon be asked for.
+fn loan_wanted(control: &Control, customer: &str, cost: Tokens) -> Tokens {
+    const AHEAD_S: u64 = 2;
+    let fleet = control.fleet.borrow();
+    let lacking = fleet.lacking(customer, cost);
+    if lacking == Tokens::ZERO || control.shared.store_answers() {
+        return lacking;
+    }
+    lacking + Tokens(fleet.demand(customer).0 * AHEAD_S)
+}
+
 fn live(control: &Control, count: usize) -> Vec<SocketAddr> {
     let fleet = control.fleet.borrow();
     let live: Vec<SocketAddr> = fleet
--- a/src/gateway/escrow.rs
+++ b/src/gateway/escrow.rs
@@ -141,20 +141,16 @@
         (self.spent + self.reserved).saturating_sub(self.borrowed)
     }
 
-    /// Counts tokens as spent for another router. What is lent is returned: at least `least`, at
-    /// most `most`, or nothing. A lender that can renew its grant lends all that it has, another
-    /// keeps half.
-    pub fn lend(&mut self, least: Tokens, most: Tokens, can_renew: bool) -> Tokens {
+    /// Counts tokens as spent for another router; how many is returned, at most `wanted`. A lender
+    /// that can renew its grant lends all that it has, another keeps half.
+    pub fn lend(&mut self, wanted: Tokens, can_renew: bool) -> Tokens {
         let available = self.available();
         let spare = if can_renew {
             available
         } else {
             Tokens(available.0 / 2)
         };
-        let lent = most.min(spare);
-        if lent < least {
-            return Tokens::ZERO;
-        }
+        let lent = wanted.min(spare);
         self.spent += lent;
         self.check();
         lent
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -447,9 +447,9 @@
     }
 
     /// Lends tokens to another router; see [`Account::lend`].
-    pub fn lend(&mut self, customer: &str, least: Tokens, most: Tokens, can_renew: bool) -> Tokens {
+    pub fn lend(&mut self, customer: &str, wanted: Tokens, can_renew: bool) -> Tokens {
         let account = self.accounts.get_mut(customer);
-        account.map_or(Tokens::ZERO, |account| account.lend(least, most, can_renew))
+        account.map_or(Tokens::ZERO, |account| account.lend(wanted, can_renew))
     }
 
     /// Adds what another router has lent.
@@ -459,14 +459,16 @@
         }
     }
 
-    /// What to ask another router for, where a request of this cost cannot be paid for here.
-    pub fn loan_wanted(&self, customer: &str, cost: Tokens) -> Tokens {
-        const AHEAD_S: u64 = 2;
-        let demand = self
-            .accounts
-            .get(customer)
-            .map_or(Tokens::ZERO, Account::demand);
-        cost + Tokens(demand.0 * AHEAD_S)
+    /// What this router lacks to pay for requests of this cost.
+    pub fn lacking(&self, customer: &str, cost: Tokens) -> Tokens {
+        let account = self.accounts.get(customer);
+        cost.saturating_sub(account.map_or(Tokens::ZERO, Account::available))
+    }
+
+    /// What is asked for in a second, of a customer.
+    pub fn demand(&self, customer: &str) -> Tokens {
+        let account = self.accounts.get(customer);
+        account.map_or(Tokens::ZERO, Account::demand)
     }
 
     /// What this router has in the store, of a customer.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -98,6 +98,25 @@
     body: Bytes,
 }
 
+/// Notes a caller that leaves before it has the head of an answer: what serves it is then dropped.
+struct Departure<'a> {
+    relay: &'a Relay,
+    id: &'a str,
+    started: Instant,
+    is_over: bool,
+}
+
+impl Drop for Departure<'_> {
+    fn drop(&mut self) {
+        if self.is_over {
+            return;
+        }
+        self.relay.shared.metrics.cancelled.add(1);
+        let ms = self.started.elapsed().as_millis() as u64;
+        tracing::info!(event = "cancelled", id = %self.id, events = 0, ms);
+    }
+}
+
 impl Relay {
     /// Answers a caller.
     pub async fn serve(self: &Arc<Self>, request: hyper::Request<Incoming>) -> Response<Body> {
@@ -111,10 +130,17 @@
             }
         };
         let id = ask.id.clone();
+        let mut departure = Departure {
+            relay: self,
+            id: &id,
+            started,
+            is_over: false,
+        };
         let result = match self.admit(request, ask, started).await {
             Ok(exchange) => exchange.run().await,
             Err(reason) => Err(reason),
         };
+        departure.is_over = true;
         result.unwrap_or_else(|reason| self.refuse(&id, reason, started))
     }
 
--- /dev/null
+++ b/tests/deployment/mod.rs
@@ -0,0 +1,357 @@
+//! A deployment on loopback: the platform's stand-ins in this process, and gateways as processes.
+#![allow(dead_code, missing_docs)]
+
+pub mod runner;
+pub mod server;
+pub mod store;
+
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use http_body_util::{BodyExt, Full};
+use lanedeck::net;
+use serde_json::{Value, json};
+
+use runner::Runner;
+use store::Store;
+
+/// Waits that end a test which would otherwise hang.
+pub const LONG: Duration = Duration::from_secs(30);
+pub const KEY: &str = "key-of-anna";
+pub const CUSTOMER: &str = "anna";
+pub const HOST: &str = "shop.example";
+
+/// A gateway process.
+pub struct Gateway {
+    child: Child,
+    pub name: String,
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    pub directory: SocketAddr,
+    pub link: SocketAddr,
+    pub metrics: SocketAddr,
+    pub store: SocketAddr,
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+impl Gateway {
+    fn start(name: &str, store: SocketAddr, flags: &[&str]) -> Self {
+        let [front, ready, directory, link, metrics] = std::array::from_fn(|_| free_address());
+        let mut command = Command::new(env!("CARGO_BIN_EXE_lanedeck"));
+        for (name, _) in std::env::vars().filter(|(name, _)| name.starts_with("LANEDECK_")) {
+            command.env_remove(name);
+        }
+        let log = match std::env::var_os("LANEDECK_TEST_LOGS") {
+            Some(folder) => {
+                let file = format!("{name}-{}.log", rand::random::<u32>());
+                let path = std::path::Path::new(&folder).join(file);
+                std::fs::File::create(path).map_or(Stdio::null(), Into::into)
+            }
+            None => Stdio::null(),
+        };
+        command
+            .args(["gateway", "--name", name, "--heartbeat", "200"])
+            .args(["--front", &front.to_string(), "--ready", &ready.to_string()])
+            .args([
+                "--directory",
+                &directory.to_string(),
+                "--link",
+                &link.to_string(),
+            ])
+            .args([
+                "--metrics",
+                &metrics.to_string(),
+                "--store",
+                &store.to_string(),
+            ])
+            .args(flags)
+            .stdout(log);
+        Self {
+            child: command.spawn().expect("the binary starts"),
+            name: name.to_owned(),
+            front,
+            ready,
+            directory,
+            link,
+            metrics,
+            store,
+        }
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill")
+            .args([&format!("-{name}"), &pid])
+            .status();
+        assert!(status.unwrap().success());
+    }
+
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        let ask = Ask::get("/api/readyz");
+        try_ask(self.ready, &ask)
+            .await
+            .is_some_and(|answer| answer.status == 200)
+    }
+}
+
+/// A deployment.
+pub struct Deployment {
+    pub store: Store,
+    pub gateways: Vec<Gateway>,
+}
+
+impl Deployment {
+    /// Gateways with a configuration and these runners, all ready.
+    pub async fn start(count: usize, config: &Value, runners: &[(&str, &Runner)]) -> Self {
+        Self::start_with(count, config, runners, &[]).await
+    }
+
+    /// The same with more flags.
+    pub async fn start_with(
+        count: usize,
+        config: &Value,
+        runners: &[(&str, &Runner)],
+        flags: &[&str],
+    ) -> Self {
+        let store = Store::default();
+        store.put("keyed.op", "config", Some(config));
+        for (service, runner) in runners {
+            list(&store, service, runner, "ready");
+        }
+        let mut deployment = Self {
+            store,
+            gateways: Vec::new(),
+        };
+        for number in 0..count {
+            deployment.add(&format!("g{number}"), flags).await;
+        }
+        deployment.wait_ready().await;
+        deployment
+    }
+
+    pub async fn add(&mut self, name: &str, flags: &[&str]) {
+        let address = self.store.open().await;
+        self.gateways.push(Gateway::start(name, address, flags));
+    }
+
+    pub async fn wait_ready(&self) {
+        for gateway in &self.gateways {
+            until(|| gateway.is_ready()).await;
+        }
+    }
+
+    /// Waits until each gateway names all as addresses to use.
+    pub async fn wait_acquainted(&self) {
+        let count = self.gateways.len();
+        for gateway in &self.gateways {
+            until(|| async { addresses(gateway).await.len() == count }).await;
+        }
+    }
+}
+
+/// Writes a runner's entry.
+pub fn list(store: &Store, service: &str, runner: &Runner, state: &str) {
+    let entry = json!({
+        "service": service, "address": runner.address, "zone": "hall", "version": "v1",
+        "slots": 64, "state": state, "coldLeftMs": 0, "sequence": 1,
+    });
+    store.put("keyed.servers", &runner.instance(), Some(&entry));
+}
+
+/// The addresses that a gateway tells callers to use.
+pub async fn addresses(gateway: &Gateway) -> Vec<String> {
+    let ask = Ask::get("/api/resolve?name=shop.example&region=r&zone=hall");
+    let Some(answer) = try_ask(gateway.directory, &ask).await else {
+        return Vec::new();
+    };
+    let body: Value = serde_json::from_str(&answer.body).unwrap_or_default();
+    let listed = body["addrs"].as_array().cloned().unwrap_or_default();
+    listed
+        .iter()
+        .map(|address| address.as_str().unwrap().to_owned())
+        .collect()
+}
+
+/// A configuration: plain routes below /once/ and /often/, streams below /talk/ and /resume/.
+pub fn config(version: u64, prepaid: u64) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str, attempts: u32| {
+        json!({
+            "name": name, "host": HOST, "pathPrefix": prefix, "kind": kind, "service": service,
+            "timeoutMs": 4000, "goalMs": 500, "priority": 1, "maxAttempts": attempts,
+            "public": false, "resumable": name == "resume",
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("once", "/once/", "non_idempotent", "app", 1),
+            route("often", "/often/", "idempotent", "app", 2),
+            route("talk", "/talk/", "streaming", "engine", 1),
+            route("resume", "/resume/", "streaming", "engine", 2),
+        ],
+        "services": [
+            { "name": "app", "healthPath": "/healthz", "maxConns": 100 },
+            { "name": "engine", "healthPath": "/healthz", "maxConns": 100,
+              "engine": { "slots": 64, "stride": 1 } },
+        ],
+        "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 65536,
+            "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 },
+        "tenants": [{ "name": CUSTOMER, "apiKeys": [KEY], "priority": 1, "prepaid": prepaid }],
+    })
+}
+
+/// A request of a client.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    pub method: Method,
+    pub path: String,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+impl Ask {
+    pub fn get(path: &str) -> Self {
+        Self {
+            method: Method::GET,
+            path: path.to_owned(),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+        }
+    }
+
+    /// A proper request with an id, a key and a deadline.
+    pub fn new(id: &str, path: &str) -> Self {
+        Self::get(path)
+            .with("host", HOST)
+            .with("x-attempt-id", id)
+            .with("x-deadline-ms", "5000")
+            .with("authorization", &format!("Bearer {KEY}"))
+    }
+
+    /// A proper model request.
+    pub fn talk(id: &str, path: &str, tokens: u64, most: u64) -> Self {
+        Self::new(id, path)
+            .with("x-model", "m")
+            .with("x-token-count", &format!("{tokens},{most}"))
+            .with(
+                "x-prompt-prefix",
+                &format!("a1:{},b2:1", tokens.saturating_sub(1)),
+            )
+            .post("prompt")
+    }
+
+    pub fn with(mut self, name: &'static str, value: &str) -> Self {
+        self.headers.insert(name, value.parse().unwrap());
+        self
+    }
+
+    pub fn without(mut self, name: &str) -> Self {
+        self.headers.remove(name);
+        self
+    }
+
+    pub fn post(mut self, body: &str) -> Self {
+        self.method = Method::POST;
+        self.body = Bytes::copy_from_slice(body.as_bytes());
+        self
+    }
+}
+
+/// What a client got.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: HeaderMap,
+    pub body: String,
+    /// Whether the body came to its end.
+    pub is_whole: bool,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> &str {
+        self.headers
+            .get(name)
+            .map_or("", |value| value.to_str().unwrap())
+    }
+
+    /// Numbers of the events, in order.
+    pub fn events(&self) -> Vec<u32> {
+        let lines = self
+            .body
+            .lines()
+            .filter_map(|line| line.strip_prefix("id: "));
+        lines.map(|id| id.parse().unwrap()).collect()
+    }
+}
+
+/// Asks on a new connection; `None` where it ends without an answer.
+pub async fn try_ask(address: SocketAddr, ask: &Ask) -> Option<Answer> {
+    let mut line = net::open(address, LONG, LONG).await.ok()?;
+    let mut request = http::Request::new(Full::new(ask.body.clone()));
+    *request.method_mut() = ask.method.clone();
+    *request.uri_mut() = ask.path.parse().unwrap();
+    *request.headers_mut() = ask.headers.clone();
+    if !ask.headers.contains_key("host") {
+        request.headers_mut().insert("host", HOST.parse().unwrap());
+    }
+    let response = line.send(request).await.ok()?;
+    let (parts, mut incoming) = response.into_parts();
+    let mut body = Vec::new();
+    let mut is_whole = true;
+    while let Some(frame) = incoming.frame().await {
+        match frame.map(|frame| frame.into_data()) {
+            Ok(Ok(data)) => body.extend_from_slice(&data),
+            Ok(Err(_)) => {}
+            Err(_) => {
+                is_whole = false;
+                break;
+            }
+        }
+    }
+    Some(Answer {
+        status: parts.status.as_u16(),
+        headers: parts.headers,
+        body: String::from_utf8(body).unwrap(),
+        is_whole,
+    })
+}
+
+/// Asks on a new connection.
+pub async fn ask(address: SocketAddr, ask: &Ask) -> Answer {
+    try_ask(address, ask).await.expect("an answer")
+}
+
+/// Waits until something holds.
+pub async fn until<F, A>(mut holds: F)
+where
+    F: FnMut() -> A,
+    A: Future<Output = bool>,
+{
+    let end = Instant::now() + LONG;
+    while !holds().await {
+        assert!(Instant::now() < end, "what is waited for comes in time");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/tests/deployment/runner.rs
@@ -0,0 +1,194 @@
+//! A stand-in of the platform's runners, plain and model engines: ids, signatures, instances, load,
+//! refusals and streams, with faults on demand.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream;
+use http::{HeaderMap, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+
+use super::server::{Body, Gone, Reply, serve};
+
+/// What a runner does with a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mode {
+    /// Answers as it should.
+    #[default]
+    Well,
+    /// Refuses, and does not run it.
+    Shed,
+    /// Runs it and answers 500.
+    Fail,
+    /// Runs it and closes the connection without an answer.
+    Lose,
+    /// Runs it and says nothing.
+    Mute,
+    /// Runs it and answers with another request's id.
+    Foreign,
+    /// Breaks a stream off after so many events, in the middle of the next.
+    Break(u32),
+    /// Streams slowly: so many milliseconds between events.
+    Slow(u64),
+}
+
+/// A request that has arrived.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub method: String,
+    pub path: String,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub ran: bool,
+}
+
+impl Arrival {
+    pub fn header(&self, name: &str) -> &str {
+        self.headers
+            .get(name)
+            .map_or("", |value| value.to_str().unwrap())
+    }
+}
+
+/// Events of a whole stream.
+pub const EVENTS: u32 = 6;
+
+struct Inner {
+    instance: Mutex<String>,
+    mode: Mutex<Mode>,
+    arrivals: Mutex<Vec<Arrival>>,
+}
+
+/// A runner.
+#[derive(Clone)]
+pub struct Runner {
+    inner: Arc<Inner>,
+    pub address: SocketAddr,
+}
+
+impl Runner {
+    pub async fn start(instance: &str) -> Self {
+        let inner = Arc::new(Inner {
+            instance: Mutex::new(instance.to_owned()),
+            mode: Mutex::default(),
+            arrivals: Mutex::default(),
+        });
+        let shared = Arc::clone(&inner);
+        let address = serve(move |_, request| answer(Arc::clone(&shared), request)).await;
+        Self { inner, address }
+    }
+
+    pub fn instance(&self) -> String {
+        self.inner.instance.lock().unwrap().clone()
+    }
+
+    /// Another instance takes the address.
+    pub fn replace(&self, instance: &str) {
+        *self.inner.instance.lock().unwrap() = instance.to_owned();
+    }
+
+    pub fn set(&self, mode: Mode) {
+        *self.inner.mode.lock().unwrap() = mode;
+    }
+
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.inner.arrivals.lock().unwrap().clone()
+    }
+
+    /// Requests that ran here.
+    pub fn runs(&self) -> usize {
+        self.arrivals().iter().filter(|arrival| arrival.ran).count()
+    }
+}
+
+async fn answer(inner: Arc<Inner>, request: hyper::Request<Incoming>) -> Result<Reply, Gone> {
+    let (parts, body) = request.into_parts();
+    let body = body.collect().await.map_err(|_| Gone)?.to_bytes();
+    let instance = inner.instance.lock().unwrap().clone();
+    let mode = *inner.mode.lock().unwrap();
+    let expected = parts.headers.get("x-expect-instance");
+    let is_meant = expected.is_none_or(|expected| expected.as_bytes() == instance.as_bytes());
+    let ran = is_meant && mode != Mode::Shed;
+    inner.arrivals.lock().unwrap().push(Arrival {
+        method: parts.method.to_string(),
+        path: parts.uri.to_string(),
+        headers: parts.headers.clone(),
+        body,
+        ran,
+    });
+    let id = parts.headers.get("x-attempt-id").cloned();
+    let id = id.map_or(String::new(), |id| id.to_str().unwrap().to_owned());
+    let mut head = Response::builder().header("x-attempt-id", &id);
+    if !is_meant {
+        let head = head.status(StatusCode::MISDIRECTED_REQUEST);
+        return Ok(head
+            .header("x-runner-id", instance)
+            .body(whole(""))
+            .unwrap());
+    }
+    head = head
+        .header("x-server-seal", format!("seal-of-{id}"))
+        .header("x-runner-load", "1,0,64")
+        .header("keep-alive", "timeout=5");
+    match mode {
+        Mode::Shed => {
+            let head = Response::builder().status(StatusCode::SERVICE_UNAVAILABLE);
+            return Ok(head.header("x-not-executed", "1").body(whole("")).unwrap());
+        }
+        Mode::Fail => {
+            let head = head.status(StatusCode::INTERNAL_SERVER_ERROR);
+            return Ok(head.body(whole("failed")).unwrap());
+        }
+        Mode::Lose => return Err(Gone),
+        Mode::Mute => std::future::pending().await,
+        Mode::Foreign => {
+            let head = Response::builder().header("x-attempt-id", "another");
+            return Ok(head
+                .header("x-server-seal", "s")
+                .body(whole("not yours"))
+                .unwrap());
+        }
+        Mode::Well | Mode::Break(_) | Mode::Slow(_) => {}
+    }
+    if !parts.headers.contains_key("x-token-count") {
+        let body = format!("answer to {id} of {instance}");
+        return Ok(head.body(whole(&body)).unwrap());
+    }
+    let last = parts.headers.get("last-event-id");
+    let begun = last.map_or(0, |last| last.to_str().unwrap().parse::<u32>().unwrap());
+    let head = head.header("content-type", "text/event-stream");
+    Ok(head.body(events(begun, mode)).unwrap())
+}
+
+/// Events after the one numbered `begun`.
+fn events(begun: u32, mode: Mode) -> Body {
+    Body::stream(stream::unfold(begun, move |last| async move {
+        let number = last + 1;
+        if let Mode::Slow(gap) = mode {
+            tokio::time::sleep(Duration::from_millis(gap)).await;
+        }
+        if let Mode::Break(after) = mode {
+            // What was sent before is on its way before the connection goes.
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            if last > begun + after {
+                return Some((Err(Gone), last));
+            }
+            if last == begun + after {
+                let half = format!("id: {number}\ndata: half");
+                return Some((Ok(half.into()), number));
+            }
+        }
+        if number > EVENTS {
+            return None;
+        }
+        let event = format!("id: {number}\ndata: piece {number}\n\n");
+        Some((Ok(Bytes::from(event)), number))
+    }))
+}
+
+fn whole(text: &str) -> Body {
+    Body::Whole(Full::new(Bytes::copy_from_slice(text.as_bytes())))
+}
--- /dev/null
+++ b/tests/deployment/store.rs
@@ -0,0 +1,246 @@
+//! A stand-in of the platform's store, written from its published protocol: topics, partitions,
+//! conditional appends, newest records of keyed topics. Each router is given an address of its own,
+//! so that the store can misbehave towards one of them.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use serde_json::json;
+
+use super::server::{Gone, Reply, serve};
+
+/// How the store treats one address.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// As it should.
+    #[default]
+    None,
+    /// It answers 503 and does nothing.
+    Unavailable,
+    /// It answers 429 and does nothing.
+    Limited,
+    /// It says nothing and does nothing.
+    Silent,
+    /// It does what is asked, and closes the connection without an answer.
+    LostAnswer,
+    /// It closes the connection, and does what is asked after this many milliseconds, if its
+    /// condition still holds.
+    Late(u64),
+}
+
+#[derive(Default)]
+struct Part {
+    first: u64,
+    records: Vec<Bytes>,
+    newest: BTreeMap<String, (u64, Bytes)>,
+}
+
+impl Part {
+    fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+
+    fn append(&mut self, is_keyed: bool, records: Vec<Bytes>) {
+        for record in records {
+            let offset = self.end();
+            if is_keyed {
+                let len = usize::from(record[0]);
+                let key = String::from_utf8(record[1..=len].to_vec()).unwrap();
+                let value = record.slice(1 + len..);
+                if value.is_empty() {
+                    self.newest.remove(&key);
+                } else {
+                    self.newest.insert(key, (offset, value));
+                }
+            }
+            self.records.push(record);
+        }
+    }
+}
+
+#[derive(Default)]
+struct Inner {
+    parts: Mutex<HashMap<(String, u32), Part>>,
+    faults: Mutex<HashMap<SocketAddr, Fault>>,
+}
+
+/// The store.
+#[derive(Clone, Default)]
+pub struct Store(Arc<Inner>);
+
+fn frames(mut bytes: Bytes) -> Vec<Bytes> {
+    let mut records = Vec::new();
+    while bytes.len() >= 4 {
+        let len = u32::from_be_bytes(bytes[..4].try_into().unwrap()) as usize;
+        records.push(bytes.slice(4..4 + len));
+        bytes = bytes.slice(4 + len..);
+    }
+    records
+}
+
+impl Store {
+    /// Opens an address for one router.
+    pub async fn open(&self) -> SocketAddr {
+        let store = self.clone();
+        serve(move |address, request| {
+            let store = store.clone();
+            async move { store.answer(address, request).await }
+        })
+        .await
+    }
+
+    pub fn set_fault(&self, address: SocketAddr, fault: Fault) {
+        self.0.faults.lock().unwrap().insert(address, fault);
+    }
+
+    /// Writes the newest record of a key, as operators and runners do.
+    pub fn put(&self, topic: &str, key: &str, value: Option<&serde_json::Value>) {
+        let mut record = vec![key.len() as u8];
+        record.extend_from_slice(key.as_bytes());
+        if let Some(value) = value {
+            record.extend_from_slice(value.to_string().as_bytes());
+        }
+        let mut parts = self.0.parts.lock().unwrap();
+        let part = parts.entry((topic.to_owned(), 0)).or_default();
+        part.append(true, vec![record.into()]);
+    }
+
+    /// Forgets the records of a topic; the newest of each key stay.
+    pub fn compact(&self, topic: &str) {
+        let mut parts = self.0.parts.lock().unwrap();
+        for ((name, _), part) in parts.iter_mut() {
+            if name == topic {
+                part.first = part.end();
+                part.records.clear();
+            }
+        }
+    }
+
+    async fn answer(
+        &self,
+        address: SocketAddr,
+        request: hyper::Request<Incoming>,
+    ) -> Result<Reply, Gone> {
+        let fault = self.0.faults.lock().unwrap().get(&address).copied();
+        match fault.unwrap_or_default() {
+            Fault::None => Ok(self.call(request).await),
+            Fault::Unavailable => Ok(status(StatusCode::SERVICE_UNAVAILABLE)),
+            Fault::Limited => Ok(status(StatusCode::TOO_MANY_REQUESTS)),
+            Fault::Silent => std::future::pending().await,
+            Fault::LostAnswer => {
+                self.call(request).await;
+                Err(Gone)
+            }
+            Fault::Late(millis) => {
+                let store = self.clone();
+                let (parts, body) = request.into_parts();
+                let body = body.collect().await.map(|body| body.to_bytes());
+                tokio::spawn(async move {
+                    tokio::time::sleep(Duration::from_millis(millis)).await;
+                    if let Ok(body) = body {
+                        store.act(&parts.uri, body).await;
+                    }
+                });
+                Err(Gone)
+            }
+        }
+    }
+
+    async fn call(&self, request: hyper::Request<Incoming>) -> Reply {
+        let (parts, body) = request.into_parts();
+        match body.collect().await {
+            Ok(body) => self.act(&parts.uri, body.to_bytes()).await,
+            Err(_) => status(StatusCode::BAD_REQUEST),
+        }
+    }
+
+    async fn act(&self, uri: &http::Uri, body: Bytes) -> Reply {
+        let query: HashMap<&str, &str> = uri
+            .query()
+            .unwrap_or_default()
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .collect();
+        let number = |name: &str| query.get(name).and_then(|text| text.parse::<u64>().ok());
+        let topic = query.get("topic").copied().unwrap_or_default().to_owned();
+        let place = (topic.clone(), number("part").unwrap_or_default() as u32);
+        match uri.path() {
+            "/api/log-append" => {
+                let mut parts = self.0.parts.lock().unwrap();
+                let part = parts.entry(place).or_default();
+                if number("at").is_some_and(|at| at != part.end()) {
+                    let body = json!({ "end": part.end() });
+                    return with(StatusCode::PRECONDITION_FAILED, body.to_string().into());
+                }
+                let offset = part.end();
+                part.append(topic.starts_with("keyed."), frames(body));
+                let body = json!({ "offset": offset, "end": part.end() });
+                with(StatusCode::OK, body.to_string().into())
+            }
+            "/api/log-read" => {
+                let from = number("from").unwrap_or_default();
+                let wait = number("waitMs").unwrap_or_default();
+                self.read(place, from, wait).await
+            }
+            "/api/log-newest" => {
+                let mut parts = self.0.parts.lock().unwrap();
+                let part = parts.entry(place).or_default();
+                let items: Vec<_> = part
+                    .newest
+                    .iter()
+                    .map(|(key, (offset, value))| {
+                        json!({ "key": key, "value": STANDARD.encode(value), "offset": offset })
+                    })
+                    .collect();
+                let body = json!({ "items": items, "more": false, "end": part.end() });
+                with(StatusCode::OK, body.to_string().into())
+            }
+            _ => status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    async fn read(&self, place: (String, u32), from: u64, wait: u64) -> Reply {
+        const STEP: u64 = 10;
+        let mut waited = 0;
+        loop {
+            {
+                let mut parts = self.0.parts.lock().unwrap();
+                let part = parts.entry(place.clone()).or_default();
+                if from < part.first {
+                    let body = json!({ "first": part.first });
+                    return with(StatusCode::GONE, body.to_string().into());
+                }
+                if part.end() > from || waited >= wait {
+                    let mut body = part.end().to_be_bytes().to_vec();
+                    body.extend(part.first.to_be_bytes());
+                    let skip = (from - part.first) as usize;
+                    for record in part.records.iter().skip(skip) {
+                        body.extend((record.len() as u32).to_be_bytes());
+                        body.extend_from_slice(record);
+                    }
+                    return with(StatusCode::OK, body.into());
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(STEP)).await;
+            waited += STEP;
+        }
+    }
+}
+
+fn status(status: StatusCode) -> Reply {
+    with(status, Bytes::new())
+}
+
+fn with(status: StatusCode, body: Bytes) -> Reply {
+    let mut response = Response::new(super::server::Body::Whole(Full::new(body)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/tests/gateway_path.rs
@@ -0,0 +1,194 @@
+//! A gateway between callers and runners: what is passed on, and what is refused.
+
+mod deployment;
+
+use deployment::runner::{EVENTS, Mode, Runner};
+use deployment::{Ask, CUSTOMER, Deployment, KEY, addresses, ask, config};
+
+const PLENTY: u64 = 1_000_000;
+
+async fn one() -> (Deployment, Runner, Runner) {
+    let app = Runner::start("i-app").await;
+    let engine = Runner::start("i-engine").await;
+    let runners = [("app", &app), ("engine", &engine)];
+    let deployment = Deployment::start(1, &config(1, PLENTY), &runners).await;
+    (deployment, app, engine)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn plain_request() {
+    let (deployment, app, _) = one().await;
+    let front = deployment.gateways[0].front;
+    let request = Ask::new("r1", "/once/buy?x=1%202")
+        .post("a body")
+        .with("x-other", "kept");
+    let answer = ask(front, &request).await;
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.body, "answer to r1 of i-app");
+    assert_eq!(answer.header("x-server-seal"), "seal-of-r1");
+    assert_eq!(answer.header("x-attempt-id"), "r1");
+    let arrivals = app.arrivals();
+    assert_eq!(arrivals.len(), 1);
+    let arrival = &arrivals[0];
+    assert_eq!(arrival.method, "POST");
+    assert_eq!(arrival.path, "/once/buy?x=1%202");
+    assert_eq!(&arrival.body[..], b"a body");
+    assert_eq!(arrival.header("x-attempt-id"), "r1");
+    assert_eq!(arrival.header("x-other"), "kept");
+    assert_eq!(arrival.header("x-expect-instance"), "i-app");
+    assert_eq!(arrival.header("x-tenant"), CUSTOMER);
+    assert_eq!(arrival.header("authorization"), "", "the key is not shown");
+    let left: u64 = arrival.header("x-deadline-ms").parse().unwrap();
+    assert!(left <= 4_000, "no more than the route's time: {left}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn forged_headers() {
+    let (deployment, app, _) = one().await;
+    let request = Ask::new("r1", "/often/x")
+        .with("x-tenant", "somebody")
+        .with("x-expect-instance", "i-other");
+    let answer = ask(deployment.gateways[0].front, &request).await;
+    assert_eq!(answer.status, 200);
+    let arrivals = app.arrivals();
+    assert_eq!(arrivals[0].header("x-tenant"), CUSTOMER);
+    assert_eq!(arrivals[0].header("x-expect-instance"), "i-app");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streamed_answer() {
+    let (deployment, _, engine) = one().await;
+    let request = Ask::talk("s1", "/talk/x", 100, 50);
+    let answer = ask(deployment.gateways[0].front, &request).await;
+    assert_eq!(answer.status, 200);
+    assert!(answer.is_whole);
+    assert_eq!(answer.events(), (1..=EVENTS).collect::<Vec<_>>());
+    assert_eq!(answer.header("x-server-seal"), "seal-of-s1");
+    assert_eq!(engine.runs(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_input() {
+    let (deployment, app, engine) = one().await;
+    let front = deployment.gateways[0].front;
+    let cases = [
+        (Ask::new("r", "/once/x").without("x-attempt-id"), 400),
+        (Ask::new("r", "/once/x").with("x-deadline-ms", "soon"), 400),
+        (Ask::new("r", "/talk/x").with("x-token-count", "many"), 400),
+        (
+            Ask::talk("r", "/talk/x", 10, 5).with("x-prompt-prefix", "zz"),
+            400,
+        ),
+        (Ask::new("r", "/nowhere/x"), 404),
+        (Ask::new("r", "/once/x").with("host", "other.example"), 404),
+        (Ask::new("r", "/once/x").without("authorization"), 401),
+        (
+            Ask::new("r", "/once/x").with("authorization", "Bearer nobody"),
+            401,
+        ),
+        (Ask::new("r", "/once/x").with("authorization", KEY), 401),
+        (Ask::new("r", "/once/x").post(&"b".repeat(70_000)), 413),
+    ];
+    for (request, status) in cases {
+        let answer = ask(front, &request).await;
+        assert_eq!(answer.status, status, "{request:?}");
+        let body: serde_json::Value = serde_json::from_str(&answer.body).unwrap();
+        assert!(body["error"].is_string(), "{answer:?}");
+    }
+    assert_eq!(
+        app.arrivals().len() + engine.arrivals().len(),
+        0,
+        "nothing was sent"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn exhausted_budget() {
+    let engine = Runner::start("i-engine").await;
+    let runners = [("engine", &engine)];
+    let deployment = Deployment::start(2, &config(1, 1_000), &runners).await;
+    let served = std::cell::Cell::new(0);
+    let mut number = 0;
+    // A gateway says so only once it knows what the other one has spent; until then it says 503.
+    deployment::until(|| {
+        number += 1;
+        let gateway = &deployment.gateways[number % 2];
+        let request = Ask::talk(&format!("s{number}"), "/talk/x", 100, 50);
+        let front = gateway.front;
+        let served = &served;
+        async move {
+            let answer = ask(front, &request).await;
+            match answer.status {
+                200 => served.set(served.get() + 1),
+                402 | 503 => {}
+                other => panic!("{other}"),
+            }
+            answer.status == 402
+        }
+    })
+    .await;
+    let served = served.get();
+    let each = 100 + u64::from(EVENTS);
+    assert!(
+        served * each <= 1_000,
+        "spent more than was prepaid: {served}"
+    );
+    assert!(served >= 8, "what is left holds more: {served}");
+    let plain = Ask::new("p", "/often/x");
+    assert_eq!(
+        ask(deployment.gateways[0].front, &plain).await.status,
+        503,
+        "no such target"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn directory_and_metrics() {
+    let (mut deployment, _, _) = one().await;
+    deployment.add("g1", &[]).await;
+    deployment.wait_ready().await;
+    deployment.wait_acquainted().await;
+    let all: Vec<String> = deployment
+        .gateways
+        .iter()
+        .map(|g| g.front.to_string())
+        .collect();
+    let mut told = addresses(&deployment.gateways[0]).await;
+    told.sort();
+    let mut all = all;
+    all.sort();
+    assert_eq!(told, all);
+    ask(deployment.gateways[0].front, &Ask::new("r", "/often/x")).await;
+    let text = ask(deployment.gateways[0].metrics, &Ask::get("/metrics"))
+        .await
+        .body;
+    assert!(text.contains("lanedeck_requests_total 1"), "{text}");
+    assert!(
+        text.contains("lanedeck_plain_ms{quantile=\"0.99\"}"),
+        "{text}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn start_without_store() {
+    let app = Runner::start("i-app").await;
+    let mut deployment = Deployment::start(0, &config(1, PLENTY), &[("app", &app)]).await;
+    deployment.add("g0", &[]).await;
+    let gateway = &deployment.gateways[0];
+    deployment
+        .store
+        .set_fault(gateway.store, deployment::store::Fault::Unavailable);
+    deployment::until(|| async {
+        let answer = deployment::try_ask(gateway.front, &Ask::new("r", "/often/x")).await;
+        answer.is_some_and(|answer| answer.status == 503)
+    })
+    .await;
+    assert!(!gateway.is_ready().await);
+    deployment
+        .store
+        .set_fault(gateway.store, deployment::store::Fault::None);
+    deployment.wait_ready().await;
+    let answer = ask(gateway.front, &Ask::new("r2", "/often/x")).await;
+    assert_eq!(answer.status, 200);
+    app.set(Mode::Well);
+}
