--- /dev/null
+++ b/tests/escrow_rows.rs
@@ -0,0 +1,288 @@
+//! Prepaid budgets under escrow: randomised runs of several routers over a store that loses
+//! answers, does appends late, and of routers that die and come back. What all routers together
+//! spend never passes what was prepaid, and what nobody holds can be spent.
+
+use std::collections::HashMap;
+
+use arbtest::arbitrary::Unstructured;
+use arbtest::{ArbTest, arbtest};
+use lanedeck::gateway::escrow::{Account, Holder, Ledger, Row, Short, Sizing};
+use lanedeck::units::{Millis, Tokens};
+
+const ROUTERS: usize = 4;
+const STEPS: usize = 120;
+const SIZING: Sizing = Sizing {
+    horizon: Millis(8_000),
+    exact: Millis(2_000),
+    share: 0.8,
+    spread: 0.2,
+    routers: ROUTERS,
+};
+
+/// The store: rows in the order that they were written.
+#[derive(Default)]
+struct Store {
+    log: Vec<(String, Row)>,
+}
+
+impl Store {
+    fn append(&mut self, at: usize, router: &str, row: Row) -> bool {
+        let fits = self.log.len() == at;
+        if fits {
+            self.log.push((router.to_owned(), row));
+        }
+        fits
+    }
+}
+
+struct Router {
+    name: String,
+    incarnation: u64,
+    account: Account,
+    ledger: Ledger,
+    read: usize,
+    reserved: Vec<Tokens>,
+    /// An append whose answer was lost.
+    unknown: Option<(usize, Row)>,
+}
+
+impl Router {
+    fn new(number: usize, incarnation: u64) -> Self {
+        Self {
+            name: format!("r{number}"),
+            incarnation,
+            account: Account::default(),
+            ledger: Ledger::default(),
+            read: 0,
+            reserved: Vec::new(),
+            unknown: None,
+        }
+    }
+
+    fn read(&mut self, store: &Store) {
+        for (router, row) in &store.log[self.read..] {
+            self.ledger.set(router, Some(*row));
+        }
+        if let Some((at, row)) = self.unknown
+            && store.log.len() > at
+        {
+            self.account.withdraw();
+            let (router, written) = &store.log[at];
+            if *router == self.name && *written == row {
+                self.account.acknowledge(&row);
+            }
+            self.unknown = None;
+        }
+        self.read = store.log.len();
+    }
+
+    fn row(&mut self, now: Millis, prepaid: Tokens, waiting: Tokens) -> Row {
+        let holder = Holder {
+            router: &self.name,
+            incarnation: self.incarnation,
+        };
+        self.account
+            .wanted(now, &self.ledger, &holder, prepaid, &SIZING, waiting)
+    }
+}
+
+/// What an append comes to.
+#[derive(Clone, Copy)]
+enum Fate {
+    Answered,
+    LostDone,
+    LostNotDone,
+    LostLate,
+}
+
+struct World {
+    store: Store,
+    routers: Vec<Router>,
+    /// Appends that are done later, if they still fit.
+    late: Vec<(usize, String, Row)>,
+    /// What targets have handed out, for which nobody can ask back.
+    spent: u64,
+    incarnations: u64,
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            store: Store::default(),
+            routers: (0..ROUTERS).map(|n| Router::new(n, n as u64)).collect(),
+            late: Vec::new(),
+            spent: 0,
+            incarnations: ROUTERS as u64,
+        }
+    }
+
+    fn renew(&mut self, index: usize, now: Millis, prepaid: Tokens, waiting: Tokens, fate: Fate) {
+        let router = &mut self.routers[index];
+        router.read(&self.store);
+        if router.unknown.is_some() {
+            // The same place is tried again: if this one is done, the former never is.
+            router.unknown = None;
+        }
+        let row = router.row(now, prepaid, waiting);
+        router.account.send(&row);
+        let at = router.read;
+        match fate {
+            Fate::Answered => {
+                if self.store.append(at, &router.name, row) {
+                    router.account.acknowledge(&row);
+                    router.ledger.set(&router.name, Some(row));
+                    router.read = self.store.log.len();
+                } else {
+                    router.unknown = Some((at, row));
+                }
+            }
+            Fate::LostDone => {
+                self.store.append(at, &router.name, row);
+                router.unknown = Some((at, row));
+            }
+            Fate::LostNotDone => router.unknown = Some((at, row)),
+            Fate::LostLate => {
+                self.late.push((at, router.name.clone(), row));
+                router.unknown = Some((at, row));
+            }
+        }
+    }
+
+    fn kill(&mut self, index: usize) {
+        // Whatever was under way may have been handed out whole.
+        let reserved: Tokens = self.routers[index].reserved.iter().copied().sum();
+        self.spent += reserved.0;
+        self.incarnations += 1;
+        self.routers[index] = Router::new(index, self.incarnations);
+    }
+
+    fn outstanding(&self) -> u64 {
+        let reserved = self.routers.iter().flat_map(|router| &router.reserved);
+        reserved.map(|tokens| tokens.0).sum()
+    }
+}
+
+fn step(
+    world: &mut World,
+    u: &mut Unstructured<'_>,
+    now: Millis,
+    prepaid: Tokens,
+) -> arbtest::arbitrary::Result<()> {
+    let index = u.int_in_range(0..=ROUTERS - 1)?;
+    match u.int_in_range(0..=9)? {
+        0..=3 => {
+            let cost = Tokens(u.int_in_range(1..=400)?);
+            let router = &mut world.routers[index];
+            router.account.note_demand(now, cost);
+            let result = router
+                .account
+                .reserve(cost, prepaid, &router.ledger, &router.name);
+            match result {
+                Ok(()) => router.reserved.push(cost),
+                Err(Short::Here | Short::Exhausted) => {}
+            }
+        }
+        4..=5 => {
+            if let Some(reserved) = world.routers[index].reserved.pop() {
+                let cost = Tokens(u.int_in_range(0..=reserved.0)?);
+                world.routers[index].account.settle(reserved, cost);
+                world.spent += cost.0;
+            }
+        }
+        6..=7 => {
+            let fate = *u.choose(&[
+                Fate::Answered,
+                Fate::Answered,
+                Fate::LostDone,
+                Fate::LostNotDone,
+                Fate::LostLate,
+            ])?;
+            let waiting = Tokens(u.int_in_range(0..=400)?);
+            // An append that is still unknown is resolved before the next one.
+            world.routers[index].read(&world.store);
+            if world.routers[index].unknown.is_none() {
+                world.renew(index, now, prepaid, waiting, fate);
+            }
+        }
+        8 => {
+            if let Some((at, name, row)) = world.late.pop() {
+                world.store.append(at, &name, row);
+            }
+            let other = u.int_in_range(0..=ROUTERS - 1)?;
+            if other != index {
+                let wanted = Tokens(u.int_in_range(0..=300)?);
+                let lent = world.routers[index].account.lend(wanted, u.arbitrary()?);
+                world.routers[other].account.borrow(lent);
+            }
+        }
+        _ => world.kill(index),
+    }
+    Ok(())
+}
+
+#[test]
+fn never_over() {
+    let run: ArbTest<_> = arbtest(|u| {
+        let prepaid = Tokens(u.int_in_range(500..=20_000)?);
+        let mut world = World::new();
+        for number in 0..STEPS {
+            if u.is_empty() {
+                break;
+            }
+            let now = Millis(1_000_000 + number as u64 * 137);
+            step(&mut world, u, now, prepaid)?;
+            let most = world.spent + world.outstanding();
+            assert!(most <= prepaid.0, "spent {most} of {}", prepaid.0);
+        }
+        Ok(())
+    });
+    run.size_min(1 << 10)
+        .size_max(1 << 14)
+        .budget_ms(4_000)
+        .run();
+}
+
+#[test]
+fn all_is_usable() {
+    let prepaid = Tokens(10_000);
+    let mut world = World::new();
+    let cost = Tokens(100);
+    let mut served = 0;
+    for number in 0..400_usize {
+        let now = Millis(1_000_000 + number as u64 * 50);
+        let index = number % ROUTERS;
+        world.routers[index].account.note_demand(now, cost);
+        world.renew(index, now, prepaid, cost, Fate::Answered);
+        let router = &mut world.routers[index];
+        if router
+            .account
+            .reserve(cost, prepaid, &router.ledger, &router.name)
+            .is_ok()
+        {
+            router.account.settle(cost, cost);
+            served += 1;
+        }
+    }
+    assert_eq!(served, 100, "each token is spent once");
+}
+
+#[test]
+fn lowered_budget() {
+    let mut world = World::new();
+    let now = Millis(1_000_000);
+    for index in 0..ROUTERS {
+        world.renew(index, now, Tokens(10_000), Tokens(500), Fate::Answered);
+    }
+    let lowered = Tokens(100);
+    for index in 0..ROUTERS {
+        world.renew(index, now, lowered, Tokens::ZERO, Fate::Answered);
+    }
+    let granted: HashMap<_, _> = world
+        .store
+        .log
+        .iter()
+        .map(|(name, row)| (name, row.granted))
+        .collect();
+    let sum: Tokens = granted.into_values().sum();
+    assert!(sum <= lowered, "unused grants are given back: {sum}");
+}
--- /dev/null
+++ b/tests/event_cut.rs
@@ -0,0 +1,44 @@
+//! Streams are cut after whole events, however their bytes arrive.
+
+use lanedeck::gateway::Events;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+#[test]
+fn any_split() {
+    let whole: String = (1..=20)
+        .map(|n| format!("id: {n}\ndata: piece {n}\n\n"))
+        .collect();
+    let mut random = StdRng::seed_from_u64(7);
+    for _ in 0..200 {
+        let mut events = Events::default();
+        let mut passed = Vec::new();
+        let mut rest = whole.as_bytes();
+        while !rest.is_empty() {
+            let len = random.random_range(1..=rest.len().min(40));
+            let out = events.push(&rest[..len]);
+            assert!(
+                out.is_empty() || out.ends_with(b"\n\n"),
+                "whole events only"
+            );
+            passed.extend_from_slice(&out);
+            rest = &rest[len..];
+        }
+        assert_eq!(passed, whole.as_bytes());
+        assert_eq!(events.count(), 20);
+        assert_eq!(events.last_id(), Some("20"));
+        assert!(!events.has_rest());
+    }
+}
+
+#[test]
+fn half_an_event() {
+    let mut events = Events::default();
+    let out = events.push(b"id: 1\ndata: a\n\nid: 2\nda");
+    assert_eq!(&out[..], b"id: 1\ndata: a\n\n");
+    assert!(events.has_rest());
+    events.drop_rest();
+    let out = events.push(b"id: 2\ndata: b\n\n");
+    assert_eq!(&out[..], b"id: 2\ndata: b\n\n");
+    assert_eq!(events.last_id(), Some("2"));
+}
--- /dev/null
+++ b/tests/gateway_stop.rs
@@ -0,0 +1,85 @@
+//! A gateway that is told to stop, and one that is told to read its settings again.
+
+mod deployment;
+
+use deployment::runner::{EVENTS, Mode, Runner};
+use deployment::{Ask, Deployment, addresses, ask, config, until};
+
+const PLENTY: u64 = 1_000_000;
+const FLAGS: [&str; 4] = ["--keep", "200", "--grace", "20000"];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_amid_streams() {
+    let engine = Runner::start("i-e").await;
+    engine.set(Mode::Slow(100));
+    let runners = [("engine", &engine)];
+    let mut deployment = Deployment::start_with(2, &config(1, PLENTY), &runners, &FLAGS).await;
+    deployment.wait_acquainted().await;
+    let front = deployment.gateways[0].front;
+    let request = Ask::talk("s", "/talk/x", 100, 50);
+    let asked = tokio::spawn(async move { ask(front, &request).await });
+    until(|| async { engine.runs() > 0 }).await;
+    deployment.gateways[0].signal("TERM");
+    let (leaving, staying) = deployment.gateways.split_at_mut(1);
+    until(|| async { !leaving[0].is_ready().await }).await;
+    until(|| async { addresses(&staying[0]).await == [staying[0].front.to_string()] }).await;
+    let answer = asked.await.unwrap();
+    assert!(answer.is_whole);
+    assert_eq!(answer.events(), (1..=EVENTS).collect::<Vec<_>>());
+    until(|| {
+        let ended = leaving[0].has_ended();
+        async move { ended }
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn serving_while_stopping() {
+    let app = Runner::start("i-app").await;
+    let flags = ["--keep", "2000", "--grace", "20000"];
+    let runners = [("app", &app)];
+    let deployment = Deployment::start_with(1, &config(1, PLENTY), &runners, &flags).await;
+    let gateway = &deployment.gateways[0];
+    gateway.signal("TERM");
+    until(|| async { !gateway.is_ready().await }).await;
+    let answer = ask(gateway.front, &Ask::new("r", "/once/x")).await;
+    assert_eq!(
+        answer.status, 200,
+        "callers that hold an earlier answer are served"
+    );
+    assert_eq!(answer.header("connection"), "close");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn grants_returned() {
+    const PREPAID: u64 = 1_000;
+    let engine = Runner::start("i-e").await;
+    let runners = [("engine", &engine)];
+    let mut deployment = Deployment::start_with(2, &config(1, PREPAID), &runners, &FLAGS).await;
+    deployment.gateways[0].signal("TERM");
+    let mut first = deployment.gateways.remove(0);
+    until(|| {
+        let ended = first.has_ended();
+        async move { ended }
+    })
+    .await;
+    // Nothing was spent, so the one that stays can spend nearly all of it.
+    let mut served = 0;
+    for number in 0..30 {
+        let request = Ask::talk(&format!("s{number}"), "/talk/x", 100, 50);
+        let answer = ask(deployment.gateways[0].front, &request).await;
+        served += u64::from(answer.status == 200);
+    }
+    assert_eq!(served, 9, "as many as fit");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn reload() {
+    let app = Runner::start("i-app").await;
+    let deployment = Deployment::start(1, &config(1, PLENTY), &[("app", &app)]).await;
+    let gateway = &deployment.gateways[0];
+    gateway.signal("HUP");
+    let answer = ask(gateway.front, &Ask::new("r", "/often/x")).await;
+    assert_eq!(answer.status, 200);
+    assert!(gateway.is_ready().await);
+}
