--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -13,7 +13,7 @@
 use super::fleet::Settings;
 use super::front::{Door, serve};
 use super::relay::Relay;
-use super::shared::Shared;
+use super::shared::{Shared, Stop};
 use super::ticket::Desk;
 use crate::net::Pool;
 use crate::store::Store;
@@ -23,6 +23,8 @@
 const STOP_POLL: Duration = Duration::from_millis(25);
 /// Left at the end of the time to stop, to give grants back and to exit.
 const STOP_RESERVE: Duration = Duration::from_millis(900);
+/// Part of the time to stop in which any request is still taken.
+const LINGER_SHARE: f64 = 0.4;
 /// Longest time to give grants back.
 const GIVE_BACK_MAX: Duration = Duration::from_millis(700);
 /// Between two looks for connections that are no longer needed.
@@ -136,12 +138,15 @@
 
 async fn stop(shared: &Shared, desk: &Desk, keep: Millis, grace: Millis) {
     let since = Instant::now();
-    shared.set_stopping();
+    let most = Duration::from_millis(grace.0).saturating_sub(STOP_RESERVE);
+    // Callers that hold an earlier answer still come for a while.
+    let linger = Duration::from_millis(keep.0 * 3 / 2).min(most.mul_f64(LINGER_SHARE));
+    shared.set_stopping(Stop {
+        late: since + linger,
+        end: since + most,
+    });
     tracing::info!(event = "stopping", active = shared.active());
     desk.tell(Message::Leave);
-    // Callers that hold an earlier answer still come for a while.
-    let linger = Duration::from_millis(keep.0 * 3 / 2);
-    let most = Duration::from_millis(grace.0).saturating_sub(STOP_RESERVE);
     while since.elapsed() < most && (since.elapsed() < linger || shared.active() > 0) {
         sleep(STOP_POLL).await;
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -193,6 +193,9 @@
             .deadline
             .map_or(route.timeout, |wait| wait.min(route.timeout));
         let deadline = started + Duration::from_millis(wait.0);
+        if self.shared.is_too_late(deadline) {
+            return Err(Reason::Stopping);
+        }
         let body = read_body(incoming, config.limits.body_bytes, deadline).await?;
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
         let mut headers = parts.headers;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -2,12 +2,13 @@
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bytes::Bytes;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use super::metrics::Metrics;
 use crate::route::Config;
@@ -30,11 +31,20 @@
     pub members_changed: Notify,
     active: AtomicUsize,
     synced: AtomicBool,
-    stopping: AtomicBool,
+    stop: OnceLock<Stop>,
     closed: AtomicBool,
     store_lost: AtomicBool,
 }
 
+/// When a stop that has begun goes on.
+#[derive(Clone, Copy, Debug)]
+pub struct Stop {
+    /// From then on only requests are taken that end before `end`.
+    pub late: Instant,
+    /// What runs then is cut.
+    pub end: Instant,
+}
+
 /// A request that is under way.
 #[derive(Debug)]
 pub struct Active(Arc<Shared>);
@@ -95,13 +105,19 @@
     }
 
     /// Notes that the process is stopping.
-    pub fn set_stopping(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+    pub fn set_stopping(&self, stop: Stop) {
+        let _ = self.stop.set(stop);
     }
 
     /// Whether the process is stopping.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stop.get().is_some()
+    }
+
+    /// Whether a request that may take until `deadline` comes too late for a stop to wait for it.
+    pub fn is_too_late(&self, deadline: Instant) -> bool {
+        let stop = self.stop.get();
+        stop.is_some_and(|stop| Instant::now() >= stop.late && deadline > stop.end)
     }
 
     /// Notes that grants are being given back.
--- a/tests/gateway_stop.rs
+++ b/tests/gateway_stop.rs
@@ -50,6 +50,41 @@
     assert_eq!(answer.header("connection"), "close");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn no_late_requests() {
+    let engine = Runner::start("i-e").await;
+    let app = Runner::start("i-app").await;
+    engine.set(Mode::Slow(400));
+    let runners = [("engine", &engine), ("app", &app)];
+    let flags = ["--keep", "200", "--grace", "5000"];
+    let deployment = Deployment::start_with(1, &config(1, PLENTY), &runners, &flags).await;
+    let gateway = &deployment.gateways[0];
+    let front = gateway.front;
+    let request = Ask::talk("s", "/talk/x", 100, 50);
+    let asked = tokio::spawn(async move { ask(front, &request).await });
+    until(|| async { engine.runs() > 0 }).await;
+    gateway.signal("TERM");
+    // What could be cut when the time to stop is over is refused, and has not run.
+    until(|| async {
+        let request = Ask::talk("late", "/talk/x", 100, 50);
+        let leaves = async { ask(front, &request).await };
+        let waited = tokio::time::timeout(std::time::Duration::from_millis(300), leaves).await;
+        let Ok(answer) = waited else {
+            return false;
+        };
+        assert_eq!(answer.header("connection"), "close");
+        answer.status == 503 && !answer.header("retry-after").is_empty()
+    })
+    .await;
+    let short = Ask::new("short", "/often/x").with("x-deadline-ms", "300");
+    assert_eq!(
+        ask(front, &short).await.status,
+        200,
+        "what ends in time is served"
+    );
+    assert!(asked.await.unwrap().is_whole);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn grants_returned() {
     const PREPAID: u64 = 1_000;
