Never let another router's older list bring a leaving target back

Change: by another router's word a target only appears or leaves; 429 is lost contact only after 1.2 s without an answer; a change of configuration no longer has all grants looked at; first looks are spread over a second; more time is kept for the end of a stop. Measured: target_view leaving_stays_leaving fails without the change.

--- a/src/gateway/control/follow.rs
+++ b/src/gateway/control/follow.rs
@@ -123,7 +123,6 @@
     );
     control.shared.set_config(config, bytes.clone());
     ledger::start_shards(control);
-    ledger::hurry_all(control);
 }
 
 /// Follows the list of targets.
@@ -166,7 +165,9 @@
 /// Takes in what another router lists, while this one is cut off from the store.
 pub(super) fn take_listings(control: &Control, listings: Vec<Listing>) {
     for listing in listings {
-        take_listing(control, listing);
+        let instance = listing.instance.clone();
+        let change = control.fleet.borrow_mut().targets.hear(listing);
+        log_change(&instance, &change, "link");
     }
     let addresses = control.fleet.borrow().targets.addresses();
     control.shared.set_targets(addresses);
@@ -212,16 +213,18 @@
         return;
     };
     match control.dialect.listing(&record.key, value) {
-        Ok(listing) => take_listing(control, listing),
+        Ok(listing) => {
+            let instance = listing.instance.clone();
+            let change = control.fleet.borrow_mut().targets.list(listing);
+            log_change(&instance, &change, "store");
+        }
         Err(error) => tracing::warn!(event = "listing_refused", key = %record.key, %error),
     }
 }
 
-fn take_listing(control: &Control, listing: Listing) {
-    let instance = listing.instance.clone();
-    let change = control.fleet.borrow_mut().list_target(listing);
-    if change != Change::Same {
-        tracing::info!(event = "target_listed", %instance, ?change);
+fn log_change(instance: &str, change: &Change, source: &str) {
+    if *change != Change::Same {
+        tracing::info!(event = "target_listed", %instance, ?change, source);
     }
 }
 
--- a/src/gateway/control/ledger.rs
+++ b/src/gateway/control/ledger.rs
@@ -29,6 +29,8 @@
 const TRIES_MAX: u32 = 12;
 /// Longest pause after others have written first, in milliseconds.
 const CLASH_PAUSE_MS: u64 = 12;
+/// First looks of a process are spread over this time, in milliseconds.
+const START_SPREAD_MS: u64 = 1_000;
 /// Pause while the store does not answer.
 const RETRY_GAP: Duration = Duration::from_millis(150);
 /// Separates customer and router in a key.
@@ -94,16 +96,12 @@
     }
 }
 
-/// Has all rows looked at now.
-pub fn hurry_all(control: &Control) {
-    for urgent in control.shards.borrow().values() {
-        urgent.notify_one();
-    }
-}
-
 /// Keeps the rows of a partition for as long as the process runs.
 async fn keep(control: Rc<Control>, number: u32, urgent: Rc<Notify>) {
     let mut shard = Shard::new(number);
+    // Routers that start together do not all ask at once, unless a request waits.
+    let delay = Duration::from_millis(rand::rng().random_range(0..START_SPREAD_MS));
+    let _ = timeout(delay, urgent.notified()).await;
     loop {
         if control.shared.is_closed() {
             return;
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -7,11 +7,11 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use super::dialect::{Listing, Load, Prompt};
+use super::dialect::{Load, Prompt};
 use super::escrow::{Account, Holder, Ledger, Row, Short, Sizing};
 use super::members::{Members, Router};
 use super::retry::{self, Budget};
-use super::target::{Change, Key, Targets};
+use super::target::{Key, Targets};
 use crate::target::Outcome;
 use crate::units::{Millis, Tokens};
 
@@ -344,11 +344,6 @@
         }
     }
 
-    /// Takes in what a target lists of itself.
-    pub fn list_target(&mut self, listing: Listing) -> Change {
-        self.targets.list(listing)
-    }
-
     /// Takes in what the configuration says a customer has prepaid.
     pub fn set_prepaid(&mut self, customer: &str, prepaid: Tokens) {
         self.prepaid.insert(customer.to_owned(), prepaid);
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -22,11 +22,11 @@
 /// How often a stopping gateway looks whether its requests have ended.
 const STOP_POLL: Duration = Duration::from_millis(25);
 /// Left at the end of the time to stop, to give grants back and to exit.
-const STOP_RESERVE: Duration = Duration::from_millis(900);
+const STOP_RESERVE: Duration = Duration::from_millis(1_150);
 /// Part of the time to stop in which any request is still taken.
 const LINGER_SHARE: f64 = 0.4;
 /// Longest time to give grants back.
-const GIVE_BACK_MAX: Duration = Duration::from_millis(700);
+const GIVE_BACK_MAX: Duration = Duration::from_millis(500);
 /// Between two looks for connections that are no longer needed.
 const SWEEP_GAP: Duration = Duration::from_secs(2);
 
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bytes::Bytes;
@@ -34,8 +35,12 @@
     stop: OnceLock<Stop>,
     closed: AtomicBool,
     store_lost: AtomicBool,
+    store_answered: ArcSwapOption<Instant>,
 }
 
+/// Calls that are turned away for their number count as lost contact after this long.
+const LIMITED_MAX: Duration = Duration::from_millis(1_200);
+
 /// When a stop that has begun goes on.
 #[derive(Clone, Copy, Debug)]
 pub struct Stop {
@@ -135,19 +140,28 @@
         !self.store_lost.load(Ordering::Relaxed)
     }
 
-    /// Counts a call to the store, and logs where contact is lost or regained.
+    /// Counts a call to the store, and logs where contact is lost or regained. Calls that are turned
+    /// away for their number only tell so once none has succeeded for a while.
     pub fn note_call(&self, topic: Topic, result: &Result<(), &CallError>) {
         self.metrics.store_calls.add(1);
-        let lost = match result {
-            Ok(()) | Err(CallError::Gone { .. } | CallError::Moved { .. }) => false,
-            Err(_) => true,
-        };
-        if lost {
+        let is_answer = matches!(
+            result,
+            Ok(()) | Err(CallError::Gone { .. } | CallError::Moved { .. })
+        );
+        if !is_answer {
             self.metrics.store_failures.add(1);
         }
         if !matches!(topic, Topic::Prepaid | Topic::Targets) {
             return;
         }
+        let now = Instant::now();
+        if is_answer {
+            self.store_answered.store(Some(Arc::new(now)));
+        }
+        let since = self.store_answered.load();
+        let is_recent = since.as_ref().is_some_and(|at| now - **at < LIMITED_MAX);
+        let is_passing = matches!(result, Err(CallError::Limited)) && is_recent;
+        let lost = !is_answer && !is_passing;
         if self.store_lost.swap(lost, Ordering::Relaxed) != lost {
             match result {
                 Err(error) if lost => tracing::warn!(event = "store_lost", %error),
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -149,6 +149,15 @@
         }
     }
 
+    /// Takes in what another router lists. It may have read the list earlier than this one, so a
+    /// target that is known to leave does not come back by its word.
+    pub fn hear(&mut self, listing: Listing) -> Change {
+        match self.by_instance.get(&listing.instance).copied() {
+            Some(key) if !self.is_open(key) => Change::Same,
+            _ => self.list(listing),
+        }
+    }
+
     fn add(&mut self, listing: Listing) -> Change {
         let key = Key(self.all.len());
         self.by_instance.insert(listing.instance.clone(), key);
--- /dev/null
+++ b/tests/target_view.rs
@@ -0,0 +1,118 @@
+//! The targets as a gateway sees them: who may get work, and where it goes.
+
+use lanedeck::gateway::target::{Key, Targets};
+use lanedeck::gateway::{Listing, Part, Prompt};
+use lanedeck::target::Outcome;
+use lanedeck::units::{Millis, Tokens};
+
+const NOW: Millis = Millis(1_000_000);
+
+fn listing(number: u16, is_ready: bool) -> Listing {
+    Listing {
+        instance: format!("i-{number}"),
+        service: "s".into(),
+        address: ([127, 0, 0, 1], 1_000 + number).into(),
+        hall: format!("hall-{}", number % 2),
+        slots: 8,
+        is_ready,
+    }
+}
+
+fn targets(count: u16) -> Targets {
+    let mut targets = Targets::default();
+    for number in 0..count {
+        targets.list(listing(number, true));
+    }
+    targets
+}
+
+fn prompt(subject: u64) -> Prompt {
+    let part = |id: u64, tokens: u64| Part {
+        id,
+        tokens: Tokens(tokens),
+    };
+    Prompt {
+        model: "m".into(),
+        tokens: Tokens(9_000),
+        most: Tokens(100),
+        parts: vec![
+            part(1, 2_500),
+            part(subject, 3_800),
+            part(subject + 1_000_000, 2_700),
+        ],
+    }
+}
+
+#[test]
+fn leaving_stays_leaving() {
+    let mut targets = targets(2);
+    targets.list(listing(0, false));
+    // Another router that read the list earlier still thinks that it is ready.
+    targets.hear(listing(0, true));
+    assert_eq!(targets.candidates(NOW, "s", &[]), [Key(1)]);
+    targets.unlist("i-1");
+    targets.hear(listing(1, true));
+    assert!(targets.candidates(NOW, "s", &[]).is_empty());
+    // The store itself may list one again, whose entry had gone while it could not write.
+    targets.list(listing(1, true));
+    assert_eq!(targets.candidates(NOW, "s", &[]), [Key(1)]);
+    // New ones and leaving ones are taken from another router.
+    targets.hear(listing(7, true));
+    targets.hear(listing(1, false));
+    assert_eq!(targets.candidates(NOW, "s", &[]), [Key(2)]);
+}
+
+#[test]
+fn same_subject_same_target() {
+    let (one, other) = (targets(9), targets(9));
+    let candidates = one.candidates(NOW, "s", &[]);
+    let mut used = std::collections::HashSet::new();
+    for subject in 0..200 {
+        let prompt = prompt(subject);
+        let choice = one.choose_model(NOW, &candidates, "hall-0", &prompt);
+        let again = other.choose_model(NOW, &candidates, "hall-1", &prompt);
+        assert_eq!(choice, again, "routers agree without a word");
+        used.insert(choice);
+    }
+    assert_eq!(used.len(), 9, "subjects are spread over all targets");
+}
+
+#[test]
+fn busy_target_is_left() {
+    let mut targets = targets(4);
+    let candidates = targets.candidates(NOW, "s", &[]);
+    let prompt = prompt(5);
+    let first = targets
+        .choose_model(NOW, &candidates, "hall-0", &prompt)
+        .unwrap();
+    targets.begin(first, 3_000);
+    let choice = targets.choose_model(NOW, &candidates, "hall-0", &prompt);
+    assert_eq!(choice, Some(first), "a little work is waited for");
+    targets.begin(first, 60_000);
+    let choice = targets.choose_model(NOW, &candidates, "hall-0", &prompt);
+    assert_ne!(choice, Some(first), "much is not");
+}
+
+#[test]
+fn failing_target_is_avoided() {
+    let mut targets = targets(4);
+    for _ in 0..20 {
+        targets.note(NOW, Key(2), Outcome::Failed);
+    }
+    let candidates = targets.candidates(NOW, "s", &[]);
+    assert!(!candidates.contains(&Key(2)));
+    for seed in 0..50 {
+        let choice = targets.choose_plain(NOW, &candidates, "hall-0", seed);
+        assert!(
+            choice.is_some_and(|key| key == Key(0)),
+            "the own hall first"
+        );
+    }
+    // At most half of a group may be out, however badly all do.
+    for key in 0..4 {
+        for _ in 0..20 {
+            targets.note(NOW, Key(key), Outcome::Failed);
+        }
+    }
+    assert!(targets.candidates(NOW, "s", &[]).len() >= 2);
+}
