Ask the store again while it is silent, and wait longer where it is slow

With the fixed 0.6 s before that, a store slower than it would never be heard (gateway_store slow_store failed). Ruled out: a blocked control thread (links were answered), the network (targets were read meanwhile).

--- a/src/gateway/control/follow.rs
+++ b/src/gateway/control/follow.rs
@@ -10,7 +10,7 @@
 use crate::gateway::dialect::Listing;
 use crate::gateway::members::{Router, Source};
 use crate::gateway::target::Change;
-use crate::store::{CallError, Partition, Record, Topic, TopicPage};
+use crate::store::{CallError, Partition, Patience, Record, Topic, TopicPage, hedge};
 use crate::util;
 
 /// How long a read of the configuration waits for a change.
@@ -27,6 +27,7 @@
 struct Follower {
     partition: Partition,
     next: Option<u64>,
+    patience: Patience,
 }
 
 /// What a read brought.
@@ -42,6 +43,7 @@
         Self {
             partition: Partition { topic, number: 0 },
             next: None,
+            patience: Patience::default(),
         }
     }
 
@@ -61,12 +63,16 @@
     }
 
     async fn read(&mut self, control: &Control, wait: Duration) -> Result<Step, CallError> {
+        let (store, partition) = (&control.store, self.partition);
+        let silent = || control.shared.note_silence(partition.topic);
         let Some(from) = self.next else {
-            let page = control.store.newest(self.partition).await?;
+            let newest = || store.newest(partition, hedge::MOST);
+            let page = hedge::hedged(hedge::GAP, silent, newest).await?;
             self.next = Some(page.next);
             return Ok(Step::Whole(page));
         };
-        let page = control.store.read(self.partition, from, wait).await?;
+        let read = || store.read(partition, from, wait, hedge::MOST);
+        let page = hedge::hedged(hedge::GAP + wait, silent, read).await?;
         if page.end < from {
             return Err(CallError::Gone { first: page.end });
         }
@@ -240,7 +246,7 @@
             }
         }
         control.publish_fronts();
-        tell(&control, follower.partition).await;
+        tell(&control, &mut follower).await;
         let changed = control.shared.members_changed.notified();
         let _ = timeout(gap, changed).await;
     }
@@ -263,18 +269,31 @@
     }
 }
 
-async fn tell(control: &Control, partition: Partition) {
+async fn tell(control: &Control, follower: &mut Follower) {
+    let partition = follower.partition;
+    let record = own_record(control);
+    let begun = Instant::now();
+    let limit = follower.patience.limit();
+    let result = control
+        .store
+        .append(partition, &[record], None, limit)
+        .await;
+    follower
+        .patience
+        .note(&result, begun.elapsed(), Duration::ZERO);
+    control
+        .shared
+        .note_call(partition.topic, &result.as_ref().map(|_| ()));
+}
+
+/// What this router tells of itself now.
+fn own_record(control: &Control) -> Record {
     let mut fleet = control.fleet.borrow_mut();
     let me = &mut fleet.members.me;
     me.beat += 1;
     me.is_ready = control.shared.is_ready();
-    let record = Record {
+    Record {
         key: me.name.clone(),
         value: Some(util::encode(me).into()),
-    };
-    drop(fleet);
-    let result = control.store.append(partition, &[record], None).await;
-    control
-        .shared
-        .note_call(partition.topic, &result.as_ref().map(|_| ()));
+    }
 }
--- a/src/gateway/control/ledger.rs
+++ b/src/gateway/control/ledger.rs
@@ -10,12 +10,12 @@
 
 use rand::RngExt;
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Control, borrow_for_waiting, retry_waiting};
 use crate::gateway::escrow::Row;
-use crate::store::{CallError, Partition, Record, Topic, TopicPage};
+use crate::store::{CallError, Partition, Patience, Record, Topic, TopicPage, hedge};
 use crate::units::Tokens;
 use crate::util;
 
@@ -50,6 +50,7 @@
     next: Option<u64>,
     /// Rows whose append was not answered.
     unknown: Vec<(String, Row)>,
+    patience: Patience,
 }
 
 impl Shard {
@@ -61,6 +62,7 @@
             },
             next: None,
             unknown: Vec::new(),
+            patience: Patience::default(),
         }
     }
 }
@@ -179,10 +181,15 @@
     }
     control.fleet.borrow_mut().rows_sent(&rows);
     let records = records(control, &rows);
+    let begun = Instant::now();
+    let limit = shard.patience.limit();
     let appended = control
         .store
-        .append(shard.partition, &records, Some(next))
+        .append(shard.partition, &records, Some(next), limit)
         .await;
+    shard
+        .patience
+        .note(&appended, begun.elapsed(), Duration::ZERO);
     match appended {
         Ok(end) => {
             shard.next = Some(end);
@@ -261,19 +268,17 @@
 /// Reads up to the end of the partition, and returns that end.
 async fn read(control: &Control, shard: &mut Shard) -> Result<u64, CallError> {
     loop {
-        let page = match shard.next {
-            None => control.store.newest(shard.partition).await?,
-            Some(from) => {
-                let page = control
-                    .store
-                    .read(shard.partition, from, Duration::ZERO)
-                    .await;
-                if let Err(CallError::Gone { .. }) = page {
-                    shard.next = None;
-                }
-                page?
-            }
-        };
+        let (store, partition) = (&control.store, shard.partition);
+        let silent = || control.shared.note_silence(partition.topic);
+        let page = hedge::hedged(hedge::GAP, silent, || match shard.next {
+            None => store.newest(partition, hedge::MOST),
+            Some(from) => store.read(partition, from, Duration::ZERO, hedge::MOST),
+        })
+        .await;
+        if let Err(CallError::Gone { .. }) = page {
+            shard.next = None;
+        }
+        let page = page?;
         take(control, shard, &page);
         shard.next = Some(page.next);
         if page.next >= page.end {
--- a/src/gateway/control/link.rs
+++ b/src/gateway/control/link.rs
@@ -62,7 +62,7 @@
     /// How the other is.
     Beat {
         /// As it was asked.
-        beat: Beat,
+        beat: Box<Beat>,
         /// Its configuration, where that is newer.
         config: Option<Vec<u8>>,
         /// Its targets, where the asking router is not in contact with the store.
@@ -151,7 +151,7 @@
     });
     take_beat(control, beat);
     Answer::Beat {
-        beat: mine,
+        beat: Box::new(mine),
         config: config.map(|bytes| bytes.to_vec()),
         targets,
     }
@@ -215,7 +215,7 @@
             config,
             targets,
         }) => {
-            take_beat(control, beat);
+            take_beat(control, *beat);
             if let Some(config) = config {
                 follow::take_config(control, &Bytes::from(config));
             }
--- a/src/gateway/escrow.rs
+++ b/src/gateway/escrow.rs
@@ -203,7 +203,7 @@
     /// Settles a reservation at what it has cost, at most what was reserved.
     pub fn settle(&mut self, reserved: Tokens, cost: Tokens) {
         assert!(reserved <= self.reserved, "what is settled was reserved");
-        self.reserved = self.reserved - reserved;
+        self.reserved -= reserved;
         self.spent += cost.min(reserved);
         self.check();
     }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -140,6 +140,11 @@
         !self.store_lost.load(Ordering::Relaxed)
     }
 
+    /// Notes that a call to the store has had no answer for a while.
+    pub fn note_silence(&self, topic: Topic) {
+        self.note_call(topic, &Err(&CallError::Unknown));
+    }
+
     /// Counts a call to the store, and logs where contact is lost or regained. Calls that are turned
     /// away for their number only tell so once none has succeeded for a while.
     pub fn note_call(&self, topic: Topic, result: &Result<(), &CallError>) {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -2,12 +2,15 @@
 //!
 //! Each is a trait, since another platform will speak otherwise.
 
+pub mod hedge;
 mod hosts;
 mod log;
+mod patience;
 mod topics;
 
 pub use hosts::{HostList, HttpHosts, Listed};
 pub use log::{Appended, Cursor, HttpLog, Log, Page, ReadAnswer, ReadRequest, StreamPage};
+pub use patience::Patience;
 pub use topics::{CallError, Page as TopicPage, Partition, Record, Store, Topic};
 
 use snafu::Snafu;
--- a/src/store/topics.rs
+++ b/src/store/topics.rs
@@ -93,7 +93,7 @@
     pub next: u64,
 }
 
-/// The store. Each call ends within a bounded time.
+/// The store. An answer is waited for `limit`, beside what the store is asked to wait.
 pub trait Store: Send + Sync {
     /// Appends records, all or none; with `at`, only if the partition ends there. The new end is
     /// returned.
@@ -102,6 +102,7 @@
         partition: Partition,
         records: &'a [Record],
         at: Option<u64>,
+        limit: Duration,
     ) -> BoxFuture<'a, Result<u64, CallError>>;
 
     /// Reads from an offset on, and waits up to `wait` for the first record.
@@ -110,9 +111,14 @@
         partition: Partition,
         from: u64,
         wait: Duration,
+        limit: Duration,
     ) -> BoxFuture<'_, Result<Page, CallError>>;
 
     /// The newest record of each key. Read on from `next`: the answer comes in several parts, which
     /// need not be of one moment.
-    fn newest(&self, partition: Partition) -> BoxFuture<'_, Result<Page, CallError>>;
+    fn newest(
+        &self,
+        partition: Partition,
+        limit: Duration,
+    ) -> BoxFuture<'_, Result<Page, CallError>>;
 }
--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -7,6 +7,7 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -42,9 +43,21 @@
     }
 }
 
+/// An address that nobody listens on, outside of the ports that the system gives to connections,
+/// so that none takes it before the gateway does.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    const FIRST: u32 = 10_000;
+    const COUNT: u32 = 20_000;
+    const OF_PROCESS: u32 = 97;
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let begin = std::process::id().wrapping_mul(OF_PROCESS);
+        let number = begin.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % COUNT;
+        let port = u16::try_from(FIRST + number).unwrap();
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().unwrap();
+        }
+    }
 }
 
 impl Gateway {
--- a/tests/deployment/store.rs
+++ b/tests/deployment/store.rs
@@ -29,6 +29,8 @@
     Limited,
     /// It says nothing and does nothing.
     Silent,
+    /// It answers after this many milliseconds.
+    Slow(u64),
     /// It does what is asked, and closes the connection without an answer.
     LostAnswer,
     /// It closes the connection, and does what is asked after this many milliseconds, if its
@@ -135,6 +137,10 @@
             Fault::Unavailable => Ok(status(StatusCode::SERVICE_UNAVAILABLE)),
             Fault::Limited => Ok(status(StatusCode::TOO_MANY_REQUESTS)),
             Fault::Silent => std::future::pending().await,
+            Fault::Slow(millis) => {
+                tokio::time::sleep(Duration::from_millis(millis)).await;
+                Ok(self.call(request).await)
+            }
             Fault::LostAnswer => {
                 self.call(request).await;
                 Err(Gone)
--- a/tests/gateway_store.rs
+++ b/tests/gateway_store.rs
@@ -116,6 +116,25 @@
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_store() {
+    let engine = Runner::start("i-e").await;
+    let runners = [("engine", &engine)];
+    let mut deployment = Deployment::start(0, &config(1, PLENTY), &runners).await;
+    deployment.add("g0", &[]).await;
+    let gateway = &deployment.gateways[0];
+    deployment
+        .store
+        .set_fault(gateway.store, Fault::Slow(1_500));
+    deployment.wait_ready().await;
+    // What is waited for longer in vain is given up, but the next try waits longer still.
+    until(|| async {
+        let request = Ask::talk("s", "/talk/x", 100, 50);
+        ask(gateway.front, &request).await.status == 200
+    })
+    .await;
+}
+
 /// Asks until nothing is served for a while, and returns how many were.
 async fn spend(deployment: &Deployment, prefix: &str, tries: usize) -> u64 {
     let mut served = 0;
--- /dev/null
+++ b/tests/store_hedge.rs
@@ -0,0 +1,88 @@
+//! Reads of the store that are asked again while there is no answer.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use lanedeck::store::CallError;
+use lanedeck::store::hedge::hedged;
+
+const GAP: Duration = Duration::from_millis(20);
+
+fn never<'a>() -> BoxFuture<'a, Result<u32, CallError>> {
+    std::future::pending().boxed()
+}
+
+fn after<'a>(gaps: u32, result: Result<u32, CallError>) -> BoxFuture<'a, Result<u32, CallError>> {
+    async move {
+        tokio::time::sleep(GAP * gaps).await;
+        result
+    }
+    .boxed()
+}
+
+#[tokio::test]
+async fn silence_that_ends() {
+    let calls = Cell::new(0);
+    let silences = Cell::new(0);
+    let silent = || silences.set(silences.get() + 1);
+    let answer = hedged(GAP, silent, || {
+        calls.set(calls.get() + 1);
+        if calls.get() < 4 {
+            never()
+        } else {
+            after(0, Ok(calls.get()))
+        }
+    })
+    .await;
+    assert_eq!(answer, Ok(4));
+    assert_eq!(silences.get(), 3, "each silence is told");
+}
+
+#[tokio::test]
+async fn slow_first_answer() {
+    let calls = Cell::new(0);
+    let answer = hedged(
+        GAP,
+        || {},
+        || {
+            calls.set(calls.get() + 1);
+            if calls.get() == 1 {
+                after(5, Ok(1))
+            } else {
+                never()
+            }
+        },
+    )
+    .await;
+    assert_eq!(answer, Ok(1));
+}
+
+#[tokio::test]
+async fn errors() {
+    let gone = CallError::Gone { first: 7 };
+    let answer = hedged(
+        GAP,
+        || {},
+        || after(0, Err::<u32, _>(CallError::Gone { first: 7 })),
+    )
+    .await;
+    assert_eq!(answer, Err(gone));
+    // A lost connection says nothing while another call is still out.
+    let calls = Cell::new(0);
+    let answer = hedged(
+        GAP,
+        || {},
+        || {
+            calls.set(calls.get() + 1);
+            match calls.get() {
+                1 => after(3, Err(CallError::Unknown)),
+                2 => after(6, Ok(2)),
+                _ => never(),
+            }
+        },
+    )
+    .await;
+    assert_eq!(answer, Ok(2));
+}
