--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -32,6 +32,9 @@
 /// Share of a group's targets that may be ejected.
 const EJECTED_SHARE: f64 = 0.5;
 
+/// What reading shared parts anew counts, against waiting for as many tokens: it also takes memory
+/// from other parts and time from other requests there.
+const STICKINESS: f64 = 2.0;
 /// How fast counts of tries fade, in milliseconds.
 const TRIES_SPAN: f64 = 3_000.0;
 /// Counts below this are not told.
@@ -305,7 +308,7 @@
             } else {
                 self.uncached(now, *key, shared)
             };
-            let anew = anew as f64;
+            let anew = anew as f64 * STICKINESS;
             let away = if target.listing.hall == hall {
                 0.0
             } else {
