Take spans of time with a unit, and settings without a value

Cause: the template appended 000 to seconds, so a deployment with a time to stop of 7.5 s would have given 7.5000 ms and no gateway would start; a bound that a deployment lacks would have left an empty value, likewise. Two commands checked addresses, names, levels and keys each for itself. Change: spans take ms or s; lines without a value say nothing; the checks stand once in cmd/settings.rs.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -14,14 +14,14 @@
 use crate::gateway::members::Router;
 use crate::gateway::retry;
 use crate::units::Millis;
-use crate::util::is_name;
 
 pub const ABOUT: &str = "Runs a router towards callers that speak the deployment's dialect, until
 SIGTERM, and then until all that it has begun is done or --grace is over. What lasts is kept in
 the deployment's store. SIGHUP reads and checks the settings again.
 
 Every option can stand in the settings file of the deployment too, a line NAME=value each, by its
-name in the environment. The command line goes first, then the environment, then the file.
+name in the environment. The command line goes first, then the environment, then the file. Spans
+of time are in milliseconds, or in seconds with an s: 1500, 1500ms, 1.5s.
 
 Example:
   lanedeck gateway --name a --front 10.0.0.1:8000 --ready 10.0.0.1:8001 \\
@@ -196,13 +196,6 @@
     in_force: String,
 }
 
-const ADDRESS: &str = "an IP number and a port";
-const NAME: &str = "1 to 64 letters, digits, dots, dashes or underscores";
-
-fn address(checker: &mut Checker, name: &str, value: &str) -> Option<SocketAddr> {
-    checker.take(name, value, ADDRESS, |_| true)
-}
-
 fn number(checker: &mut Checker, name: &str, value: &str, least: f64, most: f64) -> Option<f64> {
     let wanted = format!("{least} to {most}");
     checker.take(name, value, &wanted, |number: &f64| {
@@ -210,51 +203,33 @@
     })
 }
 
-fn span(checker: &mut Checker, name: &str, value: &str, least: f64, most: f64) -> Option<Millis> {
-    number(checker, name, value, least, most).map(|number| Millis(number as u64))
-}
-
 fn check(args: &Args) -> Result<Checked> {
     let mut checker = Checker::default();
     let c = &mut checker;
-    let name = c.take("name", &args.name, NAME, |name: &String| is_name(name));
-    let front = address(c, "front", &args.front);
-    let ready = address(c, "ready", &args.ready);
-    let directory = address(c, "directory", &args.directory);
-    let link = address(c, "link", &args.link);
-    let metrics = address(c, "metrics", &args.metrics);
-    let store = address(c, "store", &args.store);
-    let hall = c.take("hall", &args.hall, NAME, |name: &String| is_name(name));
-    let heartbeat = span(c, "heartbeat", &args.heartbeat, 50.0, 60_000.0);
-    let keep = span(c, "keep", &args.keep, 100.0, 600_000.0);
-    let grace = span(c, "grace", &args.grace, 1_000.0, 3_600_000.0);
+    let name = c.name("name", &args.name);
+    let front = c.address("front", &args.front);
+    let ready = c.address("ready", &args.ready);
+    let directory = c.address("directory", &args.directory);
+    let link = c.address("link", &args.link);
+    let metrics = c.address("metrics", &args.metrics);
+    let store = c.address("store", &args.store);
+    let hall = c.name("hall", &args.hall);
+    let heartbeat = c.span("heartbeat", &args.heartbeat, 50.0, 60_000.0);
+    let keep = c.span("keep", &args.keep, 100.0, 600_000.0);
+    let grace = c.span("grace", &args.grace, 1_000.0, 3_600_000.0);
     let ratio = number(c, "repeat-ratio", &args.repeat_ratio, 0.0, 10.0);
-    let window = span(c, "repeat-window", &args.repeat_window, 100.0, 600_000.0);
+    let window = c.span("repeat-window", &args.repeat_window, 100.0, 600_000.0);
     let extra = number(c, "repeat-extra", &args.repeat_extra, 0.0, 1e6);
-    let horizon = span(c, "horizon", &args.horizon, 100.0, 86_400_000.0);
-    let exact = span(c, "exact", &args.exact, 0.0, 86_400_000.0);
+    let horizon = c.span("horizon", &args.horizon, 100.0, 86_400_000.0);
+    let exact = c.span("exact", &args.exact, 0.0, 86_400_000.0);
     let share = number(c, "share", &args.share, 0.0, 1.0);
     let spread = number(c, "spread", &args.spread, 0.0, 1.0);
     let wanted = "1 to 10000";
     let partitions = c.take("partitions", &args.partitions, wanted, |number: &u32| {
         (1..=10_000).contains(number)
     });
-    let levels = ["error", "warn", "info", "debug", "trace"];
-    let log_level = c.take(
-        "log-level",
-        &args.log_level,
-        "error, warn, info, debug or trace",
-        |level: &String| levels.contains(&level.as_str()),
-    );
-    let is_key = |text: &String| {
-        (8..=256).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_graphic())
-    };
-    c.secret(
-        "fleet-key",
-        &args.fleet_key,
-        "8 to 256 visible characters",
-        is_key,
-    );
+    let log_level = c.log_level(&args.log_level);
+    c.fleet_key(&args.fleet_key);
     let in_force = checker.finish()?;
     let checked = || {
         let me = Router {
--- a/src/cmd/router.rs
+++ b/src/cmd/router.rs
@@ -17,7 +17,6 @@
 use crate::router;
 use crate::store::{HttpHosts, HttpLog};
 use crate::units::{Millis, Offset};
-use crate::util::is_name;
 
 pub const ABOUT: &str = "Runs a router on an entry host until SIGTERM, and then until all that it
 has begun is done.
@@ -181,13 +180,6 @@
     pub in_force: String,
 }
 
-const ADDRESS: &str = "an IP number and a port";
-const NAME: &str = "1 to 64 letters, digits, dots, dashes or underscores";
-
-fn address(checker: &mut Checker, name: &str, value: &str) -> Option<SocketAddr> {
-    checker.take(name, value, ADDRESS, |_| true)
-}
-
 fn span(checker: &mut Checker, name: &str, value: &str, least: u64, most: u64) -> Option<u64> {
     let wanted = format!("a whole number from {least} to {most}");
     checker.take(name, value, &wanted, |number| {
@@ -199,12 +191,12 @@
 pub fn check(args: &Args) -> Result<Checked> {
     let mut checker = Checker::default();
     let c = &mut checker;
-    let entry = address(c, "entry", &args.entry);
-    let peer = address(c, "peer", &args.peer);
-    let log = address(c, "log", &args.log);
-    let hosts = address(c, "hosts", &args.hosts);
-    let hall = c.take("hall", &args.hall, NAME, |name: &String| is_name(name));
-    let region = c.take("region", &args.region, NAME, |name: &String| is_name(name));
+    let entry = c.address("entry", &args.entry);
+    let peer = c.address("peer", &args.peer);
+    let log = c.address("log", &args.log);
+    let hosts = c.address("hosts", &args.hosts);
+    let hall = c.name("hall", &args.hall);
+    let region = c.name("region", &args.region);
     let policy = c.take(
         "policy",
         &args.policy,
@@ -226,12 +218,7 @@
     let body_max = span(c, "body-max", &args.body_max, 1_024, 67_108_864);
     let silence = span(c, "silence", &args.silence, 100, 3_600_000);
     let threads = span(c, "threads", &args.threads, 1, 64);
-    let levels = "error, warn, info, debug or trace";
-    c.take("log-level", &args.log_level, levels, |level: &String| {
-        levels
-            .split([',', ' '])
-            .any(|known| known == level && known != "or")
-    });
+    c.log_level(&args.log_level);
     let is_hash = |text: &String| text.len() == 64 && text.bytes().all(|b| b.is_ascii_hexdigit());
     c.secret(
         "operator-hash",
@@ -239,15 +226,7 @@
         "64 hexadecimal digits",
         is_hash,
     );
-    let is_key = |text: &String| {
-        (8..=256).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_graphic())
-    };
-    c.secret(
-        "fleet-key",
-        &args.fleet_key,
-        "8 to 256 visible characters",
-        is_key,
-    );
+    c.fleet_key(&args.fleet_key);
     let in_force = checker.finish()?;
 
     let checked = || {
--- a/src/cmd/settings.rs
+++ b/src/cmd/settings.rs
@@ -2,9 +2,12 @@
 //! that every wrong one is told.
 
 use std::fmt::Write;
+use std::net::SocketAddr;
 use std::str::FromStr;
 
 use super::{Error, Result};
+use crate::units::Millis;
+use crate::util::is_name;
 
 /// Prefix of environment variables.
 const PREFIX: &str = "LANEDECK_";
@@ -35,7 +38,7 @@
 }
 
 /// Reads a settings file: a line `NAME=value` for each, of the names that the environment uses.
-/// Empty lines and those that begin with `#` say nothing.
+/// Empty lines, those that begin with `#` and those without a value say nothing.
 ///
 /// # Errors
 /// The system's, or all lines that make no sense.
@@ -50,6 +53,7 @@
     let mut wrong = Vec::new();
     for (index, line) in lines {
         match line.split_once('=') {
+            Some((_, value)) if is_blank(value) => {}
             Some((name, value)) => pairs.push((name.trim().to_owned(), value.trim().to_owned())),
             None => wrong.push(format!("line {}: wanted is NAME=value", index + 1)),
         }
@@ -62,6 +66,12 @@
     })
 }
 
+/// Whether a value says nothing, as where a deployment has none for a gap: it is empty, or only a
+/// unit.
+fn is_blank(value: &str) -> bool {
+    matches!(value.trim(), "" | "s" | "ms")
+}
+
 /// Whether a usage text shows the option with a value, which it writes in capitals.
 fn takes_value(usage: &str, flag: &str) -> bool {
     usage.lines().any(|line| {
@@ -75,6 +85,33 @@
     })
 }
 
+const ADDRESS: &str = "an IP number and a port";
+const NAME: &str = "1 to 64 letters, digits, dots, dashes or underscores";
+const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
+const KEY_LENGTHS: std::ops::RangeInclusive<usize> = 8..=256;
+
+/// A span of time: a number of milliseconds, or with `s` after it of seconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Span(f64);
+
+impl FromStr for Span {
+    type Err = std::num::ParseFloatError;
+
+    fn from_str(text: &str) -> std::result::Result<Self, Self::Err> {
+        const MILLIS_A_SECOND: f64 = 1_000.0;
+        if let Some(millis) = text.strip_suffix("ms") {
+            return millis.trim().parse().map(Self);
+        }
+        match text.strip_suffix('s') {
+            Some(seconds) => {
+                let seconds: f64 = seconds.trim().parse()?;
+                Ok(Self(seconds * MILLIS_A_SECOND))
+            }
+            None => text.trim().parse().map(Self),
+        }
+    }
+}
+
 /// Reads settings, and collects all that is wrong with them.
 #[derive(Debug, Default)]
 pub struct Checker {
@@ -95,6 +132,40 @@
         self.parse(name, value, wanted, fits)
     }
 
+    /// Reads an address.
+    pub fn address(&mut self, name: &str, value: &str) -> Option<SocketAddr> {
+        self.take(name, value, ADDRESS, |_| true)
+    }
+
+    /// Reads a name.
+    pub fn name(&mut self, name: &str, value: &str) -> Option<String> {
+        self.take(name, value, NAME, |name: &String| is_name(name))
+    }
+
+    /// Reads a span of time, with bounds in milliseconds.
+    pub fn span(&mut self, name: &str, value: &str, least: f64, most: f64) -> Option<Millis> {
+        let wanted = format!("{least} to {most} milliseconds, or seconds with an s");
+        let fits = |span: &Span| (least..=most).contains(&span.0);
+        self.take(name, value, &wanted, fits)
+            .map(|span| Millis(span.0 as u64))
+    }
+
+    /// Reads the level of logs.
+    pub fn log_level(&mut self, value: &str) -> Option<String> {
+        let wanted = LEVELS.join(", ");
+        self.take("log-level", value, &wanted, |level: &String| {
+            LEVELS.contains(&level.as_str())
+        })
+    }
+
+    /// Reads what routers of a fleet show each other.
+    pub fn fleet_key(&mut self, value: &str) {
+        let fits = |text: &String| {
+            KEY_LENGTHS.contains(&text.len()) && text.bytes().all(|b| b.is_ascii_graphic())
+        };
+        self.secret("fleet-key", value, "8 to 256 visible characters", fits);
+    }
+
     /// Reads a secret setting: never printed.
     pub fn secret(
         &mut self,
--- /dev/null
+++ b/tests/gateway_settings.rs
@@ -0,0 +1,77 @@
+//! A gateway's settings: flags, environment and file, and what is wrong with them.
+
+use std::io::Write;
+use std::process::{Command, Output};
+
+/// Runs a gateway with a settings file and a flag that is always wrong, so that it ends.
+fn gateway(file: &str, flags: &[&str], variables: &[(&str, &str)]) -> Output {
+    let name = format!(
+        "lanedeck-settings-{}-{}",
+        std::process::id(),
+        rand::random::<u32>()
+    );
+    let path = std::env::temp_dir().join(name);
+    let mut text = std::fs::File::create(&path).unwrap();
+    text.write_all(file.as_bytes()).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lanedeck"));
+    for (name, _) in std::env::vars().filter(|(name, _)| name.starts_with("LANEDECK_")) {
+        command.env_remove(name);
+    }
+    let output = command
+        .args(["gateway", "--share", "7"])
+        .args(flags)
+        .env("LANEDECK_CONFIG", &path)
+        .envs(variables.iter().copied())
+        .output()
+        .expect("the binary starts");
+    std::fs::remove_file(path).unwrap();
+    output
+}
+
+fn error(output: &Output) -> String {
+    assert_eq!(output.status.code(), Some(2), "{output:?}");
+    String::from_utf8(output.stderr.clone()).unwrap()
+}
+
+#[test]
+fn all_wrong_ones() {
+    let file = "# comment\n\nLANEDECK_FRONT=nowhere\nLANEDECK_GRACE=7\nLANEDECK_NAME=a b\n";
+    let text = error(&gateway(file, &["--log-level", "loud"], &[]));
+    for name in ["--share", "--front", "--grace", "--name", "--log-level"] {
+        assert!(text.contains(name), "{name} in {text}");
+    }
+}
+
+#[test]
+fn fractions_and_gaps() {
+    let file = "LANEDECK_GRACE=7.5s\nLANEDECK_REPEAT_WINDOW=s\nLANEDECK_REPEAT_RATIO=\n\
+                LANEDECK_HEARTBEAT=1200.5\nLANEDECK_KEEP=900ms\nLANEDECK_NEW=unknown\n";
+    let text = error(&gateway(file, &[], &[]));
+    assert_eq!(
+        text.matches("wanted is").count(),
+        1,
+        "only the share is wrong: {text}"
+    );
+}
+
+#[test]
+fn order() {
+    let file = "LANEDECK_GRACE=1\nLANEDECK_KEEP=1\nLANEDECK_HORIZON=1\n";
+    let variables = [("LANEDECK_KEEP", "2"), ("LANEDECK_HORIZON", "5000")];
+    let text = error(&gateway(file, &["--grace", "3"], &variables));
+    assert!(
+        text.contains("--grace: \"3\""),
+        "the flag goes first: {text}"
+    );
+    assert!(
+        text.contains("--keep: \"2\""),
+        "then the environment: {text}"
+    );
+    assert!(!text.contains("--horizon"), "{text}");
+}
+
+#[test]
+fn broken_file() {
+    let text = error(&gateway("LANEDECK_KEEP=1s\nnonsense\n", &[], &[]));
+    assert!(text.contains("line 2"), "{text}");
+}
