Hold a lock while the tests of gateways try addresses and start processes

Cause: gateway_path exhausted_budget failed once: '--directory 127.0.0.1:29830: Address already in use'. A test tries an address by listening on it; while it does, another test's thread may start a process, which has a copy of that socket until it runs its own program, so the address is still in use when the gateway binds it. Ruled out: ports of the system (they begin at 32768), the same number twice (a counter), other processes (none ran).

Change: one lock over trying the addresses and starting a process.

--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -8,6 +8,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -43,6 +44,10 @@
     }
 }
 
+/// Held while addresses are tried and while a process is started: a process that another thread
+/// starts has all open sockets until it runs its own program, and keeps a tried address in use.
+static START: Mutex<()> = Mutex::new(());
+
 /// An address that nobody listens on, outside of the ports that the system gives to connections,
 /// so that none takes it before the gateway does.
 fn free_address() -> SocketAddr {
@@ -62,6 +67,7 @@
 
 impl Gateway {
     fn start(name: &str, store: SocketAddr, flags: &[&str]) -> Self {
+        let starting = START.lock().unwrap_or_else(PoisonError::into_inner);
         let [front, ready, directory, link, metrics] = std::array::from_fn(|_| free_address());
         let mut command = Command::new(env!("CARGO_BIN_EXE_lanedeck"));
         for (name, _) in std::env::vars().filter(|(name, _)| name.starts_with("LANEDECK_")) {
@@ -92,8 +98,10 @@
             ])
             .args(flags)
             .stdout(log);
+        let child = command.spawn().expect("the binary starts");
+        drop(starting);
         Self {
-            child: command.spawn().expect("the binary starts"),
+            child,
             name: name.to_owned(),
             front,
             ready,
@@ -111,6 +119,7 @@
 
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
+        let _starting = START.lock().unwrap_or_else(PoisonError::into_inner);
         let status = Command::new("kill")
             .args([&format!("-{name}"), &pid])
             .status();
