Spend what a customer was handed, once a request over all its tries

Cause: a try that broke off counted as spent at its most, and a repeat was reserved and settled anew.

Change: a request has one reservation until it ends, whatever the number of its tries. It costs nothing where nothing was handed out, prompt and events where the answer ended, and the most where it broke off midway. A failed try carries a verdict (not run, may have run) in place of a cost.

Tests: gateway_spend lost_answers and resumed_streams fail without it.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 
 use super::dialect::{Dialect, Load};
-use super::fleet::{Arrival, Ending, Fleet, Go, Job, Refusal, Settings, Ticket};
+use super::fleet::{Arrival, Ending, Fleet, Go, Handed, Job, Refusal, Settings, Ticket};
 use super::shared::Shared;
 use crate::store::Store;
 use crate::units::Millis;
@@ -317,7 +317,7 @@
     if let Err(Ok(go)) = reply.send(result) {
         let ending = Ending {
             outcome: None,
-            cost: super::fleet::Cost::Nothing,
+            handed: Handed::Nothing,
         };
         control
             .fleet
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -14,8 +14,8 @@
 
 use super::body::{self, Body};
 use super::dialect::{Ask, Order, Told};
-use super::failure::Failure;
-use super::fleet::{Arrival, Cost, Ending, Job, Refusal};
+use super::failure::{Failure, Verdict};
+use super::fleet::{Arrival, Job, Refusal};
 use super::relay::{Relay, remove_hop_headers};
 use super::reply::Reason;
 use super::shared::Active;
@@ -24,7 +24,7 @@
 use crate::net::{self, Line};
 use crate::route::{Config, Kind, Route};
 use crate::target::Outcome;
-use crate::units::{Millis, Tokens};
+use crate::units::Millis;
 
 /// Targets that are tried in vain, without a connection, before a request is given up.
 const UNREACHED_MAX: u32 = 3;
@@ -128,7 +128,7 @@
 
     /// Goes on after a try without an answer, or gives the reason why not.
     pub(super) async fn next(&mut self, failure: Failure) -> Result<Ticket, Reason> {
-        self.may_have_run |= failure.ending.cost != Cost::Nothing;
+        self.may_have_run |= failure.verdict == Verdict::MayHaveRun;
         let reason = match failure.reason {
             Reason::TargetRefused | Reason::Unreachable | Reason::Late if self.may_have_run => {
                 Reason::BrokenOff
@@ -143,17 +143,17 @@
             tries = self.sent,
             ms = self.started.elapsed().as_millis() as u64
         );
-        let may_repeat = match failure.ending.cost {
-            Cost::Nothing => true,
-            Cost::Out(_) | Cost::Most => self.route.kind.may_repeat(),
+        let may_repeat = match failure.verdict {
+            Verdict::NotRun => true,
+            Verdict::MayHaveRun => self.route.kind.may_repeat(),
         };
         let is_left = self.sent < self.route.attempts && self.unreached < UNREACHED_MAX;
         let in_time = Instant::now() < self.deadline && reason != Reason::TimedOut;
         if !may_repeat || !is_left || !in_time {
-            failure.ticket.end(failure.ending);
+            failure.end();
             return Err(reason);
         }
-        let next = failure.ticket.again(failure.ending, failure.arrival).await;
+        let next = failure.ticket.again(failure.outcome, failure.arrival).await;
         next.map_err(|refusal| match refusal {
             Refusal::NoTarget | Refusal::NoRepeats => reason,
             _ if self.may_have_run => Reason::BrokenOff,
@@ -284,7 +284,7 @@
     /// passed on at all.
     async fn collect(&mut self, answer: Answer) -> Result<Response<Body>, Failure> {
         let Answer {
-            ticket,
+            mut ticket,
             line,
             parts,
             incoming,
@@ -301,16 +301,10 @@
         self.relay.rest(address, line, &told);
         let is_failure = parts.status.is_server_error();
         let whole = Whole { parts, body };
-        let ending = Ending {
-            outcome: Some(outcome(is_failure, tried_at)),
-            cost: if is_failure {
-                Cost::Most
-            } else {
-                Cost::Out(Tokens::ZERO)
-            },
-        };
+        let outcome = Some(outcome(is_failure, tried_at));
+        ticket.hand_out();
         if is_failure && self.may_try_again() {
-            let again = ticket.again(ending, Arrival::Yes).await;
+            let again = ticket.again(outcome, Arrival::Yes).await;
             let Ok(ticket) = again else {
                 return Ok(self.pass(whole));
             };
@@ -320,7 +314,7 @@
                 None => Ok(self.pass(whole)),
             };
         }
-        ticket.end(ending);
+        ticket.end(outcome);
         Ok(self.pass(whole))
     }
 
@@ -336,12 +330,12 @@
             Ok(answer) => match self.collect(answer).await {
                 Ok(response) => Some(response),
                 Err(failure) => {
-                    failure.ticket.end(failure.ending);
+                    failure.end();
                     None
                 }
             },
             Err(failure) => {
-                failure.ticket.end(failure.ending);
+                failure.end();
                 None
             }
         }
--- a/src/gateway/failure.rs
+++ b/src/gateway/failure.rs
@@ -1,16 +1,24 @@
 //! Tries that brought no answer, and what that says of the request and of the target.
 
 use super::dialect::Told;
-use super::fleet::{Arrival, Cost, Ending};
+use super::fleet::Arrival;
 use super::reply::Reason;
 use super::ticket::Ticket;
 use crate::target::Outcome;
 
+/// Whether a try may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Verdict {
+    NotRun,
+    MayHaveRun,
+}
+
 /// A try that brought no answer.
 pub(super) struct Failure {
     pub(super) ticket: Ticket,
     pub(super) reason: Reason,
-    pub(super) ending: Ending,
+    pub(super) verdict: Verdict,
+    pub(super) outcome: Option<Outcome>,
     pub(super) arrival: Arrival,
 }
 
@@ -20,10 +28,8 @@
         Self {
             ticket,
             reason: Reason::Unreachable,
-            ending: Ending {
-                outcome: Some(Outcome::Failed),
-                cost: Cost::Nothing,
-            },
+            verdict: Verdict::NotRun,
+            outcome: Some(Outcome::Failed),
             arrival: Arrival::No,
         }
     }
@@ -31,10 +37,7 @@
     /// A resting connection had gone; nothing was sent.
     pub(super) fn gone_before_use(ticket: Ticket) -> Self {
         Self {
-            ending: Ending {
-                outcome: None,
-                cost: Cost::Nothing,
-            },
+            outcome: None,
             ..Self::unreached(ticket)
         }
     }
@@ -56,10 +59,8 @@
         Self {
             ticket,
             reason: Reason::TargetRefused,
-            ending: Ending {
-                outcome,
-                cost: Cost::Nothing,
-            },
+            verdict: Verdict::NotRun,
+            outcome,
             arrival: Arrival::Yes,
         }
     }
@@ -69,11 +70,14 @@
         Self {
             ticket,
             reason,
-            ending: Ending {
-                outcome: Some(Outcome::Failed),
-                cost: Cost::Most,
-            },
+            verdict: Verdict::MayHaveRun,
+            outcome: Some(Outcome::Failed),
             arrival: Arrival::Yes,
         }
     }
+
+    /// Ends the request with it.
+    pub(super) fn end(self) {
+        self.ticket.end(self.outcome);
+    }
 }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -84,24 +84,34 @@
     CutOff,
 }
 
-/// What came of a try.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Cost {
-    /// It did not run.
+/// What a customer was handed of an answer. A customer gets nothing but by its router, so what no
+/// router has handed out is not spent, whether or not a target has run it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Handed {
+    /// Nothing of the answer.
+    #[default]
     Nothing,
-    /// It ran, and handed out so many tokens beside the prompt's.
+    /// So many tokens; the prompt's are spent too.
     Out(Tokens),
-    /// It may have run, and cost anything up to the most.
+    /// Some of the answer; the most is counted.
     Most,
 }
 
-impl Cost {
+impl Handed {
     /// The word in logs.
     fn word(self) -> &'static str {
         match self {
-            Self::Nothing => "not_run",
-            Self::Out(_) => "told",
-            Self::Most => "may_have_run",
+            Self::Nothing => "nothing_handed_out",
+            Self::Out(_) => "counted",
+            Self::Most => "most",
+        }
+    }
+
+    /// What is known after a later try has ended too.
+    fn then(self, later: Self) -> Self {
+        match later {
+            Self::Nothing => self,
+            Self::Out(_) | Self::Most => later,
         }
     }
 }
@@ -111,8 +121,8 @@
 pub struct Ending {
     /// How the target is judged by it; `None` where it tells nothing of the target.
     pub outcome: Option<Outcome>,
-    /// What it cost.
-    pub cost: Cost,
+    /// What of the answer the customer was handed, over all tries.
+    pub handed: Handed,
 }
 
 #[derive(Debug)]
@@ -122,7 +132,9 @@
     tried: Vec<Key>,
     target: Option<Key>,
     unread: u64,
+    /// Set aside until the request has ended, however often it is tried.
     reserved: Tokens,
+    handed: Handed,
 }
 
 /// The control state.
@@ -176,6 +188,7 @@
             target: None,
             unread: 0,
             reserved: Tokens::ZERO,
+            handed: Handed::Nothing,
             job,
         };
         let target = self.choose(now, &running).ok_or(Refusal::NoTarget)?;
@@ -211,10 +224,23 @@
             return Err(Refusal::NoTarget);
         };
         self.finish_try(now, &mut running, ending);
-        if let Some(key) = running.target.take() {
-            running.tried.push(key);
+        match self.next_target(now, &running, arrived) {
+            Ok(target) => Ok(self.send(ticket, running, target)),
+            Err(refusal) => {
+                self.settle(&running);
+                Err(refusal)
+            }
         }
-        let target = self.choose(now, &running).ok_or(Refusal::NoTarget)?;
+    }
+
+    /// Another target for a request that was tried, if it may be tried again.
+    fn next_target(
+        &mut self,
+        now: Millis,
+        running: &Running,
+        arrived: Arrival,
+    ) -> Result<Key, Refusal> {
+        let target = self.choose(now, running).ok_or(Refusal::NoTarget)?;
         if arrived == Arrival::Yes {
             let routers = self.members.count();
             let budget = self.budgets.entry(running.service.clone()).or_default();
@@ -222,8 +248,7 @@
                 return Err(Refusal::NoRepeats);
             }
         }
-        running.reserved = self.reserve(&running.job)?;
-        Ok(self.send(ticket, running, target))
+        Ok(target)
     }
 
     fn send(&mut self, ticket: Ticket, mut running: Running, target: Key) -> Go {
@@ -263,11 +288,14 @@
     pub fn end(&mut self, now: Millis, ticket: Ticket, ending: Ending) {
         if let Some(mut running) = self.running.remove(&ticket) {
             self.finish_try(now, &mut running, ending);
+            self.settle(&running);
         }
     }
 
     fn finish_try(&mut self, now: Millis, running: &mut Running, ending: Ending) {
-        if let Some(target) = running.target {
+        running.handed = running.handed.then(ending.handed);
+        if let Some(target) = running.target.take() {
+            running.tried.push(target);
             let unread = std::mem::take(&mut running.unread);
             self.targets.read(target, unread);
             self.targets.end(target);
@@ -278,12 +306,16 @@
                 tracing::warn!(event = "target_ejected", %instance);
             }
         }
-        let reserved = std::mem::take(&mut running.reserved);
+    }
+
+    /// Settles a request that has ended at what its customer was handed.
+    fn settle(&mut self, running: &Running) {
+        let reserved = running.reserved;
         let prompt = running.job.prompt.as_ref();
-        let cost = match ending.cost {
-            Cost::Nothing => Tokens::ZERO,
-            Cost::Most => reserved,
-            Cost::Out(out) => prompt.map_or(Tokens::ZERO, |prompt| prompt.tokens) + out,
+        let cost = match running.handed {
+            Handed::Nothing => Tokens::ZERO,
+            Handed::Most => reserved,
+            Handed::Out(out) => prompt.map_or(Tokens::ZERO, |prompt| prompt.tokens) + out,
         };
         if let Some((customer, _)) = &running.job.payer
             && let Some(account) = self.accounts.get_mut(customer)
@@ -295,7 +327,7 @@
                 %customer,
                 reserved = reserved.0,
                 cost = cost.0,
-                basis = ending.cost.word()
+                basis = running.handed.word()
             );
         }
     }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -14,7 +14,6 @@
 use super::dialect::Told;
 use super::exchange::{Answer, Exchange, outcome, streamed};
 use super::failure::Failure;
-use super::fleet::{Cost, Ending};
 use super::reply::Reason;
 use super::sse::Events;
 use super::ticket::Ticket;
@@ -84,6 +83,7 @@
             instance = %source.ticket.go().instance,
             ms = elapsed.as_millis() as u64
         );
+        source.ticket.hand_out();
         let flow = Self {
             exchange,
             source: Some(source),
@@ -158,7 +158,7 @@
     }
 
     fn finish(&mut self) {
-        let Some(source) = self.source.take() else {
+        let Some(mut source) = self.source.take() else {
             return;
         };
         let exchange = &self.exchange;
@@ -173,10 +173,8 @@
         );
         let address = source.ticket.go().address;
         let out = Tokens(self.events.count() * exchange.stride);
-        source.ticket.end(Ending {
-            outcome: Some(outcome(false, source.tried_at)),
-            cost: Cost::Out(out),
-        });
+        source.ticket.handed_out(out);
+        source.ticket.end(Some(outcome(false, source.tried_at)));
         if source.is_framed {
             exchange.relay.rest(address, source.line, &source.told);
         }
--- a/src/gateway/ticket.rs
+++ b/src/gateway/ticket.rs
@@ -6,17 +6,20 @@
 
 use super::control::Message;
 use super::dialect::Load;
-use super::fleet::{Arrival, Cost, Ending, Go, Job, Refusal};
+use super::fleet::{Arrival, Ending, Go, Handed, Job, Refusal};
+use crate::target::Outcome;
+use crate::units::Tokens;
 
 /// Asks the control state.
 #[derive(Clone, Debug)]
 pub struct Desk(mpsc::UnboundedSender<Message>);
 
-/// A request that is under way. Dropped without an end, it counts as broken off.
+/// A request that is under way. Dropped without an end, its caller has left.
 #[derive(Debug)]
 pub struct Ticket {
     desk: Desk,
     go: Go,
+    handed: Handed,
     ended: bool,
 }
 
@@ -42,6 +45,7 @@
         Ok(Ticket {
             desk: self.clone(),
             go,
+            handed: Handed::Nothing,
             ended: false,
         })
     }
@@ -53,16 +57,30 @@
         &self.go
     }
 
-    /// Asks where to go after a try without an answer.
+    /// Notes that something of the answer is handed to the caller from now on.
+    pub fn hand_out(&mut self) {
+        self.handed = Handed::Most;
+    }
+
+    /// Notes that the answer was handed out to its end, with so many tokens.
+    pub fn handed_out(&mut self, tokens: Tokens) {
+        self.handed = Handed::Out(tokens);
+    }
+
+    /// Asks where to go after a try without an answer; `outcome` is how it judges the target.
     ///
     /// # Errors
     /// Why it goes nowhere.
-    pub async fn again(mut self, ending: Ending, arrival: Arrival) -> Result<Self, Refusal> {
+    pub async fn again(
+        mut self,
+        outcome: Option<Outcome>,
+        arrival: Arrival,
+    ) -> Result<Self, Refusal> {
         let (reply, answer) = oneshot::channel();
         self.ended = true;
         self.desk.tell(Message::Again {
             ticket: self.go.ticket,
-            ending,
+            ending: self.ending(outcome),
             arrival,
             reply,
         });
@@ -70,10 +88,18 @@
         Ok(Self {
             desk: self.desk.clone(),
             go,
+            handed: Handed::Nothing,
             ended: false,
         })
     }
 
+    fn ending(&self, outcome: Option<Outcome>) -> Ending {
+        Ending {
+            outcome,
+            handed: self.handed,
+        }
+    }
+
     /// Tells that the target has begun to answer.
     pub fn answered(&self, load: Option<Load>) {
         self.desk.tell(Message::Answered {
@@ -82,12 +108,16 @@
         });
     }
 
-    /// Tells how the request has ended.
-    pub fn end(mut self, ending: Ending) {
+    /// Tells that the request has ended, and how its target is judged by it.
+    pub fn end(mut self, outcome: Option<Outcome>) {
+        self.finish(outcome);
+    }
+
+    fn finish(&mut self, outcome: Option<Outcome>) {
         self.ended = true;
         self.desk.tell(Message::End {
             ticket: self.go.ticket,
-            ending,
+            ending: self.ending(outcome),
         });
     }
 }
@@ -95,13 +125,7 @@
 impl Drop for Ticket {
     fn drop(&mut self) {
         if !self.ended {
-            self.desk.tell(Message::End {
-                ticket: self.go.ticket,
-                ending: Ending {
-                    outcome: None,
-                    cost: Cost::Most,
-                },
-            });
+            self.finish(None);
         }
     }
 }
--- /dev/null
+++ b/tests/gateway_spend.rs
@@ -0,0 +1,58 @@
+//! What counts against a prepaid budget: what was handed out to the customer, once a request.
+
+mod deployment;
+
+use deployment::runner::{Mode, Runner};
+use deployment::{Answer, Ask, Deployment, ask, config};
+
+const PREPAID: u64 = 1_000;
+const PROMPT: u64 = 100;
+const MOST: u64 = 50;
+
+/// Asks until there is an answer other than that the grant has not come yet, which promises that
+/// the request has not run.
+async fn asked(deployment: &Deployment, id: &str, path: &str) -> Answer {
+    let front = deployment.gateways[0].front;
+    for number in 0.. {
+        let request = Ask::talk(&format!("{id}-{number}"), path, PROMPT, MOST);
+        let answer = ask(front, &request).await;
+        if answer.status != 503 {
+            return answer;
+        }
+    }
+    unreachable!("the loop ends by an answer")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers() {
+    let engine = Runner::start("i-1").await;
+    let runners = [("engine", &engine)];
+    let deployment = Deployment::start(1, &config(1, PREPAID), &runners).await;
+    engine.set(Mode::Lose);
+    for number in 0..12 {
+        let answer = asked(&deployment, &format!("lost{number}"), "/talk/x").await;
+        assert_eq!(answer.status, 502, "of which nothing was handed out");
+    }
+    engine.set(Mode::Well);
+    for number in 0..8 {
+        let answer = asked(&deployment, &format!("well{number}"), "/talk/x").await;
+        assert_eq!(answer.status, 200, "nothing is spent by what was lost");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn resumed_streams() {
+    let first = Runner::start("i-1").await;
+    let second = Runner::start("i-2").await;
+    first.set(Mode::Break(2));
+    second.set(Mode::Break(2));
+    let runners = [("engine", &first), ("engine", &second)];
+    let deployment = Deployment::start(1, &config(1, PREPAID), &runners).await;
+    for number in 0..6 {
+        let answer = asked(&deployment, &format!("s{number}"), "/resume/x").await;
+        assert_eq!(answer.status, 200, "each costs its most, and only once");
+        assert_eq!(answer.events(), [1, 2, 3, 4]);
+    }
+    let answer = asked(&deployment, "more", "/resume/x").await;
+    assert_eq!(answer.status, 402, "what broke off midway is spent");
+}
