Let few routers hold a customer's grants, and tell each other of targets that are gone

Then, on the way: a big customer with 60 in 100 of its budget left was refused 1,187 times, as its demand counted each request that was refused and came again (1.04 million tokens a second asked for, 0.35 served), so that its budget seemed to last under 12 s and nothing was granted ahead.

Change: a customer's grants are held ahead by eight routers (--holders) that follow from its name, and by whoever has an eighth of the demand; the others borrow for all that waits, ask the store for what no holder lends, and give back what they do not need. Demand is what was granted. A router that cannot read the list of targets is also told which ones have gone.

Tests: gateway_loans, target_view gone_is_told; escrow_rows never_over now with loans, gifts and a borrower.

What is lost when all routers die is still the largest part of what is refused.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -9,7 +9,7 @@
 use super::settings::Checker;
 use super::{Adapter, Command, Error, Result, dropped_lines, parse, start_output_logs};
 use crate::gateway;
-use crate::gateway::escrow::Sizing;
+use crate::gateway::escrow::{Role, Sizing};
 use crate::gateway::fleet::Settings;
 use crate::gateway::members::Router;
 use crate::gateway::retry;
@@ -158,6 +158,13 @@
         help = "part of what is left beyond --exact that is spread over all routers whatever their demand, 0 to 1"
     )]
     pub spread: String,
+    #[options(
+        no_short,
+        meta = "N",
+        default = "8",
+        help = "routers that hold grants of one customer ahead of need; the others borrow from them, 1 to 1000"
+    )]
+    pub holders: String,
     #[options(
         no_short,
         meta = "N",
@@ -224,6 +231,10 @@
     let exact = c.span("exact", &args.exact, 0.0, 86_400_000.0);
     let share = number(c, "share", &args.share, 0.0, 1.0);
     let spread = number(c, "spread", &args.spread, 0.0, 1.0);
+    let wanted = "1 to 1000";
+    let holders = c.take("holders", &args.holders, wanted, |number: &usize| {
+        (1..=1_000).contains(number)
+    });
     let wanted = "1 to 10000";
     let partitions = c.take("partitions", &args.partitions, wanted, |number: &u32| {
         (1..=10_000).contains(number)
@@ -255,7 +266,8 @@
                     exact: exact?,
                     share: share?,
                     spread: spread?,
-                    routers: 1,
+                    holders: holders?,
+                    role: Role::Holder,
                 },
                 seed: rand::rng().random(),
             },
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -16,10 +16,11 @@
 use tokio::time::Instant;
 
 use super::dialect::{Dialect, Load};
+use super::escrow::Role;
 use super::fleet::{Arrival, Ending, Fleet, Go, Handed, Job, Refusal, Settings, Ticket};
 use super::shared::Shared;
 use crate::store::Store;
-use crate::units::Millis;
+use crate::units::{Millis, Tokens};
 use crate::wire;
 
 /// What the traffic asks of the control state, and tells it.
@@ -156,6 +157,7 @@
             tasks.spawn_local(follow::routers(Rc::clone(&control)));
             tasks.spawn_local(link::listen(parts.link, parts.fleet_key, asked));
             tasks.spawn_local(link::beat(Rc::clone(&control)));
+            tasks.spawn_local(link::give_excess(Rc::clone(&control)));
             tasks.block_on(&runtime, serve(control, parts.messages, questions));
         })
         .expect("a thread starts");
@@ -236,7 +238,6 @@
 ) {
     let now = control.now();
     let mut fleet = control.fleet.borrow_mut();
-    fleet.note_demand(now, &job);
     let result = fleet.begin(now, job.clone());
     drop(fleet);
     match result {
@@ -256,14 +257,36 @@
     wait: Duration,
     reply: oneshot::Sender<Result<Go, Refusal>>,
 ) {
-    if control.shared.store_answers() {
+    let until = Instant::now() + wait;
+    let waiting = Waiting {
+        job: job.clone(),
+        until,
+        reply,
+    };
+    control.waiting.borrow_mut().push(waiting);
+    if control.shared.store_answers() && is_holder(control, &job) {
         hurry(control, &job);
     } else {
-        borrow(control, &job);
+        borrow(control, &job, link::Then::AskStore);
     }
-    let until = Instant::now() + wait;
-    let waiting = Waiting { job, until, reply };
-    control.waiting.borrow_mut().push(waiting);
+}
+
+/// What waits for a grant, by customer.
+fn waiting(control: &Control) -> HashMap<String, Tokens> {
+    let mut needed: HashMap<String, Tokens> = HashMap::new();
+    for waiting in control.waiting.borrow().iter() {
+        if let Some((customer, _)) = &waiting.job.payer {
+            *needed.entry(customer.clone()).or_default() += waiting.job.cost();
+        }
+    }
+    needed
+}
+
+/// Whether this router holds grants of the customer that pays for a request.
+fn is_holder(control: &Control, job: &Job) -> bool {
+    let mut fleet = control.fleet.borrow_mut();
+    let role = |(customer, _): &(String, _)| fleet.role(control.now(), customer);
+    job.payer.as_ref().map(role) == Some(Role::Holder)
 }
 
 /// Has the grant renewed that a request waits for.
@@ -273,10 +296,10 @@
     }
 }
 
-/// Asks other routers for what a request costs.
-fn borrow(control: &Rc<Control>, job: &Job) {
+/// Asks other routers for what requests of a customer wait for.
+fn borrow(control: &Rc<Control>, job: &Job, then: link::Then) {
     if let Some((customer, _)) = &job.payer {
-        let loan = link::borrow(Rc::clone(control), customer.clone(), job.cost());
+        let loan = link::borrow(Rc::clone(control), customer.clone(), then);
         tokio::task::spawn_local(loan);
     }
 }
@@ -285,7 +308,7 @@
 fn borrow_for_waiting(control: &Rc<Control>) {
     let waiting = control.waiting.borrow();
     for waiting in waiting.iter() {
-        borrow(control, &waiting.job);
+        borrow(control, &waiting.job, link::Then::Wait);
     }
 }
 
--- a/src/gateway/control/follow.rs
+++ b/src/gateway/control/follow.rs
@@ -7,9 +7,8 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::{Control, ledger};
-use crate::gateway::dialect::Listing;
 use crate::gateway::members::{Router, Source};
-use crate::gateway::target::Change;
+use crate::gateway::target::{Change, View};
 use crate::store::{CallError, Partition, Patience, Record, Topic, TopicPage, hedge};
 use crate::util;
 
@@ -168,9 +167,12 @@
     }
 }
 
-/// Takes in what another router lists, while this one is cut off from the store.
-pub(super) fn take_listings(control: &Control, listings: Vec<Listing>) {
-    for listing in listings {
+/// Takes in what another router knows of the list, while this one is cut off from the store.
+pub(super) fn take_view(control: &Control, view: View) {
+    for instance in view.gone {
+        unlist(control, &instance, "link");
+    }
+    for listing in view.listed {
         let instance = listing.instance.clone();
         let change = control.fleet.borrow_mut().targets.hear(listing);
         log_change(&instance, &change, "link");
@@ -202,20 +204,21 @@
         return absent.is_empty();
     }
     for instance in absent {
-        unlist(control, &instance);
+        unlist(control, &instance, "store");
     }
     true
 }
 
-fn unlist(control: &Control, instance: &str) {
-    if control.fleet.borrow_mut().targets.unlist(instance) {
-        tracing::info!(event = "target_gone", %instance);
+fn unlist(control: &Control, instance: &str, source: &str) {
+    let now = control.now();
+    if control.fleet.borrow_mut().targets.unlist(now, instance) {
+        tracing::info!(event = "target_gone", %instance, source);
     }
 }
 
 fn take_target(control: &Control, record: &Record) {
     let Some(value) = &record.value else {
-        unlist(control, &record.key);
+        unlist(control, &record.key, "store");
         return;
     };
     match control.dialect.listing(&record.key, value) {
--- a/src/gateway/control/ledger.rs
+++ b/src/gateway/control/ledger.rs
@@ -4,7 +4,6 @@
 //! Customers are spread over the partitions of the topic, so that routers seldom write to the same
 //! one at the same time. Each partition in use has a task.
 
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,16 +12,13 @@
 use tokio::time::{Instant, sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Control, borrow_for_waiting, retry_waiting};
+use super::{Control, borrow_for_waiting, link, retry_waiting, waiting};
 use crate::gateway::escrow::Row;
 use crate::store::{CallError, Partition, Patience, Record, Topic, TopicPage, hedge};
-use crate::units::Tokens;
 use crate::util;
 
-/// Between two looks while nobody waits, in a small fleet.
+/// Between two looks while nobody waits.
 const GAP: Duration = Duration::from_millis(1_000);
-/// Routers of a small fleet; in a larger one there is more time between two looks.
-const SMALL_FLEET: usize = 16;
 /// Between two looks while the store does not answer.
 const LOST_GAP: Duration = Duration::from_millis(250);
 /// Tries in a row where others write at the same time.
@@ -114,21 +110,20 @@
         }
         retry_waiting(&control);
         borrow_for_waiting(&control);
-        let _ = timeout(gap(&control), urgent.notified()).await;
-    }
-}
-
-fn gap(control: &Control) -> Duration {
-    if !control.shared.store_answers() {
-        return LOST_GAP;
+        let gap = if control.shared.store_answers() {
+            GAP
+        } else {
+            LOST_GAP
+        };
+        let _ = timeout(gap, urgent.notified()).await;
     }
-    let routers = control.fleet.borrow().members.count();
-    GAP.mul_f64((routers as f64 / SMALL_FLEET as f64).max(1.0))
 }
 
 /// Gives back what is not used; nothing runs any more.
 pub async fn give_back(control: &Rc<Control>) {
     control.shared.set_closed();
+    let unused = control.fleet.borrow_mut().take_unused();
+    let gifts = link::give_all(control, unused);
     let numbers: Vec<u32> = control.shards.borrow().keys().copied().collect();
     let tasks = numbers.into_iter().map(|number| {
         let control = Rc::clone(control);
@@ -142,17 +137,15 @@
             }
         }
     });
-    futures::future::join_all(tasks).await;
+    futures::future::join(gifts, futures::future::join_all(tasks)).await;
 }
 
 /// Reads and writes until nobody else has written in between.
 async fn write(control: &Control, shard: &mut Shard, purpose: Purpose) -> Result<(), CallError> {
     let mut result = Ok(());
     for _ in 0..TRIES_MAX {
-        if shard.next.is_some()
-            && shard.unknown.is_empty()
-            && rows(control, shard, purpose).is_empty()
-        {
+        let is_idle = !is_awaited(control, shard) && shard.unknown.is_empty();
+        if is_idle && rows(control, shard, purpose).is_empty() {
             return Ok(());
         }
         result = write_once(control, shard, purpose).await;
@@ -212,6 +205,13 @@
     }
 }
 
+/// Whether a request waits for a grant of this partition.
+fn is_awaited(control: &Control, shard: &Shard) -> bool {
+    let number = shard.partition.number;
+    let mut customers = waiting(control).into_keys();
+    customers.any(|customer| number_of(&customer, control.partitions) == number)
+}
+
 /// The rows of a partition that are to be written.
 fn rows(control: &Control, shard: &Shard, purpose: Purpose) -> Vec<(String, Row)> {
     let number = shard.partition.number;
@@ -230,17 +230,6 @@
     }
 }
 
-/// What waits for a grant, by customer.
-fn waiting(control: &Control) -> HashMap<String, Tokens> {
-    let mut needed: HashMap<String, Tokens> = HashMap::new();
-    for waiting in control.waiting.borrow().iter() {
-        if let Some((customer, _)) = &waiting.job.payer {
-            *needed.entry(customer.clone()).or_default() += waiting.job.cost();
-        }
-    }
-    needed
-}
-
 fn records(control: &Control, rows: &[(String, Row)]) -> Vec<Record> {
     let fleet = control.fleet.borrow();
     let name = &fleet.members.me.name;
--- a/src/gateway/control/link.rs
+++ b/src/gateway/control/link.rs
@@ -14,10 +14,10 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep};
 
-use super::{Control, follow, ledger, retry_waiting};
-use crate::gateway::dialect::Listing;
+use super::{Control, follow, ledger, retry_waiting, waiting};
+use crate::gateway::escrow::Loan;
 use crate::gateway::members::{Router, Source};
-use crate::gateway::target::Outstanding;
+use crate::gateway::target::{Outstanding, View};
 use crate::units::Tokens;
 use crate::wire::{self, Missing};
 
@@ -31,6 +31,17 @@
 const LOAD_KEPT: Duration = Duration::from_millis(1_200);
 /// Routers that are asked for a loan, one after the other.
 const LENDERS: usize = 4;
+/// Between two looks for borrowed tokens that are not needed.
+const EXCESS_GAP: Duration = Duration::from_millis(1_000);
+
+/// What follows loans that were not enough.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Then {
+    /// The store is asked for a grant.
+    AskStore,
+    /// Nothing; the store was asked before.
+    Wait,
+}
 
 /// How a router is.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -51,8 +62,15 @@
     Lend {
         /// The customer.
         customer: String,
-        /// Most that are wanted.
-        wanted: Tokens,
+        /// How many.
+        loan: Loan,
+    },
+    /// These tokens of a customer are yours now.
+    Give {
+        /// The customer.
+        customer: String,
+        /// How many.
+        tokens: Tokens,
     },
 }
 
@@ -66,10 +84,12 @@
         /// Its configuration, where that is newer.
         config: Option<Vec<u8>>,
         /// Its targets, where the asking router is not in contact with the store.
-        targets: Option<Vec<Listing>>,
+        targets: Option<View>,
     },
     /// What is lent; zero is a refusal.
     Lent(Tokens),
+    /// What was given has been taken.
+    Taken,
 }
 
 /// A question and where its answer goes.
@@ -122,17 +142,23 @@
 pub fn answer(control: &Control, question: Question) -> Answer {
     match question {
         Question::Beat(beat) => answer_beat(control, beat),
-        Question::Lend { customer, wanted } => {
-            let can_renew = control.shared.store_answers();
+        Question::Lend { customer, loan } => {
             let mut fleet = control.fleet.borrow_mut();
-            let lent = fleet.lend(&customer, wanted, can_renew);
+            let lent = fleet.lend(control.now(), &customer, loan);
             drop(fleet);
-            tracing::info!(event = "lent", %customer, wanted = wanted.0, lent = lent.0);
-            if can_renew {
+            let (lacking, wanted) = (loan.lacking.0, loan.wanted.0);
+            tracing::info!(event = "lent", %customer, lacking, wanted, lent = lent.0);
+            if lent < loan.lacking && control.shared.store_answers() {
                 ledger::hurry(control, &customer);
             }
             Answer::Lent(lent)
         }
+        Question::Give { customer, tokens } => {
+            control.fleet.borrow_mut().borrow(&customer, tokens);
+            tracing::info!(event = "taken", %customer, tokens = tokens.0);
+            retry_waiting(control);
+            Answer::Taken
+        }
     }
 }
 
@@ -141,14 +167,8 @@
     let config = (mine.config > beat.config)
         .then(|| control.shared.config_bytes.load_full())
         .flatten();
-    let targets = (mine.in_contact && !beat.in_contact).then(|| {
-        let fleet = control.fleet.borrow();
-        fleet
-            .targets
-            .listed()
-            .map(|target| target.listing.clone())
-            .collect()
-    });
+    let is_of_use = mine.in_contact && !beat.in_contact;
+    let targets = is_of_use.then(|| control.fleet.borrow().targets.view());
     take_beat(control, beat);
     Answer::Beat {
         beat: Box::new(mine),
@@ -222,10 +242,10 @@
             if let Some(targets) = targets
                 && !control.shared.store_answers()
             {
-                follow::take_listings(control, targets);
+                follow::take_view(control, targets);
             }
         }
-        Ok(Answer::Lent(_)) => {}
+        Ok(Answer::Lent(_) | Answer::Taken) => {}
         Err(missing) => miss(control, &router, missing),
     }
 }
@@ -240,48 +260,89 @@
     }
 }
 
-/// Borrows what a waiting request lacks, from as many routers as it takes.
-pub async fn borrow(control: Rc<Control>, customer: String, cost: Tokens) {
+/// Borrows what waiting requests lack, from as many routers as it takes.
+pub async fn borrow(control: Rc<Control>, customer: String, then: Then) {
     if !control.borrowing.borrow_mut().insert(customer.clone()) {
         return;
     }
-    for link in live(&control, LENDERS) {
-        let wanted = loan_wanted(&control, &customer, cost);
-        if wanted == Tokens::ZERO {
+    for link in lenders(&control, &customer) {
+        let Some(loan) = loan(&control, &customer) else {
             break;
-        }
+        };
         let question = Question::Lend {
             customer: customer.clone(),
-            wanted,
+            loan,
         };
         if let Ok(Answer::Lent(lent)) = control.links.ask(link, &question).await {
             control.fleet.borrow_mut().borrow(&customer, lent);
-            tracing::info!(event = "borrowed", %customer, %link, wanted = wanted.0, lent = lent.0);
+            let (lacking, wanted) = (loan.lacking.0, loan.wanted.0);
+            tracing::info!(event = "borrowed", %customer, %link, lacking, wanted, lent = lent.0);
+            retry_waiting(&control);
         }
     }
     control.borrowing.borrow_mut().remove(&customer);
-    retry_waiting(&control);
+    let is_short = loan(&control, &customer).is_some();
+    if is_short && then == Then::AskStore && control.shared.store_answers() {
+        ledger::hurry(&control, &customer);
+    }
 }
 
-/// What is lacking; without the store, also what will soon be asked for.
-fn loan_wanted(control: &Control, customer: &str, cost: Tokens) -> Tokens {
-    const AHEAD_S: u64 = 2;
-    let fleet = control.fleet.borrow();
-    let lacking = fleet.lacking(customer, cost);
-    if lacking == Tokens::ZERO || control.shared.store_answers() {
-        return lacking;
-    }
-    lacking + Tokens(fleet.demand(customer).0 * AHEAD_S)
+/// What is lacking for all that waits, if anything is, and what will soon be asked for.
+fn loan(control: &Control, customer: &str) -> Option<Loan> {
+    let needed = waiting(control).remove(customer)?;
+    let mut fleet = control.fleet.borrow_mut();
+    let lacking = fleet.lacking(customer, needed);
+    let wanted = lacking + fleet.demand(control.now(), customer);
+    (lacking > Tokens::ZERO).then_some(Loan { lacking, wanted })
 }
 
-fn live(control: &Control, count: usize) -> Vec<SocketAddr> {
+/// The routers to borrow from: those that hold the customer's grants, from a random one on.
+fn lenders(control: &Control, customer: &str) -> Vec<SocketAddr> {
     let fleet = control.fleet.borrow();
-    let live: Vec<SocketAddr> = fleet
-        .members
-        .live(control.now())
+    let name = &fleet.members.me.name;
+    let holders = fleet.holders(control.now(), customer);
+    let others: Vec<SocketAddr> = holders
+        .into_iter()
+        .filter(|router| router.name != *name)
         .map(|router| router.link)
         .collect();
-    live.sample(&mut rand::rng(), count).copied().collect()
+    others.sample(&mut rand::rng(), LENDERS).copied().collect()
+}
+
+/// Gives what was borrowed and is not needed to routers that hold the customers' grants, until the
+/// process ends.
+pub async fn give_excess(control: Rc<Control>) {
+    loop {
+        sleep(EXCESS_GAP).await;
+        let excess = control.fleet.borrow_mut().take_excess(control.now());
+        give_all(&control, excess).await;
+    }
+}
+
+/// Gives tokens to routers that hold the customers' grants.
+pub async fn give_all(control: &Control, tokens: Vec<(String, Tokens)>) {
+    let gifts = tokens.into_iter().map(|(customer, tokens)| {
+        let to = lenders(control, &customer).first().copied();
+        give(control, customer, tokens, to)
+    });
+    futures::future::join_all(gifts).await;
+}
+
+/// Gives tokens to another router. Without an answer it may have them, so they are lost here.
+async fn give(control: &Control, customer: String, tokens: Tokens, to: Option<SocketAddr>) {
+    let Some(to) = to else {
+        control.fleet.borrow_mut().borrow(&customer, tokens);
+        return;
+    };
+    let question = Question::Give {
+        customer: customer.clone(),
+        tokens,
+    };
+    let answer: Result<Answer, Missing> = control.links.ask(to, &question).await;
+    if matches!(answer, Err(Missing::Refused)) {
+        control.fleet.borrow_mut().borrow(&customer, tokens);
+    }
+    tracing::info!(event = "given", %customer, %to, tokens = tokens.0, taken = answer.is_ok());
 }
 
 /// A client for the links.
--- a/src/gateway/escrow.rs
+++ b/src/gateway/escrow.rs
@@ -17,6 +17,18 @@
 /// Changes of less than one part in this many of the prepaid budget are not written by themselves.
 const UNTOLD_DIVISOR: u64 = 1_000;
 
+/// A lender that has this many times what is wanted lends more than is lacking.
+const PLENTY: u64 = 4;
+
+/// What a router asks another one for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Loan {
+    /// What requests wait for.
+    pub lacking: Tokens,
+    /// That, and what will soon be asked for.
+    pub wanted: Tokens,
+}
+
 /// A router's part of a customer's budget, as the store keeps it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
@@ -64,7 +76,8 @@
         others.map(|(_, row)| row.closed + row.spent).sum()
     }
 
-    fn demand_of_others(&self, router: &str) -> u64 {
+    /// Tokens that are asked in a second of other routers than this.
+    pub fn demand_of_others(&self, router: &str) -> u64 {
         let others = self.rows.iter().filter(|(name, _)| *name != router);
         others.map(|(_, row)| row.demand).sum()
     }
@@ -79,6 +92,15 @@
     Here,
 }
 
+/// A router's part in keeping a customer's budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// It has tokens granted ahead of need, and lends them to others.
+    Holder,
+    /// It borrows what it needs; the store grants it only what no holder lends.
+    Borrower,
+}
+
 /// What grants are sized by. Tokens that are granted ahead of need carry a router through a time
 /// without the store, but are lost if it dies. While a budget lasts for long the first weighs
 /// more; towards its end a lost grant would refuse requests that are paid for, so nothing is
@@ -93,8 +115,10 @@
     pub share: f64,
     /// Part of what is left beyond that which is spread over all routers whatever their demand.
     pub spread: f64,
-    /// Routers that share a budget.
-    pub routers: usize,
+    /// Routers that hold grants of a customer.
+    pub holders: usize,
+    /// This router's part.
+    pub role: Role,
 }
 
 /// Whose row it is.
@@ -141,32 +165,46 @@
         (self.spent + self.reserved).saturating_sub(self.borrowed)
     }
 
-    /// Counts tokens as spent for another router; how many is returned, at most `wanted`. A lender
-    /// that can renew its grant lends all that it has, another keeps half.
-    pub fn lend(&mut self, wanted: Tokens, can_renew: bool) -> Tokens {
+    /// Counts tokens as spent for another router; how many is returned. What the other lacks is lent
+    /// as far as there is any, more only where there is plenty.
+    pub fn lend(&mut self, now: Millis, loan: Loan) -> Tokens {
         let available = self.available();
-        let spare = if can_renew {
-            available
-        } else {
-            Tokens(available.0 / 2)
-        };
-        let lent = wanted.min(spare);
+        let is_plenty = available.0 >= loan.wanted.0.saturating_mul(PLENTY);
+        let asked = if is_plenty { loan.wanted } else { loan.lacking };
+        let lent = asked.min(available);
         self.spent += lent;
+        self.note_demand(now, lent);
         self.check();
         lent
     }
 
+    /// Takes off what was borrowed, is neither spent nor reserved, and is more than `keep`, to be
+    /// given to another router.
+    pub fn take_excess(&mut self, keep: Tokens) -> Tokens {
+        let unused = self.borrowed.saturating_sub(self.spent + self.reserved);
+        let excess = unused.min(self.available()).saturating_sub(keep);
+        self.borrowed = self.borrowed.saturating_sub(excess);
+        self.check();
+        excess
+    }
+
+    /// Whether the store has a row of this process.
+    pub fn is_written(&self) -> bool {
+        self.written.is_some() || self.sent.is_some()
+    }
+
     /// Adds what another router has lent.
     pub fn borrow(&mut self, lent: Tokens) {
         self.borrowed += lent;
     }
 
     /// Tokens that are asked for in a second.
-    pub fn demand(&self) -> Tokens {
+    pub fn demand(&mut self, now: Millis) -> Tokens {
+        self.decay(now);
         Tokens(self.demand as u64)
     }
 
-    /// Notes that a request of this size was asked for.
+    /// Notes that so many tokens were reserved or lent.
     pub fn note_demand(&mut self, now: Millis, tokens: Tokens) {
         self.decay(now);
         self.demand += tokens.0 as f64 * 1_000.0 / DEMAND_SPAN;
@@ -245,17 +283,24 @@
             closed: self.closed,
             granted,
             spent: used,
-            demand: self.demand as u64,
+            demand: match sizing.role {
+                Role::Holder => self.demand as u64,
+                // It is counted where it borrows.
+                Role::Borrower => 0,
+            },
         }
     }
 
     /// What this router should hold beyond what it uses, with so much left of the budget.
     fn ahead(&self, ledger: &Ledger, router: &str, left: Tokens, sizing: &Sizing) -> Tokens {
+        if sizing.role == Role::Borrower {
+            return Tokens::ZERO;
+        }
         let all = self.demand + ledger.demand_of_others(router) as f64;
         let exact = all * sizing.exact.0 as f64 / 1_000.0;
         let above = (left.0 as f64 - exact).max(0.0);
         let horizon = sizing.horizon.0 as f64 / 1_000.0;
-        let spread = above * sizing.spread / sizing.routers.max(1) as f64;
+        let spread = above * sizing.spread / sizing.holders.max(1) as f64;
         let share = if all > 0.0 {
             above * sizing.share * self.demand / all
         } else {
@@ -268,7 +313,7 @@
     /// Whether a row differs enough from what was last written to be worth a call.
     pub fn is_worth_writing(&self, row: &Row, prepaid: Tokens) -> bool {
         let Some(written) = self.written else {
-            return true;
+            return row.granted > Tokens::ZERO;
         };
         let near = |a: Tokens, b: Tokens| a.0.abs_diff(b.0) <= prepaid.0 / UNTOLD_DIVISOR;
         !near(written.granted, row.granted)
@@ -276,6 +321,11 @@
             || written.closed != row.closed
     }
 
+    /// Whether a row grants more than there is.
+    pub fn gains(&self, row: &Row) -> bool {
+        row.granted > self.granted
+    }
+
     /// Takes over what the store has of an earlier process of this router, which is gone.
     fn adopt(&mut self, row: Option<&Row>, incarnation: u64) {
         let Some(row) = row else {
@@ -314,11 +364,6 @@
         self.limit = self.granted;
     }
 
-    /// Whether a row is on its way.
-    pub fn is_sending(&self) -> bool {
-        self.sent.is_some()
-    }
-
     /// The row that gives everything back, once nothing runs any more.
     pub fn last_row(&self, incarnation: u64) -> Row {
         let used = self.used();
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -8,7 +8,7 @@
 use rand::{RngExt, SeedableRng};
 
 use super::dialect::{Load, Prompt};
-use super::escrow::{Account, Holder, Ledger, Row, Short, Sizing};
+use super::escrow::{Account, Holder, Ledger, Loan, Role, Row, Short, Sizing};
 use super::members::{Members, Router};
 use super::retry::{self, Budget};
 use super::target::{Key, Targets};
@@ -171,11 +171,6 @@
         }
     }
 
-    /// Requests under way.
-    pub fn in_flight(&self) -> usize {
-        self.running.len()
-    }
-
     /// Decides on a request that has arrived.
     ///
     /// # Errors
@@ -192,7 +187,7 @@
             job,
         };
         let target = self.choose(now, &running).ok_or(Refusal::NoTarget)?;
-        running.reserved = self.reserve(&running.job)?;
+        running.reserved = self.reserve(now, &running.job)?;
         let budget = self.budgets.entry(running.service.clone()).or_default();
         budget.note_request(now, &self.settings.repeats);
         let ticket = Ticket(self.next);
@@ -200,15 +195,6 @@
         Ok(self.send(ticket, running, target))
     }
 
-    /// Notes what a customer asks for, whether or not it is granted.
-    pub fn note_demand(&mut self, now: Millis, job: &Job) {
-        if let Some((customer, prepaid)) = &job.payer {
-            self.prepaid.insert(customer.clone(), *prepaid);
-            let account = self.accounts.entry(customer.clone()).or_default();
-            account.note_demand(now, job.cost());
-        }
-    }
-
     /// Decides where a request goes next whose last try has ended without an answer.
     ///
     /// # Errors
@@ -361,7 +347,7 @@
         }
     }
 
-    fn reserve(&mut self, job: &Job) -> Result<Tokens, Refusal> {
+    fn reserve(&mut self, now: Millis, job: &Job) -> Result<Tokens, Refusal> {
         let Some((customer, prepaid)) = &job.payer else {
             return Ok(Tokens::ZERO);
         };
@@ -370,7 +356,11 @@
         let account = self.accounts.entry(customer.clone()).or_default();
         let name = &self.settings.me.name;
         match account.reserve(cost, *prepaid, ledger, name) {
-            Ok(()) => Ok(cost),
+            // What is refused comes again, so only what is granted tells of the demand.
+            Ok(()) => {
+                account.note_demand(now, cost);
+                Ok(cost)
+            }
             Err(Short::Exhausted) => Err(Refusal::Exhausted),
             Err(Short::Here) => Err(Refusal::Short),
         }
@@ -400,26 +390,31 @@
         waiting: &HashMap<String, Tokens>,
         includes: impl Fn(&str) -> bool,
     ) -> Vec<(String, Row)> {
-        let me = &self.settings.me;
-        let holder = Holder {
-            router: &me.name,
-            incarnation: me.incarnation,
-        };
-        let sizing = Sizing {
-            routers: self.members.count(),
-            ..self.settings.sizing
-        };
+        let customers: Vec<(String, Tokens)> = self
+            .prepaid
+            .iter()
+            .filter(|(customer, _)| includes(customer))
+            .map(|(customer, prepaid)| (customer.clone(), *prepaid))
+            .collect();
+        let holders = self.members.count().min(self.settings.sizing.holders);
         let mut rows = Vec::new();
-        for (customer, prepaid) in &self.prepaid {
-            if !includes(customer) {
-                continue;
-            }
+        for (customer, prepaid) in customers {
+            let sizing = Sizing {
+                holders,
+                role: self.role(now, &customer),
+                ..self.settings.sizing
+            };
+            let holder = Holder {
+                router: &self.settings.me.name,
+                incarnation: self.settings.me.incarnation,
+            };
             let ledger = self.ledgers.entry(customer.clone()).or_default();
             let account = self.accounts.entry(customer.clone()).or_default();
-            let needed = waiting.get(customer).copied().unwrap_or_default();
-            let row = account.wanted(now, ledger, &holder, *prepaid, &sizing, needed);
-            if account.is_worth_writing(&row, *prepaid) || needed > Tokens::ZERO {
-                rows.push((customer.clone(), row));
+            let needed = waiting.get(&customer).copied().unwrap_or_default();
+            let row = account.wanted(now, ledger, &holder, prepaid, &sizing, needed);
+            let is_needed = needed > Tokens::ZERO && account.gains(&row);
+            if is_needed || account.is_worth_writing(&row, prepaid) {
+                rows.push((customer, row));
             }
         }
         rows
@@ -429,6 +424,7 @@
     pub fn last_rows(&self) -> Vec<(String, Row)> {
         let incarnation = self.settings.me.incarnation;
         let accounts = self.accounts.iter();
+        let accounts = accounts.filter(|(_, account)| account.is_written());
         accounts
             .map(|(customer, account)| (customer.clone(), account.last_row(incarnation)))
             .collect()
@@ -473,17 +469,68 @@
         (account.available(), spent)
     }
 
+    /// This router's part in keeping a customer's budget. One that is asked for much of what all
+    /// are asked for holds grants of its own beside those that everybody knows.
+    pub fn role(&mut self, now: Millis, customer: &str) -> Role {
+        let me = self.settings.me.name.as_str();
+        let holders = self
+            .members
+            .holders(now, customer, self.settings.sizing.holders);
+        if holders.is_empty() || holders.iter().any(|router| router.name == me) {
+            return Role::Holder;
+        }
+        let ledger = self.ledgers.get(customer);
+        let others = ledger.map_or(0, |ledger| ledger.demand_of_others(me));
+        let own = self.demand(now, customer).0;
+        if own > 0 && own * self.settings.sizing.holders as u64 >= others + own {
+            Role::Holder
+        } else {
+            Role::Borrower
+        }
+    }
+
+    /// The routers that hold a customer's grants.
+    pub fn holders(&self, now: Millis, customer: &str) -> Vec<&Router> {
+        let count = self.settings.sizing.holders;
+        self.members.holders(now, customer, count)
+    }
+
     /// Lends tokens to another router; see [`Account::lend`].
-    pub fn lend(&mut self, customer: &str, wanted: Tokens, can_renew: bool) -> Tokens {
+    pub fn lend(&mut self, now: Millis, customer: &str, loan: Loan) -> Tokens {
         let account = self.accounts.get_mut(customer);
-        account.map_or(Tokens::ZERO, |account| account.lend(wanted, can_renew))
+        account.map_or(Tokens::ZERO, |account| account.lend(now, loan))
     }
 
-    /// Adds what another router has lent.
-    pub fn borrow(&mut self, customer: &str, lent: Tokens) {
-        if let Some(account) = self.accounts.get_mut(customer) {
-            account.borrow(lent);
+    /// Takes off what was borrowed and is not needed, of each customer that others hold.
+    pub fn take_excess(&mut self, now: Millis) -> Vec<(String, Tokens)> {
+        let customers: Vec<String> = self.accounts.keys().cloned().collect();
+        let mut excess = Vec::new();
+        for customer in customers {
+            if self.role(now, &customer) == Role::Holder {
+                continue;
+            }
+            let account = self.accounts.entry(customer.clone()).or_default();
+            let keep = account.demand(now);
+            excess.push((customer, account.take_excess(keep)));
         }
+        excess.retain(|(_, tokens)| *tokens > Tokens::ZERO);
+        excess
+    }
+
+    /// Takes off all that was borrowed and not used.
+    pub fn take_unused(&mut self) -> Vec<(String, Tokens)> {
+        let accounts = self.accounts.iter_mut();
+        let mut unused: Vec<(String, Tokens)> = accounts
+            .map(|(customer, account)| (customer.clone(), account.take_excess(Tokens::ZERO)))
+            .collect();
+        unused.retain(|(_, tokens)| *tokens > Tokens::ZERO);
+        unused
+    }
+
+    /// Adds what another router has lent or given.
+    pub fn borrow(&mut self, customer: &str, lent: Tokens) {
+        let account = self.accounts.entry(customer.to_owned()).or_default();
+        account.borrow(lent);
     }
 
     /// What this router lacks to pay for requests of this cost.
@@ -493,17 +540,9 @@
     }
 
     /// What is asked for in a second, of a customer.
-    pub fn demand(&self, customer: &str) -> Tokens {
-        let account = self.accounts.get(customer);
-        account.map_or(Tokens::ZERO, Account::demand)
-    }
-
-    /// What this router has in the store, of a customer.
-    pub fn own_row(&self, customer: &str) -> Option<Row> {
-        self.ledgers
-            .get(customer)?
-            .row(&self.settings.me.name)
-            .copied()
+    pub fn demand(&mut self, now: Millis, customer: &str) -> Tokens {
+        let account = self.accounts.get_mut(customer);
+        account.map_or(Tokens::ZERO, |account| account.demand(now))
     }
 
     /// This process.
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::units::Millis;
 
@@ -124,6 +125,18 @@
         live.map(|member| &member.router)
     }
 
+    /// The routers that hold a customer's grants, at most `count`: those that come first in an order
+    /// that depends only on the customer, so that routers agree without a word.
+    pub fn holders(&self, now: Millis, customer: &str, count: usize) -> Vec<&Router> {
+        let seed = xxh3_64(customer.as_bytes());
+        let ready = self.live(now).filter(|router| router.is_ready);
+        let me = self.me.is_ready.then_some(&self.me);
+        let mut holders: Vec<&Router> = ready.chain(me).collect();
+        holders.sort_by_key(|router| xxh3_64_with_seed(router.name.as_bytes(), seed));
+        holders.truncate(count);
+        holders
+    }
+
     /// All other routers that were ever heard of.
     pub fn known(&self) -> impl Iterator<Item = &Router> {
         self.known.values().map(|member| &member.router)
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -46,6 +46,9 @@
 /// The same for plain requests, in slots of the target.
 const FAILING_SLOTS: f64 = 2.0;
 
+/// How long other routers are told of a target that is gone.
+const GONE_KEPT: Millis = Millis(15_000);
+
 /// How long a target is thought to keep a part after its last use.
 const CACHE_KEPT: Millis = Millis(20_000);
 /// Parts remembered before those that count no more are forgotten.
@@ -119,6 +122,16 @@
     by_hash: HashMap<u64, Key>,
     by_service: HashMap<String, Vec<Key>>,
     sent: HashMap<(Key, u64), Millis>,
+    gone: HashMap<String, Millis>,
+}
+
+/// What a router knows of the list of targets, for one that cannot read it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct View {
+    /// The targets that are listed.
+    pub listed: Vec<Listing>,
+    /// Instances that were taken off the list of late.
+    pub gone: Vec<String>,
 }
 
 /// How a change of the list differs from what was known.
@@ -140,6 +153,7 @@
         let Some(key) = self.by_instance.get(&listing.instance).copied() else {
             return self.add(listing);
         };
+        self.gone.remove(&listing.instance);
         let target = &mut self.all[key.0];
         let was_ready = target.listed && target.listing.is_ready;
         let is_ready = listing.is_ready;
@@ -182,13 +196,24 @@
     }
 
     /// Takes a target off the list. Whether it was there is returned.
-    pub fn unlist(&mut self, instance: &str) -> bool {
+    pub fn unlist(&mut self, now: Millis, instance: &str) -> bool {
         let Some(key) = self.by_instance.get(instance) else {
             return false;
         };
+        self.gone.insert(instance.to_owned(), now);
+        self.gone
+            .retain(|_, at| now.saturating_sub(*at) < GONE_KEPT);
         std::mem::replace(&mut self.all[key.0].listed, false)
     }
 
+    /// What another router is told that cannot read the list.
+    pub fn view(&self) -> View {
+        View {
+            listed: self.listed().map(|target| target.listing.clone()).collect(),
+            gone: self.gone.keys().cloned().collect(),
+        }
+    }
+
     /// The instances that are listed.
     pub fn listed(&self) -> impl Iterator<Item = &Target> {
         self.all.iter().filter(|target| target.listed)
--- a/tests/escrow_rows.rs
+++ b/tests/escrow_rows.rs
@@ -6,10 +6,11 @@
 
 use arbtest::arbitrary::Unstructured;
 use arbtest::arbtest;
-use lanedeck::gateway::escrow::{Account, Holder, Ledger, Row, Short, Sizing};
+use lanedeck::gateway::escrow::{Account, Holder, Ledger, Loan, Role, Row, Short, Sizing};
 use lanedeck::units::{Millis, Tokens};
 
 const ROUTERS: usize = 4;
+const BORROWER: &str = "r3";
 const STEPS: usize = 120;
 const SEEDS: u64 = 4_000;
 /// Random bytes of one run.
@@ -19,7 +20,8 @@
     exact: Millis(2_000),
     share: 0.8,
     spread: 0.2,
-    routers: ROUTERS,
+    holders: ROUTERS,
+    role: Role::Holder,
 };
 
 /// The store: rows in the order that they were written.
@@ -84,8 +86,15 @@
             router: &self.name,
             incarnation: self.incarnation,
         };
+        // One router borrows, and has no grants but for what waits.
+        let role = if self.name == BORROWER {
+            Role::Borrower
+        } else {
+            Role::Holder
+        };
+        let sizing = Sizing { role, ..SIZING };
         self.account
-            .wanted(now, &self.ledger, &holder, prepaid, &SIZING, waiting)
+            .wanted(now, &self.ledger, &holder, prepaid, &sizing, waiting)
     }
 }
 
@@ -213,9 +222,15 @@
             }
             let other = u.int_in_range(0..=ROUTERS - 1)?;
             if other != index {
-                let wanted = Tokens(u.int_in_range(0..=300)?);
-                let lent = world.routers[index].account.lend(wanted, u.arbitrary()?);
-                world.routers[other].account.borrow(lent);
+                let tokens = if u.arbitrary()? {
+                    let lacking = Tokens(u.int_in_range(0..=300)?);
+                    let wanted = lacking + Tokens(u.int_in_range(0..=300)?);
+                    let loan = Loan { lacking, wanted };
+                    world.routers[index].account.lend(now, loan)
+                } else {
+                    world.routers[index].account.take_excess(Tokens::ZERO)
+                };
+                world.routers[other].account.borrow(tokens);
             }
         }
         _ => world.kill(index),
--- /dev/null
+++ b/tests/gateway_loans.rs
@@ -0,0 +1,121 @@
+//! Few routers hold a customer's grants; the others borrow from them, also while the store is out.
+
+mod deployment;
+
+use std::net::SocketAddr;
+
+use deployment::runner::Runner;
+use deployment::store::Fault;
+use deployment::{Ask, Deployment, ask, config, until};
+use lanedeck::gateway::members::{Members, Router, Source};
+use lanedeck::units::Millis;
+
+const NOW: Millis = Millis(1_000_000);
+const PLENTY: u64 = 1_000_000;
+
+fn router(number: u16) -> Router {
+    let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+    Router {
+        name: format!("r{number}"),
+        incarnation: 1,
+        front: address(1_000 + number),
+        link: address(2_000 + number),
+        hall: "hall".into(),
+        is_ready: true,
+        beat: 1,
+    }
+}
+
+/// The fleet as one of its routers sees it.
+fn members(me: u16, count: u16) -> Members {
+    let mut members = Members::new(router(me), Millis(1_000));
+    for number in (0..count).filter(|number| *number != me) {
+        members.hear(NOW, router(number), Source::Link);
+    }
+    members
+}
+
+fn holders(members: &Members, customer: &str, count: usize) -> Vec<String> {
+    let holders = members.holders(NOW, customer, count);
+    let mut names: Vec<String> = holders
+        .into_iter()
+        .map(|router| router.name.clone())
+        .collect();
+    names.sort();
+    names
+}
+
+#[test]
+fn same_holders() {
+    let (one, other) = (members(0, 30), members(17, 30));
+    let mut used = std::collections::HashSet::new();
+    for number in 0..60 {
+        let customer = format!("customer{number}");
+        let names = holders(&one, &customer, 4);
+        assert_eq!(names.len(), 4);
+        assert_eq!(
+            names,
+            holders(&other, &customer, 4),
+            "routers agree on {customer}"
+        );
+        used.extend(names);
+    }
+    assert_eq!(used.len(), 30, "customers are spread over all");
+    assert_eq!(
+        holders(&members(0, 3), "anna", 4).len(),
+        3,
+        "all of a small fleet"
+    );
+}
+
+#[test]
+fn leaving_holder() {
+    let mut members = members(0, 6);
+    let first = holders(&members, "anna", 1).remove(0);
+    let number = first[1..].parse().unwrap();
+    let leaving = Router {
+        is_ready: false,
+        beat: 2,
+        ..router(number)
+    };
+    if number == 0 {
+        members.me.is_ready = false;
+    } else {
+        members.hear(NOW, leaving, Source::Link);
+    }
+    assert_ne!(holders(&members, "anna", 1), [first], "another one holds");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn store_out() {
+    let engine = Runner::start("i-1").await;
+    let flags = ["--holders", "1"];
+    let runners = [("engine", &engine)];
+    let deployment = Deployment::start_with(3, &config(1, PLENTY), &runners, &flags).await;
+    deployment.wait_acquainted().await;
+    let mut number = 0;
+    let mut served = async |gateway: usize| {
+        number += 1;
+        let request = Ask::talk(&format!("s{number}"), "/talk/x", 100, 50);
+        let front = deployment.gateways[gateway].front;
+        ask(front, &request).await.status == 200
+    };
+    // Whichever holds the customer's grants gets to know the demand.
+    for turn in 0..60 {
+        served(turn % 3).await;
+    }
+    for gateway in &deployment.gateways {
+        deployment
+            .store
+            .set_fault(gateway.store, Fault::Unavailable);
+    }
+    for turn in 0..30 {
+        let front = deployment.gateways[turn % 3].front;
+        let id = format!("cut{turn}");
+        until(|| async {
+            let request = Ask::talk(&id, "/talk/x", 100, 50);
+            ask(front, &request).await.status == 200
+        })
+        .await;
+    }
+}
--- a/tests/target_view.rs
+++ b/tests/target_view.rs
@@ -50,7 +50,7 @@
     // Another router that read the list earlier still thinks that it is ready.
     targets.hear(listing(0, true));
     assert_eq!(targets.candidates(NOW, "s", &[]), [Key(1)]);
-    targets.unlist("i-1");
+    targets.unlist(NOW, "i-1");
     targets.hear(listing(1, true));
     assert!(targets.candidates(NOW, "s", &[]).is_empty());
     // The store itself may list one again, whose entry had gone while it could not write.
@@ -62,6 +62,21 @@
     assert_eq!(targets.candidates(NOW, "s", &[]), [Key(2)]);
 }
 
+#[test]
+fn gone_is_told() {
+    let mut targets = targets(3);
+    targets.unlist(NOW, "i-1");
+    let view = targets.view();
+    assert_eq!(view.gone, ["i-1"], "who cannot read the list learns of it");
+    assert_eq!(view.listed.len(), 2);
+    // One that comes back is no longer told to be gone, nor is one that went long ago.
+    targets.list(listing(1, true));
+    assert!(targets.view().gone.is_empty());
+    targets.unlist(NOW, "i-1");
+    targets.unlist(Millis(NOW.0 + 60_000), "i-2");
+    assert_eq!(targets.view().gone, ["i-2"]);
+}
+
 #[test]
 fn same_subject_same_target() {
     let (one, other) = (targets(9), targets(9));
