--- a/src/gateway/control/ledger.rs
+++ b/src/gateway/control/ledger.rs
@@ -104,12 +104,14 @@
         if control.shared.is_closed() {
             return;
         }
-        if let Err(error) = write(&control, &mut shard, Purpose::Renew).await {
+        let written = write(&control, &mut shard, Purpose::Renew).await;
+        // What still waits does not wait for the store to be back.
+        retry_waiting(&control);
+        borrow_for_waiting(&control);
+        if let Err(error) = written {
             tracing::warn!(event = "grants_not_renewed", partition = number, %error);
             sleep(RETRY_GAP).await;
         }
-        retry_waiting(&control);
-        borrow_for_waiting(&control);
         let gap = if control.shared.store_answers() {
             GAP
         } else {
--- a/tests/deployment/store.rs
+++ b/tests/deployment/store.rs
@@ -25,6 +25,8 @@
     None,
     /// It answers 503 and does nothing.
     Unavailable,
+    /// It answers 503 about prepaid budgets, and all else as it should.
+    NoGrants,
     /// It answers 429 and does nothing.
     Limited,
     /// It says nothing and does nothing.
@@ -135,6 +137,10 @@
         match fault.unwrap_or_default() {
             Fault::None => Ok(self.call(request).await),
             Fault::Unavailable => Ok(status(StatusCode::SERVICE_UNAVAILABLE)),
+            Fault::NoGrants if is_about_grants(request.uri()) => {
+                Ok(status(StatusCode::SERVICE_UNAVAILABLE))
+            }
+            Fault::NoGrants => Ok(self.call(request).await),
             Fault::Limited => Ok(status(StatusCode::TOO_MANY_REQUESTS)),
             Fault::Silent => std::future::pending().await,
             Fault::Slow(millis) => {
@@ -250,3 +256,8 @@
     *response.status_mut() = status;
     response
 }
+
+fn is_about_grants(uri: &http::Uri) -> bool {
+    uri.query()
+        .is_some_and(|query| query.contains("topic=keyed.prepaid"))
+}
--- a/tests/gateway_loans.rs
+++ b/tests/gateway_loans.rs
@@ -119,3 +119,24 @@
         .await;
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_grants() {
+    let engine = Runner::start("i-1").await;
+    let runners = [("engine", &engine)];
+    let deployment = Deployment::start(2, &config(1, PLENTY), &runners).await;
+    deployment.wait_acquainted().await;
+    let (cut, lender) = (&deployment.gateways[0], &deployment.gateways[1]);
+    // The store answers one gateway about all but grants.
+    deployment.store.set_fault(cut.store, Fault::NoGrants);
+    for number in 0..60 {
+        let request = Ask::talk(&format!("l{number}"), "/talk/x", 100, 50);
+        ask(lender.front, &request).await;
+    }
+    let mut served = 0;
+    for number in 0..30 {
+        let request = Ask::talk(&format!("c{number}"), "/talk/x", 100, 50);
+        served += u32::from(ask(cut.front, &request).await.status == 200);
+    }
+    assert_eq!(served, 30, "the other one lends at once");
+}
