--- a/src/control/arrive.rs
+++ b/src/control/arrive.rs
@@ -130,6 +130,7 @@
         let too_many = *busy > most;
         self.table.insert(job.spec.id, ticket, job.spec.fingerprint);
         let unserved = !self.pool.serves(job.spec.kind, &job.spec.serves);
+        let unknown = !self.config().has_target(job.spec.kind, &job.spec.serves);
         self.holder
             .note_demand(self.now, job.budget, job.reservation());
         self.jobs.insert(ticket, job);
@@ -137,6 +138,8 @@
             self.refuse(ticket, Reason::Stopping);
         } else if too_many {
             self.refuse(ticket, Reason::TooMany);
+        } else if unknown {
+            self.refuse(ticket, Reason::UnknownModel);
         } else if unserved {
             self.refuse(ticket, Reason::NoTarget);
         } else {
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -175,7 +175,7 @@
     );
     let answer = first_of(answer).await;
     if let Step::End(verdict) = answer.step(0).await {
-        return reply::refused(caller.id, &verdict);
+        return reply::refused(caller.id, &verdict, &model);
     }
     if streamed {
         stream(&shared, caller.id, answer)
@@ -206,7 +206,7 @@
             reply::head(response.headers_mut(), caller.id, &verdict);
             response
         }
-        _ => reply::refused(caller.id, &verdict),
+        _ => reply::refused(caller.id, &verdict, &name),
     }
 }
 
@@ -342,7 +342,7 @@
                 }
                 place += 1;
             }
-            Step::End(verdict) => return reply::refused(id, &verdict),
+            Step::End(verdict) => return reply::refused(id, &verdict, model),
         }
     };
     let verdict = answer.ended().await;
--- a/src/http/reply.rs
+++ b/src/http/reply.rs
@@ -72,11 +72,11 @@
     }
 }
 
-/// A refusal.
-pub fn refused(id: Id, verdict: &Verdict) -> Response {
+/// A refusal of a request for a model or service.
+pub fn refused(id: Id, verdict: &Verdict, serves: &str) -> Response {
     let reason = verdict.reason().unwrap_or(Reason::Unknown);
     let body = json!({
-        "error": { "type": reason.word(), "message": message(verdict, reason) },
+        "error": { "type": reason.word(), "message": message(verdict, reason, serves) },
         "lanedeck": told(id, verdict),
     });
     let mut response = json(status(verdict, reason), &body);
@@ -140,12 +140,12 @@
         Reason::BudgetElsewhere | Reason::TooMany | Reason::Overloaded | Reason::TooLate => {
             StatusCode::TOO_MANY_REQUESTS
         }
-        Reason::Unknown => StatusCode::NOT_FOUND,
+        Reason::Unknown | Reason::UnknownModel => StatusCode::NOT_FOUND,
         _ => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
-fn message(verdict: &Verdict, reason: Reason) -> String {
+fn message(verdict: &Verdict, reason: Reason, serves: &str) -> String {
     let why = match reason {
         Reason::BudgetExhausted => "the budget has less left than this request may cost",
         Reason::BudgetElsewhere => {
@@ -168,8 +168,17 @@
         Reason::Expired => "the id is too old to be known",
         Reason::Lost => "the router that the id belongs to is gone",
         Reason::IdReused => "another request had this id",
-        Reason::Unknown => "the budget, class or model is not known here",
+        Reason::Unknown => "the budget or class is not known here",
+        Reason::UnknownModel => {
+            let why = format!("no target is known for the model or service {serves}");
+            return said(verdict, &why);
+        }
     };
+    said(verdict, why)
+}
+
+/// A reason with what the verdict promises.
+fn said(verdict: &Verdict, why: &str) -> String {
     match verdict {
         Verdict::MayHaveRun { .. } => format!("{why}; it may have run"),
         _ => format!("{why}; it did not run and was not billed"),
--- a/src/intent/config.rs
+++ b/src/intent/config.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Change, Class, Customer, Key, Object, Objective, Outcome, Outcomes, Plan, Refused, Target,
+    Change, Class, Customer, Key, Kind, Object, Objective, Outcome, Outcomes, Plan, Refused, Target,
 };
 use crate::budget::{Sequence, Violation};
 use crate::log::{Fold, Incarnation, Record};
@@ -66,6 +66,12 @@
         }
     }
 
+    /// Whether any target is for this model or service, leaving ones included.
+    pub fn has_target(&self, kind: Kind, serves: &str) -> bool {
+        let mut targets = self.targets();
+        targets.any(|(_, _, target)| target.kind == kind && target.serves == serves)
+    }
+
     /// All targets: name, version, target.
     pub fn targets(&self) -> impl Iterator<Item = (&str, Offset, &Target)> {
         self.items
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -184,7 +184,11 @@
             Some(first && between)
         }
         Verdict::NotRun { reason, .. } | Verdict::MayHaveRun { reason } => match reason {
-            Reason::BudgetExhausted | Reason::Unknown | Reason::IdReused | Reason::Expired => None,
+            Reason::BudgetExhausted
+            | Reason::Unknown
+            | Reason::UnknownModel
+            | Reason::IdReused
+            | Reason::Expired => None,
             _ => Some(false),
         },
     }
--- a/src/request/verdict.rs
+++ b/src/request/verdict.rs
@@ -44,8 +44,10 @@
     Lost,
     /// The same id came with another request.
     IdReused,
-    /// This router does not know the customer, budget, class or model, or not yet.
+    /// This router does not know the customer, budget or class, or not yet.
     Unknown,
+    /// The configuration has no target for the model or service.
+    UnknownModel,
 }
 
 impl Reason {
@@ -70,6 +72,7 @@
             Self::Lost => "lost",
             Self::IdReused => "id_reused",
             Self::Unknown => "unknown",
+            Self::UnknownModel => "unknown_model",
         }
     }
 }
