Look for an unknown model only where nothing serves it, and call holders once

Cause, from a last reading of the change: every admitted request walked all configured targets to see whether its model is known, also where one serves it; Fleet::role wrote Fleet::holders out again; the wait before a resume was bounded twice.

Change: State::unserved asks the configuration only after the pool; role calls holders; one bound.

Measured: clippy clean; bad_input, whole_answers, gateway_loans, gateway_path, target_choice pass. No timing was taken. Conclusion: no behaviour changes.

--- a/src/control/arrive.rs
+++ b/src/control/arrive.rs
@@ -129,8 +129,7 @@
         *busy += 1;
         let too_many = *busy > most;
         self.table.insert(job.spec.id, ticket, job.spec.fingerprint);
-        let unserved = !self.pool.serves(job.spec.kind, &job.spec.serves);
-        let unknown = !self.config().has_target(job.spec.kind, &job.spec.serves);
+        let unserved = self.unserved(job.spec.kind, &job.spec.serves);
         self.holder
             .note_demand(self.now, job.budget, job.reservation());
         self.jobs.insert(ticket, job);
@@ -138,15 +137,26 @@
             self.refuse(ticket, Reason::Stopping);
         } else if too_many {
             self.refuse(ticket, Reason::TooMany);
-        } else if unknown {
-            self.refuse(ticket, Reason::UnknownModel);
-        } else if unserved {
-            self.refuse(ticket, Reason::NoTarget);
+        } else if let Some(reason) = unserved {
+            self.refuse(ticket, reason);
         } else {
             self.enqueue(ticket);
         }
     }
 
+    /// Why no target takes work for a model or service, if none does.
+    fn unserved(&self, kind: Kind, serves: &str) -> Option<Reason> {
+        if self.pool.serves(kind, serves) {
+            return None;
+        }
+        let reason = if self.config().has_target(kind, serves) {
+            Reason::NoTarget
+        } else {
+            Reason::UnknownModel
+        };
+        Some(reason)
+    }
+
     fn enqueue(&mut self, ticket: Ticket) {
         let Some(job) = self.jobs.get(&ticket) else {
             return;
--- a/src/gateway/fleet/money.rs
+++ b/src/gateway/fleet/money.rs
@@ -159,9 +159,7 @@
     /// are asked for holds grants of its own beside those that everybody knows.
     pub fn role(&mut self, now: Millis, customer: &str) -> Role {
         let me = self.settings.me.name.as_str();
-        let holders = self
-            .members
-            .holders(now, customer, self.settings.sizing.holders);
+        let holders = self.holders(now, customer);
         if holders.is_empty() || holders.iter().any(|router| router.name == me) {
             return Role::Holder;
         }
--- a/src/http/relay.rs
+++ b/src/http/relay.rs
@@ -339,7 +339,7 @@
 /// How long is waited before a stream is resumed that was resumed in vain so many times.
 fn resume_wait(idle: u32) -> Duration {
     RESUME_WAIT
-        .saturating_mul(1 << idle.saturating_sub(1).min(RESUMES_MAX))
+        .saturating_mul(1 << idle.saturating_sub(1))
         .min(RESUME_WAIT_MAX)
 }
 
