Log the steps of a stop with what is under way at each

Cause: the logs could not tell whether a request came in after a stopping router's last look at its requests, nor what was under way at the exit: `cut` was counted before grants were given back.

Change: `giving_back` says when the last look was, how many requests were under way and how many callers' connections were open; `stopped` adds how many requests arrived since, how many were under way at the exit, the connections, and how long giving back took. Callers' open connections are counted. No decision changes.

--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -17,7 +17,7 @@
 use super::dialect::Dialect;
 use super::relay::Relay;
 use super::serve;
-use super::shared::Shared;
+use super::shared::{Open, Shared};
 use crate::units::Millis;
 
 /// Pause after a connection could not be accepted, so that a lack of sockets does not spin.
@@ -95,6 +95,7 @@
     shared: Arc<Shared>,
     endpoint: Endpoint,
 ) -> impl Future<Output = ()> + Send {
+    let open = matches!(endpoint, Endpoint::Callers(_)).then(|| Open::new(&shared));
     let config = shared.config.load();
     let limits = config
         .as_ref()
@@ -124,6 +125,7 @@
         .max_buf_size(limits.header_bytes.max(BUFFER_MIN))
         .serve_connection(TokioIo::new(stream), service);
     async move {
+        let _open = open;
         if let Err(error) = connection.await {
             tracing::debug!(event = "caller_connection_ended", %error);
         }
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -175,6 +175,14 @@
         sleep(STOP_POLL).await;
     }
     let cut = shared.active();
+    let requests = shared.metrics.requests.get();
+    tracing::info!(
+        event = "giving_back",
+        active = cut,
+        connections = shared.connections(),
+        ms = millis(since)
+    );
+    let gave_back = Instant::now();
     let (done, closed) = oneshot::channel();
     controller.tell(Message::Close { done });
     if timeout(GIVE_BACK_MAX, closed).await.is_err() {
@@ -183,6 +191,14 @@
     tracing::info!(
         event = "stopped",
         cut,
-        ms = since.elapsed().as_millis() as u64
+        arrived = shared.metrics.requests.get() - requests,
+        active = shared.active(),
+        connections = shared.connections(),
+        give_back_ms = millis(gave_back),
+        ms = millis(since)
     );
 }
+
+fn millis(since: Instant) -> u64 {
+    since.elapsed().as_millis() as u64
+}
