Close the server before the last look at a stop, and end with its connections

Cause: a gateway that stops looked at its requests under way, saw none, and gave its grants back for up to half a second with its listeners and idle connections open. A request that came in by one of them was sent to its target and died at the exit. The class: a count is checked once and acted on later, while what raises the count goes on. The same count also left out answers that were handed over and not yet written.

Change: `net::Server` owns accept loops and connections. A stop closes it: what has arrived is read, listeners go, connections without a request are closed, the others end when their answer is written; grants are given back after that. What a stop can wait for no longer is given up within its request's deadline (`gateway::deadline`): 503 or 504 at once, a stream is broken off and settled. Before, its connection just died.

Conclusion: there is no moment any more in which a request can be let in and not be waited for.

--- a/src/gateway/control/link.rs
+++ b/src/gateway/control/link.rs
@@ -61,10 +61,13 @@
     }
 }
 
-/// Answers another router.
+/// Answers another router. Once grants are given back, tokens that change hands would end with this
+/// process.
 pub(super) fn answer(control: &Control, request: Request) -> Reply {
+    let gives_back = control.shared.gives_back();
     match request {
         Request::Heartbeat(heartbeat) => answer_heartbeat(control, heartbeat),
+        Request::Lend { .. } | Request::Give { .. } if gives_back => Reply::Declined,
         Request::Lend { customer, loan } => Reply::Lent(loans::lend(control, &customer, loan)),
         Request::Give { customer, tokens } => {
             loans::take(control, &customer, tokens);
@@ -151,7 +154,7 @@
                 apply::peer_targets(control, targets);
             }
         }
-        Ok(reply @ (Reply::Lent(_) | Reply::Taken)) => {
+        Ok(reply @ (Reply::Lent(_) | Reply::Taken | Reply::Declined)) => {
             tracing::warn!(event = "peer_answer_unfit", name = %router.name, ?reply);
         }
         Err(missing) => set_unreachable(control, &router, missing),
--- a/src/gateway/control/loans.rs
+++ b/src/gateway/control/loans.rs
@@ -146,9 +146,9 @@
         tokens,
     };
     let answer: Result<Reply, Missing> = control.links.ask(to, &request).await;
-    if matches!(answer, Err(Missing::Refused)) {
+    if matches!(answer, Ok(Reply::Declined) | Err(Missing::Refused)) {
         control.state.borrow_mut().borrow(&customer, tokens);
     }
-    let taken = answer.is_ok();
+    let taken = matches!(answer, Ok(Reply::Taken));
     tracing::info!(event = "tokens_given", %customer, %to, tokens = tokens.0, taken);
 }
--- a/src/gateway/decision/refusal.rs
+++ b/src/gateway/decision/refusal.rs
@@ -66,6 +66,8 @@
     BrokenOff,
     /// It was sent and the caller's time was over; it may have run.
     TimedOut,
+    /// It was sent and this router, which is stopping, waited no longer; it may have run.
+    Cut,
 }
 
 impl Reason {
@@ -74,6 +76,7 @@
     pub fn of(failure: Failure, verdict: Verdict) -> Self {
         match (failure, verdict) {
             (Failure::TimedOut, _) => Self::TimedOut,
+            (Failure::Cut, _) => Self::Cut,
             (Failure::BrokenOff | Failure::ServerError, _) | (_, Verdict::MayHaveRun) => {
                 Self::BrokenOff
             }
@@ -82,13 +85,14 @@
                 Self::Unreachable
             }
             (Failure::Late, _) => Self::Late,
+            (Failure::Stopping, _) => Self::Stopping,
         }
     }
 
     /// Whether the request may have run.
     pub fn verdict(self) -> Verdict {
         match self {
-            Self::BrokenOff | Self::TimedOut => Verdict::MayHaveRun,
+            Self::BrokenOff | Self::TimedOut | Self::Cut => Verdict::MayHaveRun,
             _ => Verdict::NotRun,
         }
     }
@@ -102,7 +106,7 @@
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::Refused(Refusal::Exhausted) => StatusCode::PAYMENT_REQUIRED,
             Self::BrokenOff => StatusCode::BAD_GATEWAY,
-            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::TimedOut | Self::Cut => StatusCode::GATEWAY_TIMEOUT,
             Self::NoConfig
             | Self::Stopping
             | Self::Refused(_)
@@ -129,7 +133,8 @@
             | Self::Refused(Refusal::Exhausted)
             | Self::Late
             | Self::BrokenOff
-            | Self::TimedOut => None,
+            | Self::TimedOut
+            | Self::Cut => None,
         }
     }
 
@@ -153,6 +158,7 @@
             Self::Late => "late",
             Self::BrokenOff => "broken_off",
             Self::TimedOut => "timed_out",
+            Self::Cut => "cut_at_stop",
         }
     }
 }
--- a/src/gateway/decision/retry.rs
+++ b/src/gateway/decision/retry.rs
@@ -8,6 +8,7 @@
 use std::collections::VecDeque;
 
 use crate::ejection::Outcome;
+use crate::gateway::deadline::Over;
 use crate::gateway::route::Kind;
 use crate::units::Millis;
 
@@ -29,6 +30,8 @@
     IdleClosed,
     /// The caller's time was over before anything was sent.
     Late,
+    /// The process is stopping and waited no longer before anything was sent.
+    Stopping,
     /// The target's instance or the customer cannot be written in a header; nothing was sent.
     Unwritable,
     /// The target says that it has not run the request.
@@ -39,6 +42,8 @@
     BrokenOff,
     /// The caller's time was over while the target worked.
     TimedOut,
+    /// The process is stopping and waited no longer while the target worked.
+    Cut,
     /// The target answered with a failure of its own, which can be passed on if there is no retry.
     ServerError,
 }
@@ -62,16 +67,33 @@
 }
 
 impl Failure {
+    /// The failure of an attempt whose time was over before anything was sent.
+    pub(in crate::gateway) fn before(over: Over) -> Self {
+        match over {
+            Over::Late => Self::Late,
+            Over::Stop => Self::Stopping,
+        }
+    }
+
+    /// The failure of an attempt whose time was over while the target worked.
+    pub(in crate::gateway) fn during(over: Over) -> Self {
+        match over {
+            Over::Late => Self::TimedOut,
+            Over::Stop => Self::Cut,
+        }
+    }
+
     /// Whether the attempt may have run.
     pub fn verdict(self) -> Verdict {
         match self {
             Self::Unreachable
             | Self::IdleClosed
             | Self::Late
+            | Self::Stopping
             | Self::Unwritable
             | Self::Refused
             | Self::WrongInstance => Verdict::NotRun,
-            Self::BrokenOff | Self::TimedOut | Self::ServerError => Verdict::MayHaveRun,
+            Self::BrokenOff | Self::TimedOut | Self::Cut | Self::ServerError => Verdict::MayHaveRun,
         }
     }
 
@@ -83,18 +105,28 @@
             | Self::BrokenOff
             | Self::TimedOut
             | Self::ServerError => Some(Outcome::Failed),
-            Self::IdleClosed | Self::Late | Self::Unwritable | Self::WrongInstance => None,
+            Self::IdleClosed
+            | Self::Late
+            | Self::Stopping
+            | Self::Unwritable
+            | Self::WrongInstance
+            | Self::Cut => None,
         }
     }
 
     /// Whether a retry after it is charged to the retry budget.
     pub fn charge(self) -> Charge {
         match self {
-            Self::Unreachable | Self::IdleClosed | Self::Late | Self::Unwritable => Charge::Free,
+            Self::Unreachable
+            | Self::IdleClosed
+            | Self::Late
+            | Self::Stopping
+            | Self::Unwritable => Charge::Free,
             Self::Refused
             | Self::WrongInstance
             | Self::BrokenOff
             | Self::TimedOut
+            | Self::Cut
             | Self::ServerError => Charge::Budget,
         }
     }
@@ -111,7 +143,7 @@
     pub sent: u32,
     /// Attempts that reached no target.
     pub unreached: u32,
-    /// Whether the caller's time is over.
+    /// Whether its time is over: its caller's, or that of a stop.
     pub is_expired: bool,
 }
 
@@ -133,7 +165,7 @@
     Attempts,
     /// [`UNREACHED_MAX`] targets in a row could not be connected to.
     Unreached,
-    /// The caller's time is over.
+    /// Its time is over.
     Time,
 }
 
@@ -164,7 +196,7 @@
         Decision::GiveUp(Limit::Attempts)
     } else if is_unreached {
         Decision::GiveUp(Limit::Unreached)
-    } else if history.is_expired || failure == Failure::TimedOut {
+    } else if history.is_expired || matches!(failure, Failure::TimedOut | Failure::Cut) {
         Decision::GiveUp(Limit::Time)
     } else {
         Decision::Retry
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -12,10 +12,11 @@
 use http::{HeaderMap, Method, Response, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use super::attempt::Attempt;
 use super::body::{self, Body};
+use super::deadline::Deadline;
 use super::decision::admission;
 use super::decision::refusal::Reason;
 use super::decision::retry::{self, Decision, Failure, History, Verdict};
@@ -42,7 +43,7 @@
     pub(super) route: Route,
     pub(super) request: dialect::Request,
     pub(super) started: Instant,
-    pub(super) deadline: Instant,
+    pub(super) deadline: Deadline,
     /// Most tokens that one event of its stream stands for.
     pub(super) event_tokens: u64,
     pub(super) customer: Option<String>,
@@ -134,12 +135,12 @@
     pub(super) async fn attempt(&mut self, attempt: Attempt) -> Result<Answer, Failed> {
         let attempted_at = Instant::now();
         let address = attempt.placement().address;
-        let Some(mut connection) = self.relay.connect(address, self.deadline).await else {
+        let Some(mut connection) = self.relay.connect(address, self.deadline.at).await else {
             self.unreached += 1;
             return Err(failed(attempt, Failure::Unreachable));
         };
-        if Instant::now() >= self.deadline {
-            return Err(failed(attempt, Failure::Late));
+        if let Some(over) = self.deadline.over() {
+            return Err(failed(attempt, Failure::before(over)));
         }
         let request = match self.forward(&attempt) {
             Ok(request) => request,
@@ -157,7 +158,7 @@
             config = self.config.version,
             instance = %attempt.placement().instance,
             attempts = self.sent,
-            left_ms = self.left().as_millis() as u64
+            left_ms = self.deadline.left().as_millis() as u64
         );
         let (parts, incoming, reply) = match self.send(&attempt, &mut connection, request).await {
             Ok(head) => head,
@@ -179,7 +180,7 @@
         connection: &mut Connection,
         request: net::Request,
     ) -> Result<(http::response::Parts, Incoming, dialect::Reply), Failure> {
-        let response = match timeout_at(self.deadline, connection.send(request)).await {
+        let response = match self.deadline.within(connection.send(request)).await {
             Ok(Ok(response)) => response,
             Ok(Err(error)) if error.was_not_sent => {
                 self.sent -= 1;
@@ -187,7 +188,7 @@
                 return Err(Failure::IdleClosed);
             }
             Ok(Err(_)) => return Err(Failure::BrokenOff),
-            Err(_) => return Err(Failure::TimedOut),
+            Err(over) => return Err(Failure::during(over)),
         };
         let (parts, incoming) = response.into_parts();
         let status = parts.status;
@@ -216,7 +217,7 @@
 
     /// The request as the target of an attempt gets it.
     fn forward(&self, attempt: &Attempt) -> Result<net::Request, BadForward> {
-        let left = self.left().saturating_sub(RETURN_TIME);
+        let left = self.deadline.left().saturating_sub(RETURN_TIME);
         let forward = Forward {
             time_limit: Millis(millis(left).max(1)),
             instance: &attempt.placement().instance,
@@ -233,17 +234,13 @@
         Ok(request)
     }
 
-    pub(super) fn left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
-    }
-
     fn history(&self) -> History {
         History {
             kind: self.route.kind,
             attempts_max: self.route.attempts,
             sent: self.sent,
             unreached: self.unreached,
-            is_expired: Instant::now() >= self.deadline,
+            is_expired: self.deadline.over().is_some(),
         }
     }
 
@@ -313,10 +310,10 @@
             attempted_at,
         } = answer;
         let collected = Limited::new(incoming, ANSWER_MAX).collect();
-        let body = match timeout_at(self.deadline, collected).await {
+        let body = match self.deadline.within(collected).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(_)) => return Err(failed(attempt, Failure::BrokenOff)),
-            Err(_) => return Err(failed(attempt, Failure::TimedOut)),
+            Err(over) => return Err(failed(attempt, Failure::during(over))),
         };
         self.relay
             .keep(attempt.placement().address, connection, &reply);
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -2,14 +2,13 @@
 //! callers' requests and owns no state.
 
 use std::convert::Infallible;
-use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
 use http::{HeaderValue, Response, StatusCode, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::service::{HttpService, service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -17,11 +16,10 @@
 use super::dialect::Dialect;
 use super::relay::Relay;
 use super::serve;
-use super::shared::{Open, Shared};
+use super::shared::Shared;
+use crate::net::{Accepted, Server};
 use crate::units::Millis;
 
-/// Pause after a connection could not be accepted, so that a lack of sockets does not spin.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Smallest buffer for a head and the start of a body, in bytes; the server takes no smaller one.
 const BUFFER_MIN: usize = 16 << 10;
 
@@ -74,28 +72,19 @@
     response
 }
 
-/// Serves an endpoint until the process ends.
-pub async fn serve(listener: TcpListener, shared: Arc<Shared>, endpoint: Endpoint) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let (shared, endpoint) = (Arc::clone(&shared), endpoint.clone());
-                tokio::spawn(connection(stream, shared, endpoint));
-            }
-            Err(error) => {
-                tracing::warn!(event = "accept_failed", %error);
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+/// Serves an endpoint on a listener until the server closes.
+pub fn listen(server: &Server, listener: TcpListener, shared: &Arc<Shared>, endpoint: Endpoint) {
+    let shared = Arc::clone(shared);
+    server.listen(listener, move |stream| {
+        connection(stream, Arc::clone(&shared), endpoint.clone())
+    });
 }
 
 fn connection(
     stream: TcpStream,
     shared: Arc<Shared>,
     endpoint: Endpoint,
-) -> impl Future<Output = ()> + Send {
-    let open = matches!(endpoint, Endpoint::Callers(_)).then(|| Open::new(&shared));
+) -> Accepted<impl HttpService<Incoming, ResBody = Body, Error = Infallible, Future: Send> + Send> {
     let config = shared.config.load();
     let limits = config
         .as_ref()
@@ -119,15 +108,9 @@
     }
     // The time for a head also runs while a connection is idle, so it is the idle time.
     let idle = Duration::from_millis(limits.idle_time.0);
-    let connection = http1::Builder::new()
+    http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(limits.header_bytes.max(BUFFER_MIN))
-        .serve_connection(TokioIo::new(stream), service);
-    async move {
-        let _open = open;
-        if let Err(error) = connection.await {
-            tracing::debug!(event = "caller_connection_ended", %error);
-        }
-    }
+        .serve_connection(TokioIo::new(stream), service)
 }
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -58,4 +58,6 @@
     Lent(Tokens),
     /// The tokens that were given have been added.
     Taken,
+    /// No tokens have changed hands, and none will here.
+    Declined,
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod attempt;
 pub mod body;
 mod control;
+mod deadline;
 pub mod decision;
 pub mod dialect;
 pub mod escrow;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -1,8 +1,8 @@
 //! A gateway's process: its listeners, its threads, and how it stops.
 //!
 //! The control thread is the only one that changes the control state; traffic runs on the caller's
-//! runtime. On SIGTERM or SIGINT the router tells callers to go elsewhere, finishes what it has begun
-//! within the time to stop, gives its grants back and ends.
+//! runtime. On SIGTERM or SIGINT the router tells callers to go elsewhere, serves those that still come,
+//! closes its server, finishes what it has begun within the time to stop, gives its grants back and ends.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,30 +10,33 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use super::attempt::{Controller, Message};
 use super::control;
 use super::decision::admission::Stop;
 use super::dialect::Dialect;
-use super::listener::{Endpoint, serve};
+use super::listener::{self, Endpoint};
 use super::members::Router;
 use super::relay::Relay;
 use super::shared::Shared;
 use super::state::Settings;
-use crate::net::Pool;
+use crate::net::{Pool, Server};
 use crate::store::Store;
 use crate::units::Millis;
 
 /// Interval at which a stopping gateway checks whether its requests have ended.
 const STOP_POLL: Duration = Duration::from_millis(25);
-/// Left at the end of the time to stop, to give grants back and to exit: twice [`GIVE_BACK_MAX`] and
-/// some room.
+/// Left at the end of the time to stop, to give grants back and to exit: [`LAST_ANSWERS_MAX`] and twice
+/// [`GIVE_BACK_MAX`].
 const STOP_RESERVE: Duration = Duration::from_millis(1_150);
 /// Part of the time to stop, 0 to 1, in which any request is still let in. Not measured.
 const LINGER_SHARE: f64 = 0.4;
 /// Times the life of an answer about addresses in which callers may still come by it. Not measured.
 const LINGER_TTLS: f64 = 1.5;
+/// Longest time to write the answers of requests that a stop waits for no longer. Not measured: many times
+/// the way to a caller; longer only where a caller does not read.
+const LAST_ANSWERS_MAX: Duration = Duration::from_millis(150);
 /// Longest time to give grants back. Not measured: a write to the store and a loan take far less.
 const GIVE_BACK_MAX: Duration = Duration::from_millis(500);
 /// Interval at which connections to targets that are gone are closed.
@@ -106,7 +109,9 @@
         partitions: options.partitions,
         messages,
     });
+    let server = Server::default();
     listen(
+        &server,
         &relay,
         options.listeners,
         options.address_ttl,
@@ -123,8 +128,14 @@
             },
         }
     }
-    let controller = &relay.controller;
-    stop(&shared, controller, options.address_ttl, options.grace).await;
+    stop(
+        &shared,
+        &relay.controller,
+        &server,
+        options.address_ttl,
+        options.grace,
+    )
+    .await;
     Ok(())
 }
 
@@ -138,10 +149,16 @@
     );
 }
 
-/// Serves all listeners until the process ends.
-fn listen(relay: &Arc<Relay>, listeners: Listeners, address_ttl: Millis, dropped: fn() -> u64) {
+/// Serves all listeners until the server closes.
+fn listen(
+    server: &Server,
+    relay: &Arc<Relay>,
+    listeners: Listeners,
+    address_ttl: Millis,
+    dropped: fn() -> u64,
+) {
     let (shared, dialect) = (&relay.shared, &relay.dialect);
-    let open = |listener, endpoint| tokio::spawn(serve(listener, Arc::clone(shared), endpoint));
+    let open = |listener, endpoint| listener::listen(server, listener, shared, endpoint);
     open(listeners.callers, Endpoint::Callers(Arc::clone(relay)));
     let ready = Endpoint::Ready(Arc::clone(shared), Arc::clone(dialect));
     open(listeners.ready, ready);
@@ -159,46 +176,69 @@
     }
 }
 
-async fn stop(shared: &Shared, controller: &Controller, address_ttl: Millis, grace: Millis) {
+/// Stops in an order in which nothing can come in after the last look at what is under way: callers are
+/// sent elsewhere, the server closes, its connections end, and only then grants are given back.
+async fn stop(
+    shared: &Shared,
+    controller: &Controller,
+    server: &Server,
+    address_ttl: Millis,
+    grace: Millis,
+) {
     let since = Instant::now();
     let limit = Duration::from_millis(grace.0).saturating_sub(STOP_RESERVE);
     // Callers that hold an earlier answer about addresses still come for a while.
     let linger = Duration::from_millis(address_ttl.0).mul_f64(LINGER_TTLS);
     let linger = linger.min(limit.mul_f64(LINGER_SHARE));
+    let end = since + limit;
     shared.set_stopping(Stop {
         late: since + linger,
-        end: since + limit,
+        end,
     });
-    tracing::info!(event = "stopping", active = shared.active());
+    log_step("stopping", shared, server, since);
     controller.tell(Message::Leave);
-    while since.elapsed() < limit && (since.elapsed() < linger || shared.active() > 0) {
+    while Instant::now() < end && (since.elapsed() < linger || shared.active() > 0) {
         sleep(STOP_POLL).await;
     }
-    let cut = shared.active();
-    let requests = shared.metrics.requests.get();
-    tracing::info!(
-        event = "giving_back",
-        active = cut,
-        connections = shared.connections(),
-        ms = millis(since)
-    );
-    let gave_back = Instant::now();
-    let (done, closed) = oneshot::channel();
-    controller.tell(Message::Close { done });
-    if timeout(GIVE_BACK_MAX, closed).await.is_err() {
-        tracing::warn!(event = "give_back_timed_out");
-    }
+    server.close();
+    log_step("closing", shared, server, since);
+    let cut = finish(shared, server, end).await;
+    log_step("giving_back", shared, server, since);
+    give_back(controller).await;
     tracing::info!(
         event = "stopped",
         cut,
-        arrived = shared.metrics.requests.get() - requests,
         active = shared.active(),
-        connections = shared.connections(),
-        give_back_ms = millis(gave_back),
-        ms = millis(since)
+        connections = server.connections(),
+        ms = since.elapsed().as_millis() as u64
     );
 }
 
-fn millis(since: Instant) -> u64 {
-    since.elapsed().as_millis() as u64
+fn log_step(event: &'static str, shared: &Shared, server: &Server, since: Instant) {
+    let (active, connections) = (shared.active(), server.connections());
+    let ms = since.elapsed().as_millis() as u64;
+    tracing::info!(event, active, connections, ms);
+}
+
+/// Waits until the connections of a closing server have ended; what is under way at `end` is given up
+/// with an answer. How many requests that were is returned.
+async fn finish(shared: &Shared, server: &Server, end: Instant) -> usize {
+    if timeout_at(end, server.closed()).await.is_ok() {
+        return 0;
+    }
+    let cut = shared.active();
+    shared.cut.cancel();
+    if timeout(LAST_ANSWERS_MAX, server.closed()).await.is_err() {
+        let connections = server.connections();
+        tracing::warn!(event = "connections_cut", connections);
+    }
+    cut
+}
+
+async fn give_back(controller: &Controller) {
+    let (done, closed) = oneshot::channel();
+    controller.tell(Message::Close { done });
+    if timeout(GIVE_BACK_MAX, closed).await.is_err() {
+        tracing::warn!(event = "give_back_timed_out");
+    }
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -8,9 +8,10 @@
 use http::{Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use super::body::Body;
+use super::deadline::{Deadline, Over};
 use super::decision::admission;
 use super::decision::refusal::Reason;
 use super::decision::retry::Verdict;
@@ -113,7 +114,8 @@
     if relay.shared.is_too_late(deadline) {
         return Err(Reason::Stopping);
     }
-    let body = read_body(incoming, config.limits.body_bytes, deadline).await?;
+    let deadline = Deadline::new(deadline, relay.shared.cut.clone());
+    let body = read_body(incoming, config.limits.body_bytes, &deadline).await?;
     let path = parts.uri.path_and_query().cloned();
     let mut headers = parts.headers;
     headers::strip_request(&mut headers);
@@ -147,13 +149,14 @@
     header.and_then(|host| host.to_str().ok()).unwrap_or("")
 }
 
-async fn read_body(incoming: Incoming, max: usize, deadline: Instant) -> Result<Bytes, Reason> {
-    let collected = timeout_at(deadline, Limited::new(incoming, max).collect()).await;
+async fn read_body(incoming: Incoming, max: usize, deadline: &Deadline) -> Result<Bytes, Reason> {
+    let collected = deadline.within(Limited::new(incoming, max).collect()).await;
     match collected {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Reason::TooLong),
         Ok(Err(_)) => Err(Reason::BadBody),
-        Err(_) => Err(Reason::Late),
+        Err(Over::Late) => Err(Reason::Late),
+        Err(Over::Stop) => Err(Reason::Stopping),
     }
 }
 
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use tokio::sync::Notify;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 use super::decision::admission::{self, Stop};
 use super::metrics::Metrics;
@@ -38,8 +39,9 @@
     pub metrics: Metrics,
     /// Wakes the task that writes this router's own entry.
     pub entry_changed: Notify,
+    /// Cancelled when a stop waits for requests no longer.
+    pub cut: CancellationToken,
     active: AtomicUsize,
-    connections: AtomicUsize,
     has_targets: AtomicBool,
     stop: OnceLock<Stop<Instant>>,
     gives_back: AtomicBool,
@@ -65,30 +67,7 @@
     }
 }
 
-/// A caller's open connection; counted until dropped.
-#[derive(Debug)]
-pub struct Open(Arc<Shared>);
-
-impl Open {
-    /// Counts a connection.
-    pub fn new(shared: &Arc<Shared>) -> Self {
-        shared.connections.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(shared))
-    }
-}
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.0.connections.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 impl Shared {
-    /// Callers' open connections.
-    pub fn connections(&self) -> usize {
-        self.connections.load(Ordering::Relaxed)
-    }
-
     /// Requests under way.
     pub fn active(&self) -> usize {
         self.active.load(Ordering::Relaxed)
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -9,10 +9,11 @@
 use http::{Response, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use super::attempt::Attempt;
 use super::body::{self, Body, Broken};
+use super::deadline::Deadline;
 use super::decision::refusal::Reason;
 use super::decision::retry::Failure;
 use super::dialect::Reply;
@@ -63,7 +64,7 @@
         let parts = answer.parts.clone();
         let mut upstream = Upstream::new(answer);
         let mut events = Events::default();
-        let first = match upstream.next(&mut events, exchange.deadline).await {
+        let first = match upstream.next(&mut events, &exchange.deadline).await {
             Step::Events(bytes) => bytes,
             Step::End(rest) => {
                 let mut stream = Self {
@@ -108,7 +109,7 @@
         loop {
             let upstream = self.upstream.as_mut()?;
             match upstream
-                .next(&mut self.events, self.exchange.deadline)
+                .next(&mut self.events, &self.exchange.deadline)
                 .await
             {
                 Step::Events(bytes) => return Some(Ok(bytes)),
@@ -233,10 +234,10 @@
         self.attempt
     }
 
-    async fn next(&mut self, events: &mut Events, deadline: Instant) -> Step {
+    async fn next(&mut self, events: &mut Events, deadline: &Deadline) -> Step {
         loop {
-            let frame = match timeout_at(deadline, self.incoming.frame()).await {
-                Err(_) => return Step::Broken(Failure::TimedOut),
+            let frame = match deadline.within(self.incoming.frame()).await {
+                Err(over) => return Step::Broken(Failure::during(over)),
                 Ok(Some(Err(_))) => return Step::Broken(Failure::BrokenOff),
                 Ok(None) => return self.end(events),
                 Ok(Some(Ok(frame))) => frame,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,7 +1,10 @@
-//! HTTP/1.1 connections to targets and to the platform's store, one request at a time on each.
+//! HTTP/1.1 connections: to targets and to the platform's store, one request at a time on each, and from
+//! callers, on a server that ends without cutting anything off.
 
 mod connection;
 mod pool;
+mod server;
 
 pub use connection::{Connection, Request, Response, SendError, open};
 pub use pool::Pool;
+pub use server::{Accepted, Server};
--- /dev/null
+++ b/src/net/server.rs
@@ -0,0 +1,111 @@
+//! Serves HTTP/1.1 on listeners until it is shut down, and then cuts nothing off.
+//!
+//! What decides that a server is done is not a count of requests but its connections: a request that is
+//! read while a shutdown begins holds its connection open, so there is no moment between the last look and
+//! the end in which one can come in unseen. The server owns the accept loops and the connections; what is
+//! answered is the business of the connections' services.
+
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::HttpService;
+use hyper_util::rt::TokioIo;
+use std::error::Error;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Pause after a connection could not be accepted, so that a lack of sockets does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// A connection that has been accepted, with the service that answers on it.
+pub type Accepted<S> = http1::Connection<TokioIo<TcpStream>, S>;
+
+/// Accept loops and open connections.
+#[derive(Clone, Debug, Default)]
+pub struct Server {
+    closing: CancellationToken,
+    accepting: TaskTracker,
+    connections: TaskTracker,
+}
+
+impl Server {
+    /// Accepts connections on a listener until the server closes; `open` gives each its service.
+    pub fn listen<S, F>(&self, listener: TcpListener, open: F)
+    where
+        F: Fn(TcpStream) -> Accepted<S> + Send + 'static,
+        S: HttpService<Incoming> + Send + 'static,
+        S::Future: Send,
+        S::Error: Into<Box<dyn Error + Send + Sync>>,
+        S::ResBody: Body + Send + 'static,
+        <S::ResBody as Body>::Data: Send,
+        <S::ResBody as Body>::Error: Into<Box<dyn Error + Send + Sync>>,
+    {
+        let (closing, connections) = (self.closing.clone(), self.connections.clone());
+        self.accepting.spawn(async move {
+            while let Some(stream) = accept(&listener, &closing).await {
+                connections.spawn(drive(open(stream), closing.clone()));
+            }
+        });
+    }
+
+    /// Open connections.
+    pub fn connections(&self) -> usize {
+        self.connections.len()
+    }
+
+    /// Takes no further connection and no further request. Connections that carry none are closed, the
+    /// others once their answer has been written.
+    pub fn close(&self) {
+        self.closing.cancel();
+        self.accepting.close();
+        self.connections.close();
+    }
+
+    /// Waits until all connections of a server that closes have ended.
+    pub async fn closed(&self) {
+        // Connections are only added by accept loops, so their order matters.
+        self.accepting.wait().await;
+        self.connections.wait().await;
+    }
+}
+
+/// The next connection; `None` once the server closes and all that came before has been accepted.
+async fn accept(listener: &TcpListener, closing: &CancellationToken) -> Option<TcpStream> {
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            () = closing.cancelled() => return None,
+        };
+        match accepted {
+            Ok((stream, _)) => return Some(stream),
+            Err(error) => {
+                tracing::warn!(event = "accept_failed", %error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn drive<S>(connection: Accepted<S>, closing: CancellationToken)
+where
+    S: HttpService<Incoming>,
+    S::Error: Into<Box<dyn Error + Send + Sync>>,
+    S::ResBody: Body + 'static,
+    <S::ResBody as Body>::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        // The connection goes first: a request that has arrived is read, and keeps it open.
+        biased;
+        ended = connection.as_mut() => ended,
+        () = closing.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        tracing::debug!(event = "caller_connection_ended", %error);
+    }
+}
--- a/tests/pinned_gateway.rs
+++ b/tests/pinned_gateway.rs
@@ -133,6 +133,7 @@
     );
     pin("0163", &Reply::Lent(Tokens(99)));
     pin("02", &Reply::Taken);
+    pin("03", &Reply::Declined);
 }
 
 /// Answers one request of a store's client, and returns the request with its host replaced.
--- a/tests/stop_arrivals.rs
+++ b/tests/stop_arrivals.rs
@@ -135,6 +135,27 @@
     wait_end(&mut deployment).await;
 }
 
+/// What a stop can wait for no longer is given up with an answer, in time for its connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_gives_up() {
+    let app = Runner::start("i-app").await;
+    app.set(Mode::Mute);
+    let flags = ["--keep", "200", "--grace", "2000"];
+    let runners = [("app", &app)];
+    let mut deployment = Deployment::start_with(1, &config(1, PLENTY), &runners, &flags).await;
+    let front = deployment.gateways[0].front;
+    let asked = tokio::spawn(async move { ask(front, &Ask::new("r", "/once/x")).await });
+    until(|| async { app.runs() > 0 }).await;
+    deployment.gateways[0].signal("TERM");
+    let answer = asked.await.unwrap();
+    assert_eq!(
+        (answer.status, answer.header("retry-after")),
+        (504, ""),
+        "it may have run"
+    );
+    wait_end(&mut deployment).await;
+}
+
 async fn wait_end(deployment: &mut Deployment) {
     until(|| {
         let ended = deployment.gateways[0].has_ended();
