Name the steps of a stop where they are logged

Change: each step logs its own line. `giving_back` has `cut`; nothing can change between it and `stopped`, which has the time alone.

--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -195,29 +195,30 @@
         late: since + linger,
         end,
     });
-    log_step("stopping", shared, server, since);
+    let (active, connections) = (shared.active(), server.connections());
+    tracing::info!(event = "stopping", active, connections);
     controller.tell(Message::Leave);
     while Instant::now() < end && (since.elapsed() < linger || shared.active() > 0) {
         sleep(STOP_POLL).await;
     }
     server.close();
-    log_step("closing", shared, server, since);
+    let (active, connections) = (shared.active(), server.connections());
+    tracing::info!(event = "closing", active, connections, ms = millis(since));
     let cut = finish(shared, server, end).await;
-    log_step("giving_back", shared, server, since);
-    give_back(controller).await;
+    let (active, connections) = (shared.active(), server.connections());
     tracing::info!(
-        event = "stopped",
+        event = "giving_back",
         cut,
-        active = shared.active(),
-        connections = server.connections(),
-        ms = since.elapsed().as_millis() as u64
+        active,
+        connections,
+        ms = millis(since)
     );
+    give_back(controller).await;
+    tracing::info!(event = "stopped", ms = millis(since));
 }
 
-fn log_step(event: &'static str, shared: &Shared, server: &Server, since: Instant) {
-    let (active, connections) = (shared.active(), server.connections());
-    let ms = since.elapsed().as_millis() as u64;
-    tracing::info!(event, active, connections, ms);
+fn millis(since: Instant) -> u64 {
+    u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX)
 }
 
 /// Waits until the connections of a closing server have ended; what is under way at `end` is given up
