Decline tokens from other routers once grants are given back

Cause: the same class as the request lost at a stop, at the routers' link: a stopping router took tokens that another one gave, and lent, until its exit, after what it holds had been summed up for the store. What it took then ended with its process; the lender of a loan that it made counted it as spent.

Ruled out: an overspend. A row on its way to the store lowers what may be lent, and a row that gives back leaves nothing.

Conclusion: tokens do not end with a router that stops. Left: a loan that a router asked for before it began to give back may still arrive after; nothing waits for it then, and it stays spent at its lender. Only suspected.

--- a/tests/stop_arrivals.rs
+++ b/tests/stop_arrivals.rs
@@ -21,7 +21,10 @@
 use deployment::runner::{Mode, Runner};
 use deployment::store::Fault;
 use deployment::{Answer, Ask, Deployment, LONG, ask, ask_on, config, try_ask, until};
+use lanedeck::gateway::message::{Reply, Request};
 use lanedeck::net;
+use lanedeck::units::Tokens;
+use lanedeck::wire;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpSocket;
 
@@ -29,6 +32,8 @@
 const FLAGS: [&str; 4] = ["--keep", "200", "--grace", "20000"];
 /// Longer than grants are given back for, so that no request that comes meanwhile ends in time by luck.
 const WORK: Mode = Mode::After(700);
+/// The key that routers have by default.
+const FLEET_KEY: &str = "lanedeck-fleet";
 /// Enough to span a stop.
 const REQUESTS: usize = 8;
 /// Longer than the interval of a stopping router's looks.
@@ -156,6 +161,31 @@
     wait_end(&mut deployment).await;
 }
 
+/// Tokens that another router gives to one that gives its own back would end with its process.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_takes_no_tokens() {
+    let app = Runner::start("i-app").await;
+    let engine = Runner::start("i-e").await;
+    let mut deployment = holding_a_grant(&app, &engine).await;
+    let link = deployment.gateways[0].link;
+    let peers = wire::Client::new(FLEET_KEY);
+    deployment.gateways[0].signal("TERM");
+    let mut taken = 0;
+    let last = loop {
+        let request = Request::Give {
+            customer: deployment::CUSTOMER.to_owned(),
+            tokens: Tokens(1),
+        };
+        match peers.ask::<Request, Reply>(link, &request).await {
+            Ok(Reply::Taken) => taken += 1,
+            other => break other,
+        }
+    };
+    assert!(taken > 0, "before it gives back, it takes");
+    assert!(matches!(last, Ok(Reply::Declined)), "{last:?}");
+    wait_end(&mut deployment).await;
+}
+
 async fn wait_end(deployment: &mut Deployment) {
     until(|| {
         let ended = deployment.gateways[0].has_ended();
