Read on under a refusal, and refuse a body that is declared too long at once

Cause: found while the cause of the lost request was looked for elsewhere. A request that was refused by its head (no route, no key, stopping, no configuration) had its body dropped; the connection was closed under a caller that was still sending, with bytes unread, which resets it, and a reset can overtake the refusal: neither an answer nor a refusal for the caller. A body that was declared longer than allowed was waited for until the caller's deadline and then refused as late.

Change: `gateway::upload`. What is to come of a refused body is read and discarded beside the answer (4 MiB and 2 s at most), so the connection stays usable; a declared length over the limit is refused with 413 at once.

Conclusion: whether callers lost answers by it is not known; a reset under a body was certain.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -31,5 +31,6 @@
 pub(crate) mod state;
 mod stream;
 pub mod targets;
+mod upload;
 
 pub use process::{Listeners, Options, run};
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -3,15 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::uri::PathAndQuery;
 use http::{Response, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
 use super::body::Body;
-use super::deadline::{Deadline, Over};
+use super::deadline::Deadline;
 use super::decision::admission;
 use super::decision::refusal::Reason;
 use super::decision::retry::Verdict;
@@ -22,6 +20,7 @@
 use super::reply;
 use super::shared::Active;
 use super::stream::Stream;
+use super::upload;
 
 /// Notes a caller that leaves before it has the head of an answer: what serves it is then dropped.
 struct Departure<'a> {
@@ -49,10 +48,12 @@
 ) -> Response<Body> {
     let started = Instant::now();
     relay.shared.metrics.requests.add(1);
-    let request = match relay.dialect.read_request(incoming.headers()) {
+    let (parts, mut body) = incoming.into_parts();
+    let request = match relay.dialect.read_request(&parts.headers) {
         Ok(request) => request,
         Err(error) => {
             tracing::info!(event = "refused", reason = "bad_header", %error);
+            upload::discard(body);
             return reply::answer(Reason::BadHeader, &*relay.dialect, "");
         }
     };
@@ -63,12 +64,15 @@
         started,
         has_answer: false,
     };
-    let result = match admit(relay, incoming, request, started).await {
+    let result = match admit(relay, parts, &mut body, request, started).await {
         Ok(exchange) => run(exchange).await,
         Err(reason) => Err(reason),
     };
     departure.has_answer = true;
-    result.unwrap_or_else(|reason| refuse(relay, &id, reason, started))
+    result.unwrap_or_else(|reason| {
+        upload::discard(body);
+        refuse(relay, &id, reason, started)
+    })
 }
 
 fn refuse(relay: &Relay, id: &str, reason: Reason, started: Instant) -> Response<Body> {
@@ -94,13 +98,13 @@
 /// Lets a request in by the configuration in force, and reads its body.
 async fn admit(
     relay: &Arc<Relay>,
-    incoming: hyper::Request<Incoming>,
+    parts: http::request::Parts,
+    body: &mut Incoming,
     request: dialect::Request,
     started: Instant,
 ) -> Result<Exchange, Reason> {
     let active = Active::new(&relay.shared);
     let config = relay.shared.config.load_full().ok_or(Reason::NoConfig)?;
-    let (parts, incoming) = incoming.into_parts();
     let terms = admission::admit(
         &config,
         &admission::Request {
@@ -115,7 +119,7 @@
         return Err(Reason::Stopping);
     }
     let deadline = Deadline::new(deadline, relay.shared.cut.clone());
-    let body = read_body(incoming, config.limits.body_bytes, &deadline).await?;
+    let body = upload::read(body, config.limits.body_bytes, &deadline).await?;
     let path = parts.uri.path_and_query().cloned();
     let mut headers = parts.headers;
     headers::strip_request(&mut headers);
@@ -149,17 +153,6 @@
     header.and_then(|host| host.to_str().ok()).unwrap_or("")
 }
 
-async fn read_body(incoming: Incoming, max: usize, deadline: &Deadline) -> Result<Bytes, Reason> {
-    let collected = deadline.within(Limited::new(incoming, max).collect()).await;
-    match collected {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Reason::TooLong),
-        Ok(Err(_)) => Err(Reason::BadBody),
-        Err(Over::Late) => Err(Reason::Late),
-        Err(Over::Stop) => Err(Reason::Stopping),
-    }
-}
-
 /// Tries targets until one has answered or the rules end the attempts.
 async fn run(mut exchange: Exchange) -> Result<Response<Body>, Reason> {
     let mut attempt = exchange.begin().await?;
