--- a/tests/deployment/store.rs
+++ b/tests/deployment/store.rs
@@ -74,6 +74,7 @@
 struct Inner {
     parts: Mutex<HashMap<(String, u32), Part>>,
     faults: Mutex<HashMap<SocketAddr, Fault>>,
+    turned_away: Mutex<Vec<(SocketAddr, String)>>,
 }
 
 /// The store.
@@ -105,6 +106,13 @@
         self.0.faults.lock().unwrap().insert(address, fault);
     }
 
+    /// Whether a call about a topic at an address was answered with 503.
+    pub fn has_turned_away(&self, address: SocketAddr, topic: &str) -> bool {
+        let turned_away = self.0.turned_away.lock().unwrap();
+        let mut calls = turned_away.iter();
+        calls.any(|(at, uri)| *at == address && uri.contains(topic))
+    }
+
     /// Writes the newest record of a key, as operators and runners do.
     pub fn put(&self, topic: &str, key: &str, value: Option<&serde_json::Value>) {
         let mut record = vec![key.len() as u8];
@@ -136,7 +144,11 @@
         let fault = self.0.faults.lock().unwrap().get(&address).copied();
         match fault.unwrap_or_default() {
             Fault::None => Ok(self.call(request).await),
-            Fault::Unavailable => Ok(status(StatusCode::SERVICE_UNAVAILABLE)),
+            Fault::Unavailable => {
+                let call = (address, request.uri().to_string());
+                self.0.turned_away.lock().unwrap().push(call);
+                Ok(status(StatusCode::SERVICE_UNAVAILABLE))
+            }
             Fault::NoGrants if is_about_grants(request.uri()) => {
                 Ok(status(StatusCode::SERVICE_UNAVAILABLE))
             }
