--- a/tests/common/area.rs
+++ b/tests/common/area.rs
@@ -2,6 +2,7 @@
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::time::{Duration, Instant};
 
@@ -18,6 +19,7 @@
 /// One started process.
 pub struct Process {
     child: Child,
+    log: LogFile,
     pub address: SocketAddr,
     pub peer: SocketAddr,
 }
@@ -25,10 +27,8 @@
 impl Process {
     fn start(args: &[String]) -> Self {
         let mut command = binary();
-        command
-            .args(args)
-            .stdout(Stdio::piped())
-            .stderr(log_file(&args[0]));
+        let log = LogFile::new(&args[0]);
+        command.args(args).stdout(Stdio::piped()).stderr(log.open());
         let mut child = command.spawn().expect("the binary starts");
         let out = child.stdout.take().expect("a pipe");
         let mut line = String::new();
@@ -45,11 +45,20 @@
         let peer = *addresses.last().unwrap();
         Self {
             child,
+            log,
             address,
             peer,
         }
     }
 
+    /// Whether the process has logged a line with this event.
+    pub fn has_logged(&self, event: &str) -> bool {
+        let log = std::fs::read_to_string(&self.log.path).unwrap();
+        let event = format!("event={event}");
+        log.lines()
+            .any(|line| line.split_whitespace().any(|pair| pair == event))
+    }
+
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         let status = Command::new("kill")
@@ -82,14 +91,33 @@
     }
 }
 
-/// Logs of children go to a file where `LANEDECK_TEST_LOGS` names a folder.
-fn log_file(name: &str) -> Stdio {
-    let Some(folder) = std::env::var_os("LANEDECK_TEST_LOGS") else {
-        return Stdio::null();
-    };
-    let name = format!("{name}-{}.log", rand::random::<u32>());
-    std::fs::File::create(std::path::Path::new(&folder).join(name))
-        .map_or(Stdio::null(), Into::into)
+/// What a child logs. Kept where `LANEDECK_TEST_LOGS` names a folder, else removed with the child.
+struct LogFile {
+    path: PathBuf,
+    is_kept: bool,
+}
+
+impl LogFile {
+    fn new(name: &str) -> Self {
+        let kept = std::env::var_os("LANEDECK_TEST_LOGS").map(PathBuf::from);
+        let is_kept = kept.is_some();
+        let folder = kept.unwrap_or_else(|| PathBuf::from(env!("CARGO_TARGET_TMPDIR")));
+        let path = folder.join(format!("{name}-{}.log", rand::random::<u64>()));
+        Self { path, is_kept }
+    }
+
+    fn open(&self) -> std::fs::File {
+        std::fs::File::create(&self.path).expect("a file for logs")
+    }
+}
+
+impl Drop for LogFile {
+    fn drop(&mut self) {
+        if !self.is_kept {
+            // One that is left over does no harm.
+            let _ = std::fs::remove_file(&self.path);
+        }
+    }
 }
 
 fn binary() -> Command {
