Answer other routers' questions before a process ends

Cause: `wire::serve` had no end. Its connections were in no count and ended with the process, in the midst of questions; the asker could not tell whether its question had been taken.

Change: `wire::serve_until` stops accepting, closes the listener, has each connection say which question is its last, and waits until all have ended, 1.5 s at most: no asker waits longer for an answer. The listener closes before the connections do, so that a peer that connects anew is refused, and not left in the queue of a listener that is gone. The client asks again over a new connection where the peer has said that it has not taken the question; a question that was taken and left still counts as perhaps taken. That the two errors differ was read in h2's `recv_go_away` and `recv_eof`.

--- a/src/wire/client.rs
+++ b/src/wire/client.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use h2::RecvStream;
 use h2::client::SendRequest;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -17,7 +18,7 @@
 use crate::util;
 
 /// Longest wait for a connection, and for an answer, where nothing else is said. Not measured.
-const WAIT: Duration = Duration::from_millis(1_500);
+pub(super) const WAIT: Duration = Duration::from_millis(1_500);
 
 /// Why a peer gave no answer. Unless it says so, the question may have been taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
@@ -93,20 +94,40 @@
         Q: Serialize,
         R: DeserializeOwned,
     {
-        let sender = self.sender(to).await?;
-        let mut sender = sender.ready().await?;
+        let frame = Bytes::from(util::encode(request));
+        let response = loop {
+            match self.send(to, frame.clone()).await {
+                // The peer closes this connection, and has not taken the question: the next is a new
+                // connection, or a refusal.
+                Err(error) if is_untaken(&error) => {
+                    tracing::debug!(event = "peer_connection_closed", %to, %error);
+                }
+                result => break result?,
+            }
+        };
+        if !response.status().is_success() {
+            return Ok(None);
+        }
+        let body = collect(response.into_body()).await?;
+        Ok(body.and_then(|bytes| util::decode(&bytes)))
+    }
+
+    async fn send(
+        &self,
+        to: SocketAddr,
+        frame: Bytes,
+    ) -> Result<http::Response<RecvStream>, h2::Error> {
         let head = http::Request::post(format!("http://{to}/"))
             .header(http::header::AUTHORIZATION, &self.key)
             .body(())
             .expect("a peer's address and the checked key make a request");
+        let mut sender = self.sender(to).await?.ready().await?;
         let (response, mut send) = sender.send_request(head, false)?;
-        send.send_data(util::encode(request).into(), true)?;
+        let sent = send.send_data(frame, true);
+        // Where the question could not be sent, this says why.
         let response = response.await?;
-        if !response.status().is_success() {
-            return Ok(None);
-        }
-        let body = collect(response.into_body()).await?;
-        Ok(body.and_then(|bytes| util::decode(&bytes)))
+        sent?;
+        Ok(response)
     }
 
     fn slot(&self, to: SocketAddr) -> Slot {
@@ -145,6 +166,12 @@
     }
 }
 
+/// Whether the peer closes the connection and says that it has not taken the question. Only questions that
+/// came after its last one end with this error; those that it has taken and left fail with the connection.
+fn is_untaken(error: &h2::Error) -> bool {
+    error.is_go_away() && error.is_remote() && error.reason() == Some(h2::Reason::NO_ERROR)
+}
+
 fn io_error(error: std::io::Error) -> h2::Error {
     tracing::debug!(event = "peer_connect_failed", %error);
     h2::Error::from(h2::Reason::CONNECT_ERROR)
--- a/src/wire/server.rs
+++ b/src/wire/server.rs
@@ -2,15 +2,17 @@
 
 use std::future::Future;
 use std::io;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use h2::RecvStream;
 use h2::server::SendResponse;
 use http::{Response, StatusCode};
-use tokio::net::{TcpListener, TcpStream};
-
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use super::FRAME_MAX;
 use crate::util;
@@ -18,6 +20,9 @@
 /// Flow-control window of a stream and of a connection, in bytes.
 pub(super) const WINDOW: u32 = 1 << 20;
 
+/// Longest time in which connections end once the server closes: an asker waits no longer for an answer.
+const CLOSE_MAX: Duration = super::client::WAIT;
+
 /// Serves peers until the listener fails. A peer must show the fleet's key; `answer` gives the
 /// reply to each question, or `None` where this process is about to end.
 ///
@@ -30,21 +35,66 @@
     F: Fn(Q) -> A + Clone + Send + Sync + 'static,
     A: Future<Output = Option<R>> + Send + 'static,
 {
+    serve_until(listener, key_hash, answer, CancellationToken::new()).await
+}
+
+/// Serves peers until `closing`, and then until the questions that have come are answered and all
+/// connections have ended.
+///
+/// # Errors
+/// The listener's error.
+pub async fn serve_until<Q, R, F, A>(
+    listener: TcpListener,
+    key_hash: String,
+    answer: F,
+    closing: CancellationToken,
+) -> io::Result<()>
+where
+    Q: DeserializeOwned + Send + 'static,
+    R: Serialize + Send + 'static,
+    F: Fn(Q) -> A + Clone + Send + Sync + 'static,
+    A: Future<Output = Option<R>> + Send + 'static,
+{
+    let connections = TaskTracker::new();
+    let closing_connections = CancellationToken::new();
     loop {
-        let (stream, peer) = listener.accept().await?;
+        let (stream, peer) = tokio::select! {
+            // Connections that came before are accepted first.
+            biased;
+            accepted = listener.accept() => accepted?,
+            () = closing.cancelled() => break,
+        };
         let (answer, key_hash) = (answer.clone(), key_hash.clone());
-        tokio::spawn(async move {
-            if let Err(error) = connection(stream, &key_hash, answer).await {
-                tracing::debug!(event = "peer_connection_ended", %peer, %error);
+        let closing = closing_connections.clone();
+        connections.spawn(async move {
+            let late = async {
+                closing.cancelled().await;
+                tokio::time::sleep(CLOSE_MAX).await;
+            };
+            tokio::select! {
+                biased;
+                ended = connection(stream, &key_hash, answer, &closing) => {
+                    if let Err(error) = ended {
+                        tracing::debug!(event = "peer_connection_ended", %peer, %error);
+                    }
+                }
+                () = late => tracing::warn!(event = "peer_connection_cut", %peer),
             }
         });
     }
+    // Peers connect anew once their connection closes: by then they are refused.
+    drop(listener);
+    closing_connections.cancel();
+    connections.close();
+    connections.wait().await;
+    Ok(())
 }
 
 async fn connection<Q, R, F, A>(
     stream: TcpStream,
     key_hash: &str,
     answer: F,
+    closing: &CancellationToken,
 ) -> Result<(), h2::Error>
 where
     Q: DeserializeOwned + Send + 'static,
@@ -61,7 +111,21 @@
         .initial_connection_window_size(WINDOW)
         .handshake::<_, Bytes>(stream)
         .await?;
-    while let Some(accepted) = connection.accept().await {
+    let mut is_closing = false;
+    loop {
+        let accepted = tokio::select! {
+            // Questions that have come are taken first.
+            biased;
+            accepted = connection.accept() => accepted,
+            () = closing.cancelled(), if !is_closing => {
+                is_closing = true;
+                connection.graceful_shutdown();
+                continue;
+            }
+        };
+        let Some(accepted) = accepted else {
+            return Ok(());
+        };
         let (request, respond) = accepted?;
         let known = is_known(&request, key_hash);
         let answer = answer.clone();
@@ -76,7 +140,6 @@
             }
         });
     }
-    Ok(())
 }
 
 fn is_known<B>(request: &http::Request<B>, key_hash: &str) -> bool {
