Show that a request which waits for a connection is cut without an answer

Suspicion: `Relay::connect` knows the caller's time, not the stop; it waits 0.4 s, and the last answers have 0.15 s. After `connections_cut` the process ends over the request.

--- a/tests/stop_gaps.rs
+++ b/tests/stop_gaps.rs
@@ -4,10 +4,12 @@
 mod deployment;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use deployment::runner::Runner;
 use deployment::store::Fault;
 use deployment::{Answer, Ask, Deployment, config, try_ask, until};
+use serde_json::json;
 
 const PLENTY: u64 = 1_000_000;
 /// A stop gives up what is under way 0.85 s after the signal.
@@ -63,3 +65,52 @@
         "a whole request that waits for tokens ends without an answer"
     );
 }
+
+/// An address whose host takes no connection: its queue is full, so a connect waits.
+fn full_queue() -> (SocketAddr, Vec<socket2::Socket>) {
+    use socket2::{Domain, Socket, Type};
+    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    listener.bind(&any.into()).unwrap();
+    listener.listen(0).unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut sockets = vec![listener];
+    for _ in 0..4 {
+        let filler = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        filler.set_nonblocking(true).unwrap();
+        // It is on its way, or in the queue.
+        let _ = filler.connect(&address);
+        sockets.push(filler);
+    }
+    (address.as_socket().unwrap(), sockets)
+}
+
+/// Nor is one whose connection to a target is on its way: a connect has 0.4 s, the last answers 0.15 s.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_amid_connect() {
+    const TARGETS: usize = 6;
+    let mut deployment = Deployment::start_with(1, &config(1, PLENTY), &[], &SHORT).await;
+    let queues: Vec<_> = (0..TARGETS).map(|_| full_queue()).collect();
+    for (number, (address, _)) in queues.iter().enumerate() {
+        let entry = json!({
+            "service": "app", "address": address, "zone": "hall", "version": "v1",
+            "slots": 64, "state": "ready", "coldLeftMs": 0, "sequence": 1,
+        });
+        deployment
+            .store
+            .put("keyed.servers", &format!("i-{number}"), Some(&entry));
+    }
+    // The list of targets is read twice a second.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let gateway = &deployment.gateways[0];
+    let (front, metrics) = (gateway.front, gateway.metrics);
+    let asked = tokio::spawn(async move { try_ask(front, &Ask::new("c", "/once/x")).await });
+    until(|| async { counter(metrics, "connects").await > 0 }).await;
+    deployment.gateways[0].signal("TERM");
+    let answer = asked.await.unwrap();
+    wait_end(&mut deployment).await;
+    assert!(
+        is_final(answer.as_ref()),
+        "a whole request that waits for a connection ends without an answer"
+    );
+}
