Show that requests which have arrived when the server closes are not read

Suspicion: `Server::close` acts on the readiness that was known before: an accept, a read that the loop has not been told of count as nothing there. The connections are closed over the bytes of whole requests, on new and on kept connections. None was read or run, so the users' rules do not count it; a caller of what may not be repeated cannot tell.

The process is held by signals, which stand for a long turn of its loop.

--- a/tests/stop_gaps.rs
+++ b/tests/stop_gaps.rs
@@ -8,8 +8,10 @@
 
 use deployment::runner::Runner;
 use deployment::store::Fault;
-use deployment::{Answer, Ask, Deployment, config, try_ask, until};
+use deployment::{Answer, Ask, Deployment, config, server, try_ask, until};
 use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 const PLENTY: u64 = 1_000_000;
 /// A stop gives up what is under way 0.85 s after the signal.
@@ -114,3 +116,91 @@
         "a whole request that waits for a connection ends without an answer"
     );
 }
+
+/// What a caller saw of a whole request that it sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Seen {
+    Whole,
+    /// An answer, and then a reset in place of the connection's end.
+    WholeThenReset,
+    Nothing,
+}
+
+/// Reads an answer with a length up to the connection's end.
+async fn read_answer(line: &mut TcpStream) -> Seen {
+    let mut bytes = Vec::new();
+    let ended = line.read_to_end(&mut bytes).await;
+    let text = String::from_utf8_lossy(&bytes).to_ascii_lowercase();
+    let whole = text.split_once("\r\n\r\n").is_some_and(|(head, body)| {
+        let length = head
+            .lines()
+            .find_map(|text| text.strip_prefix("content-length: "));
+        length.is_none_or(|length| length.parse() == Ok(body.len()))
+    });
+    match (whole, ended.is_ok()) {
+        (true, true) => Seen::Whole,
+        (true, false) => Seen::WholeThenReset,
+        (false, _) => Seen::Nothing,
+    }
+}
+
+fn head(id: &str, key: &str, more: &str) -> String {
+    format!(
+        "POST /once/x HTTP/1.1\r\nhost: {}\r\nx-attempt-id: {id}\r\nx-deadline-ms: 4000\r\n\
+         authorization: Bearer {key}\r\n{more}\r\n",
+        deployment::HOST
+    )
+}
+
+/// Requests that have arrived whole when the server closes are not read, on new connections and on kept ones:
+/// the close acts on what was known of a socket before, and closes it over their bytes. The signals that hold
+/// the process stand for a turn of its loop that takes long.
+#[tokio::test(flavor = "multi_thread")]
+async fn arrived_at_close() {
+    const LINES: usize = 8;
+    let app = Runner::start("i-app").await;
+    let flags = ["--keep", "200", "--grace", "20000"];
+    let mut deployment =
+        Deployment::start_with(1, &config(1, PLENTY), &[("app", &app)], &flags).await;
+    let front = deployment.gateways[0].front;
+    let mut kept = Vec::new();
+    for number in 0..LINES {
+        let mut line = TcpStream::connect(front).await.unwrap();
+        let before = head(
+            &format!("before{number}"),
+            deployment::KEY,
+            "content-length: 0\r\n",
+        );
+        line.write_all(before.as_bytes()).await.unwrap();
+        let mut answer = [0; 4_096];
+        assert!(line.read(&mut answer).await.unwrap() > 0);
+        kept.push(line);
+    }
+    deployment.gateways[0].signal("TERM");
+    deployment.gateways[0].signal("STOP");
+    // Callers may still come by their addresses for 0.3 s.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let mut fresh = Vec::new();
+    for _ in 0..LINES {
+        fresh.push(TcpStream::connect(front).await.unwrap());
+    }
+    for (number, line) in kept.iter_mut().chain(&mut fresh).enumerate() {
+        let whole = head(
+            &format!("during{number}"),
+            deployment::KEY,
+            "content-length: 0\r\n",
+        );
+        line.write_all(whole.as_bytes()).await.unwrap();
+    }
+    deployment.gateways[0].signal("CONT");
+    let mut seen = [Vec::new(), Vec::new()];
+    for (kind, lines) in [&mut kept, &mut fresh].into_iter().enumerate() {
+        for line in lines {
+            seen[kind].push(read_answer(line).await);
+        }
+    }
+    wait_end(&mut deployment).await;
+    println!("kept {:?}\nfresh {:?}", seen[0], seen[1]);
+    assert_eq!(seen[0], [Seen::Whole; LINES], "on kept connections");
+    assert_eq!(seen[1], [Seen::Whole; LINES], "on new connections");
+}
