Show what a close does to half a head on new and on kept connections

Suspicion, by the library's source: a kept connection counts as idle until its next head is whole, so a graceful shutdown closes it over the half that was read; a new one is waited for.

--- a/tests/stop_gaps.rs
+++ b/tests/stop_gaps.rs
@@ -204,3 +204,44 @@
     assert_eq!(seen[0], [Seen::Whole; LINES], "on kept connections");
     assert_eq!(seen[1], [Seen::Whole; LINES], "on new connections");
 }
+
+/// A connection with half a head at the close of the server, and what its caller sees once it sends the rest.
+async fn half_head(has_served: bool) -> Seen {
+    let app = Runner::start("i-app").await;
+    let flags = ["--keep", "200", "--grace", "20000"];
+    let mut deployment =
+        Deployment::start_with(1, &config(1, PLENTY), &[("app", &app)], &flags).await;
+    let front = deployment.gateways[0].front;
+    let mut line = TcpStream::connect(front).await.unwrap();
+    if has_served {
+        let before = head("before", deployment::KEY, "content-length: 0\r\n");
+        line.write_all(before.as_bytes()).await.unwrap();
+        let mut answer = [0; 4_096];
+        assert!(line.read(&mut answer).await.unwrap() > 0);
+    }
+    let whole = head("half", deployment::KEY, "content-length: 0\r\n");
+    let (first, rest) = whole.split_at(whole.len() / 2);
+    line.write_all(first.as_bytes()).await.unwrap();
+    // Long enough to be read.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    deployment.gateways[0].signal("TERM");
+    until(|| async { TcpStream::connect(front).await.is_err() }).await;
+    // Its connection may be gone, as what is read shows.
+    let _ = line.write_all(rest.as_bytes()).await;
+    let seen = read_answer(&mut line).await;
+    wait_end(&mut deployment).await;
+    seen
+}
+
+/// On a new connection the rest is waited for.
+#[tokio::test(flavor = "multi_thread")]
+async fn half_head_new() {
+    assert_eq!(half_head(false).await, Seen::Whole);
+}
+
+/// On a kept connection it is not: the library counts it as idle until its head is whole, and closes it
+/// over the half that it has read.
+#[tokio::test(flavor = "multi_thread")]
+async fn half_head_kept() {
+    assert_eq!(half_head(true).await, Seen::Whole);
+}
