Show that a refusal of a long body does not arrive

Suspicion: a refusal before the body was read closes the connection over the body's bytes, which resets it. A caller that still writes has an error and no promise.

--- a/tests/stop_gaps.rs
+++ b/tests/stop_gaps.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use deployment::runner::Runner;
+use deployment::runner::{Mode, Runner};
 use deployment::store::Fault;
 use deployment::{Answer, Ask, Deployment, config, server, try_ask, until};
 use serde_json::json;
@@ -245,3 +245,42 @@
 async fn half_head_kept() {
     assert_eq!(half_head(true).await, Seen::Whole);
 }
+
+/// A refusal before a long body was read does not arrive: the connection is closed over the body's bytes and
+/// so is reset, while its caller still writes. At a stop the refusal is a promise. Bodies are within the
+/// configuration's limit; up to 60,000 bytes nothing was lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_body_refused() {
+    const BODY: usize = 4_000_000;
+    const TRIES: usize = 20;
+    let app = Runner::start("i-app").await;
+    app.set(Mode::Mute);
+    let mut wide = config(1, PLENTY);
+    wide["limits"]["maxBodyBytes"] = (4 << 20).into();
+    let flags = ["--keep", "200", "--grace", "6000"];
+    let deployment = Deployment::start_with(1, &wide, &[("app", &app)], &flags).await;
+    let gateway = &deployment.gateways[0];
+    let front = gateway.front;
+    // It holds the stop open.
+    let held = tokio::spawn(async move { try_ask(front, &Ask::new("h", "/once/x")).await });
+    until(|| async { app.runs() > 0 }).await;
+    gateway.signal("TERM");
+    // From then on what may take too long is refused.
+    until(|| async {
+        let late = Ask::new("late", "/often/x").with("x-deadline-ms", "20000");
+        let answer = tokio::time::timeout(Duration::from_millis(300), try_ask(front, &late)).await;
+        matches!(answer, Ok(Some(answer)) if answer.status == 503)
+    })
+    .await;
+    let mut seen = Vec::new();
+    for number in 0..TRIES {
+        let request = Ask::new(&format!("r{number}"), "/once/x").post(&"x".repeat(BODY));
+        seen.push(
+            try_ask(front, &request)
+                .await
+                .map_or(0, |answer| answer.status),
+        );
+    }
+    held.abort();
+    assert_eq!(seen, [503; TRIES]);
+}
