Show that a gift of tokens at a router's exit is lost at its giver

Suspicion: the routers' link is no part of the server that closes. It takes questions until the exit, which breaks off the one in hand; its giver cannot tell, and counts the tokens as gone.

--- a/tests/stop_gaps.rs
+++ b/tests/stop_gaps.rs
@@ -9,6 +9,9 @@
 use deployment::runner::{Mode, Runner};
 use deployment::store::Fault;
 use deployment::{Answer, Ask, Deployment, config, server, try_ask, until};
+use lanedeck::gateway::message::{Reply, Request};
+use lanedeck::units::Tokens;
+use lanedeck::wire::{self, Missing};
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -284,3 +287,33 @@
     held.abort();
     assert_eq!(seen, [503; TRIES]);
 }
+
+/// Until a router that stops is gone, each gift to it is declined or cannot arrive: one without an answer is
+/// lost at its giver. The link's door is open until the exit, which breaks off the question in hand.
+#[tokio::test(flavor = "multi_thread")]
+async fn gift_at_exit() {
+    let app = Runner::start("i-app").await;
+    let engine = Runner::start("i-e").await;
+    let runners = [("app", &app), ("engine", &engine)];
+    let mut deployment = Deployment::start_with(1, &config(1, PLENTY), &runners, &SHORT).await;
+    let link = deployment.gateways[0].link;
+    let peers = wire::Client::new("lanedeck-fleet");
+    deployment.gateways[0].signal("TERM");
+    let mut lost = 0;
+    loop {
+        let request = Request::Give {
+            customer: deployment::CUSTOMER.to_owned(),
+            tokens: Tokens(1),
+        };
+        match peers.ask::<Request, Reply>(link, &request).await {
+            Ok(Reply::Taken | Reply::Declined) => {}
+            Err(Missing::Refused) => break,
+            other => {
+                println!("{other:?}");
+                lost += 1;
+            }
+        }
+    }
+    wait_end(&mut deployment).await;
+    assert_eq!(lost, 0, "gifts whose giver cannot tell");
+}
