Show that a renewal takes a grant again after it was given back

Suspicion: `renew` looks at `gives_back` before `rows::write` and not within it, and `give_back` writes by a task of its own. A renewal that is under way loses to the row that gives back, reads, and writes a grant over it. It is lost with the process: the others count it as granted, the next start as spent.

The renewal's read is held by the store, and the process lives on since another partition is slow.

--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -178,6 +178,11 @@
         self.gateways.push(Gateway::start(name, address, flags));
     }
 
+    /// Adds a gateway whose store is somewhere else.
+    pub fn add_at(&mut self, name: &str, store: SocketAddr, flags: &[&str]) {
+        self.gateways.push(Gateway::start(name, store, flags));
+    }
+
     pub async fn wait_ready(&self) {
         for gateway in &self.gateways {
             until(|| gateway.is_ready()).await;
--- a/tests/stop_gaps.rs
+++ b/tests/stop_gaps.rs
@@ -4,17 +4,26 @@
 mod deployment;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
 use deployment::runner::{Mode, Runner};
 use deployment::store::Fault;
-use deployment::{Answer, Ask, Deployment, config, server, try_ask, until};
+use deployment::{Answer, Ask, Deployment, LONG, config, server, try_ask, until};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use lanedeck::gateway::escrow::Row;
 use lanedeck::gateway::message::{Reply, Request};
 use lanedeck::units::Tokens;
 use lanedeck::wire::{self, Missing};
+use lanedeck::{net, util};
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 const PLENTY: u64 = 1_000_000;
 /// A stop gives up what is under way 0.85 s after the signal.
@@ -317,3 +326,128 @@
     wait_end(&mut deployment).await;
     assert_eq!(lost, 0, "gifts whose giver cannot tell");
 }
+
+/// What the store before the store does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// It passes all on.
+    Pass,
+    /// Reads of the first customer's rows wait.
+    Hold,
+    /// Those wait until the next append to these rows; calls about the second's rows have no answer.
+    Stop,
+    /// What waited goes on.
+    Release,
+}
+
+struct Gate {
+    store: SocketAddr,
+    phase: watch::Sender<Phase>,
+    held: AtomicUsize,
+    parts: [String; 2],
+}
+
+impl Gate {
+    async fn pass(&self, request: hyper::Request<Incoming>) -> Result<server::Reply, server::Gone> {
+        let query = request.uri().query().unwrap_or_default().to_owned();
+        let is_about = |part: &str| query.contains("topic=keyed.prepaid") && query.contains(part);
+        let [first, second] = self.parts.each_ref().map(|part| is_about(part));
+        let is_append = request.uri().path() == "/api/log-append";
+        let mut phase = self.phase.subscribe();
+        if first && !is_append && *phase.borrow() == Phase::Hold {
+            self.held.fetch_add(1, Ordering::SeqCst);
+            phase
+                .wait_for(|phase| *phase == Phase::Release)
+                .await
+                .unwrap();
+        }
+        if second && *phase.borrow() != Phase::Pass {
+            std::future::pending::<()>().await;
+        }
+        let (parts, body) = request.into_parts();
+        let body = body.collect().await.map_err(|_| server::Gone)?.to_bytes();
+        let mut line = net::open(self.store, LONG, LONG).await.unwrap();
+        let request = http::Request::from_parts(parts, Full::new(body));
+        let (parts, body) = line.send(request).await.unwrap().into_parts();
+        let body = body.collect().await.unwrap().to_bytes();
+        if first && is_append && *phase.borrow() == Phase::Stop {
+            self.phase.send_replace(Phase::Release);
+        }
+        let mut reply = http::Response::new(server::Body::Whole(Full::new(body)));
+        *reply.status_mut() = parts.status;
+        Ok(reply)
+    }
+}
+
+fn part_of(customer: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(customer.as_bytes()) % 2
+}
+
+/// A grant that is being renewed when grants are given back is taken again after it was given back: the
+/// renewal looks at the stop before it begins, and then reads, loses to the row that gives back, and writes
+/// its own over it. What it grants is lost with the process.
+#[tokio::test(flavor = "multi_thread")]
+async fn renewal_after_return() {
+    const PREPAID: u64 = 100_000;
+    let first = deployment::CUSTOMER;
+    let mut names = (0..).map(|number| format!("c{number}"));
+    let second = names.find(|name| part_of(name) != part_of(first)).unwrap();
+    let mut two = config(1, PREPAID);
+    let other = json!({ "name": second, "apiKeys": ["other"], "priority": 1, "prepaid": PREPAID });
+    two["tenants"].as_array_mut().unwrap().push(other);
+    let engine = Runner::start("i-e").await;
+    let mut deployment = Deployment::start_with(0, &two, &[("engine", &engine)], &[]).await;
+    let store = deployment.store.open().await;
+    let gate = Arc::new(Gate {
+        store,
+        phase: watch::Sender::new(Phase::Pass),
+        held: AtomicUsize::new(0),
+        parts: [first, &second].map(|name| format!("part={}", part_of(name))),
+    });
+    let passing = Arc::clone(&gate);
+    let address = server::serve(move |_, request| {
+        let gate = Arc::clone(&passing);
+        async move { gate.pass(request).await }
+    })
+    .await;
+    let flags = ["--keep", "100", "--grace", "20000", "--partitions", "2"];
+    deployment.add_at("g0", address, &flags);
+    deployment.wait_ready().await;
+    until(|| async { row(store, first).await.is_some() && row(store, &second).await.is_some() })
+        .await;
+    gate.phase.send_replace(Phase::Hold);
+    let front = deployment.gateways[0].front;
+    let mut number = 0;
+    while gate.held.load(Ordering::SeqCst) == 0 {
+        number += 1;
+        let request = Ask::talk(&format!("s{number}"), "/talk/x", 100, 50);
+        try_ask(front, &request).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    gate.phase.send_replace(Phase::Stop);
+    deployment.gateways[0].signal("TERM");
+    wait_end(&mut deployment).await;
+    assert_eq!(
+        *gate.phase.borrow(),
+        Phase::Release,
+        "grants were given back"
+    );
+    let last = row(store, first).await.unwrap();
+    assert_eq!(
+        last.granted, last.spent,
+        "nothing is granted to a process that is gone"
+    );
+}
+
+/// The only gateway's row of a customer.
+async fn row(store: SocketAddr, customer: &str) -> Option<Row> {
+    let part = part_of(customer);
+    let ask = Ask::get(&format!("/api/log-newest?topic=keyed.prepaid&part={part}"));
+    let answer = try_ask(store, &ask).await?;
+    let page: serde_json::Value = serde_json::from_str(&answer.body).unwrap();
+    let items = page["items"].as_array().unwrap();
+    let key = format!("{customer}/g0");
+    let item = items.iter().find(|item| item["key"] == key.as_str())?;
+    let value = STANDARD.decode(item["value"].as_str().unwrap()).unwrap();
+    util::decode(&value)
+}
