Wait for tokens and for connections within a request's deadline

Cause: two waits on the way of a request did not look at the end of a stop: for a grant (a fifth of the route's latency objective, whatever the deadline) and for a connection (0.4 s, where the last answers have 0.15 s). A request in one of them was cut at the exit with neither an answer nor a refusal.

Change: both waits are within `Deadline`, as all others.

Conclusion: whatever waits on the way of a request now ends with the stop.

--- a/src/gateway/decision/refusal.rs
+++ b/src/gateway/decision/refusal.rs
@@ -7,6 +7,7 @@
 use http::StatusCode;
 
 use super::retry::{Failure, Verdict};
+use crate::gateway::deadline::Over;
 use crate::units::Millis;
 
 /// Time to come back without a configuration: one comes within a read of the store. Not measured.
@@ -71,6 +72,14 @@
 }
 
 impl Reason {
+    /// What is told of a request whose time was over before anything was sent.
+    pub(in crate::gateway) fn before(over: Over) -> Self {
+        match over {
+            Over::Late => Self::Late,
+            Over::Stop => Self::Stopping,
+        }
+    }
+
     /// What is told of a request that is given up after a failed attempt. `verdict` covers all of its
     /// attempts: once one may have run, no later failure says that none has.
     pub fn of(failure: Failure, verdict: Verdict) -> Self {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -112,8 +112,11 @@
     /// Why the request does not run.
     pub(super) async fn begin(&self) -> Result<Attempt, Reason> {
         let wait = admission::grant_wait(self.route.latency_objective);
-        let begun = self.relay.controller.begin(self.job(), wait).await;
-        begun.map_err(Reason::Refused)
+        let begun = self.relay.controller.begin(self.job(), wait);
+        match self.deadline.within(begun).await {
+            Ok(begun) => begun.map_err(Reason::Refused),
+            Err(over) => Err(Reason::before(over)),
+        }
     }
 
     fn job(&self) -> Job {
@@ -135,7 +138,11 @@
     pub(super) async fn attempt(&mut self, attempt: Attempt) -> Result<Answer, Failed> {
         let attempted_at = Instant::now();
         let address = attempt.placement().address;
-        let Some(mut connection) = self.relay.connect(address, self.deadline.at).await else {
+        let connected = match self.deadline.within(self.relay.connect(address)).await {
+            Ok(connected) => connected,
+            Err(over) => return Err(failed(attempt, Failure::before(over))),
+        };
+        let Some(mut connection) = connected else {
             self.unreached += 1;
             return Err(failed(attempt, Failure::Unreachable));
         };
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -5,8 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::Instant;
-
 use super::attempt::Controller;
 use super::dialect::{Dialect, Reply};
 use super::shared::Shared;
@@ -37,14 +35,12 @@
 
 impl Relay {
     /// An idle connection to a target, or a new one; `None` where none comes up in time.
-    pub(super) async fn connect(&self, address: SocketAddr, until: Instant) -> Option<Connection> {
+    pub(super) async fn connect(&self, address: SocketAddr) -> Option<Connection> {
         if let Some(connection) = self.pool.take(address) {
             return Some(connection);
         }
         self.shared.metrics.connects.add(1);
-        let left = until.saturating_duration_since(Instant::now());
-        let opened = net::open(address, left.min(CONNECT_MAX), UNACKNOWLEDGED_MAX).await;
-        match opened {
+        match net::open(address, CONNECT_MAX, UNACKNOWLEDGED_MAX).await {
             Ok(connection) => Some(connection),
             Err(error) => {
                 tracing::debug!(event = "connect_failed", %address, %error);
--- a/src/gateway/upload.rs
+++ b/src/gateway/upload.rs
@@ -4,7 +4,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 
-use super::deadline::{Deadline, Over};
+use super::deadline::Deadline;
 use super::decision::refusal::Reason;
 
 /// Reads a body of at most `max` bytes.
@@ -24,7 +24,6 @@
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Reason::TooLong),
         Ok(Err(_)) => Err(Reason::BadBody),
-        Err(Over::Late) => Err(Reason::Late),
-        Err(Over::Stop) => Err(Reason::Stopping),
+        Err(over) => Err(Reason::before(over)),
     }
 }
