Close a gateway's link once its questions are answered, and keep gifts

Cause: the exit broke off the question that another router had asked, so its gift of tokens counted as lost at the giver. A gift that was declined stayed with a router that was giving back itself, and a loan that arrived after that was kept: both ended with the process.

Change: the link ends as the server does (`wire::serve_until`), after grants are given back and before the exit. A gift goes to the next router where one declines; a loan that comes too late goes back to its lender.

The late loan and the second taker have no test of their own: not seen, by reading.

--- a/src/gateway/control/context.rs
+++ b/src/gateway/control/context.rs
@@ -8,6 +8,8 @@
 
 use tokio::sync::Notify;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::waiting::Queue;
@@ -41,6 +43,10 @@
     pub(super) dialect: Arc<dyn Dialect>,
     /// Asks other routers.
     pub(super) links: wire::Client,
+    /// Ends the link that other routers ask on.
+    pub(super) link_closing: CancellationToken,
+    /// The task of that link.
+    pub(super) link: TaskTracker,
     /// What other routers have at which target.
     pub(super) peer_loads: RefCell<PeerLoads>,
     /// Customers for whom a loan is being asked for.
@@ -55,6 +61,13 @@
         Millis(CLOCK_START + elapsed.expect("a process runs for less than 2^64 milliseconds"))
     }
 
+    /// Closes the link, once what other routers have asked is answered.
+    pub(super) async fn close_link(&self) {
+        self.link_closing.cancel();
+        self.link.close();
+        self.link.wait().await;
+    }
+
     /// Publishes where callers may connect.
     pub(super) fn publish_caller_addresses(&self) {
         let addresses = self.state.borrow().members.caller_addresses(self.now());
--- a/src/gateway/control/link.rs
+++ b/src/gateway/control/link.rs
@@ -11,6 +11,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
 
 use super::context::Control;
 use super::{apply, loans};
@@ -33,11 +34,13 @@
     wire::Client::new(key).with_wait(ANSWER_MAX)
 }
 
-/// Passes other routers' requests to the control thread's loop until the process ends.
+/// Passes other routers' requests to the control thread's loop until `closing`, and then until those that
+/// have come are answered.
 pub(super) async fn listen(
     listener: std::net::TcpListener,
     key: String,
     asked: mpsc::UnboundedSender<Question>,
+    closing: CancellationToken,
 ) {
     let listener = match TcpListener::from_std(listener) {
         Ok(listener) => listener,
@@ -56,7 +59,7 @@
         }
     };
     let key_hash = crate::util::hash_secret(&key);
-    if let Err(error) = wire::serve(listener, key_hash, answer).await {
+    if let Err(error) = wire::serve_until(listener, key_hash, answer, closing).await {
         tracing::error!(event = "link_listener_failed", %error);
     }
 }
--- a/src/gateway/control/loans.rs
+++ b/src/gateway/control/loans.rs
@@ -58,6 +58,11 @@
             loan,
         };
         if let Ok(Reply::Lent(lent)) = control.links.ask(lender, &request).await {
+            if control.shared.gives_back() {
+                // Nothing waits for it any more, and what is kept here ends with the process.
+                transfer(&control, customer.clone(), lent, vec![lender]).await;
+                break;
+            }
             control.state.borrow_mut().borrow(&customer, lent);
             let (lacking, wanted) = (loan.lacking.0, loan.wanted.0);
             tracing::info!(event = "loan_received", %customer, %lender, lacking, wanted, lent = lent.0);
@@ -129,26 +134,26 @@
 /// Gives tokens to routers that hold the customers' grants.
 pub(super) async fn transfer_all(control: &Control, tokens: Vec<(String, Tokens)>) {
     let transfers = tokens.into_iter().map(|(customer, tokens)| {
-        let to = lenders(control, &customer).first().copied();
-        transfer(control, customer, tokens, to)
+        let takers = lenders(control, &customer);
+        transfer(control, customer, tokens, takers)
     });
     futures::future::join_all(transfers).await;
 }
 
-/// Gives tokens to another router. Without an answer it may have them, so they are lost here.
-async fn transfer(control: &Control, customer: String, tokens: Tokens, to: Option<SocketAddr>) {
-    let Some(to) = to else {
-        control.state.borrow_mut().borrow(&customer, tokens);
-        return;
-    };
-    let request = Request::Give {
-        customer: customer.clone(),
-        tokens,
-    };
-    let answer: Result<Reply, Missing> = control.links.ask(to, &request).await;
-    if matches!(answer, Ok(Reply::Declined) | Err(Missing::Refused)) {
-        control.state.borrow_mut().borrow(&customer, tokens);
+/// Gives tokens to the first of some routers that takes them; where none does, they stay here. Without an
+/// answer the asked one may have them, so they are lost here.
+async fn transfer(control: &Control, customer: String, tokens: Tokens, takers: Vec<SocketAddr>) {
+    for to in takers {
+        let request = Request::Give {
+            customer: customer.clone(),
+            tokens,
+        };
+        let answer: Result<Reply, Missing> = control.links.ask(to, &request).await;
+        let taken = matches!(answer, Ok(Reply::Taken));
+        tracing::info!(event = "tokens_given", %customer, %to, tokens = tokens.0, taken);
+        if !matches!(answer, Ok(Reply::Declined) | Err(Missing::Refused)) {
+            return;
+        }
     }
-    let taken = matches!(answer, Ok(Reply::Taken));
-    tracing::info!(event = "tokens_given", %customer, %to, tokens = tokens.0, taken);
+    control.state.borrow_mut().borrow(&customer, tokens);
 }
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -21,6 +21,8 @@
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use self::context::Control;
 use self::waiting::{Waiting, answer};
@@ -78,6 +80,8 @@
         store: parts.store,
         dialect: parts.dialect,
         links: link::client(&parts.fleet_key),
+        link_closing: CancellationToken::new(),
+        link: TaskTracker::new(),
         peer_loads: RefCell::default(),
         borrowing: RefCell::default(),
         started: Instant::now(),
@@ -87,7 +91,9 @@
     tasks.spawn_local(follow::config(Rc::clone(&control)));
     tasks.spawn_local(follow::targets(Rc::clone(&control)));
     tasks.spawn_local(follow::routers(Rc::clone(&control)));
-    tasks.spawn_local(link::listen(parts.link, parts.fleet_key, asked));
+    let closing = control.link_closing.clone();
+    let link = link::listen(parts.link, parts.fleet_key, asked, closing);
+    tasks.spawn_local(control.link.track_future(link));
     tasks.spawn_local(link::send_heartbeats(Rc::clone(&control)));
     tasks.spawn_local(loans::give_back_excess(Rc::clone(&control)));
     tasks.block_on(&runtime, serve(control, parts.messages, questions));
@@ -146,6 +152,7 @@
             let control = Rc::clone(control);
             tokio::task::spawn_local(async move {
                 grants::give_back(&control).await;
+                control.close_link().await;
                 // Nobody waits any more once the time to give back is over.
                 let _ = done.send(());
             });
