End an attempt whose caller left before it was taken

Cause: found by reading, while the waits were bounded by the deadline. A caller that left after the control thread had answered and before its task ran again dropped the answer: its tokens stayed reserved and its request counted at the target for as long as the process ran.

Change: a question that is dropped closes its answer's way, and ends an attempt that had come by it.

How often callers leave in that moment is not known.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -54,7 +54,7 @@
     },
     /// The process is stopping: callers are to go elsewhere.
     Leave,
-    /// Nothing runs any more: give grants back.
+    /// Nothing runs any more: give grants back, and answer other routers for the last time.
     Close {
         /// Told when that is done.
         done: oneshot::Sender<()>,
@@ -100,14 +100,38 @@
         &self,
         answer: oneshot::Receiver<Result<Placement, Refusal>>,
     ) -> Result<Attempt, Refusal> {
+        let mut pending = Pending {
+            controller: self,
+            answer,
+        };
         // Without an answer the process is ending.
-        let placement = answer.await.unwrap_or(Err(Refusal::NoTarget))?;
-        Ok(Attempt {
+        let placement = (&mut pending.answer).await;
+        Ok(self.hold(placement.unwrap_or(Err(Refusal::NoTarget))?))
+    }
+
+    fn hold(&self, placement: Placement) -> Attempt {
+        Attempt {
             controller: self.clone(),
             placement,
             delivery: Delivery::Nothing,
             has_ended: false,
-        })
+        }
+    }
+}
+
+/// A question without its answer. Dropped, its caller has left: an attempt that was answered and not taken
+/// is ended, or its tokens would be reserved for as long as the process runs.
+struct Pending<'a> {
+    controller: &'a Controller,
+    answer: oneshot::Receiver<Result<Placement, Refusal>>,
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        self.answer.close();
+        if let Ok(Ok(placement)) = self.answer.try_recv() {
+            drop(self.controller.hold(placement));
+        }
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 //! kept in the deployment's [`store`](crate::store); what its wire looks like is the business of its
 //! [`Dialect`](dialect::Dialect).
 
-mod attempt;
+pub mod attempt;
 pub mod body;
 mod control;
 mod deadline;
@@ -15,7 +15,7 @@
 pub mod escrow;
 mod exchange;
 mod headers;
-mod job;
+pub mod job;
 pub mod key;
 mod listener;
 pub mod members;
--- a/tests/stop_gaps.rs
+++ b/tests/stop_gaps.rs
@@ -1,5 +1,5 @@
-//! What a stop still leaves open: suspicions of a cold review, each shown by a test. Nothing is mended
-//! here.
+//! Gaps of a planned stop, each found by looking for the cause of a lost request elsewhere: what has begun is
+//! not waited for, what has arrived is not read, and what was given back is taken again.
 
 mod deployment;
 
