Wait in kept_connections until the stream has reached its target

Cause: the test took one job as a stream that runs. A job that still waits for its grant is one too; the stop refuses it, nothing is left to do, and the request on the kept connection is refused after the router has written that it leaves: 502, perhaps run, where the test wants 503. By reading; the run that failed, 1 of 3 of the whole file, kept no logs. Not the cause: the connection's end, which came with an answer and its `connection: close` unchecked only because the status is checked first.

Change: the test waits until the engine has the request. What it wants of the answer is unchanged.

--- a/tests/stop_answers.rs
+++ b/tests/stop_answers.rs
@@ -270,7 +270,7 @@
             let body = chat("long", 60);
             area.send(Method::POST, to, CHAT, &key("kiosks"), &[], &body)
         });
-        area.wait("the stream runs", |area| area.status(0)["jobs"] == 1);
+        area.wait("the stream runs", |area| !area.ran().is_empty());
         area.routers[0].signal("TERM");
         area.wait("it stops", |area| area.routers[0].has_logged("stopping"));
         area.wait("it refuses", |area| area.status(0)["stopping"] == true);
