Log how long a request waited for tokens that came

Cause: the wait for a grant is a fifth of the route's latency objective, and nothing told how long the waits are that succeed.

Change: `grant_waited` with the time, and whether the tokens came.

--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -182,9 +182,11 @@
     let Some((customer, _)) = job.payer.clone() else {
         return;
     };
+    let since = Instant::now();
     control.waiting.borrow_mut().push(Waiting {
         job,
-        until: Instant::now() + wait,
+        since,
+        until: since + wait,
         reply,
     });
     let role = control.state.borrow_mut().role(control.now(), &customer);
--- a/src/gateway/control/waiting.rs
+++ b/src/gateway/control/waiting.rs
@@ -14,6 +14,7 @@
 #[derive(Debug)]
 pub(super) struct Waiting {
     pub(super) job: Job,
+    pub(super) since: Instant,
     /// Until then.
     pub(super) until: Instant,
     pub(super) reply: Reply,
@@ -54,6 +55,12 @@
             if result == Err(Refusal::Short) {
                 self.waiting.push(waiting);
             } else {
+                tracing::info!(
+                    event = "grant_waited",
+                    id = %waiting.job.id,
+                    ms = waiting.since.elapsed().as_millis() as u64,
+                    is_paid = result.is_ok()
+                );
                 answer(state, now, waiting.reply, result);
             }
         }
