Take a process's signals in one place

Cause: both doors had the same loop over SIGTERM, SIGINT and SIGHUP and the same reading of settings for a reload, once the router's came to re-check them.

Change: `signals::Signals` and `cmd::reload`. What each door does is as before.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -305,12 +305,7 @@
             source,
         })?;
     let args = args.to_vec();
-    let adapter = Adapter {
-        dialect: adapter.dialect.clone(),
-        store: adapter.store,
-        settings: adapter.settings.clone(),
-    };
-    let result = runtime.block_on(serve(checked, args, adapter));
+    let result = runtime.block_on(serve(checked, args, adapter.clone()));
     drop(logs);
     result
 }
@@ -328,10 +323,7 @@
     let store = (adapter.store)(checked.store);
     let in_force = checked.in_force.replace('\n', " ");
     tracing::info!(event = "settings", in_force);
-    let reload = move || match read(&args, &adapter) {
-        Ok(checked) => Ok(checked.in_force.replace('\n', " ")),
-        Err(error) => Err(error.to_string()),
-    };
+    let reload = super::reload(move || read(&args, &adapter).map(|checked| checked.in_force));
     let options = gateway::Options {
         settings: checked.settings,
         listeners,
@@ -342,7 +334,7 @@
         grace: checked.grace,
         dialect,
         store,
-        reload: Box::new(reload),
+        reload,
         dropped: dropped_lines,
     };
     gateway::run(options).await.map_err(|source| Error::Io {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -20,6 +20,7 @@
 use snafu::Snafu;
 
 use crate::gateway::dialect::Dialect;
+use crate::signals::Reload;
 use crate::store::Store;
 
 const ABOUT: &str = "lanedeck: a router fleet for prepaid token budgets
@@ -101,6 +102,14 @@
     Err(Error::Failed { message })
 }
 
+/// What a process does at SIGHUP; `read` reads and checks its settings and gives those in force.
+pub(crate) fn reload(read: impl Fn() -> Result<String> + Send + 'static) -> Reload {
+    Box::new(move || match read() {
+        Ok(in_force) => Ok(in_force.replace('\n', " ")),
+        Err(error) => Err(error.to_string()),
+    })
+}
+
 #[derive(Debug, Options)]
 struct Args {
     #[options(help = "print this")]
--- a/src/cmd/router.rs
+++ b/src/cmd/router.rs
@@ -8,7 +8,7 @@
 use tokio::net::TcpListener;
 
 use super::settings::{Checker, missing};
-use super::{Adapter, Command, Error, Result, block_on, parse, print, start_logs};
+use super::{Adapter, Command, Error, Result, block_on, parse, print, reload, start_logs};
 use crate::router;
 use crate::router::budget::Sizing;
 use crate::router::client::{HttpHosts, HttpLog};
@@ -16,6 +16,7 @@
 use crate::router::host::Peer;
 use crate::router::key::Incarnation;
 use crate::router::request::Bound;
+use crate::signals::Reload;
 use crate::units::{Millis, Offset};
 
 pub const ABOUT: &str = "Runs a router on an entry host until SIGTERM, and then until all that it
@@ -279,9 +280,6 @@
         })
 }
 
-/// Reads and checks the settings of a router again; what would be in force, or what is wrong.
-pub type Reload = Box<dyn Fn() -> std::result::Result<String, String> + Send>;
-
 /// Binds a router's addresses; those given with port 0 are filled in.
 pub async fn bound(mut checked: Checked, reload: Reload) -> Result<router::Options> {
     let entry = bind("entry", checked.settings.me.entry).await?;
@@ -321,13 +319,8 @@
     if checked.policy != POLICY {
         tracing::warn!(event = "policy_removed", given = %checked.policy, in_force = POLICY);
     }
-    let reload = {
-        let (args, adapter) = (args.to_vec(), adapter.clone());
-        Box::new(move || match read(&args, &adapter) {
-            Ok(checked) => Ok(checked.in_force.replace('\n', " ")),
-            Err(error) => Err(error.to_string()),
-        })
-    };
+    let (args, adapter) = (args.to_vec(), adapter.clone());
+    let reload = reload(move || read(&args, &adapter).map(|checked| checked.in_force));
     block_on(checked.threads, async {
         let options = bound(checked, reload).await?;
         let me = &options.settings.me;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
@@ -22,6 +21,7 @@
 use super::shared::Shared;
 use super::state::Settings;
 use crate::net::{Pool, Server};
+use crate::signals::{Reload, Signals};
 use crate::store::Store;
 use crate::units::Millis;
 
@@ -75,7 +75,7 @@
     /// The deployment's store.
     pub store: Arc<dyn Store>,
     /// Reads and checks the settings again; the text is logged.
-    pub reload: Box<dyn Fn() -> Result<String, String> + Send>,
+    pub reload: Reload,
     /// Log lines that were dropped.
     pub dropped: fn() -> u64,
 }
@@ -86,9 +86,7 @@
 /// # Errors
 /// The system's, where signals cannot be taken.
 pub async fn run(options: Options) -> std::io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hangup = signal(SignalKind::hangup())?;
+    let mut signals = Signals::new()?;
     let (sender, messages) = mpsc::unbounded_channel();
     let shared = Arc::new(Shared::default());
     shared.set_caller_addresses(vec![options.settings.me.front]);
@@ -118,16 +116,7 @@
         options.dropped,
     );
     tokio::spawn(sweep(Arc::clone(&relay)));
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => match (options.reload)() {
-                Ok(in_force) => tracing::info!(event = "reloaded", settings = %in_force),
-                Err(error) => tracing::error!(event = "reload_refused", %error),
-            },
-        }
-    }
+    signals.stop(options.reload).await;
     stop(
         &shared,
         &relay.controller,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,8 @@
 //! and never lets spend pass what was prepaid. There are two front doors, which share the modules
 //! below them and nothing else: [`gateway`] serves callers of a deployment in its own dialect and
 //! keeps what lasts in the deployment's store; [`router`] serves the product's own interface over a
-//! log service. Both use [`net`], [`wire`], [`ejection`], [`units`] and [`util`].
+//! log service. Both use [`net`], [`wire`], [`signals`], [`ejection`],
+//! [`units`] and [`util`].
 
 #![warn(clippy::unwrap_used)]
 
@@ -13,6 +14,7 @@
 pub mod gateway;
 pub mod net;
 pub mod router;
+pub mod signals;
 pub mod standin;
 pub mod store;
 pub mod units;
--- a/src/router/process.rs
+++ b/src/router/process.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
@@ -20,6 +19,7 @@
 use crate::router::client::{HttpHosts, HttpLog};
 use crate::router::control::{Input, Settings};
 use crate::router::http::Headers;
+use crate::signals::{Reload, Signals};
 use crate::wire;
 
 /// What a router is started with.
@@ -43,7 +43,7 @@
     /// Longest silence of a target.
     pub silence: Duration,
     /// Reads and checks the settings again; the text is logged.
-    pub reload: Box<dyn Fn() -> Result<String, String> + Send>,
+    pub reload: Reload,
 }
 
 /// Runs a router until SIGTERM or SIGINT, and then until all that it has begun is done.
@@ -51,9 +51,7 @@
 /// # Errors
 /// The system's, where signals cannot be taken.
 pub async fn run(options: Options) -> std::io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hangup = signal(SignalKind::hangup())?;
+    let mut signals = Signals::new()?;
     let (input, inputs) = mpsc::unbounded_channel();
     let shared = Arc::new(Shared::new(
         input,
@@ -73,16 +71,7 @@
     let server = Server::default();
     let entry = Entry::new(routes(&shared), options.body_max);
     entry.listen(&server, options.entry);
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => match (options.reload)() {
-                Ok(in_force) => tracing::info!(event = "reloaded", settings = %in_force),
-                Err(error) => tracing::error!(event = "reload_refused", %error),
-            },
-        }
-    }
+    signals.stop(options.reload).await;
     stop(&shared, done, &entry, &server, peers).await;
     Ok(())
 }
