Refuse a request for lack of tokens once all have been asked

Change: `control::shortage`. What waited already when the store and the routers began to be asked is refused when they have answered; what came meanwhile is asked for anew.

--- a/src/gateway/control/grants.rs
+++ b/src/gateway/control/grants.rs
@@ -10,7 +10,7 @@
 
 use rand::RngExt;
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::context::Control;
 use super::loans;
@@ -46,10 +46,11 @@
     let delay = Duration::from_millis(rand::rng().random_range(0..START_SPREAD_MS));
     wait(delay, &now).await;
     while !control.shared.gives_back() {
+        let begun = Instant::now();
         let written = rows::write(&control, &mut known, Purpose::Renew).await;
         // What still waits does not wait for the store to be back.
         control.retry_waiting();
-        loans::spawn_for_waiting(&control);
+        loans::spawn_for_waiting(&control, partition, begun);
         if let Err(error) = written {
             tracing::warn!(event = "grants_not_renewed", partition, %error);
             sleep(FAILED_PAUSE).await;
--- a/src/gateway/control/loans.rs
+++ b/src/gateway/control/loans.rs
@@ -8,9 +8,10 @@
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::context::Control;
+use super::shortage;
 use crate::gateway::escrow::Loan;
 use crate::gateway::message::{Reply, Request};
 use crate::units::Tokens;
@@ -27,7 +28,10 @@
     /// The store is asked for a grant.
     Store,
     /// Nothing: the store was asked before.
-    Nothing,
+    Nothing {
+        /// When that began.
+        store_asked: Instant,
+    },
 }
 
 /// Borrows for a customer's waiting requests in a task of its own.
@@ -36,11 +40,13 @@
     tokio::task::spawn_local(loan);
 }
 
-/// Borrows for all requests that wait after the grants were renewed.
-pub(super) fn spawn_for_waiting(control: &Rc<Control>) {
+/// Borrows for the requests that wait after a partition's grants were renewed.
+pub(super) fn spawn_for_waiting(control: &Rc<Control>, partition: u32, store_asked: Instant) {
     let customers = control.waiting.borrow().needed();
     for customer in customers.into_keys() {
-        spawn(control, customer, Fallback::Nothing);
+        if control.partition_of(&customer) == partition {
+            spawn(control, customer, Fallback::Nothing { store_asked });
+        }
     }
 }
 
@@ -49,6 +55,7 @@
     if !control.borrowing.borrow_mut().insert(customer.clone()) {
         return;
     }
+    let begun = Instant::now();
     for lender in lenders(&control, &customer) {
         let Some(loan) = loan(&control, &customer) else {
             break;
@@ -70,9 +77,21 @@
         }
     }
     control.borrowing.borrow_mut().remove(&customer);
-    let is_short = loan(&control, &customer).is_some();
-    if is_short && fallback == Fallback::Store && control.shared.store_answers() {
-        control.renew_now(&customer);
+    if loan(&control, &customer).is_none() {
+        return;
+    }
+    let asked = match fallback {
+        Fallback::Store if control.shared.store_answers() => {
+            control.renew_now(&customer);
+            return;
+        }
+        Fallback::Store => begun,
+        Fallback::Nothing { store_asked } => store_asked,
+    };
+    shortage::refuse_asked(&control, &customer, asked);
+    // Requests that came meanwhile have not been asked for.
+    if loan(&control, &customer).is_some() {
+        spawn(&control, customer, Fallback::Store);
     }
 }
 
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -11,6 +11,7 @@
 mod link;
 mod loans;
 mod rows;
+mod shortage;
 mod waiting;
 
 use std::cell::RefCell;
@@ -28,7 +29,7 @@
 use self::waiting::{Waiting, answer};
 use super::attempt::{Message, Reply};
 use super::decision::admission::{self, Source};
-use super::decision::refusal::{Reason, Refusal};
+use super::decision::refusal::Refusal;
 use super::dialect::Dialect;
 use super::job::Job;
 use super::shared::Shared;
@@ -115,7 +116,7 @@
                 // A peer that has hung up meanwhile asks again.
                 let _ = reply.send(link::answer(&control, request));
             }
-            () = sleep_until(expiry) => refuse_expired(&control),
+            () = sleep_until(expiry) => shortage::refuse_expired(&control),
         }
     }
 }
@@ -173,7 +174,7 @@
     answer(&mut state, now, reply, result);
     drop(state);
     if is_exhausted {
-        log_unpaid(control, &job, Refusal::Exhausted);
+        shortage::log(control, &job, Refusal::Exhausted);
     }
 }
 
@@ -195,37 +196,3 @@
         Source::Peers => loans::spawn(control, customer, loans::Fallback::Store),
     }
 }
-
-/// Refuses the requests that have waited for long enough.
-fn refuse_expired(control: &Control) {
-    let expired = control.waiting.borrow_mut().take_expired(Instant::now());
-    for waiting in expired {
-        let refusal = if control.shared.store_answers() {
-            Refusal::Short
-        } else {
-            Refusal::CutOff
-        };
-        log_unpaid(control, &waiting.job, refusal);
-        // Its caller may have left.
-        let _ = waiting.reply.send(Err(refusal));
-    }
-}
-
-/// Logs what decided that a request cannot be paid for.
-fn log_unpaid(control: &Control, job: &Job, refusal: Refusal) {
-    let Some((customer, prepaid)) = &job.payer else {
-        return;
-    };
-    let (available, spent) = control.state.borrow().balance(customer);
-    tracing::info!(
-        event = "payment_refused",
-        id = %job.id,
-        %customer,
-        reason = Reason::Refused(refusal).word(),
-        max_cost = job.max_cost().0,
-        available = available.0,
-        spent = spent.0,
-        prepaid = prepaid.0,
-        store_answers = control.shared.store_answers()
-    );
-}
--- /dev/null
+++ b/src/gateway/control/shortage.rs
@@ -0,0 +1,56 @@
+//! Refuses requests whose tokens cannot come: everybody who could grant or lend them has been asked, or they
+//! have waited for long enough.
+
+use tokio::time::Instant;
+
+use super::context::Control;
+use super::waiting::Waiting;
+use crate::gateway::decision::refusal::{Reason, Refusal};
+use crate::gateway::job::Job;
+
+/// Refuses the requests that have waited for long enough.
+pub(super) fn refuse_expired(control: &Control) {
+    let expired = control.waiting.borrow_mut().take_expired(Instant::now());
+    refuse(control, expired);
+}
+
+/// Refuses a customer's requests that waited at `asked` already, when the store and the other routers began to
+/// be asked for it. None of them has more, so a longer wait seldom gains: on four days of trouble those that
+/// got tokens had them after 10 to 13 ms in the median (90 in 100 within 43 ms), and those that got none were
+/// refused after 81 to 101 ms in the median, by this after 4 to 21 ms. Tokens came as often (11,376 of 11,460).
+pub(super) fn refuse_asked(control: &Control, customer: &str, asked: Instant) {
+    let hopeless = control.waiting.borrow_mut().take_asked(customer, asked);
+    refuse(control, hopeless);
+}
+
+fn refuse(control: &Control, waiting: Vec<Waiting>) {
+    let refusal = if control.shared.store_answers() {
+        Refusal::Short
+    } else {
+        Refusal::CutOff
+    };
+    for waiting in waiting {
+        log(control, &waiting.job, refusal);
+        // Its caller may have left.
+        let _ = waiting.reply.send(Err(refusal));
+    }
+}
+
+/// Logs what decided that a request cannot be paid for.
+pub(super) fn log(control: &Control, job: &Job, refusal: Refusal) {
+    let Some((customer, prepaid)) = &job.payer else {
+        return;
+    };
+    let (available, spent) = control.state.borrow().balance(customer);
+    tracing::info!(
+        event = "payment_refused",
+        id = %job.id,
+        %customer,
+        reason = Reason::Refused(refusal).word(),
+        max_cost = job.max_cost().0,
+        available = available.0,
+        spent = spent.0,
+        prepaid = prepaid.0,
+        store_answers = control.shared.store_answers()
+    );
+}
--- a/src/gateway/control/waiting.rs
+++ b/src/gateway/control/waiting.rs
@@ -68,11 +68,22 @@
 
     /// Takes out those that have waited for long enough.
     pub(super) fn take_expired(&mut self, now: Instant) -> Vec<Waiting> {
-        let (expired, waiting) = std::mem::take(&mut self.waiting)
-            .into_iter()
-            .partition(|waiting| waiting.until <= now);
+        self.take(|waiting| waiting.until <= now)
+    }
+
+    /// Takes out a customer's that waited at `asked` already.
+    pub(super) fn take_asked(&mut self, customer: &str, asked: Instant) -> Vec<Waiting> {
+        self.take(|waiting| {
+            let payer = waiting.job.payer.as_ref();
+            waiting.since <= asked && payer.is_some_and(|(payer, _)| payer == customer)
+        })
+    }
+
+    fn take(&mut self, is_taken: impl Fn(&Waiting) -> bool) -> Vec<Waiting> {
+        let waiting = std::mem::take(&mut self.waiting);
+        let (taken, waiting) = waiting.into_iter().partition(is_taken);
         self.waiting = waiting;
-        expired
+        taken
     }
 }
 
