Let test targets do the work that a request names, and gateways start again

Cause: a soak over processes needs answers that are checked against their requests, runs with their times, and a next process under the same name. Change: `runner::Work` travels with a request; arrivals keep their time, their instance and the events handed out; `Gateway::start_again` and a log file for each gateway. Nothing that other tests see changes.

--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -6,6 +6,7 @@
 pub mod store;
 
 use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Mutex, PoisonError};
@@ -29,6 +30,9 @@
 /// A gateway process.
 pub struct Gateway {
     child: Child,
+    flags: Vec<String>,
+    /// The file that its log lines are added to.
+    log: Option<PathBuf>,
     pub name: String,
     pub front: SocketAddr,
     pub ready: SocketAddr,
@@ -65,43 +69,54 @@
     }
 }
 
+/// Starts the binary; its log goes to the end of a file, or nowhere.
+fn spawn(flags: &[String], log: Option<&PathBuf>) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lanedeck"));
+    for (name, _) in std::env::vars().filter(|(name, _)| name.starts_with("LANEDECK_")) {
+        command.env_remove(name);
+    }
+    let file = log.and_then(|path| {
+        let mut options = std::fs::OpenOptions::new();
+        options.create(true).append(true).open(path).ok()
+    });
+    command
+        .args(flags)
+        .stdout(file.map_or_else(Stdio::null, Into::into));
+    command.spawn().expect("the binary starts")
+}
+
+/// Where a gateway's log goes by `LANEDECK_TEST_LOGS`.
+fn log_by_setting(name: &str) -> Option<PathBuf> {
+    let folder = std::env::var_os("LANEDECK_TEST_LOGS")?;
+    let file = format!("{name}-{}.log", rand::random::<u32>());
+    Some(PathBuf::from(folder).join(file))
+}
+
 impl Gateway {
-    fn start(name: &str, store: SocketAddr, flags: &[&str]) -> Self {
+    fn start(name: &str, store: SocketAddr, flags: &[&str], log: Option<PathBuf>) -> Self {
         let starting = START.lock().unwrap_or_else(PoisonError::into_inner);
         let [front, ready, directory, link, metrics] = std::array::from_fn(|_| free_address());
-        let mut command = Command::new(env!("CARGO_BIN_EXE_lanedeck"));
-        for (name, _) in std::env::vars().filter(|(name, _)| name.starts_with("LANEDECK_")) {
-            command.env_remove(name);
+        let places = [
+            ("--front", front),
+            ("--ready", ready),
+            ("--directory", directory),
+            ("--link", link),
+            ("--metrics", metrics),
+            ("--store", store),
+        ];
+        let mut all = ["gateway", "--name", name, "--heartbeat", "200"]
+            .map(str::to_owned)
+            .to_vec();
+        for (flag, address) in places {
+            all.extend([flag.to_owned(), address.to_string()]);
         }
-        let log = match std::env::var_os("LANEDECK_TEST_LOGS") {
-            Some(folder) => {
-                let file = format!("{name}-{}.log", rand::random::<u32>());
-                let path = std::path::Path::new(&folder).join(file);
-                std::fs::File::create(path).map_or(Stdio::null(), Into::into)
-            }
-            None => Stdio::null(),
-        };
-        command
-            .args(["gateway", "--name", name, "--heartbeat", "200"])
-            .args(["--front", &front.to_string(), "--ready", &ready.to_string()])
-            .args([
-                "--directory",
-                &directory.to_string(),
-                "--link",
-                &link.to_string(),
-            ])
-            .args([
-                "--metrics",
-                &metrics.to_string(),
-                "--store",
-                &store.to_string(),
-            ])
-            .args(flags)
-            .stdout(log);
-        let child = command.spawn().expect("the binary starts");
+        all.extend(flags.iter().map(|flag| (*flag).to_owned()));
+        let child = spawn(&all, log.as_ref());
         drop(starting);
         Self {
             child,
+            flags: all,
+            log,
             name: name.to_owned(),
             front,
             ready,
@@ -112,6 +127,13 @@
         }
     }
 
+    /// Starts the next process under the same name and addresses, once the last one has ended.
+    pub fn start_again(&mut self) {
+        assert!(self.has_ended(), "one process at a time has a name");
+        let _starting = START.lock().unwrap_or_else(PoisonError::into_inner);
+        self.child = spawn(&self.flags, self.log.as_ref());
+    }
+
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
@@ -174,8 +196,14 @@
     }
 
     pub async fn add(&mut self, name: &str, flags: &[&str]) {
+        self.add_logged(name, flags, log_by_setting(name)).await;
+    }
+
+    /// The same with a file for its log.
+    pub async fn add_logged(&mut self, name: &str, flags: &[&str], log: Option<PathBuf>) {
         let address = self.store.open().await;
-        self.gateways.push(Gateway::start(name, address, flags));
+        self.gateways
+            .push(Gateway::start(name, address, flags, log));
     }
 
     /// Adds a gateway whose store is somewhere else.
--- a/tests/deployment/runner.rs
+++ b/tests/deployment/runner.rs
@@ -2,8 +2,9 @@
 //! refusals and streams, with faults on demand.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures::stream;
@@ -47,6 +48,12 @@
     pub headers: HeaderMap,
     pub body: Bytes,
     pub ran: bool,
+    /// When it was read.
+    pub at: Instant,
+    /// Events of its stream that were handed out so far.
+    pub handed_out: Arc<AtomicU32>,
+    /// The instance that it reached.
+    pub instance: String,
 }
 
 impl Arrival {
@@ -57,6 +64,53 @@
     }
 }
 
+/// What a request asks of the runner that serves it well; requests that are checked against their
+/// answers carry it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Work {
+    /// Time before the answer begins, in milliseconds.
+    pub wait: u64,
+    /// Filler of a plain answer, in bytes.
+    pub filler: usize,
+    /// Events of a stream.
+    pub events: u32,
+    /// Time before each event, in milliseconds.
+    pub gap: u64,
+}
+
+impl Work {
+    /// The header that carries it.
+    pub const HEADER: &'static str = "x-work";
+
+    pub fn text(&self) -> String {
+        format!("{},{},{},{}", self.wait, self.filler, self.events, self.gap)
+    }
+
+    fn read(headers: &HeaderMap) -> Option<Self> {
+        let text = headers.get(Self::HEADER)?.to_str().unwrap();
+        let mut parts = text.split(',').map(|part| part.parse::<u64>().unwrap());
+        let mut next = || parts.next().unwrap();
+        Some(Self {
+            wait: next(),
+            filler: next() as usize,
+            events: next() as u32,
+            gap: next(),
+        })
+    }
+
+    /// The plain answer to a request, but for the instance that gives it.
+    pub fn plain(&self, id: &str, instance: &str, body: &[u8]) -> String {
+        let sum = xxhash_rust::xxh3::xxh3_64(body);
+        let filler = "x".repeat(self.filler);
+        format!("answer to {id} of {instance} for {sum:x} {filler}")
+    }
+
+    /// One event of the stream that answers a request.
+    pub fn event(id: &str, number: u32) -> String {
+        format!("id: {number}\ndata: piece {number} for {id}\n\n")
+    }
+}
+
 /// Events of a whole stream.
 pub const EVENTS: u32 = 6;
 
@@ -116,13 +170,18 @@
     let expected = parts.headers.get("x-expect-instance");
     let is_meant = expected.is_none_or(|expected| expected.as_bytes() == instance.as_bytes());
     let ran = is_meant && mode != Mode::Shed;
+    let handed_out = Arc::new(AtomicU32::new(0));
     inner.arrivals.lock().unwrap().push(Arrival {
         method: parts.method.to_string(),
         path: parts.uri.to_string(),
         headers: parts.headers.clone(),
-        body,
+        body: body.clone(),
         ran,
+        at: Instant::now(),
+        handed_out: Arc::clone(&handed_out),
+        instance: instance.clone(),
     });
+    let work = Work::read(&parts.headers);
     let id = parts.headers.get("x-attempt-id").cloned();
     let id = id.map_or(String::new(), |id| id.to_str().unwrap().to_owned());
     let mut head = Response::builder().header("x-attempt-id", &id);
@@ -159,6 +218,13 @@
         Mode::Long(bytes) => return Ok(head.body(whole(&"x".repeat(bytes))).unwrap()),
         Mode::Well | Mode::Break(_) | Mode::Slow(_) => {}
     }
+    if let Some(work) = work {
+        tokio::time::sleep(Duration::from_millis(work.wait)).await;
+    }
+    if let (Some(work), false) = (work, parts.headers.contains_key("x-token-count")) {
+        let body = work.plain(&id, &instance, &body);
+        return Ok(head.body(whole(&body)).unwrap());
+    }
     if !parts.headers.contains_key("x-token-count") {
         let body = format!("answer to {id} of {instance}");
         return Ok(head.body(whole(&body)).unwrap());
@@ -166,32 +232,69 @@
     let last = parts.headers.get("last-event-id");
     let begun = last.map_or(0, |last| last.to_str().unwrap().parse::<u32>().unwrap());
     let head = head.header("content-type", "text/event-stream");
-    Ok(head.body(events(begun, mode)).unwrap())
+    let source = Source {
+        mode,
+        work,
+        id,
+        handed_out,
+    };
+    Ok(head.body(events(begun, source)).unwrap())
+}
+
+/// What a stream is made from.
+struct Source {
+    mode: Mode,
+    work: Option<Work>,
+    id: String,
+    handed_out: Arc<AtomicU32>,
+}
+
+impl Source {
+    /// Time before each event, in milliseconds.
+    fn gap(&self) -> Option<u64> {
+        match (self.mode, self.work) {
+            (Mode::Slow(gap), _) => Some(gap),
+            (_, work) => work.map(|work| work.gap),
+        }
+    }
+
+    fn count(&self) -> u32 {
+        self.work.map_or(EVENTS, |work| work.events)
+    }
+
+    fn event(&self, number: u32) -> String {
+        match self.work {
+            Some(_) => Work::event(&self.id, number),
+            None => format!("id: {number}\ndata: piece {number}\n\n"),
+        }
+    }
 }
 
 /// Events after the one numbered `begun`.
-fn events(begun: u32, mode: Mode) -> Body {
-    Body::stream(stream::unfold(begun, move |last| async move {
+fn events(begun: u32, source: Source) -> Body {
+    let state = (begun, source);
+    Body::stream(stream::unfold(state, move |(last, source)| async move {
         let number = last + 1;
-        if let Mode::Slow(gap) = mode {
+        if let Some(gap) = source.gap() {
             tokio::time::sleep(Duration::from_millis(gap)).await;
         }
-        if let Mode::Break(after) = mode {
+        if let Mode::Break(after) = source.mode {
             // What was sent before is on its way before the connection goes.
             tokio::time::sleep(Duration::from_millis(20)).await;
             if last > begun + after {
-                return Some((Err(Gone), last));
+                return Some((Err(Gone), (last, source)));
             }
             if last == begun + after {
                 let half = format!("id: {number}\ndata: half");
-                return Some((Ok(half.into()), number));
+                return Some((Ok(half.into()), (number, source)));
             }
         }
-        if number > EVENTS {
+        if number > source.count() {
             return None;
         }
-        let event = format!("id: {number}\ndata: piece {number}\n\n");
-        Some((Ok(Bytes::from(event)), number))
+        source.handed_out.fetch_add(1, Ordering::Relaxed);
+        let event = source.event(number);
+        Some((Ok(Bytes::from(event)), (number, source)))
     }))
 }
 
