Add a soak of planned work over processes

Cause: a request was lost at a planned stop, and no test had sent requests in each moment of a stop. Change: `tests/soak.rs`: gateways as processes, callers that keep connections and old answers about addresses, stops, reloads, changes of configuration and leaving targets in a seeded order; promises are checked from what callers and targets see.

--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -228,11 +228,16 @@
 
 /// Writes a runner's entry.
 pub fn list(store: &Store, service: &str, runner: &Runner, state: &str) {
+    list_at(store, service, &runner.instance(), runner.address, state);
+}
+
+/// Writes the entry of an instance that is reached at an address.
+pub fn list_at(store: &Store, service: &str, instance: &str, address: SocketAddr, state: &str) {
     let entry = json!({
-        "service": service, "address": runner.address, "zone": "hall", "version": "v1",
+        "service": service, "address": address, "zone": "hall", "version": "v1",
         "slots": 64, "state": state, "coldLeftMs": 0, "sequence": 1,
     });
-    store.put("keyed.servers", &runner.instance(), Some(&entry));
+    store.put("keyed.servers", instance, Some(&entry));
 }
 
 /// The addresses that a gateway tells callers to use.
--- /dev/null
+++ b/tests/soak/caller.rs
@@ -0,0 +1,291 @@
+//! A caller: what it sends, when it leaves, when it comes back, and what it has seen.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::Value;
+use tokio::time::timeout;
+
+use crate::deployment::runner::Work;
+use crate::deployment::{Ask, HOST, try_ask};
+use crate::line::{End, Line, Pieces, Progress};
+use crate::plan::{self, Habit, Owner};
+
+/// What callers say that they wait, in milliseconds.
+const DEADLINE: u64 = 5_000;
+/// How long they wait more for an answer: many times what a loaded machine adds, since a request without
+/// an answer by then breaks a promise.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// Longest wait for an answer about addresses: what callers of the platform give one.
+const RESOLVE: Duration = Duration::from_secs(1);
+/// Times that an answer about addresses is held for its life by a caller that holds it longest.
+const HELD: u32 = 3;
+/// Connections that a caller keeps.
+const LINES: usize = 3;
+/// Returns after a refusal or a failure.
+const RETURNS: u32 = 3;
+/// Longest wait until a return: the third of the time that callers of the platform wait.
+const RETURN_WAIT: Duration = Duration::from_millis(DEADLINE / 3);
+
+/// What a route says of repeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Route {
+    Once,
+    Often,
+    Talk,
+    Resume,
+}
+
+impl Route {
+    pub const ALL: [Self; 4] = [Self::Once, Self::Often, Self::Talk, Self::Resume];
+
+    pub fn path(self) -> &'static str {
+        match self {
+            Self::Once => "/once/x",
+            Self::Often => "/often/x",
+            Self::Talk => "/talk/x",
+            Self::Resume => "/resume/x",
+        }
+    }
+
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Talk | Self::Resume)
+    }
+
+    pub fn may_repeat(self) -> bool {
+        matches!(self, Self::Often | Self::Resume)
+    }
+}
+
+/// One try of a caller.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub id: String,
+    pub route: Route,
+    pub owner: Owner,
+    pub work: Work,
+    pub ask: Ask,
+    pub gateway: SocketAddr,
+    pub begun: Instant,
+    pub ended: Instant,
+    pub progress: Progress,
+    /// Whether its caller left before its end, as it had meant to.
+    pub left: bool,
+}
+
+/// Where callers ask for addresses, and what they have seen.
+#[derive(Clone, Default)]
+pub struct World {
+    pub directories: Arc<Vec<SocketAddr>>,
+    pub calls: Arc<Mutex<Vec<Call>>>,
+}
+
+/// What a caller is about to ask.
+struct Wish {
+    route: Route,
+    work: Work,
+    tokens: (u64, u64),
+    body: String,
+    pieces: Option<Pieces>,
+    leave: Option<Duration>,
+}
+
+pub struct Caller {
+    name: String,
+    plan: plan::Caller,
+    rng: StdRng,
+    world: World,
+    lines: Vec<Line>,
+    addresses: Vec<SocketAddr>,
+    held_until: Instant,
+    count: u32,
+}
+
+impl Caller {
+    pub fn new(name: String, plan: plan::Caller, world: World) -> Self {
+        Self {
+            name,
+            rng: StdRng::seed_from_u64(plan.seed),
+            plan,
+            world,
+            lines: Vec::new(),
+            addresses: Vec::new(),
+            held_until: Instant::now(),
+            count: 0,
+        }
+    }
+
+    /// Calls until the end of the load.
+    pub async fn run(mut self, end: Instant) {
+        while Instant::now() < end {
+            let pause = self.rng.random_range(0..self.plan.pause);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+            let wish = self.wish();
+            let mut returns = 0;
+            while let Some(wait) = self.call(&wish, returns > 0).await {
+                returns += 1;
+                if !self.plan.retries || returns > RETURNS || Instant::now() >= end {
+                    break;
+                }
+                tokio::time::sleep(wait.min(RETURN_WAIT)).await;
+            }
+        }
+    }
+
+    fn wish(&mut self) -> Wish {
+        let rng = &mut self.rng;
+        let route = Route::ALL[rng.random_range(0..4)];
+        let is_long = rng.random_bool(0.2);
+        let wait = if rng.random_bool(0.3) {
+            rng.random_range(100..700)
+        } else {
+            rng.random_range(0..60)
+        };
+        let work = Work {
+            wait,
+            filler: if rng.random_bool(0.1) { 300_000 } else { 20 },
+            events: rng.random_range(1..16),
+            gap: rng.random_range(0..50),
+        };
+        let size = if is_long {
+            rng.random_range(5_000..60_000)
+        } else {
+            rng.random_range(1..200)
+        };
+        let pieces = is_long.then(|| Pieces {
+            size: rng.random_range(3_000..20_000),
+            pause: Duration::from_millis(rng.random_range(0..40)),
+        });
+        let leaves = rng.random_bool(self.plan.leaves);
+        Wish {
+            route,
+            work,
+            tokens: (rng.random_range(20..120), u64::from(work.events) + 20),
+            body: "b".repeat(size),
+            pieces,
+            leave: leaves.then(|| Duration::from_millis(rng.random_range(1..400))),
+        }
+    }
+
+    fn ask(&self, id: &str, wish: &Wish) -> Ask {
+        let ask = if wish.route.is_stream() {
+            Ask::talk(id, wish.route.path(), wish.tokens.0, wish.tokens.1)
+        } else {
+            Ask::new(id, wish.route.path())
+        };
+        ask.post(&wish.body)
+            .with("host", HOST)
+            .with("x-deadline-ms", &DEADLINE.to_string())
+            .with(
+                "authorization",
+                &format!("Bearer {}", self.plan.owner.key()),
+            )
+            .with(Work::HEADER, &wish.work.text())
+    }
+
+    /// One try; returned is when to come back, where another try is in order.
+    async fn call(&mut self, wish: &Wish, returns: bool) -> Option<Duration> {
+        self.count += 1;
+        let id = format!("{}-{}", self.name, self.count);
+        let ask = self.ask(&id, wish);
+        let mut line = self.line(returns).await?;
+        let mut progress = Progress::default();
+        let begun = Instant::now();
+        let patience = Duration::from_millis(DEADLINE) + PATIENCE;
+        let limit = wish.leave.unwrap_or(patience);
+        let asked = line.ask(&ask, wish.pieces.as_ref(), &mut progress);
+        let in_time = timeout(limit, asked).await.is_ok();
+        let call = Call {
+            id,
+            route: wish.route,
+            owner: self.plan.owner,
+            work: wish.work,
+            ask,
+            gateway: line.address,
+            begun,
+            ended: Instant::now(),
+            progress,
+            left: !in_time && wish.leave.is_some(),
+        };
+        let wait = wait(&call);
+        if self.plan.habit == Habit::Kept && call.progress.end == End::Whole && line.is_open() {
+            self.lines.push(line);
+        }
+        self.world.calls.lock().unwrap().push(call);
+        wait
+    }
+
+    /// A connection: a kept one where the caller keeps them, or a new one by the addresses it holds.
+    async fn line(&mut self, returns: bool) -> Option<Line> {
+        self.lines.retain(Line::is_open);
+        let wants_kept = !returns && (self.lines.len() >= LINES || self.rng.random_bool(0.8));
+        if wants_kept && !self.lines.is_empty() {
+            let number = self.rng.random_range(0..self.lines.len());
+            return Some(self.lines.swap_remove(number));
+        }
+        if Instant::now() >= self.held_until || self.addresses.is_empty() {
+            self.resolve().await;
+        }
+        // Those that have failed are left out, as long as there are others.
+        let mut left: VecDeque<SocketAddr> = self.addresses.iter().copied().collect();
+        while !left.is_empty() {
+            let number = self.rng.random_range(0..left.len());
+            let address = left.swap_remove_back(number)?;
+            if let Some(line) = Line::open(address).await {
+                return Some(line);
+            }
+        }
+        self.addresses.clear();
+        None
+    }
+
+    async fn resolve(&mut self) {
+        let ask = Ask::get("/api/resolve?name=shop.example&region=r&zone=hall");
+        for _ in 0..3 {
+            let number = self.rng.random_range(0..self.world.directories.len());
+            let directory = self.world.directories[number];
+            let Ok(Some(answer)) = timeout(RESOLVE, try_ask(directory, &ask)).await else {
+                continue;
+            };
+            let body: Value = serde_json::from_str(&answer.body).unwrap_or_default();
+            let listed = body["addrs"].as_array().cloned().unwrap_or_default();
+            let parsed = listed
+                .iter()
+                .filter_map(|address| address.as_str()?.parse().ok());
+            let addresses: Vec<SocketAddr> = parsed.collect();
+            let life = Duration::from_secs_f64(body["ttlS"].as_f64().unwrap_or(0.0));
+            if addresses.is_empty() {
+                continue;
+            }
+            let times = if self.plan.habit == Habit::Stale {
+                HELD
+            } else {
+                1
+            };
+            self.addresses = addresses;
+            self.held_until = Instant::now() + life * times;
+            return;
+        }
+    }
+}
+
+/// When a try is to be followed by another one.
+fn wait(call: &Call) -> Option<Duration> {
+    if call.left {
+        return None;
+    }
+    let told = call.progress.header("retry-after");
+    let told = told.and_then(|text| text.parse::<f64>().ok());
+    match (call.progress.end, call.progress.status()) {
+        (End::Whole, Some(429 | 503)) => told.map(Duration::from_secs_f64),
+        (End::Whole, Some(500..)) | (End::Closed | End::Cut, _) if call.route.may_repeat() => {
+            Some(Duration::from_millis(20))
+        }
+        (End::Unsent, _) => Some(Duration::ZERO),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/tests/soak/line.rs
@@ -0,0 +1,144 @@
+//! One connection of a caller. Unlike the one of the gateway it tells how far a request and its answer
+//! came, and sends a body in pieces.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures::stream;
+use http::HeaderMap;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use crate::deployment::Ask;
+use crate::deployment::server::Body;
+
+/// Longest wait for a connection: what callers of the platform give a new one.
+const CONNECT: Duration = Duration::from_secs(1);
+
+/// How far a request and its answer came.
+#[derive(Clone, Debug, Default)]
+pub struct Progress {
+    /// When its last byte was handed to the connection.
+    pub sent: Arc<OnceLock<Instant>>,
+    /// Status and headers of the answer.
+    pub head: Option<(u16, HeaderMap)>,
+    pub body: Vec<u8>,
+    pub end: End,
+}
+
+/// How a request ended for its caller.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum End {
+    /// Not yet, and its caller stopped waiting.
+    #[default]
+    Open,
+    /// Nothing of it was sent.
+    Unsent,
+    /// The connection ended before the head of an answer.
+    Closed,
+    /// The answer broke off.
+    Cut,
+    /// The answer is whole.
+    Whole,
+}
+
+impl Progress {
+    pub fn status(&self) -> Option<u16> {
+        self.head.as_ref().map(|(status, _)| *status)
+    }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let (_, headers) = self.head.as_ref()?;
+        headers.get(name)?.to_str().ok()
+    }
+}
+
+/// Sizes of the pieces of a body, and the pause before each.
+#[derive(Clone, Debug)]
+pub struct Pieces {
+    pub size: usize,
+    pub pause: Duration,
+}
+
+pub struct Line {
+    sender: SendRequest<Body>,
+    pub address: SocketAddr,
+}
+
+impl Line {
+    pub async fn open(address: SocketAddr) -> Option<Self> {
+        let connect = TcpStream::connect(address);
+        let stream = tokio::time::timeout(CONNECT, connect).await.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        // Its errors show where an answer is waited for.
+        tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        Some(Self { sender, address })
+    }
+
+    pub fn is_open(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Sends a request and reads its answer, as far as either comes.
+    pub async fn ask(&mut self, ask: &Ask, pieces: Option<&Pieces>, progress: &mut Progress) {
+        let body = body(&ask.body, pieces, &progress.sent);
+        let mut request = http::Request::new(body);
+        *request.method_mut() = ask.method.clone();
+        *request.uri_mut() = ask.path.parse().unwrap();
+        *request.headers_mut() = ask.headers.clone();
+        let response = match self.sender.try_send_request(request).await {
+            Ok(response) => response,
+            Err(mut error) => {
+                let was_not_sent = error.take_message().is_some();
+                progress.end = if was_not_sent {
+                    End::Unsent
+                } else {
+                    End::Closed
+                };
+                return;
+            }
+        };
+        let (parts, mut incoming) = response.into_parts();
+        progress.head = Some((parts.status.as_u16(), parts.headers));
+        while let Some(frame) = incoming.frame().await {
+            match frame.map(hyper::body::Frame::into_data) {
+                Ok(Ok(data)) => progress.body.extend_from_slice(&data),
+                Ok(Err(_)) => {}
+                Err(_) => {
+                    progress.end = End::Cut;
+                    return;
+                }
+            }
+        }
+        progress.end = End::Whole;
+        // It can be used again once its connection has seen the end of the answer.
+        let _ = self.sender.ready().await;
+    }
+}
+
+fn body(bytes: &Bytes, pieces: Option<&Pieces>, sent: &Arc<OnceLock<Instant>>) -> Body {
+    let Some(pieces) = pieces else {
+        let _ = sent.set(Instant::now());
+        return Body::Whole(Full::new(bytes.clone()));
+    };
+    let state = (bytes.clone(), pieces.clone(), Arc::clone(sent));
+    Body::stream(stream::unfold(
+        state,
+        |(mut rest, pieces, sent)| async move {
+            if rest.is_empty() {
+                let _ = sent.set(Instant::now());
+                return None;
+            }
+            tokio::time::sleep(pieces.pause).await;
+            let piece = rest.split_to(pieces.size.clamp(1, rest.len()));
+            Some((Ok(piece), (rest, pieces, sent)))
+        },
+    ))
+}
--- /dev/null
+++ b/tests/soak/plan.rs
@@ -0,0 +1,186 @@
+//! What happens in a run, drawn from its seed before it begins: the deployment, its callers, and when
+//! which step is taken. The same seed gives the same plan.
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+/// How long callers send, in milliseconds: long enough that each gateway is stopped once or twice.
+const LOAD: u64 = 7_000;
+/// Room before the first step, in milliseconds: callers have open connections by then.
+const FIRST: u64 = 500;
+/// Longest time between steps, in milliseconds: shorter than a stop takes, so that steps overlap.
+const GAP: u64 = 500;
+/// Prepaid tokens of the customer that runs out, at the start and added by a top-up.
+pub const SCARCE: u64 = 1_500;
+pub const TOP_UP: u64 = 800;
+
+/// What a caller does with connections and addresses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Habit {
+    /// Keeps connections and uses them until the other side has closed them.
+    Kept,
+    /// Opens a connection for each request, by an answer about addresses that it heeds.
+    Fresh,
+    /// The same, and holds an answer for three times as long as it says.
+    Stale,
+}
+
+/// Whose key a caller shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Owner {
+    /// With tokens for all that it asks.
+    Rich,
+    /// Whose tokens run out.
+    Scarce,
+    /// Whose key is taken away.
+    Revoked,
+}
+
+impl Owner {
+    pub fn key(self) -> &'static str {
+        match self {
+            Self::Rich => crate::deployment::KEY,
+            Self::Scarce => "key-of-bo",
+            Self::Revoked => "key-of-cy",
+        }
+    }
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Rich => crate::deployment::CUSTOMER,
+            Self::Scarce => "bo",
+            Self::Revoked => "cy",
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Caller {
+    pub seed: u64,
+    pub habit: Habit,
+    pub owner: Owner,
+    /// Longest pause between its calls, in milliseconds.
+    pub pause: u64,
+    /// Whether it comes back after a refusal that says when.
+    pub retries: bool,
+    /// Part of its calls that it leaves early, 0 to 1.
+    pub leaves: f64,
+}
+
+/// A change of configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Weights of the two services of plain routes.
+    Weights(u32, u32),
+    /// More prepaid tokens.
+    TopUp,
+    /// Time-outs of all routes, in milliseconds.
+    Timeout(u64),
+    /// The key of [`Owner::Revoked`] is taken away.
+    TakeKey,
+}
+
+/// What is done to the deployment. Gateways and targets are numbers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// SIGTERM, and a start under the same name so many milliseconds after the process has ended.
+    Stop(usize, u64),
+    /// SIGHUP.
+    Reload(usize),
+    Change(Change),
+    /// The target says that it drains, or its entry goes at once; it is another instance later.
+    Leave(usize, Notice),
+}
+
+/// How a target leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Notice {
+    /// It says that it drains; its entry goes later.
+    Draining,
+    /// Its entry goes.
+    Gone,
+}
+
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub seed: u64,
+    pub gateways: usize,
+    /// Life of an answer about addresses, in milliseconds.
+    pub keep: u64,
+    /// Time that the store takes for a call without any fault, in milliseconds.
+    pub store: u64,
+    pub callers: Vec<Caller>,
+    /// Steps, each with its time in milliseconds.
+    pub steps: Vec<(u64, Step)>,
+    pub load: u64,
+}
+
+/// Targets: two of each plain service and two engines.
+pub const TARGETS: [&str; 6] = ["app", "app", "other", "other", "engine", "engine"];
+
+impl Plan {
+    /// Planned work and nothing else.
+    pub fn planned(seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let gateways = rng.random_range(2..=4);
+        let callers = (0..gateways * 9).map(|_| caller(&mut rng)).collect();
+        let mut plan = Self {
+            seed,
+            gateways,
+            keep: rng.random_range(200..=800),
+            store: rng.random_range(2..=150),
+            callers,
+            steps: Vec::new(),
+            load: LOAD,
+        };
+        let mut at = FIRST;
+        while at < LOAD {
+            plan.steps.push((at, step(&mut rng, gateways)));
+            // Half of the steps come with another one.
+            at += if rng.random_bool(0.5) {
+                rng.random_range(0..30)
+            } else {
+                rng.random_range(30..GAP)
+            };
+        }
+        plan
+    }
+}
+
+fn caller(rng: &mut StdRng) -> Caller {
+    let habit = match rng.random_range(0..10) {
+        0..5 => Habit::Kept,
+        5..7 => Habit::Fresh,
+        _ => Habit::Stale,
+    };
+    let owner = match rng.random_range(0..10) {
+        0..6 => Owner::Rich,
+        6..8 => Owner::Scarce,
+        _ => Owner::Revoked,
+    };
+    Caller {
+        seed: rng.random(),
+        habit,
+        owner,
+        pause: [20, 100, 400][rng.random_range(0..3)],
+        retries: rng.random_bool(0.7),
+        leaves: [0.0, 0.0, 0.1][rng.random_range(0..3)],
+    }
+}
+
+fn step(rng: &mut StdRng, gateways: usize) -> Step {
+    let gateway = rng.random_range(0..gateways);
+    match rng.random_range(0..20) {
+        0..8 => Step::Stop(gateway, rng.random_range(0..600)),
+        8..11 => Step::Reload(gateway),
+        11..13 => Step::Change(Change::Weights(
+            rng.random_range(1..5),
+            rng.random_range(0..5),
+        )),
+        13..15 => Step::Change(Change::TopUp),
+        15 => Step::Change(Change::Timeout(rng.random_range(3_000..5_000))),
+        16 => Step::Change(Change::TakeKey),
+        17..19 => Step::Leave(rng.random_range(0..TARGETS.len()), Notice::Draining),
+        _ => Step::Leave(rng.random_range(0..TARGETS.len()), Notice::Gone),
+    }
+}
--- /dev/null
+++ b/tests/soak/promise.rs
@@ -0,0 +1,242 @@
+//! The promises, each checked from what callers and targets have seen. docs/PROOFS.md names the rule
+//! behind each.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use crate::caller::{Call, Route};
+use crate::deployment::runner::{Arrival, Work};
+use crate::line::End;
+use crate::plan::Owner;
+
+/// How long a whole request may stay unread before its connection is closed. A process reads what has
+/// arrived within milliseconds; a loaded machine may hold it up for many times that.
+const UNREAD_MAX: Duration = Duration::from_secs(2);
+/// How long a target may get requests after the store has taken that it leaves, and a key may be served
+/// after the store has taken that it is revoked. Both are read at most each half a second; this is six
+/// times as much, for a loaded machine.
+pub const IN_FORCE_MAX: Duration = Duration::from_secs(3);
+
+/// A promise that was broken.
+#[derive(Clone, Debug)]
+pub struct Broken {
+    pub promise: &'static str,
+    /// The request that shows it.
+    pub id: Option<String>,
+    pub what: String,
+}
+
+/// What a run has shown.
+#[derive(Default)]
+pub struct Seen {
+    pub calls: Vec<Call>,
+    pub arrivals: Vec<Arrival>,
+    /// Instances that have left, and when the store took it.
+    pub departures: Vec<(String, Instant)>,
+    /// When the store took that the key of [`Owner::Revoked`] is gone.
+    pub revoked: Option<Instant>,
+    /// From when until when a gateway was killed, frozen, or on its way back from either.
+    pub disturbed: Vec<(SocketAddr, Instant, Instant)>,
+    /// Whether anything but planned work happened.
+    pub has_faults: bool,
+}
+
+/// Tokens that a customer has got: those of each prompt once, and those handed out.
+pub fn spent(arrivals: &[Arrival], owner: Owner) -> u64 {
+    let mut prompts: HashMap<&str, u64> = HashMap::new();
+    let mut handed_out = 0;
+    for arrival in arrivals {
+        let events = arrival.handed_out.load(Ordering::Relaxed);
+        if arrival.header("x-tenant") != owner.name() || events == 0 {
+            continue;
+        }
+        let (tokens, _) = arrival.header("x-token-count").split_once(',').unwrap();
+        prompts.insert(arrival.header("x-attempt-id"), tokens.parse().unwrap());
+        handed_out += u64::from(events);
+    }
+    prompts.values().sum::<u64>() + handed_out
+}
+
+impl Seen {
+    /// All promises that were broken.
+    pub fn broken(&self) -> Vec<Broken> {
+        let mut runs: HashMap<&str, Vec<&Arrival>> = HashMap::new();
+        for arrival in self.arrivals.iter().filter(|arrival| arrival.ran) {
+            let id = arrival.header("x-attempt-id");
+            runs.entry(id).or_default().push(arrival);
+        }
+        let mut broken = Vec::new();
+        for call in &self.calls {
+            let runs = runs.remove(call.id.as_str()).unwrap_or_default();
+            let checks = [
+                self.answered(call, &runs),
+                once(call, &runs),
+                refused(call, &runs),
+                own_answer(call, &runs),
+                unchanged(call, &runs),
+                self.allowed(call, &runs),
+            ];
+            let found = checks.into_iter().flatten();
+            broken.extend(found.map(|(promise, what)| Broken {
+                promise,
+                id: Some(call.id.clone()),
+                what,
+            }));
+        }
+        for id in runs.keys() {
+            broken.push(Broken {
+                promise: "UNASKED",
+                id: Some((*id).to_owned()),
+                what: "ran, and no caller has sent it".to_owned(),
+            });
+        }
+        broken.extend(self.left_alone());
+        broken
+    }
+
+    fn was_disturbed(&self, call: &Call) -> bool {
+        let mut spans = self.disturbed.iter();
+        spans.any(|(gateway, from, to)| {
+            *gateway == call.gateway && call.begun <= *to && call.ended >= *from
+        })
+    }
+
+    /// LOST: each whole request that is read ends in a whole answer or a refusal.
+    fn answered(&self, call: &Call, runs: &[&Arrival]) -> Option<(&'static str, String)> {
+        if call.left || self.was_disturbed(call) {
+            return None;
+        }
+        let ran = runs.first().map(|run| run.instance.as_str());
+        let unread = call.progress.sent.get().map(|sent| call.ended - *sent);
+        let what = match (call.progress.end, ran) {
+            (End::Closed, Some(target)) => {
+                format!("ran at {target}, and its connection was closed")
+            }
+            (End::Closed, None) if unread.is_some_and(|unread| unread > UNREAD_MAX) => {
+                "closed long after it was sent".to_owned()
+            }
+            (End::Open, _) => "neither answered nor refused".to_owned(),
+            // With faults, a target may break off what was passed on already.
+            (End::Cut, _) if !self.has_faults => "its answer broke off".to_owned(),
+            _ => return None,
+        };
+        Some(("LOST", what))
+    }
+
+    /// DENIED and ROUTE: a key is served while it is valid, and not after.
+    fn allowed(&self, call: &Call, runs: &[&Arrival]) -> Option<(&'static str, String)> {
+        let revoked = self.revoked.filter(|_| call.owner == Owner::Revoked);
+        let is_over = revoked.is_some_and(|at| call.begun > at + IN_FORCE_MAX);
+        if is_over && !self.was_disturbed(call) && !runs.is_empty() {
+            return Some(("ROUTE", "ran with a key that was taken away".to_owned()));
+        }
+        let is_valid = revoked.is_none_or(|at| call.ended < at);
+        match call.progress.status() {
+            Some(status @ 400..=404) if status != 402 && is_valid => {
+                Some(("DENIED", format!("{status} for a proper request")))
+            }
+            Some(402) if call.owner != Owner::Scarce => {
+                Some(("DENIED", "402 with plenty of tokens".to_owned()))
+            }
+            _ => None,
+        }
+    }
+
+    /// DRAIN: no request reaches a target that has left for long.
+    fn left_alone(&self) -> Vec<Broken> {
+        let mut broken = Vec::new();
+        for (instance, left) in &self.departures {
+            let late = self.arrivals.iter().filter(|arrival| {
+                arrival.instance == *instance && arrival.ran && arrival.at > *left + IN_FORCE_MAX
+            });
+            broken.extend(late.map(|arrival| Broken {
+                promise: "DRAIN",
+                id: Some(arrival.header("x-attempt-id").to_owned()),
+                what: format!("reached {instance} {:?} after it left", arrival.at - *left),
+            }));
+        }
+        broken
+    }
+}
+
+/// TWICE: nothing that may not be repeated runs twice.
+fn once(call: &Call, runs: &[&Arrival]) -> Option<(&'static str, String)> {
+    let is_twice = !call.route.may_repeat() && runs.len() > 1;
+    is_twice.then(|| ("TWICE", format!("ran {} times", runs.len())))
+}
+
+/// REFUSED: what is refused as not run has not run by the end of the run.
+fn refused(call: &Call, runs: &[&Arrival]) -> Option<(&'static str, String)> {
+    let status = call.progress.status()?;
+    let is_promise = matches!(status, 408 | 421 | 429 | 503);
+    (is_promise && !runs.is_empty()).then(|| ("REFUSED", format!("{status}, and it has run")))
+}
+
+/// MIXED and ORDER: an answer is its request's own and whole, or shows that it is not.
+fn own_answer(call: &Call, runs: &[&Arrival]) -> Option<(&'static str, String)> {
+    let progress = &call.progress;
+    if progress.status()? != 200 {
+        return None;
+    }
+    let seal = format!("seal-of-{}", call.id);
+    if progress.header("x-server-seal") != Some(&seal)
+        || progress.header("x-attempt-id") != Some(&call.id)
+    {
+        return Some(("MIXED", "another's seal or id".to_owned()));
+    }
+    let body = String::from_utf8_lossy(&progress.body);
+    if call.route.is_stream() {
+        let whole: String = (1..=call.work.events)
+            .map(|number| Work::event(&call.id, number))
+            .collect();
+        let fits = match progress.end {
+            End::Whole => body == whole,
+            _ => whole.starts_with(&*body),
+        };
+        let what = || format!("events do not fit: {} of {} bytes", body.len(), whole.len());
+        return (!fits).then(|| ("ORDER", what()));
+    }
+    let fits = runs.iter().any(|run| {
+        let whole = call.work.plain(&call.id, &run.instance, &call.ask.body);
+        match progress.end {
+            End::Whole => body == whole,
+            _ => whole.starts_with(&*body),
+        }
+    });
+    (!fits).then(|| ("MIXED", format!("another body: {} bytes", body.len())))
+}
+
+/// UNASKED: what runs is what was sent, for the customer that holds the key.
+fn unchanged(call: &Call, runs: &[&Arrival]) -> Option<(&'static str, String)> {
+    let differs = |run: &&&Arrival| {
+        let same = |name| run.headers.get(name) == call.ask.headers.get(name);
+        run.method != call.ask.method.as_str()
+            || run.path != call.ask.path
+            || run.body != call.ask.body
+            || run.header("x-tenant") != call.owner.name()
+            || !["x-model", "x-token-count", "x-prompt-prefix"]
+                .into_iter()
+                .all(same)
+    };
+    let run = runs.iter().find(differs)?;
+    Some(("UNASKED", format!("changed on its way to {}", run.instance)))
+}
+
+/// What the calls of a run ended in, for its summary.
+pub fn tally(calls: &[Call]) -> std::collections::BTreeMap<String, u32> {
+    let mut tally = std::collections::BTreeMap::new();
+    for call in calls {
+        let word = match (call.left, call.progress.end, call.progress.status()) {
+            (true, ..) => "left".to_owned(),
+            (_, End::Whole, Some(status)) => status.to_string(),
+            (_, end, _) => format!("{end:?}").to_lowercase(),
+        };
+        *tally.entry(word).or_default() += 1;
+    }
+    tally
+}
+
+/// Routes on which a deployment that is whole again answers.
+pub const WHOLE: [Route; 4] = Route::ALL;
--- /dev/null
+++ b/tests/soak/run.rs
@@ -0,0 +1,467 @@
+//! One run: a deployment by the plan, its callers, its steps in their time, and then the promises.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::caller::{Caller, World};
+use crate::deployment::runner::{Arrival, Runner, Work};
+use crate::deployment::store::{Fault, Store};
+use crate::deployment::{Ask, Deployment, Gateway, LONG, config, list_at, try_ask};
+use crate::plan::{Change, Notice, Owner, Plan, SCARCE, Step, TARGETS, TOP_UP};
+use crate::promise::{Broken, IN_FORCE_MAX, Seen, WHOLE, spent, tally};
+use crate::timeline::Journal;
+
+/// The time to stop of each gateway, in milliseconds: several times the longest work.
+const GRACE: &str = "8000";
+/// Prepaid tokens that no run uses up.
+const PLENTY: u64 = 100_000_000;
+/// Time from a target's word that it drains until its entry goes.
+const DRAINING: Duration = Duration::from_millis(1_500);
+/// Time from then on until another instance has its address, after the bound for requests to it.
+const UNTIL_REPLACED: Duration = Duration::from_millis(2_000);
+/// Longest that a process may take to end, beyond its time to stop: many times what it needs.
+const END_MAX: Duration = Duration::from_secs(20);
+/// Interval of looks at a process.
+const LOOK: Duration = Duration::from_millis(5);
+/// What runs when the load ends goes on for so long at most, in milliseconds: the longest stream.
+const QUIET: Duration = Duration::from_millis(1_500);
+
+/// What a run has come to.
+pub struct Outcome {
+    pub seed: u64,
+    pub broken: Vec<Broken>,
+    /// The timeline of the first promise that was broken.
+    pub timeline: String,
+    /// One line on what happened.
+    pub summary: String,
+}
+
+/// A target, and what is in force about it.
+struct Target {
+    service: &'static str,
+    runner: Runner,
+    address: SocketAddr,
+}
+
+/// The operator's configuration.
+struct Config {
+    version: u64,
+    weights: (u32, u32),
+    prepaid: u64,
+    timeout: u64,
+    has_key: bool,
+}
+
+impl Config {
+    fn new() -> Self {
+        Self {
+            version: 1,
+            weights: (2, 1),
+            prepaid: SCARCE,
+            timeout: 4_000,
+            has_key: true,
+        }
+    }
+
+    fn value(&self) -> Value {
+        let mut value = config(self.version, PLENTY);
+        for route in value["routes"].as_array_mut().unwrap() {
+            route["timeoutMs"] = json!(self.timeout);
+            if route["service"] == "app" {
+                route["backends"] = json!([
+                    { "service": "app", "weight": self.weights.0 },
+                    { "service": "other", "weight": self.weights.1 },
+                ]);
+                route.as_object_mut().unwrap().remove("service");
+            }
+        }
+        let other = json!({ "name": "other", "healthPath": "/healthz", "maxConns": 100 });
+        value["services"].as_array_mut().unwrap().push(other);
+        let tenant = |owner: Owner, prepaid: u64, keys: &[&str]| json!({ "name": owner.name(), "apiKeys": keys, "priority": 1, "prepaid": prepaid });
+        let kept = [Owner::Revoked.key()];
+        let keys = if self.has_key { &kept[..] } else { &[] };
+        value["tenants"] = json!([
+            tenant(Owner::Rich, PLENTY, &[Owner::Rich.key()]),
+            tenant(Owner::Scarce, self.prepaid, &[Owner::Scarce.key()]),
+            tenant(Owner::Revoked, PLENTY, keys),
+        ]);
+        value
+    }
+}
+
+/// A gateway and whether a step has it in hand.
+#[derive(Clone)]
+struct Place {
+    gateway: Arc<Mutex<Gateway>>,
+    is_taken: Arc<Mutex<bool>>,
+    name: String,
+    front: SocketAddr,
+    ready: SocketAddr,
+}
+
+impl Place {
+    fn new(gateway: Gateway) -> Self {
+        Self {
+            name: gateway.name.clone(),
+            front: gateway.front,
+            ready: gateway.ready,
+            gateway: Arc::new(Mutex::new(gateway)),
+            is_taken: Arc::default(),
+        }
+    }
+
+    fn has_ended(&self) -> bool {
+        self.gateway.lock().unwrap().has_ended()
+    }
+
+    fn is_taken(&self) -> bool {
+        *self.is_taken.lock().unwrap()
+    }
+
+    /// Sends a signal, if the process is there.
+    fn signal(&self, name: &str) {
+        let mut gateway = self.gateway.lock().unwrap();
+        if !gateway.has_ended() {
+            gateway.signal(name);
+        }
+    }
+
+    async fn is_ready(&self) -> bool {
+        let answer = try_ask(self.ready, &Ask::get("/api/readyz")).await;
+        answer.is_some_and(|answer| answer.status == 200)
+    }
+}
+
+struct Run {
+    plan: Plan,
+    journal: Journal,
+    store: Store,
+    places: Vec<Place>,
+    targets: Arc<Vec<Target>>,
+    leaving: Arc<Mutex<Vec<usize>>>,
+    config: Config,
+    seen: Arc<Mutex<Seen>>,
+    broken: Arc<Mutex<Vec<Broken>>>,
+    tasks: JoinSet<()>,
+}
+
+/// Carries a plan out.
+pub async fn run(plan: Plan, logs: PathBuf) -> Outcome {
+    std::fs::create_dir_all(&logs).unwrap();
+    let seed = plan.seed;
+    let mut run = Run::start(plan, &logs).await;
+    let world = World {
+        directories: Arc::new(run.directories()),
+        ..World::default()
+    };
+    let begin = Instant::now();
+    let end = begin + Duration::from_millis(run.plan.load);
+    let mut callers = JoinSet::new();
+    for (number, caller) in run.plan.callers.clone().into_iter().enumerate() {
+        let name = format!("s{seed}c{number}");
+        callers.spawn(Caller::new(name, caller, world.clone()).run(end));
+    }
+    for (at, step) in run.plan.steps.clone() {
+        sleep((begin + Duration::from_millis(at)).saturating_duration_since(Instant::now())).await;
+        run.take(step);
+    }
+    while let Some(ended) = callers.join_next().await {
+        ended.unwrap();
+    }
+    run.journal.note("the load has ended");
+    run.end(world, &logs).await
+}
+
+impl Run {
+    async fn start(plan: Plan, logs: &std::path::Path) -> Self {
+        let config = Config::new();
+        let store = Store::default();
+        store.put("keyed.op", "config", Some(&config.value()));
+        let mut targets = Vec::new();
+        for (number, service) in TARGETS.into_iter().enumerate() {
+            let runner = Runner::start(&format!("i{number}-1")).await;
+            let address = runner.address;
+            list_at(&store, service, &runner.instance(), address, "ready");
+            targets.push(Target {
+                service,
+                runner,
+                address,
+            });
+        }
+        let mut deployment = Deployment {
+            store: store.clone(),
+            gateways: Vec::new(),
+        };
+        let keep = plan.keep.to_string();
+        let flags = ["--keep", keep.as_str(), "--grace", GRACE];
+        for number in 0..plan.gateways {
+            let name = format!("g{number}");
+            let log = logs.join(format!("{name}.log"));
+            deployment.add_logged(&name, &flags, Some(log)).await;
+        }
+        deployment.wait_ready().await;
+        deployment.wait_acquainted().await;
+        for gateway in &deployment.gateways {
+            store.set_fault(gateway.store, Fault::Slow(plan.store));
+        }
+        Self {
+            plan,
+            journal: Journal::default(),
+            store,
+            places: deployment.gateways.into_iter().map(Place::new).collect(),
+            targets: Arc::new(targets),
+            leaving: Arc::default(),
+            config,
+            seen: Arc::default(),
+            broken: Arc::default(),
+            tasks: JoinSet::new(),
+        }
+    }
+
+    fn directories(&self) -> Vec<SocketAddr> {
+        let of = |place: &Place| place.gateway.lock().unwrap().directory;
+        self.places.iter().map(of).collect()
+    }
+
+    fn take(&mut self, step: Step) {
+        match step {
+            Step::Stop(number, pause) => self.stop(number, Duration::from_millis(pause)),
+            Step::Reload(number) => {
+                let place = &self.places[number];
+                self.journal.note(format!("SIGHUP {}", place.name));
+                place.signal("HUP");
+            }
+            Step::Change(change) => self.change(change),
+            Step::Leave(number, notice) => self.leave(number, notice),
+        }
+    }
+
+    /// Stops a gateway and starts it again, unless it is the last one.
+    fn stop(&mut self, number: usize, pause: Duration) {
+        let place = self.places[number].clone();
+        let others = self.places.iter().filter(|other| !other.is_taken()).count();
+        if place.is_taken() || others < 2 {
+            return;
+        }
+        *place.is_taken.lock().unwrap() = true;
+        self.journal.note(format!("SIGTERM {}", place.name));
+        place.signal("TERM");
+        let (journal, broken) = (self.journal.clone(), Arc::clone(&self.broken));
+        let grace = Duration::from_millis(GRACE.parse().unwrap());
+        self.tasks.spawn(async move {
+            if wait(grace + END_MAX, || place.has_ended()).await {
+                journal.note(format!("{} has ended", place.name));
+            } else {
+                broken.lock().unwrap().push(Broken {
+                    promise: "LOST",
+                    id: None,
+                    what: format!("{} does not end after SIGTERM", place.name),
+                });
+                place.gateway.lock().unwrap().kill();
+            }
+            sleep(pause).await;
+            start_again(&place, &journal).await;
+        });
+    }
+
+    fn change(&mut self, change: Change) {
+        let config = &mut self.config;
+        config.version += 1;
+        match change {
+            Change::Weights(app, other) => config.weights = (app, other),
+            Change::TopUp => {
+                self.check_spend();
+                self.config.prepaid += TOP_UP;
+            }
+            Change::Timeout(timeout) => config.timeout = timeout,
+            Change::TakeKey => {
+                config.has_key = false;
+            }
+        }
+        if change == Change::TakeKey {
+            let mut seen = self.seen.lock().unwrap();
+            seen.revoked.get_or_insert_with(Instant::now);
+        }
+        let value = self.config.value();
+        self.store.put("keyed.op", "config", Some(&value));
+        let version = self.config.version;
+        self.journal
+            .note(format!("configuration {version}: {change:?}"));
+    }
+
+    /// A target leaves, serves on, and another instance has its address later.
+    fn leave(&mut self, number: usize, notice: Notice) {
+        let is_in_use = |other: &usize| TARGETS[*other] == TARGETS[number];
+        {
+            let mut leaving = self.leaving.lock().unwrap();
+            if leaving.iter().any(is_in_use) {
+                return;
+            }
+            leaving.push(number);
+        }
+        let instance = self.targets[number].runner.instance();
+        self.journal.note(format!("{instance} leaves: {notice:?}"));
+        let (store, targets) = (self.store.clone(), Arc::clone(&self.targets));
+        let (journal, leaving) = (self.journal.clone(), Arc::clone(&self.leaving));
+        let seen = Arc::clone(&self.seen);
+        self.tasks.spawn(async move {
+            let target = &targets[number];
+            if notice == Notice::Draining {
+                list_at(
+                    &store,
+                    target.service,
+                    &instance,
+                    target.address,
+                    "draining",
+                );
+                seen.lock()
+                    .unwrap()
+                    .departures
+                    .push((instance.clone(), Instant::now()));
+                sleep(DRAINING).await;
+                store.put("keyed.servers", &instance, None);
+            } else {
+                store.put("keyed.servers", &instance, None);
+                seen.lock()
+                    .unwrap()
+                    .departures
+                    .push((instance.clone(), Instant::now()));
+                sleep(DRAINING).await;
+            }
+            sleep(UNTIL_REPLACED).await;
+            let (place, life) = instance.split_once('-').unwrap();
+            let next = format!("{place}-{}", life.parse::<u32>().unwrap() + 1);
+            target.runner.replace(&next);
+            list_at(&store, target.service, &next, target.address, "ready");
+            journal.note(format!("{next} has its address"));
+            leaving.lock().unwrap().retain(|other| *other != number);
+        });
+    }
+
+    fn arrivals(&self) -> Vec<Arrival> {
+        let of = |target: &Target| target.runner.arrivals();
+        self.targets.iter().flat_map(of).collect()
+    }
+
+    /// BUDGET: a customer has not got more than is prepaid. What it gets only grows, so a look before
+    /// each time that more is prepaid, and one at the end, see each moment.
+    fn check_spend(&self) {
+        let spent = spent(&self.arrivals(), Owner::Scarce);
+        let prepaid = self.config.prepaid;
+        self.journal
+            .note(format!("{spent} of {prepaid} tokens are spent"));
+        if spent > prepaid {
+            self.broken.lock().unwrap().push(Broken {
+                promise: "BUDGET",
+                id: None,
+                what: format!("{spent} tokens of {prepaid}"),
+            });
+        }
+    }
+
+    async fn end(mut self, world: World, logs: &std::path::Path) -> Outcome {
+        while let Some(ended) = self.tasks.join_next().await {
+            ended.unwrap();
+        }
+        sleep(QUIET).await;
+        self.check_spend();
+        let whole = self.is_whole_again().await;
+        let mut seen = std::mem::take(&mut *self.seen.lock().unwrap());
+        seen.calls = std::mem::take(&mut *world.calls.lock().unwrap());
+        let arrivals = self.arrivals();
+        let is_ours = |arrival: &Arrival| !arrival.header("x-attempt-id").starts_with(PROBE);
+        seen.arrivals = arrivals.into_iter().filter(is_ours).collect();
+        let mut broken = std::mem::take(&mut *self.broken.lock().unwrap());
+        broken.extend(whole);
+        broken.extend(seen.broken());
+        let timeline = broken.first().map_or(String::new(), |first| {
+            let id = first.id.as_deref();
+            self.journal.print(logs, id, &seen.calls, &seen.arrivals)
+        });
+        Outcome {
+            seed: self.plan.seed,
+            broken,
+            timeline,
+            summary: format!(
+                "{} gateways, {} calls {:?}, {} departures",
+                self.plan.gateways,
+                seen.calls.len(),
+                tally(&seen.calls),
+                seen.departures.len()
+            ),
+        }
+    }
+
+    /// RECOVER: once nothing happens any more, each gateway serves each route within a bound, and none
+    /// has ended by itself.
+    async fn is_whole_again(&self) -> Vec<Broken> {
+        let mut broken = Vec::new();
+        for place in &self.places {
+            for route in WHOLE {
+                let end = Instant::now() + LONG;
+                let mut last = None;
+                let mut number = 0;
+                while Instant::now() < end && last != Some(200) {
+                    number += 1;
+                    let id = format!("{PROBE}{}{:?}{number}", place.name, route);
+                    let ask = if route.is_stream() {
+                        Ask::talk(&id, route.path(), 20, 30)
+                    } else {
+                        Ask::new(&id, route.path())
+                    };
+                    let work = Work {
+                        events: 3,
+                        ..Work::default()
+                    };
+                    let ask = ask.with(Work::HEADER, &work.text());
+                    last = try_ask(place.front, &ask).await.map(|answer| answer.status);
+                    sleep(LOOK).await;
+                }
+                if last != Some(200) {
+                    broken.push(Broken {
+                        promise: "RECOVER",
+                        id: None,
+                        what: format!("{} answers {last:?} on {route:?}", place.name),
+                    });
+                }
+            }
+        }
+        broken
+    }
+}
+
+/// How the ids of requests begin that ask whether the service is whole.
+const PROBE: &str = "whole-";
+
+async fn start_again(place: &Place, journal: &Journal) {
+    place.gateway.lock().unwrap().start_again();
+    journal.note(format!("{} is started again", place.name));
+    let end = Instant::now() + LONG;
+    while Instant::now() < end && !place.is_ready().await {
+        sleep(LOOK).await;
+    }
+    *place.is_taken.lock().unwrap() = false;
+}
+
+/// Waits until something holds; whether it did in time.
+async fn wait(limit: Duration, holds: impl Fn() -> bool) -> bool {
+    let end = Instant::now() + limit;
+    while !holds() {
+        if Instant::now() >= end {
+            return false;
+        }
+        sleep(LOOK).await;
+    }
+    true
+}
+
+const _: () = assert!(
+    DRAINING.as_millis() + UNTIL_REPLACED.as_millis() > IN_FORCE_MAX.as_millis(),
+    "a leaving target is there until the bound, so that it sees what comes too late"
+);
