Put faults from outside into the soak, and slow readers

Cause: planned work alone does not show what deaths, a store that misbehaves and harmed links do; and no caller read so slowly that an answer outlived a stop's count of requests. Change: a proxy before each target, SIGKILL, SIGSTOP, the store's faults, targets that fail or whose address another service takes; callers that read long answers late.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -13,6 +13,8 @@
 mod plan;
 #[path = "soak/promise.rs"]
 mod promise;
+#[path = "soak/proxy.rs"]
+mod proxy;
 #[path = "soak/run.rs"]
 mod run;
 #[path = "soak/timeline.rs"]
@@ -20,7 +22,7 @@
 
 use std::sync::Mutex;
 
-use plan::Plan;
+use plan::{Kind, Plan};
 use run::{Outcome, run};
 
 /// Seeds of a run in CI: one to two minutes for all tests here.
@@ -47,7 +49,7 @@
     }
 }
 
-fn soak(kind: &str, plan: fn(u64) -> Plan) {
+fn soak(name: &str, kind: Kind) {
     let _one = ONE
         .lock()
         .unwrap_or_else(std::sync::PoisonError::into_inner);
@@ -56,15 +58,15 @@
         .enable_all()
         .build()
         .unwrap();
-    let logs = std::env::temp_dir().join(format!("lanedeck-{kind}-{}", std::process::id()));
+    let logs = std::env::temp_dir().join(format!("lanedeck-{name}-{}", std::process::id()));
     let mut failed = Vec::new();
     for seeds in seeds().chunks(AT_ONCE) {
         let runs = seeds.iter().map(|seed| {
             let logs = logs.join(seed.to_string());
-            run(plan(*seed), logs)
+            run(Plan::new(*seed, kind), logs)
         });
         for outcome in runtime.block_on(futures::future::join_all(runs)) {
-            println!("{kind} seed {}: {}", outcome.seed, outcome.summary);
+            println!("{name} seed {}: {}", outcome.seed, outcome.summary);
             if outcome.broken.is_empty() {
                 let _ = std::fs::remove_dir_all(logs.join(outcome.seed.to_string()));
             } else {
@@ -94,5 +96,10 @@
 
 #[test]
 fn soak_planned() {
-    soak("soak_planned", Plan::planned);
+    soak("soak_planned", Kind::Planned);
+}
+
+#[test]
+fn soak_faults() {
+    soak("soak_faults", Kind::Faults);
 }
--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -12,7 +12,7 @@
 
 use crate::deployment::runner::Work;
 use crate::deployment::{Ask, HOST, try_ask};
-use crate::line::{End, Line, Pieces, Progress};
+use crate::line::{End, Line, Pieces, Progress, Reading};
 use crate::plan::{self, Habit, Owner};
 
 /// What callers say that they wait, in milliseconds.
@@ -26,6 +26,13 @@
 const HELD: u32 = 3;
 /// Connections that a caller keeps.
 const LINES: usize = 3;
+/// A plain answer that does not fit in the buffers between a gateway and a caller that reads slowly, in
+/// bytes. It is passed on whole, so it has to fit in a gateway's limit of 8 MiB.
+const LONG_ANSWER: usize = 7 << 20;
+/// Longest time from the head of an answer until a slow caller reads on, in milliseconds.
+const READ_PAUSE: u64 = 3_000;
+/// Pause after a key was refused, so that callers without one leave room for others.
+const KEYLESS_PAUSE: Duration = Duration::from_millis(300);
 /// Returns after a refusal or a failure.
 const RETURNS: u32 = 3;
 /// Longest wait until a return: the third of the time that callers of the platform wait.
@@ -103,6 +110,8 @@
     addresses: Vec<SocketAddr>,
     held_until: Instant,
     count: u32,
+    /// Whether its key was refused the last time.
+    is_refused: bool,
 }
 
 impl Caller {
@@ -116,6 +125,7 @@
             addresses: Vec::new(),
             held_until: Instant::now(),
             count: 0,
+            is_refused: false,
         }
     }
 
@@ -126,6 +136,9 @@
             tokio::time::sleep(Duration::from_millis(pause)).await;
             let wish = self.wish();
             let mut returns = 0;
+            if self.is_refused {
+                tokio::time::sleep(KEYLESS_PAUSE).await;
+            }
             while let Some(wait) = self.call(&wish, returns > 0).await {
                 returns += 1;
                 if !self.plan.retries || returns > RETURNS || Instant::now() >= end {
@@ -138,7 +151,10 @@
 
     fn wish(&mut self) -> Wish {
         let rng = &mut self.rng;
-        let route = Route::ALL[rng.random_range(0..4)];
+        let route = match self.plan.habit {
+            Habit::Slow => Route::ALL[rng.random_range(0..2)],
+            _ => Route::ALL[rng.random_range(0..4)],
+        };
         let is_long = rng.random_bool(0.2);
         let wait = if rng.random_bool(0.3) {
             rng.random_range(100..700)
@@ -147,7 +163,11 @@
         };
         let work = Work {
             wait,
-            filler: if rng.random_bool(0.1) { 300_000 } else { 20 },
+            filler: match self.plan.habit {
+                Habit::Slow => LONG_ANSWER,
+                _ if rng.random_bool(0.1) => 300_000,
+                _ => 20,
+            },
             events: rng.random_range(1..16),
             gap: rng.random_range(0..50),
         };
@@ -212,6 +232,7 @@
             left: !in_time && wish.leave.is_some(),
         };
         let wait = wait(&call);
+        self.is_refused = call.progress.status() == Some(401);
         if self.plan.habit == Habit::Kept && call.progress.end == End::Whole && line.is_open() {
             self.lines.push(line);
         }
@@ -235,7 +256,14 @@
         while !left.is_empty() {
             let number = self.rng.random_range(0..left.len());
             let address = left.swap_remove_back(number)?;
-            if let Some(line) = Line::open(address).await {
+            let reading = match self.plan.habit {
+                Habit::Slow => {
+                    let pause = self.rng.random_range(0..READ_PAUSE);
+                    Reading::Slowly(Duration::from_millis(pause))
+                }
+                _ => Reading::AtOnce,
+            };
+            if let Some(line) = Line::open(address, reading).await {
                 return Some(line);
             }
         }
@@ -261,10 +289,9 @@
             if addresses.is_empty() {
                 continue;
             }
-            let times = if self.plan.habit == Habit::Stale {
-                HELD
-            } else {
-                1
+            let times = match self.plan.habit {
+                Habit::Stale | Habit::Slow => HELD,
+                Habit::Kept | Habit::Fresh => 1,
             };
             self.addresses = addresses;
             self.held_until = Instant::now() + life * times;
--- a/tests/soak/line.rs
+++ b/tests/soak/line.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::net::TcpSocket;
 
 use crate::deployment::Ask;
 use crate::deployment::server::Body;
@@ -64,14 +64,30 @@
     pub pause: Duration,
 }
 
+/// How a caller reads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reading {
+    AtOnce,
+    /// It takes little at a time, and begins so long after the head of an answer.
+    Slowly(Duration),
+}
+
+/// What the system keeps for a caller that reads slowly, in bytes: less than a long answer.
+const SLOW_BUFFER: u32 = 16 << 10;
+
 pub struct Line {
     sender: SendRequest<Body>,
     pub address: SocketAddr,
+    reading: Reading,
 }
 
 impl Line {
-    pub async fn open(address: SocketAddr) -> Option<Self> {
-        let connect = TcpStream::connect(address);
+    pub async fn open(address: SocketAddr, reading: Reading) -> Option<Self> {
+        let socket = TcpSocket::new_v4().ok()?;
+        if reading != Reading::AtOnce {
+            socket.set_recv_buffer_size(SLOW_BUFFER).ok()?;
+        }
+        let connect = socket.connect(address);
         let stream = tokio::time::timeout(CONNECT, connect).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
@@ -79,7 +95,11 @@
         tokio::spawn(async move {
             let _ = connection.await;
         });
-        Some(Self { sender, address })
+        Some(Self {
+            sender,
+            address,
+            reading,
+        })
     }
 
     pub fn is_open(&self) -> bool {
@@ -107,6 +127,9 @@
         };
         let (parts, mut incoming) = response.into_parts();
         progress.head = Some((parts.status.as_u16(), parts.headers));
+        if let Reading::Slowly(pause) = self.reading {
+            tokio::time::sleep(pause).await;
+        }
         while let Some(frame) = incoming.frame().await {
             match frame.map(hyper::body::Frame::into_data) {
                 Ok(Ok(data)) => progress.body.extend_from_slice(&data),
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -1,6 +1,9 @@
 //! What happens in a run, drawn from its seed before it begins: the deployment, its callers, and when
 //! which step is taken. The same seed gives the same plan.
 
+use crate::deployment::runner::Mode;
+use crate::deployment::store::Fault;
+use crate::proxy::Harm;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -23,6 +26,8 @@
     Fresh,
     /// The same, and holds an answer for three times as long as it says.
     Stale,
+    /// As [`Self::Stale`], and reads long answers slowly.
+    Slow,
 }
 
 /// Whose key a caller shows.
@@ -90,6 +95,20 @@
     Change(Change),
     /// The target says that it drains, or its entry goes at once; it is another instance later.
     Leave(usize, Notice),
+    /// SIGKILL, and a start under the same name so many milliseconds later.
+    Kill(usize, u64),
+    /// SIGSTOP, and SIGCONT so many milliseconds later.
+    Freeze(usize, u64),
+    /// The store treats a gateway, or all of them, so for so many milliseconds.
+    Store(Option<usize>, Fault, u64),
+    /// The store drops the history of all topics.
+    Compact,
+    /// The way to a target is harmed for so many milliseconds.
+    Link(usize, Harm, u64),
+    /// A target behaves so for so many milliseconds.
+    Target(usize, Mode, u64),
+    /// A target vanishes, and at once an instance of a service that no route names has its address.
+    Crash(usize),
 }
 
 /// How a target leaves.
@@ -113,14 +132,23 @@
     /// Steps, each with its time in milliseconds.
     pub steps: Vec<(u64, Step)>,
     pub load: u64,
+    pub kind: Kind,
+}
+
+/// What a run is made of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Planned work and nothing else.
+    Planned,
+    /// Faults from outside, and planned work among them.
+    Faults,
 }
 
 /// Targets: two of each plain service and two engines.
 pub const TARGETS: [&str; 6] = ["app", "app", "other", "other", "engine", "engine"];
 
 impl Plan {
-    /// Planned work and nothing else.
-    pub fn planned(seed: u64) -> Self {
+    pub fn new(seed: u64, kind: Kind) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let gateways = rng.random_range(2..=4);
         let callers = (0..gateways * 9).map(|_| caller(&mut rng)).collect();
@@ -132,10 +160,17 @@
             callers,
             steps: Vec::new(),
             load: LOAD,
+            kind,
         };
         let mut at = FIRST;
         while at < LOAD {
-            plan.steps.push((at, step(&mut rng, gateways)));
+            let is_fault = kind == Kind::Faults && rng.random_bool(FAULTS);
+            let step = if is_fault {
+                fault(&mut rng, gateways)
+            } else {
+                step(&mut rng, gateways)
+            };
+            plan.steps.push((at, step));
             // Half of the steps come with another one.
             at += if rng.random_bool(0.5) {
                 rng.random_range(0..30)
@@ -147,13 +182,63 @@
     }
 }
 
+/// Part of the steps that are faults, 0 to 1, where there are any.
+const FAULTS: f64 = 0.6;
+
+fn fault(rng: &mut StdRng, gateways: usize) -> Step {
+    let gateway = rng.random_range(0..gateways);
+    let target = rng.random_range(0..TARGETS.len());
+    let span = rng.random_range(100..2_000);
+    match rng.random_range(0..20) {
+        0..5 => Step::Kill(gateway, rng.random_range(0..600)),
+        5..7 => Step::Freeze(gateway, span),
+        7..12 => {
+            let some = rng.random_bool(0.7).then_some(gateway);
+            let fault = match rng.random_range(0..7) {
+                0 => Fault::Unavailable,
+                1 => Fault::NoGrants,
+                2 => Fault::Limited,
+                3 => Fault::Silent,
+                4 => Fault::Slow(rng.random_range(200..900)),
+                5 => Fault::LostAnswer,
+                _ => Fault::Late(rng.random_range(100..1_500)),
+            };
+            Step::Store(some, fault, span)
+        }
+        12 => Step::Compact,
+        13..16 => {
+            let harm = match rng.random_range(0..4) {
+                0 => Harm::Delay(rng.random_range(5..200)),
+                1 => Harm::Reset,
+                2 => Harm::CutBack,
+                _ => Harm::Silence,
+            };
+            Step::Link(target, harm, span)
+        }
+        16..18 => {
+            let mode = match rng.random_range(0..6) {
+                0 => Mode::Shed,
+                1 => Mode::Fail,
+                2 => Mode::Lose,
+                3 => Mode::Mute,
+                4 => Mode::Foreign,
+                _ => Mode::Break(rng.random_range(0..4)),
+            };
+            Step::Target(target, mode, span)
+        }
+        _ => Step::Crash(target),
+    }
+}
+
 fn caller(rng: &mut StdRng) -> Caller {
     let habit = match rng.random_range(0..10) {
         0..5 => Habit::Kept,
-        5..7 => Habit::Fresh,
+        5 => Habit::Fresh,
+        6..8 => Habit::Slow,
         _ => Habit::Stale,
     };
     let owner = match rng.random_range(0..10) {
+        _ if habit == Habit::Slow => Owner::Rich,
         0..6 => Owner::Rich,
         6..8 => Owner::Scarce,
         _ => Owner::Revoked,
--- a/tests/soak/promise.rs
+++ b/tests/soak/promise.rs
@@ -1,7 +1,7 @@
 //! The promises, each checked from what callers and targets have seen. docs/PROOFS.md names the rule
 //! behind each.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -10,6 +10,7 @@
 use crate::deployment::runner::{Arrival, Work};
 use crate::line::End;
 use crate::plan::Owner;
+use crate::run::FOREIGN;
 
 /// How long a whole request may stay unread before its connection is closed. A process reads what has
 /// arrived within milliseconds; a loaded machine may hold it up for many times that.
@@ -39,17 +40,20 @@
     pub revoked: Option<Instant>,
     /// From when until when a gateway was killed, frozen, or on its way back from either.
     pub disturbed: Vec<(SocketAddr, Instant, Instant)>,
+    /// From when until when the store misbehaved or a gateway was frozen: bounds by time wait for it.
+    pub unstable: Vec<(Instant, Instant)>,
     /// Whether anything but planned work happened.
     pub has_faults: bool,
 }
 
 /// Tokens that a customer has got: those of each prompt once, and those handed out.
-pub fn spent(arrivals: &[Arrival], owner: Owner) -> u64 {
+pub fn spent(arrivals: &[Arrival], owner: Owner, unseen: &HashSet<String>) -> u64 {
     let mut prompts: HashMap<&str, u64> = HashMap::new();
     let mut handed_out = 0;
     for arrival in arrivals {
         let events = arrival.handed_out.load(Ordering::Relaxed);
-        if arrival.header("x-tenant") != owner.name() || events == 0 {
+        let is_unseen = unseen.contains(arrival.header("x-attempt-id"));
+        if arrival.header("x-tenant") != owner.name() || events == 0 || is_unseen {
             continue;
         }
         let (tokens, _) = arrival.header("x-token-count").split_once(',').unwrap();
@@ -76,6 +80,7 @@
                 refused(call, &runs),
                 own_answer(call, &runs),
                 unchanged(call, &runs),
+                own_service(&runs),
                 self.allowed(call, &runs),
             ];
             let found = checks.into_iter().flatten();
@@ -96,6 +101,16 @@
         broken
     }
 
+    /// Whether what the store took at one moment is in force at another one.
+    fn is_in_force(&self, taken: Instant, now: Instant) -> bool {
+        let since = now.checked_sub(IN_FORCE_MAX);
+        let is_stable = |(from, to): &(Instant, Instant)| {
+            // Within the bound before, the store was stable and no gateway frozen.
+            since.is_some_and(|since| *to < since) || *from > now
+        };
+        since.is_some_and(|since| taken < since) && self.unstable.iter().all(is_stable)
+    }
+
     fn was_disturbed(&self, call: &Call) -> bool {
         let mut spans = self.disturbed.iter();
         spans.any(|(gateway, from, to)| {
@@ -128,7 +143,7 @@
     /// DENIED and ROUTE: a key is served while it is valid, and not after.
     fn allowed(&self, call: &Call, runs: &[&Arrival]) -> Option<(&'static str, String)> {
         let revoked = self.revoked.filter(|_| call.owner == Owner::Revoked);
-        let is_over = revoked.is_some_and(|at| call.begun > at + IN_FORCE_MAX);
+        let is_over = revoked.is_some_and(|at| self.is_in_force(at, call.begun));
         if is_over && !self.was_disturbed(call) && !runs.is_empty() {
             return Some(("ROUTE", "ran with a key that was taken away".to_owned()));
         }
@@ -149,7 +164,7 @@
         let mut broken = Vec::new();
         for (instance, left) in &self.departures {
             let late = self.arrivals.iter().filter(|arrival| {
-                arrival.instance == *instance && arrival.ran && arrival.at > *left + IN_FORCE_MAX
+                arrival.instance == *instance && arrival.ran && self.is_in_force(*left, arrival.at)
             });
             broken.extend(late.map(|arrival| Broken {
                 promise: "DRAIN",
@@ -224,6 +239,15 @@
     Some(("UNASKED", format!("changed on its way to {}", run.instance)))
 }
 
+/// ROUTE: nothing runs at a service that its route does not name.
+fn own_service(runs: &[&Arrival]) -> Option<(&'static str, String)> {
+    let run = runs.iter().find(|run| run.instance.starts_with(FOREIGN))?;
+    Some((
+        "ROUTE",
+        format!("ran at {}, of another service", run.instance),
+    ))
+}
+
 /// What the calls of a run ended in, for its summary.
 pub fn tally(calls: &[Call]) -> std::collections::BTreeMap<String, u32> {
     let mut tally = std::collections::BTreeMap::new();
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -1,5 +1,6 @@
 //! One run: a deployment by the plan, its callers, its steps in their time, and then the promises.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
@@ -10,23 +11,42 @@
 use tokio::time::sleep;
 
 use crate::caller::{Caller, World};
-use crate::deployment::runner::{Arrival, Runner, Work};
+use crate::deployment::runner::{Arrival, Mode, Runner, Work};
 use crate::deployment::store::{Fault, Store};
 use crate::deployment::{Ask, Deployment, Gateway, LONG, config, list_at, try_ask};
-use crate::plan::{Change, Notice, Owner, Plan, SCARCE, Step, TARGETS, TOP_UP};
+use crate::plan::{Change, Kind, Notice, Owner, Plan, SCARCE, Step, TARGETS, TOP_UP};
 use crate::promise::{Broken, IN_FORCE_MAX, Seen, WHOLE, spent, tally};
+use crate::proxy::{Harm, Proxy};
 use crate::timeline::Journal;
 
 /// The time to stop of each gateway, in milliseconds: several times the longest work.
 const GRACE: &str = "8000";
 /// Prepaid tokens that no run uses up.
 const PLENTY: u64 = 100_000_000;
+/// Targets that one request may be sent to: more than one also where it may run only once, since a
+/// refusal by a target allows another.
+const ATTEMPTS: u32 = 3;
 /// Time from a target's word that it drains until its entry goes.
 const DRAINING: Duration = Duration::from_millis(1_500);
 /// Time from then on until another instance has its address, after the bound for requests to it.
 const UNTIL_REPLACED: Duration = Duration::from_millis(2_000);
 /// Longest that a process may take to end, beyond its time to stop: many times what it needs.
 const END_MAX: Duration = Duration::from_secs(20);
+/// How long a process that comes back counts as disturbed: it reads the store and finds its peers.
+const RETURN: Duration = Duration::from_secs(1);
+/// Time from a target's crash until its entry goes: about three of its heartbeats.
+const UNTIL_FORGOTTEN: Duration = Duration::from_millis(900);
+/// Time from then on until there is a new instance.
+const UNTIL_BACK: Duration = Duration::from_millis(700);
+/// How the names of instances begin whose service no route names.
+pub const FOREIGN: &str = "x";
+/// Topics whose history the store may drop.
+const TOPICS: [&str; 4] = [
+    "keyed.op",
+    "keyed.servers",
+    "keyed.prepaid",
+    "keyed.routers",
+];
 /// Interval of looks at a process.
 const LOOK: Duration = Duration::from_millis(5);
 /// What runs when the load ends goes on for so long at most, in milliseconds: the longest stream.
@@ -46,6 +66,9 @@
 struct Target {
     service: &'static str,
     runner: Runner,
+    /// Between gateways and the target, where there are faults.
+    proxy: Option<Proxy>,
+    /// Where gateways reach it.
     address: SocketAddr,
 }
 
@@ -73,6 +96,7 @@
         let mut value = config(self.version, PLENTY);
         for route in value["routes"].as_array_mut().unwrap() {
             route["timeoutMs"] = json!(self.timeout);
+            route["maxAttempts"] = json!(ATTEMPTS);
             if route["service"] == "app" {
                 route["backends"] = json!([
                     { "service": "app", "weight": self.weights.0 },
@@ -103,14 +127,21 @@
     name: String,
     front: SocketAddr,
     ready: SocketAddr,
+    store: SocketAddr,
+    log: PathBuf,
+    /// Bytes of its log before the process that runs now.
+    earlier: Arc<Mutex<usize>>,
 }
 
 impl Place {
-    fn new(gateway: Gateway) -> Self {
+    fn new(gateway: Gateway, logs: &std::path::Path) -> Self {
         Self {
+            log: logs.join(format!("{}.log", gateway.name)),
+            earlier: Arc::default(),
             name: gateway.name.clone(),
             front: gateway.front,
             ready: gateway.ready,
+            store: gateway.store,
             gateway: Arc::new(Mutex::new(gateway)),
             is_taken: Arc::default(),
         }
@@ -124,6 +155,20 @@
         *self.is_taken.lock().unwrap()
     }
 
+    /// Whether the process takes signals: until it has said that it is started, SIGHUP ends it, as it
+    /// does with each program until its first line has run.
+    fn has_begun(&self) -> bool {
+        let log = std::fs::read(&self.log).unwrap_or_default();
+        let own = log.get(*self.earlier.lock().unwrap()..).unwrap_or_default();
+        String::from_utf8_lossy(own).contains("event=started")
+    }
+
+    fn start_again(&self) {
+        let log = std::fs::metadata(&self.log);
+        *self.earlier.lock().unwrap() = log.map_or(0, |log| log.len() as usize);
+        self.gateway.lock().unwrap().start_again();
+    }
+
     /// Sends a signal, if the process is there.
     fn signal(&self, name: &str) {
         let mut gateway = self.gateway.lock().unwrap();
@@ -149,6 +194,7 @@
     seen: Arc<Mutex<Seen>>,
     broken: Arc<Mutex<Vec<Broken>>>,
     tasks: JoinSet<()>,
+    world: World,
 }
 
 /// Carries a plan out.
@@ -156,10 +202,7 @@
     std::fs::create_dir_all(&logs).unwrap();
     let seed = plan.seed;
     let mut run = Run::start(plan, &logs).await;
-    let world = World {
-        directories: Arc::new(run.directories()),
-        ..World::default()
-    };
+    let world = run.world.clone();
     let begin = Instant::now();
     let end = begin + Duration::from_millis(run.plan.load);
     let mut callers = JoinSet::new();
@@ -175,7 +218,7 @@
         ended.unwrap();
     }
     run.journal.note("the load has ended");
-    run.end(world, &logs).await
+    run.end(&logs).await
 }
 
 impl Run {
@@ -186,11 +229,16 @@
         let mut targets = Vec::new();
         for (number, service) in TARGETS.into_iter().enumerate() {
             let runner = Runner::start(&format!("i{number}-1")).await;
-            let address = runner.address;
+            let proxy = match plan.kind {
+                Kind::Planned => None,
+                Kind::Faults => Some(Proxy::start(runner.address).await),
+            };
+            let address = proxy.as_ref().map_or(runner.address, |proxy| proxy.address);
             list_at(&store, service, &runner.instance(), address, "ready");
             targets.push(Target {
                 service,
                 runner,
+                proxy,
                 address,
             });
         }
@@ -210,35 +258,73 @@
         for gateway in &deployment.gateways {
             store.set_fault(gateway.store, Fault::Slow(plan.store));
         }
+        let directories = deployment.gateways.iter().map(|gateway| gateway.directory);
+        let world = World {
+            directories: Arc::new(directories.collect()),
+            ..World::default()
+        };
         Self {
             plan,
             journal: Journal::default(),
             store,
-            places: deployment.gateways.into_iter().map(Place::new).collect(),
+            places: deployment
+                .gateways
+                .into_iter()
+                .map(|gateway| Place::new(gateway, logs))
+                .collect(),
             targets: Arc::new(targets),
             leaving: Arc::default(),
             config,
             seen: Arc::default(),
             broken: Arc::default(),
             tasks: JoinSet::new(),
+            world,
         }
     }
 
-    fn directories(&self) -> Vec<SocketAddr> {
-        let of = |place: &Place| place.gateway.lock().unwrap().directory;
-        self.places.iter().map(of).collect()
-    }
-
     fn take(&mut self, step: Step) {
         match step {
             Step::Stop(number, pause) => self.stop(number, Duration::from_millis(pause)),
             Step::Reload(number) => {
                 let place = &self.places[number];
-                self.journal.note(format!("SIGHUP {}", place.name));
-                place.signal("HUP");
+                if place.has_begun() {
+                    self.journal.note(format!("SIGHUP {}", place.name));
+                    place.signal("HUP");
+                }
             }
             Step::Change(change) => self.change(change),
             Step::Leave(number, notice) => self.leave(number, notice),
+            Step::Kill(number, pause) => self.kill(number, Duration::from_millis(pause)),
+            Step::Freeze(number, span) => self.freeze(number, Duration::from_millis(span)),
+            Step::Store(some, fault, span) => self.harm_store(some, fault, span),
+            Step::Compact => {
+                self.journal.note("the store drops its history");
+                for topic in TOPICS {
+                    self.store.compact(topic);
+                }
+            }
+            Step::Link(number, harm, span) => {
+                let target = Arc::clone(&self.targets);
+                self.during(
+                    span,
+                    format!("link to target {number}: {harm:?}"),
+                    move |is_on| {
+                        let harm = if is_on { harm } else { Harm::None };
+                        target[number]
+                            .proxy
+                            .iter()
+                            .for_each(|proxy| proxy.set(harm));
+                    },
+                );
+            }
+            Step::Target(number, mode, span) => {
+                let target = Arc::clone(&self.targets);
+                self.during(span, format!("target {number}: {mode:?}"), move |is_on| {
+                    let mode = if is_on { mode } else { Mode::Well };
+                    target[number].runner.set(mode);
+                });
+            }
+            Step::Crash(number) => self.crash(number),
         }
     }
 
@@ -270,6 +356,112 @@
         });
     }
 
+    /// Kills a gateway and starts it again.
+    fn kill(&mut self, number: usize, pause: Duration) {
+        let place = self.places[number].clone();
+        if place.is_taken() {
+            return;
+        }
+        *place.is_taken.lock().unwrap() = true;
+        let from = Instant::now();
+        self.journal.note(format!("SIGKILL {}", place.name));
+        place.gateway.lock().unwrap().kill();
+        let (journal, seen) = (self.journal.clone(), Arc::clone(&self.seen));
+        self.tasks.spawn(async move {
+            sleep(pause).await;
+            start_again(&place, &journal).await;
+            let span = (place.front, from, Instant::now() + RETURN);
+            seen.lock().unwrap().disturbed.push(span);
+        });
+    }
+
+    /// Freezes a gateway for a while.
+    fn freeze(&mut self, number: usize, span: Duration) {
+        let place = self.places[number].clone();
+        if place.is_taken() {
+            return;
+        }
+        *place.is_taken.lock().unwrap() = true;
+        let from = Instant::now();
+        self.journal.note(format!("SIGSTOP {}", place.name));
+        place.signal("STOP");
+        let (journal, seen) = (self.journal.clone(), Arc::clone(&self.seen));
+        self.tasks.spawn(async move {
+            sleep(span).await;
+            place.signal("CONT");
+            journal.note(format!("SIGCONT {}", place.name));
+            let mut seen = seen.lock().unwrap();
+            let to = Instant::now() + RETURN;
+            seen.disturbed.push((place.front, from, to));
+            seen.unstable.push((from, to));
+            *place.is_taken.lock().unwrap() = false;
+        });
+    }
+
+    /// The store misbehaves towards a gateway or all of them for a while.
+    fn harm_store(&mut self, some: Option<usize>, fault: Fault, span: u64) {
+        let chosen = |place: &(usize, &Place)| some.is_none_or(|number| number == place.0);
+        let places = self.places.iter().enumerate().filter(chosen);
+        let addresses: Vec<SocketAddr> = places.map(|(_, place)| place.store).collect();
+        let (store, usual) = (self.store.clone(), Fault::Slow(self.plan.store));
+        let to = Instant::now() + Duration::from_millis(span) + RETURN;
+        let unstable = (Instant::now(), to);
+        self.seen.lock().unwrap().unstable.push(unstable);
+        self.during(
+            span,
+            format!("store for {some:?}: {fault:?}"),
+            move |is_on| {
+                for address in &addresses {
+                    store.set_fault(*address, if is_on { fault } else { usual });
+                }
+            },
+        );
+    }
+
+    /// Begins something and ends it after so many milliseconds.
+    fn during(&mut self, span: u64, what: String, set: impl Fn(bool) + Send + 'static) {
+        self.journal.note(what.clone());
+        set(true);
+        let journal = self.journal.clone();
+        self.tasks.spawn(async move {
+            sleep(Duration::from_millis(span)).await;
+            set(false);
+            journal.note(format!("over: {what}"));
+        });
+    }
+
+    /// A target vanishes. An instance of another service is at its address until its entry goes, and a
+    /// new one of its own after that.
+    fn crash(&mut self, number: usize) {
+        {
+            let mut leaving = self.leaving.lock().unwrap();
+            if leaving
+                .iter()
+                .any(|other| TARGETS[*other] == TARGETS[number])
+            {
+                return;
+            }
+            leaving.push(number);
+        }
+        let instance = self.targets[number].runner.instance();
+        self.journal.note(format!("{instance} vanishes"));
+        let (store, targets) = (self.store.clone(), Arc::clone(&self.targets));
+        let (journal, leaving) = (self.journal.clone(), Arc::clone(&self.leaving));
+        self.tasks.spawn(async move {
+            let target = &targets[number];
+            let (place, life) = instance.split_once('-').unwrap();
+            target.runner.replace(&format!("{FOREIGN}{number}-{life}"));
+            sleep(UNTIL_FORGOTTEN).await;
+            store.put("keyed.servers", &instance, None);
+            sleep(UNTIL_BACK).await;
+            let next = format!("{place}-{}", life.parse::<u32>().unwrap() + 1);
+            target.runner.replace(&next);
+            list_at(&store, target.service, &next, target.address, "ready");
+            journal.note(format!("{next} has its address"));
+            leaving.lock().unwrap().retain(|other| *other != number);
+        });
+    }
+
     fn change(&mut self, change: Change) {
         let config = &mut self.config;
         config.version += 1;
@@ -349,10 +541,21 @@
         self.targets.iter().flat_map(of).collect()
     }
 
+    /// Requests of which nothing came to their callers, where faults may have swallowed it: a customer has
+    /// not got what was lost on the way.
+    fn unseen(&self) -> HashSet<String> {
+        if self.plan.kind == Kind::Planned {
+            return HashSet::new();
+        }
+        let calls = self.world.calls.lock().unwrap();
+        let unseen = calls.iter().filter(|call| call.progress.body.is_empty());
+        unseen.map(|call| call.id.clone()).collect()
+    }
+
     /// BUDGET: a customer has not got more than is prepaid. What it gets only grows, so a look before
     /// each time that more is prepaid, and one at the end, see each moment.
     fn check_spend(&self) {
-        let spent = spent(&self.arrivals(), Owner::Scarce);
+        let spent = spent(&self.arrivals(), Owner::Scarce, &self.unseen());
         let prepaid = self.config.prepaid;
         self.journal
             .note(format!("{spent} of {prepaid} tokens are spent"));
@@ -365,7 +568,7 @@
         }
     }
 
-    async fn end(mut self, world: World, logs: &std::path::Path) -> Outcome {
+    async fn end(mut self, logs: &std::path::Path) -> Outcome {
         while let Some(ended) = self.tasks.join_next().await {
             ended.unwrap();
         }
@@ -373,7 +576,8 @@
         self.check_spend();
         let whole = self.is_whole_again().await;
         let mut seen = std::mem::take(&mut *self.seen.lock().unwrap());
-        seen.calls = std::mem::take(&mut *world.calls.lock().unwrap());
+        seen.has_faults = self.plan.kind == Kind::Faults;
+        seen.calls = std::mem::take(&mut *self.world.calls.lock().unwrap());
         let arrivals = self.arrivals();
         let is_ours = |arrival: &Arrival| !arrival.header("x-attempt-id").starts_with(PROBE);
         seen.arrivals = arrivals.into_iter().filter(is_ours).collect();
@@ -440,7 +644,7 @@
 const PROBE: &str = "whole-";
 
 async fn start_again(place: &Place, journal: &Journal) {
-    place.gateway.lock().unwrap().start_again();
+    place.start_again();
     journal.note(format!("{} is started again", place.name));
     let end = Instant::now() + LONG;
     while Instant::now() < end && !place.is_ready().await {
