--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -208,7 +208,8 @@
 
     /// Adds a gateway whose store is somewhere else.
     pub fn add_at(&mut self, name: &str, store: SocketAddr, flags: &[&str]) {
-        self.gateways.push(Gateway::start(name, store, flags));
+        let log = log_by_setting(name);
+        self.gateways.push(Gateway::start(name, store, flags, log));
     }
 
     pub async fn wait_ready(&self) {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -103,3 +103,12 @@
 fn soak_faults() {
     soak("soak_faults", Kind::Faults);
 }
+
+#[test]
+fn same_seed_same_plan() {
+    for kind in [Kind::Planned, Kind::Faults] {
+        let plans = [7, 7, 8].map(|seed| format!("{:?}", Plan::new(seed, kind)));
+        assert_eq!(plans[0], plans[1]);
+        assert_ne!(plans[0], plans[2]);
+    }
+}
