Use a budget up at the end of a soak, and count what a customer got

Change: all gateways are asked at once until each answers 402; a request of which no event came to its caller is not counted. docs/PROOFS.md has the promises.

--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -10,7 +10,7 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use crate::caller::{Caller, World};
+use crate::caller::{Call, Caller, Route, World};
 use crate::deployment::runner::{Arrival, Mode, Runner, Work};
 use crate::deployment::store::{Fault, Store};
 use crate::deployment::{Ask, Deployment, Gateway, LONG, config, list_at, try_ask};
@@ -541,20 +541,20 @@
         self.targets.iter().flat_map(of).collect()
     }
 
-    /// Requests of which nothing came to their callers, where faults may have swallowed it: a customer has
-    /// not got what was lost on the way.
+    /// Requests that have ended and of which nothing came to their callers: a customer has not got what was
+    /// lost on the way, or came after it left.
     fn unseen(&self) -> HashSet<String> {
-        if self.plan.kind == Kind::Planned {
-            return HashSet::new();
-        }
         let calls = self.world.calls.lock().unwrap();
-        let unseen = calls.iter().filter(|call| call.progress.body.is_empty());
+        // A refusal has a body of its own, of which no token is a target's.
+        let has_got =
+            |call: &&Call| call.progress.status() == Some(200) && !call.progress.body.is_empty();
+        let unseen = calls.iter().filter(|call| !has_got(call));
         unseen.map(|call| call.id.clone()).collect()
     }
 
     /// BUDGET: a customer has not got more than is prepaid. What it gets only grows, so a look before
     /// each time that more is prepaid, and one at the end, see each moment.
-    fn check_spend(&self) {
+    fn check_spend(&self) -> u64 {
         let spent = spent(&self.arrivals(), Owner::Scarce, &self.unseen());
         let prepaid = self.config.prepaid;
         self.journal
@@ -566,6 +566,37 @@
                 what: format!("{spent} tokens of {prepaid}"),
             });
         }
+        prepaid.saturating_sub(spent)
+    }
+
+    /// Spends what is left of the customer whose tokens run out, at all gateways at once, until each says
+    /// that nothing is left: what was granted twice shows only then.
+    /// Returned are the gateways that neither served nor said so within the bound, with their last status:
+    /// no rule bounds that, so it is told and breaks no promise.
+    async fn use_up(&self) -> Vec<(String, Option<u16>)> {
+        let spend = |place: &Place| {
+            let (front, name) = (place.front, place.name.clone());
+            async move {
+                let end = Instant::now() + LONG;
+                for number in 0.. {
+                    let id = format!("{PROBE}{name}spend{number}");
+                    let ask = Ask::talk(&id, Route::Talk.path(), BITE, BITE_OUT)
+                        .with("authorization", &format!("Bearer {}", Owner::Scarce.key()))
+                        .with(Work::HEADER, &BITE_WORK.text());
+                    let status = try_ask(front, &ask).await.map(|answer| answer.status);
+                    if status == Some(402) {
+                        return None;
+                    }
+                    if Instant::now() >= end {
+                        return Some((name, status));
+                    }
+                    sleep(LOOK).await;
+                }
+                None
+            }
+        };
+        let ended = futures::future::join_all(self.places.iter().map(spend)).await;
+        ended.into_iter().flatten().collect()
     }
 
     async fn end(mut self, logs: &std::path::Path) -> Outcome {
@@ -573,8 +604,9 @@
             ended.unwrap();
         }
         sleep(QUIET).await;
-        self.check_spend();
         let whole = self.is_whole_again().await;
+        let unsettled = self.use_up().await;
+        let left = self.check_spend();
         let mut seen = std::mem::take(&mut *self.seen.lock().unwrap());
         seen.has_faults = self.plan.kind == Kind::Faults;
         seen.calls = std::mem::take(&mut *self.world.calls.lock().unwrap());
@@ -593,11 +625,12 @@
             broken,
             timeline,
             summary: format!(
-                "{} gateways, {} calls {:?}, {} departures",
+                "{} gateways, {} calls {:?}, {} departures, {left} of {} tokens left, unsettled {unsettled:?}",
                 self.plan.gateways,
                 seen.calls.len(),
                 tally(&seen.calls),
-                seen.departures.len()
+                seen.departures.len(),
+                self.config.prepaid
             ),
         }
     }
@@ -640,6 +673,17 @@
     }
 }
 
+/// Tokens of a prompt that uses up what is left: few requests to the end of a budget.
+const BITE: u64 = 120;
+/// Most tokens of its answer.
+const BITE_OUT: u64 = 20;
+const BITE_WORK: Work = Work {
+    wait: 0,
+    filler: 0,
+    events: 10,
+    gap: 2,
+};
+
 /// How the ids of requests begin that ask whether the service is whole.
 const PROBE: &str = "whole-";
 
