--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -9,6 +9,10 @@
 mod deployment;
 #[path = "soak/line.rs"]
 mod line;
+#[path = "soak/operator.rs"]
+mod operator;
+#[path = "soak/place.rs"]
+mod place;
 #[path = "soak/plan.rs"]
 mod plan;
 #[path = "soak/promise.rs"]
--- /dev/null
+++ b/tests/soak/operator.rs
@@ -0,0 +1,59 @@
+//! The operator's configuration in a soak, as its steps change it.
+
+use serde_json::{Value, json};
+
+use crate::deployment::config;
+use crate::plan::{Owner, SCARCE};
+
+/// Prepaid tokens that no run uses up.
+const PLENTY: u64 = 100_000_000;
+/// Targets that one request may be sent to: more than one also where it may run only once, since a
+/// refusal by a target allows another.
+const ATTEMPTS: u32 = 3;
+
+/// The operator's configuration.
+pub struct Config {
+    pub version: u64,
+    pub weights: (u32, u32),
+    pub prepaid: u64,
+    pub timeout: u64,
+    pub has_key: bool,
+}
+
+impl Config {
+    pub fn new() -> Self {
+        Self {
+            version: 1,
+            weights: (2, 1),
+            prepaid: SCARCE,
+            timeout: 4_000,
+            has_key: true,
+        }
+    }
+
+    pub fn value(&self) -> Value {
+        let mut value = config(self.version, PLENTY);
+        for route in value["routes"].as_array_mut().unwrap() {
+            route["timeoutMs"] = json!(self.timeout);
+            route["maxAttempts"] = json!(ATTEMPTS);
+            if route["service"] == "app" {
+                route["backends"] = json!([
+                    { "service": "app", "weight": self.weights.0 },
+                    { "service": "other", "weight": self.weights.1 },
+                ]);
+                route.as_object_mut().unwrap().remove("service");
+            }
+        }
+        let other = json!({ "name": "other", "healthPath": "/healthz", "maxConns": 100 });
+        value["services"].as_array_mut().unwrap().push(other);
+        let tenant = |owner: Owner, prepaid: u64, keys: &[&str]| json!({ "name": owner.name(), "apiKeys": keys, "priority": 1, "prepaid": prepaid });
+        let kept = [Owner::Revoked.key()];
+        let keys = if self.has_key { &kept[..] } else { &[] };
+        value["tenants"] = json!([
+            tenant(Owner::Rich, PLENTY, &[Owner::Rich.key()]),
+            tenant(Owner::Scarce, self.prepaid, &[Owner::Scarce.key()]),
+            tenant(Owner::Revoked, PLENTY, keys),
+        ]);
+        value
+    }
+}
--- /dev/null
+++ b/tests/soak/place.rs
@@ -0,0 +1,71 @@
+//! A gateway's place in a soak: one process after the other under one name.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+
+use crate::deployment::{Ask, Gateway, try_ask};
+
+/// A gateway and whether a step has it in hand.
+#[derive(Clone)]
+pub struct Place {
+    pub gateway: Arc<Mutex<Gateway>>,
+    pub is_taken: Arc<Mutex<bool>>,
+    pub name: String,
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    pub store: SocketAddr,
+    pub log: PathBuf,
+    /// Bytes of its log before the process that runs now.
+    pub earlier: Arc<Mutex<usize>>,
+}
+
+impl Place {
+    pub fn new(gateway: Gateway, logs: &std::path::Path) -> Self {
+        Self {
+            log: logs.join(format!("{}.log", gateway.name)),
+            earlier: Arc::default(),
+            name: gateway.name.clone(),
+            front: gateway.front,
+            ready: gateway.ready,
+            store: gateway.store,
+            gateway: Arc::new(Mutex::new(gateway)),
+            is_taken: Arc::default(),
+        }
+    }
+
+    pub fn has_ended(&self) -> bool {
+        self.gateway.lock().unwrap().has_ended()
+    }
+
+    pub fn is_taken(&self) -> bool {
+        *self.is_taken.lock().unwrap()
+    }
+
+    /// Whether the process takes signals: until it has said that it is started, SIGHUP ends it, as it
+    /// does with each program until its first line has run.
+    pub fn has_begun(&self) -> bool {
+        let log = std::fs::read(&self.log).unwrap_or_default();
+        let own = log.get(*self.earlier.lock().unwrap()..).unwrap_or_default();
+        String::from_utf8_lossy(own).contains("event=started")
+    }
+
+    pub fn start_again(&self) {
+        let log = std::fs::metadata(&self.log);
+        *self.earlier.lock().unwrap() = log.map_or(0, |log| log.len() as usize);
+        self.gateway.lock().unwrap().start_again();
+    }
+
+    /// Sends a signal, if the process is there.
+    pub fn signal(&self, name: &str) {
+        let mut gateway = self.gateway.lock().unwrap();
+        if !gateway.has_ended() {
+            gateway.signal(name);
+        }
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        let answer = try_ask(self.ready, &Ask::get("/api/readyz")).await;
+        answer.is_some_and(|answer| answer.status == 200)
+    }
+}
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -6,26 +6,22 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use serde_json::{Value, json};
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use crate::caller::{Call, Caller, Route, World};
 use crate::deployment::runner::{Arrival, Mode, Runner, Work};
 use crate::deployment::store::{Fault, Store};
-use crate::deployment::{Ask, Deployment, Gateway, LONG, config, list_at, try_ask};
-use crate::plan::{Change, Kind, Notice, Owner, Plan, SCARCE, Step, TARGETS, TOP_UP};
+use crate::deployment::{Ask, Deployment, LONG, list_at, try_ask};
+use crate::operator::Config;
+use crate::place::Place;
+use crate::plan::{Change, Kind, Notice, Owner, Plan, Step, TARGETS, TOP_UP};
 use crate::promise::{Broken, IN_FORCE_MAX, Seen, WHOLE, spent, tally};
 use crate::proxy::{Harm, Proxy};
 use crate::timeline::Journal;
 
 /// The time to stop of each gateway, in milliseconds: several times the longest work.
 const GRACE: &str = "8000";
-/// Prepaid tokens that no run uses up.
-const PLENTY: u64 = 100_000_000;
-/// Targets that one request may be sent to: more than one also where it may run only once, since a
-/// refusal by a target allows another.
-const ATTEMPTS: u32 = 3;
 /// Time from a target's word that it drains until its entry goes.
 const DRAINING: Duration = Duration::from_millis(1_500);
 /// Time from then on until another instance has its address, after the bound for requests to it.
@@ -72,117 +68,6 @@
     address: SocketAddr,
 }
 
-/// The operator's configuration.
-struct Config {
-    version: u64,
-    weights: (u32, u32),
-    prepaid: u64,
-    timeout: u64,
-    has_key: bool,
-}
-
-impl Config {
-    fn new() -> Self {
-        Self {
-            version: 1,
-            weights: (2, 1),
-            prepaid: SCARCE,
-            timeout: 4_000,
-            has_key: true,
-        }
-    }
-
-    fn value(&self) -> Value {
-        let mut value = config(self.version, PLENTY);
-        for route in value["routes"].as_array_mut().unwrap() {
-            route["timeoutMs"] = json!(self.timeout);
-            route["maxAttempts"] = json!(ATTEMPTS);
-            if route["service"] == "app" {
-                route["backends"] = json!([
-                    { "service": "app", "weight": self.weights.0 },
-                    { "service": "other", "weight": self.weights.1 },
-                ]);
-                route.as_object_mut().unwrap().remove("service");
-            }
-        }
-        let other = json!({ "name": "other", "healthPath": "/healthz", "maxConns": 100 });
-        value["services"].as_array_mut().unwrap().push(other);
-        let tenant = |owner: Owner, prepaid: u64, keys: &[&str]| json!({ "name": owner.name(), "apiKeys": keys, "priority": 1, "prepaid": prepaid });
-        let kept = [Owner::Revoked.key()];
-        let keys = if self.has_key { &kept[..] } else { &[] };
-        value["tenants"] = json!([
-            tenant(Owner::Rich, PLENTY, &[Owner::Rich.key()]),
-            tenant(Owner::Scarce, self.prepaid, &[Owner::Scarce.key()]),
-            tenant(Owner::Revoked, PLENTY, keys),
-        ]);
-        value
-    }
-}
-
-/// A gateway and whether a step has it in hand.
-#[derive(Clone)]
-struct Place {
-    gateway: Arc<Mutex<Gateway>>,
-    is_taken: Arc<Mutex<bool>>,
-    name: String,
-    front: SocketAddr,
-    ready: SocketAddr,
-    store: SocketAddr,
-    log: PathBuf,
-    /// Bytes of its log before the process that runs now.
-    earlier: Arc<Mutex<usize>>,
-}
-
-impl Place {
-    fn new(gateway: Gateway, logs: &std::path::Path) -> Self {
-        Self {
-            log: logs.join(format!("{}.log", gateway.name)),
-            earlier: Arc::default(),
-            name: gateway.name.clone(),
-            front: gateway.front,
-            ready: gateway.ready,
-            store: gateway.store,
-            gateway: Arc::new(Mutex::new(gateway)),
-            is_taken: Arc::default(),
-        }
-    }
-
-    fn has_ended(&self) -> bool {
-        self.gateway.lock().unwrap().has_ended()
-    }
-
-    fn is_taken(&self) -> bool {
-        *self.is_taken.lock().unwrap()
-    }
-
-    /// Whether the process takes signals: until it has said that it is started, SIGHUP ends it, as it
-    /// does with each program until its first line has run.
-    fn has_begun(&self) -> bool {
-        let log = std::fs::read(&self.log).unwrap_or_default();
-        let own = log.get(*self.earlier.lock().unwrap()..).unwrap_or_default();
-        String::from_utf8_lossy(own).contains("event=started")
-    }
-
-    fn start_again(&self) {
-        let log = std::fs::metadata(&self.log);
-        *self.earlier.lock().unwrap() = log.map_or(0, |log| log.len() as usize);
-        self.gateway.lock().unwrap().start_again();
-    }
-
-    /// Sends a signal, if the process is there.
-    fn signal(&self, name: &str) {
-        let mut gateway = self.gateway.lock().unwrap();
-        if !gateway.has_ended() {
-            gateway.signal(name);
-        }
-    }
-
-    async fn is_ready(&self) -> bool {
-        let answer = try_ask(self.ready, &Ask::get("/api/readyz")).await;
-        answer.is_some_and(|answer| answer.status == 200)
-    }
-}
-
 struct Run {
     plan: Plan,
     journal: Journal,
