Keep one way to serve peers

Cause: `wire::serve` had no caller any more since both doors end their links; imports of `net::server` were out of order.

Change: the function that ends takes its name. Nothing that runs changes.

--- a/src/gateway/control/link.rs
+++ b/src/gateway/control/link.rs
@@ -59,7 +59,7 @@
         }
     };
     let key_hash = crate::util::hash_secret(&key);
-    if let Err(error) = wire::serve_until(listener, key_hash, answer, closing).await {
+    if let Err(error) = wire::serve(listener, key_hash, answer, closing).await {
         tracing::error!(event = "link_listener_failed", %error);
     }
 }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -5,12 +5,13 @@
 //! the end in which one can come in unseen. The server owns the accept loops and the connections; what is
 //! answered is the business of the connections' services.
 
+use std::error::Error;
+use std::time::Duration;
+
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::HttpService;
 use hyper_util::rt::TokioIo;
-use std::error::Error;
-use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until};
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -4,7 +4,7 @@
 mod server;
 
 pub use client::{Client, Missing};
-pub use server::{serve, serve_until};
+pub use server::serve;
 
 /// Longest frame taken, in bytes.
 const FRAME_MAX: usize = 16 << 20;
--- a/src/wire/server.rs
+++ b/src/wire/server.rs
@@ -23,27 +23,13 @@
 /// Longest time in which connections end once the server closes: an asker waits no longer for an answer.
 const CLOSE_MAX: Duration = super::client::WAIT;
 
-/// Serves peers until the listener fails. A peer must show the fleet's key; `answer` gives the
-/// reply to each question, or `None` where this process is about to end.
-///
-/// # Errors
-/// The listener's error.
-pub async fn serve<Q, R, F, A>(listener: TcpListener, key_hash: String, answer: F) -> io::Result<()>
-where
-    Q: DeserializeOwned + Send + 'static,
-    R: Serialize + Send + 'static,
-    F: Fn(Q) -> A + Clone + Send + Sync + 'static,
-    A: Future<Output = Option<R>> + Send + 'static,
-{
-    serve_until(listener, key_hash, answer, CancellationToken::new()).await
-}
-
 /// Serves peers until `closing`, and then until the questions that have come are answered and all
-/// connections have ended.
+/// connections have ended. A peer must show the fleet's key; `answer` gives the reply to each question, or
+/// `None` where this process is about to end.
 ///
 /// # Errors
 /// The listener's error.
-pub async fn serve_until<Q, R, F, A>(
+pub async fn serve<Q, R, F, A>(
     listener: TcpListener,
     key_hash: String,
     answer: F,
