Wait for the rest of a head on a kept connection when a server closes

Cause: hyper counts a kept connection as idle until a whole head has been read, and its graceful shutdown closes an idle connection. A caller whose head came in two parts around the close got neither an answer nor a refusal. A new connection is not idle for it, so there the rest was waited for already. Ruled out: a shutdown that only ends keep-alive (hyper has none that leaves the connection of half a head open), and a look at what has been read from outside of hyper (it keeps its buffer to itself).

Change: `net::Socket` notes whether a connection has read since it last wrote. Where it has, that is a part of a head or a request under way, and the close of that connection waits until it has written, at most 0.5 s. Both doors use it; the socket also turns off Nagle's algorithm, which they each did.

--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -10,14 +10,14 @@
 use hyper::server::conn::http1;
 use hyper::service::{HttpService, service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 
 use super::body::Body;
 use super::dialect::Dialect;
 use super::relay::Relay;
 use super::serve;
 use super::shared::Shared;
-use crate::net::{Accepted, Server};
+use crate::net::{Accepted, Server, Socket};
 use crate::units::Millis;
 
 /// Smallest buffer for a head and the start of a body, in bytes; the server takes no smaller one.
@@ -75,13 +75,13 @@
 /// Serves an endpoint on a listener until the server closes.
 pub fn listen(server: &Server, listener: TcpListener, shared: &Arc<Shared>, endpoint: Endpoint) {
     let shared = Arc::clone(shared);
-    server.listen(listener, move |stream| {
-        connection(stream, Arc::clone(&shared), endpoint.clone())
+    server.listen(listener, move |socket| {
+        connection(socket, Arc::clone(&shared), endpoint.clone())
     });
 }
 
 fn connection(
-    stream: TcpStream,
+    socket: Socket,
     shared: Arc<Shared>,
     endpoint: Endpoint,
 ) -> Accepted<impl HttpService<Incoming, ResBody = Body, Error = Infallible, Future: Send> + Send> {
@@ -102,15 +102,11 @@
             Ok::<_, Infallible>(response)
         }
     });
-    if let Err(error) = stream.set_nodelay(true) {
-        // The connection still works, only slower.
-        tracing::debug!(event = "nodelay_failed", %error);
-    }
     // The time for a head also runs while a connection is idle, so it is the idle time.
     let idle = Duration::from_millis(limits.idle_time.0);
     http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(limits.header_bytes.max(BUFFER_MIN))
-        .serve_connection(TokioIo::new(stream), service)
+        .serve_connection(TokioIo::new(socket), service)
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,9 +4,11 @@
 mod connection;
 mod pool;
 mod server;
+mod socket;
 mod upload;
 
 pub use connection::{Connection, Request, Response, SendError, open};
 pub use pool::Pool;
 pub use server::{Accepted, Server};
+pub use socket::Socket;
 pub use upload::discard;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -12,12 +12,14 @@
 use hyper::server::conn::http1;
 use hyper::service::HttpService;
 use hyper_util::rt::TokioIo;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::task::yield_now;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::socket::{Socket, Unanswered};
+
 /// Pause after a connection could not be accepted, so that a lack of sockets does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -25,8 +27,13 @@
 /// way, and would meet a closed connection. Not measured: many times the way from a caller.
 const FIRST_REQUEST_MAX: Duration = Duration::from_millis(100);
 
+/// Longest time in which the rest of a head is waited for on a kept connection, which the HTTP library would
+/// close over the part that it has read. Not measured: a head is mostly sent at once, and a stop is still
+/// short with a caller that never sends the rest.
+const HEAD_REST_MAX: Duration = Duration::from_millis(500);
+
 /// A connection that has been accepted, with the service that answers on it.
-pub type Accepted<S> = http1::Connection<TokioIo<TcpStream>, S>;
+pub type Accepted<S> = http1::Connection<TokioIo<Socket>, S>;
 
 /// Accept loops and open connections. Connections are only added by accept loops, so these end first.
 #[derive(Clone, Debug, Default)]
@@ -43,7 +50,7 @@
     /// Accepts connections on a listener until the server closes; `open` gives each its service.
     pub fn listen<S, F>(&self, listener: TcpListener, open: F)
     where
-        F: Fn(TcpStream) -> Accepted<S> + Send + 'static,
+        F: Fn(Socket) -> Accepted<S> + Send + 'static,
         S: HttpService<Incoming> + Send + 'static,
         S::Future: Send,
         S::Error: Into<Box<dyn Error + Send + Sync>>,
@@ -54,8 +61,9 @@
         let (refusing, closing) = (self.refusing.clone(), self.closing.clone());
         let connections = self.connections.clone();
         self.accepting.spawn(async move {
-            while let Some(stream) = accept(&listener, &refusing).await {
-                connections.spawn(drive(open(stream), closing.clone()));
+            while let Some(socket) = accept(&listener, &refusing).await {
+                let unanswered = socket.unanswered();
+                connections.spawn(drive(open(socket), unanswered, closing.clone()));
             }
         });
     }
@@ -66,7 +74,8 @@
     }
 
     /// Takes no further connection and no further request, and waits for no answer. Connections that carry
-    /// none are closed, new ones after the time for their first, the others once their answer is written.
+    /// none are closed, new ones after the time for their first, those with a part of one after the time for
+    /// the rest, the others once their answer is written.
     ///
     /// The runtime knows of what has arrived at a socket after it has looked, so there is a turn of it before
     /// each step: without them a close passed over requests that had arrived, up to 53 of 53 in one stop
@@ -88,7 +97,7 @@
 }
 
 /// The next connection; `None` once none is to be accepted, and all that came before has been.
-async fn accept(listener: &TcpListener, refusing: &CancellationToken) -> Option<TcpStream> {
+async fn accept(listener: &TcpListener, refusing: &CancellationToken) -> Option<Socket> {
     loop {
         let accepted = tokio::select! {
             biased;
@@ -96,7 +105,7 @@
             () = refusing.cancelled() => return None,
         };
         match accepted {
-            Ok((stream, _)) => return Some(stream),
+            Ok((stream, _)) => return Some(Socket::new(stream)),
             Err(error) => {
                 tracing::warn!(event = "accept_failed", %error);
                 if refusing.is_cancelled() {
@@ -108,7 +117,7 @@
     }
 }
 
-async fn drive<S>(connection: Accepted<S>, closing: CancellationToken)
+async fn drive<S>(connection: Accepted<S>, unanswered: Unanswered, closing: CancellationToken)
 where
     S: HttpService<Incoming>,
     S::Error: Into<Box<dyn Error + Send + Sync>>,
@@ -120,6 +129,9 @@
     let close = async {
         closing.cancelled().await;
         sleep_until(accepted + FIRST_REQUEST_MAX).await;
+        if timeout(HEAD_REST_MAX, unanswered.over()).await.is_err() {
+            tracing::debug!(event = "unanswered_at_close");
+        }
     };
     let ended = tokio::select! {
         // The connection goes first: a request that has arrived is read, and keeps it open.
--- a/src/router/entry.rs
+++ b/src/router/entry.rs
@@ -13,7 +13,7 @@
 use hyper::server::conn::http1;
 use hyper::service::{HttpService, service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use volo::Service;
 use volo::net::Address;
@@ -24,7 +24,7 @@
 
 use super::http::{REQUEST_ID, reply};
 use super::request::{Id, Reason, Verdict};
-use crate::net::{Accepted, Server, discard};
+use crate::net::{Accepted, Server, Socket, discard};
 
 /// Longest time to send a request's head, which also runs while a connection is idle. Not measured: hyper's
 /// default, and as long as a stop waits for a head.
@@ -56,7 +56,7 @@
     /// Accepts connections until the server closes.
     pub fn listen(&self, server: &Server, listener: TcpListener) {
         let entry = self.clone();
-        server.listen(listener, move |stream| connection(entry.clone(), stream));
+        server.listen(listener, move |socket| connection(entry.clone(), socket));
     }
 
     /// Has callers leave their connections: each answer is the last on its own.
@@ -136,14 +136,10 @@
 
 fn connection(
     entry: Entry,
-    stream: TcpStream,
+    socket: Socket,
 ) -> Accepted<impl HttpService<Incoming, ResBody = Body, Error = Infallible, Future: Send> + Send> {
-    if let Err(error) = stream.set_nodelay(true) {
-        // The connection still works, only slower.
-        tracing::debug!(event = "nodelay_failed", %error);
-    }
     // A caller that has left already has no address.
-    let peer = stream.peer_addr().ok().map(Address::from);
+    let peer = socket.peer_addr().ok().map(Address::from);
     let service = service_fn(move |request| {
         let (entry, peer) = (entry.clone(), peer.clone());
         async move { Ok::<_, Infallible>(entry.answer(peer, request).await) }
@@ -151,5 +147,5 @@
     http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_MAX)
-        .serve_connection(TokioIo::new(stream), service)
+        .serve_connection(TokioIo::new(socket), service)
 }
--- a/tests/stop_gaps.rs
+++ b/tests/stop_gaps.rs
@@ -244,8 +244,8 @@
     assert_eq!(half_head(false).await, Seen::Whole);
 }
 
-/// On a kept connection it is not: the library counts it as idle until its head is whole, and closes it
-/// over the half that it has read.
+/// On a kept connection it was not: the library counts it as idle until its head is whole, and closed it
+/// over the half that it had read.
 #[tokio::test(flavor = "multi_thread")]
 async fn half_head_kept() {
     assert_eq!(half_head(true).await, Seen::Whole);
