Hold SIGHUP before the settings of a process are read

The milliseconds between the start of a process and `Signals::new` were open to SIGHUP, which ended it. Ruled out: taking SIGTERM and SIGINT that early too; a process that has read nothing of callers loses nothing by its end, and would only end later.

Change: `cmd::run` takes SIGHUP before it parses the settings of a router or a gateway. Both doors parsed their settings twice at the start (once to find the command, once to check them), so a settings file that is a pipe was waited for a second time; they now check the options that were parsed.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -294,8 +294,9 @@
     }
 }
 
-pub fn run(args: &[String], adapter: &Adapter) -> Result<()> {
-    let checked = read(args, adapter)?;
+/// Runs a gateway by the options `given`, which SIGHUP has read again from the command line `args`.
+pub fn run(given: &Args, args: &[String], adapter: &Adapter) -> Result<()> {
+    let checked = check(given)?;
     let logs = start_output_logs(&checked.log_level);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -20,7 +20,7 @@
 use snafu::Snafu;
 
 use crate::gateway::dialect::Dialect;
-use crate::signals::Reload;
+use crate::signals::{Reload, hold_hangup};
 use crate::store::Store;
 
 const ABOUT: &str = "lanedeck: a router fleet for prepaid token budgets
@@ -146,6 +146,12 @@
 /// What is wrong with the command line, or why the command failed.
 pub fn run(args: &[String], adapter: &Adapter) -> Result<()> {
     let name = args.first().map_or("", String::as_str);
+    if matches!(name, "router" | "gateway") {
+        hold_hangup().map_err(|source| Error::Io {
+            what: "signals".to_owned(),
+            source,
+        })?;
+    }
     let parsed = parse(args, adapter)?;
     if parsed.version {
         return print(&format!("lanedeck {}\n", env!("CARGO_PKG_VERSION")));
@@ -154,8 +160,8 @@
         return print(&help(&parsed, name));
     }
     match parsed.command {
-        Some(Command::Router(_)) => router::run(args, adapter),
-        Some(Command::Gateway(_)) => gateway::run(args, adapter),
+        Some(Command::Router(given)) => router::run(&given, args, adapter),
+        Some(Command::Gateway(given)) => gateway::run(&given, args, adapter),
         Some(Command::Check(args)) => check::run(&args),
         Some(Command::Intent(args)) => intent::run(&args),
         Some(Command::Burn(args)) => burn::run(&args),
--- a/src/cmd/router.rs
+++ b/src/cmd/router.rs
@@ -313,8 +313,9 @@
     }
 }
 
-pub fn run(args: &[String], adapter: &Adapter) -> Result<()> {
-    let checked = read(args, adapter)?;
+/// Runs a router by the options `given`, which SIGHUP has read again from the command line `args`.
+pub fn run(given: &Args, args: &[String], adapter: &Adapter) -> Result<()> {
+    let checked = check(given)?;
     start_logs(&checked.log_level);
     if checked.policy != POLICY {
         tracing::warn!(event = "policy_removed", given = %checked.policy, in_force = POLICY);
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -1,6 +1,7 @@
 //! The signals that a serving process takes: SIGTERM and SIGINT stop it, SIGHUP has its settings read again.
 //!
-//! They are taken from the moment that [`Signals::new`] returns; before, the system ends the process at each.
+//! They are taken from the moment that [`Signals::new`] returns. Before, the system ends the process at each, but
+//! for SIGHUP once [`hold_hangup`] has returned.
 
 use std::io;
 
@@ -18,6 +19,20 @@
     hangup: Signal,
 }
 
+/// Keeps SIGHUP from ending the process from now on. To be called before the settings are read: one that comes
+/// before they are in force asks for nothing more.
+///
+/// # Errors
+/// The system's, where the signal cannot be taken.
+pub fn hold_hangup() -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let _inside = runtime.enter();
+    // The system's own action stays replaced when this is dropped.
+    signal(SignalKind::hangup()).map(drop)
+}
+
 impl Signals {
     /// Takes the signals from now on.
     ///
--- a/tests/early_signals.rs
+++ b/tests/early_signals.rs
@@ -2,8 +2,8 @@
 //!
 //! A platform asks all processes by SIGHUP to read their settings again, also one that has just been started:
 //! it was gone without a line in its log, and its host served nobody until the next start. The order of
-//! events: the process starts, reads its settings, and only then takes signals; until then the system ends it
-//! at SIGHUP. The evidence is its exit status, signal 1.
+//! events: the process starts, reads its settings, and only then took signals; until then the system ended it
+//! at SIGHUP. The evidence was its exit status, signal 1.
 
 use std::fs::OpenOptions;
 use std::io::Write;
