--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -134,6 +134,10 @@
         self.child = spawn(&self.flags, self.log.as_ref());
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
