Show that a stop lets in streams that it cuts

Cause: for 0.4 of the time to stop, or 1.5 lives of an address if that is less, any request is let in, whether or not it can end in time. Where that is longer than the 3 s for which users forgive a cut, a stream that is sent later is broken off at the end of the stop.

Change: a failing test with a time to stop of 10 s and addresses that live for 5 s; with addresses of 2 s, the default, the time is 3 s at most. Nothing is mended.

--- a/tests/stop_review.rs
+++ b/tests/stop_review.rs
@@ -155,3 +155,33 @@
     }
     assert!(matches!(last, Ok(Reply::Taken)), "{last:?}");
 }
+
+/// Callers see a stream that is let in more than three seconds after the signal, begins, and is broken off in
+/// its midst by the end of the stop. The order of events: the signal; 3.3 s later a request that may take 30 s
+/// is let in, because callers may still come by their addresses; its stream begins; at 8.85 s the stop gives it
+/// up. The cause: the time in which any request is let in is 0.4 of the time to stop, 3.54 s of 10 s, and has no
+/// bound of its own, while users forgive such an end only to requests of the first 3 s.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_stream_cut() {
+    let engine = Runner::start("i-e").await;
+    engine.set(Mode::Slow(2_000));
+    let mut long = config(1, PLENTY);
+    for route in long["routes"].as_array_mut().unwrap() {
+        route["timeoutMs"] = 30_000.into();
+    }
+    let flags = ["--keep", "5000", "--grace", "10000"];
+    let runners = [("engine", &engine)];
+    let mut deployment = Deployment::start_with(1, &long, &runners, &flags).await;
+    deployment.gateways[0].signal("TERM");
+    tokio::time::sleep(Duration::from_millis(3_300)).await;
+    let request = Ask::talk("late", "/talk/x", 100, 50).with("x-deadline-ms", "30000");
+    let answer = try_ask(deployment.gateways[0].front, &request).await;
+    deployment.wait_end().await;
+    let answer = answer.expect("an answer or a refusal");
+    assert!(
+        answer.is_whole,
+        "let in with {} and broken off after {} events",
+        answer.status,
+        answer.events().len()
+    );
+}
