Show that a close is blind beside workers

Cause: `Server::close` yields so that the runtime looks at its sockets, but a yield on the thread that blocks on a runtime with workers wakes at once. That is where the stop of `lanedeck router` runs.

Change: a failing test of `net::Server` with one worker that is busy while requests arrive. Nothing is mended.

--- a/tests/stop_review.rs
+++ b/tests/stop_review.rs
@@ -3,13 +3,23 @@
 
 mod deployment;
 
+use std::convert::Infallible;
+use std::io::{Read, Write};
+use std::net;
 use std::net::SocketAddr;
 use std::process::Command;
+use std::sync::mpsc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use deployment::runner::{Mode, Runner};
 use deployment::{Ask, Deployment, config, list_at, try_ask, until};
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
 use lanedeck::gateway::message::{Reply, Request};
+use lanedeck::net::Server;
 use lanedeck::units::Tokens;
 use lanedeck::wire::{self, Missing};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -185,3 +195,54 @@
         answer.events().len()
     );
 }
+
+/// Callers of a server whose runtime has workers (`lanedeck router`) see a reset of new connections whose
+/// requests had arrived whole before the close began. The order of events: the only worker is busy; connections
+/// are made and requests sent; the close begins; the worker comes to the accept loop before it has looked at the
+/// sockets; the listener is dropped over them. The cause: `Server::close` yields for a turn of the runtime, but
+/// on the thread that blocks on a runtime with workers, which is where a router's stop runs, a yield wakes at
+/// once and no socket is looked at.
+#[tokio::test(flavor = "multi_thread", worker_threads = 1)]
+async fn turn_among_workers() {
+    const LINES: usize = 4;
+    const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n";
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = Server::default();
+    server.listen(listener, |stream| {
+        let service = service_fn(|_| async {
+            let body = Full::new(Bytes::from_static(b"ok"));
+            Ok::<_, Infallible>(http::Response::new(body))
+        });
+        http1::Builder::new().serve_connection(TokioIo::new(stream), service)
+    });
+    // The accept loop waits for its first connection.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let ((busy, is_busy), (go, goes_on)) = (mpsc::channel(), mpsc::channel::<()>());
+    tokio::spawn(async move {
+        busy.send(()).unwrap();
+        goes_on.recv().unwrap();
+    });
+    is_busy.recv().unwrap();
+    let mut lines = Vec::new();
+    for _ in 0..LINES {
+        let mut line = net::TcpStream::connect(address).unwrap();
+        line.write_all(REQUEST).unwrap();
+        lines.push(line);
+    }
+    let release = std::thread::spawn(move || {
+        // By then the close waits for the accept loops.
+        std::thread::sleep(Duration::from_millis(300));
+        go.send(()).unwrap();
+    });
+    server.close().await;
+    server.closed().await;
+    release.join().unwrap();
+    let mut seen = Vec::new();
+    for mut line in lines {
+        let mut answer = Vec::new();
+        let ended = line.read_to_end(&mut answer).map_err(|error| error.kind());
+        seen.push((ended.is_ok(), answer.ends_with(b"ok")));
+    }
+    assert_eq!(seen, [(true, true); LINES], "ended in order, answered");
+}
