Show that a close resets a refused caller's body

Cause: the library's graceful shutdown ends a connection at once whose last answer has been handed over, also while the rest of a refused body is read and discarded.

Change: a failing test, a refusal after SIGTERM whose body is still coming when the server closes. Nothing is mended.

--- a/tests/stop_review.rs
+++ b/tests/stop_review.rs
@@ -13,7 +13,7 @@
 
 use bytes::Bytes;
 use deployment::runner::{Mode, Runner};
-use deployment::{Ask, Deployment, config, list_at, try_ask, until};
+use deployment::{Ask, Deployment, HOST, KEY, config, list_at, try_ask, until};
 use http_body_util::Full;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -246,3 +246,36 @@
     }
     assert_eq!(seen, [(true, true); LINES], "ended in order, answered");
 }
+
+/// Callers see a reset while they send the body of a request that a stopping gateway has refused. The order of
+/// events: the signal; a head is refused at once with `Connection: close`, and its body is read and discarded
+/// while it comes; the server closes; the connection ends over what is still to come. The cause: once the last
+/// answer of a connection is handed over, the library's graceful shutdown ends it at once, whoever still reads
+/// from it (`Dispatcher::disable_keep_alive` of hyper: closed where writing is closed).
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_amid_close() {
+    const PARTS: usize = 12;
+    const PART: [u8; 5_000] = [b'x'; 5_000];
+    let flags = ["--keep", "200", "--grace", "20000"];
+    let deployment = Deployment::start_with(1, &config(1, PLENTY), &[], &flags).await;
+    let front = deployment.gateways[0].front;
+    let mut line = TcpStream::connect(front).await.unwrap();
+    deployment.gateways[0].signal("TERM");
+    // Callers may still come for 0.3 s, and then the server closes.
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let head = format!(
+        "POST /nowhere/x HTTP/1.1\r\nhost: {HOST}\r\nx-attempt-id: r\r\nx-deadline-ms: 4000\r\n\
+         authorization: Bearer {KEY}\r\ncontent-length: {}\r\n\r\n",
+        PARTS * PART.len()
+    );
+    line.write_all(head.as_bytes()).await.unwrap();
+    let mut taken = Vec::new();
+    for _ in 0..PARTS {
+        tokio::time::sleep(Duration::from_millis(75)).await;
+        taken.push(line.write_all(&PART).await.is_ok());
+    }
+    assert_eq!(taken, [true; PARTS], "parts of the body that were taken");
+    let mut answer = Vec::new();
+    line.read_to_end(&mut answer).await.unwrap();
+    assert!(answer.starts_with(b"HTTP/1.1 404 "));
+}
