Show that a router's stop discards no body

Cause: as at the gateway; the router refuses what is not whole and closes its server in the next step, so the discarding never comes to anything. `long_upload` passes by the system's buffers.

Change: a failing test that sends the rest of the body in parts. Nothing is mended.

--- a/tests/stop_review.rs
+++ b/tests/stop_review.rs
@@ -1,6 +1,7 @@
 //! Places beside a planned stop where a request or a question that was taken ends with neither its answer nor
 //! a refusal, or with less than was known. Each test tells what is seen, the order of events and the cause.
 
+mod common;
 mod deployment;
 
 use std::convert::Infallible;
@@ -12,6 +13,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use common::area::{Area, chat, key, send};
 use deployment::runner::{Mode, Runner};
 use deployment::{Ask, Deployment, HOST, KEY, config, list_at, try_ask, until};
 use http_body_util::Full;
@@ -279,3 +281,38 @@
     line.read_to_end(&mut answer).await.unwrap();
     assert!(answer.starts_with(b"HTTP/1.1 404 "));
 }
+
+/// The same at `lanedeck router`, at each stop: it refuses what is not whole and closes the server in the next
+/// step, so that nothing of such a body is discarded. `long_upload` of `stop_answers` passes because what its
+/// caller has left to send fits into the buffers of the system.
+#[test]
+fn upload_amid_close() {
+    const PART: usize = 50_000;
+    let area = Area::new(1, 1);
+    let to = area.routers[0].address;
+    let body = chat(&"x".repeat(900_000), 5);
+    let (first, rest) = body.split_at(body.len() / 2);
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: router\r\nauthorization: Bearer {}\r\n\
+         content-length: {}\r\n\r\n",
+        key("kiosks"),
+        body.len()
+    );
+    let mut line = send(to, &(head + first));
+    area.routers[0].signal("TERM");
+    area.wait("it takes no connection", |_| {
+        net::TcpStream::connect(to).is_err()
+    });
+    let mut taken = Vec::new();
+    for part in rest.as_bytes().chunks(PART) {
+        taken.push(line.write_all(part).is_ok());
+        std::thread::sleep(Duration::from_millis(30));
+    }
+    let mut answer = Vec::new();
+    let ended = line.read_to_end(&mut answer);
+    assert!(
+        taken.iter().all(|taken| *taken) && ended.is_ok(),
+        "parts of the body that were taken: {taken:?}"
+    );
+    assert!(answer.starts_with(b"HTTP/1.1 503 "));
+}
