Read a target's answer although the rest of a long body cannot be written

Cause: hyper ends a connection at the first error of a write. A target that answers a long request from its head and closes made the write of the rest fail with the answer already here, unread: the caller got 502, which promises nothing, in place of a refusal with a promise or a whole answer. Ruled out: a body of our own that ends early (hyper then reports the body's error the same way).

Change: `net::HalfOpen` under a target's connection: once a part of a request has been written, a failed write is dropped in silence and reading tells the answer or the error. A request of which nothing was written still fails at once, so that it can go elsewhere.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -14,6 +14,8 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use super::half_open::HalfOpen;
+
 /// A request with its whole body.
 pub type Request = http::Request<Full<Bytes>>;
 /// An answer whose body is still to come.
@@ -66,7 +68,7 @@
     let (sender, connection) = http1::Builder::new()
         .max_headers(HEADERS_MAX)
         .max_buf_size(BUFFER_MAX)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(HalfOpen::new(stream)))
         .await
         .map_err(io::Error::other)?;
     let task = tokio::spawn(async move {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 //! callers, on a server that ends without cutting anything off.
 
 mod connection;
+mod half_open;
 mod pool;
 mod server;
 mod socket;
