Decide a stop's steps in one place, within what users forgive

Cause: the time in which any request is let in was 0.4 of the time to stop without a bound of its own, so with more than 8.65 s to stop a stream that came later than 3 s after the signal was let in and then cut. What is left at the end was 1.15 s whatever the time to stop, so under 6.9 s requests were cut before its last sixth, and at 1.15 s or less at the signal. Users forgive neither.

Change: `decision::stop::Plan` holds the four times, with their constants: at most 2.9 s to let any request in, at most 0.15 of the time to stop left at its end.

--- a/src/gateway/decision/mod.rs
+++ b/src/gateway/decision/mod.rs
@@ -10,3 +10,4 @@
 pub mod placement;
 pub mod refusal;
 pub mod retry;
+pub mod stop;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -14,6 +14,7 @@
 use super::attempt::{Controller, Message};
 use super::control;
 use super::decision::admission::Stop;
+use super::decision::stop;
 use super::dialect::Dialect;
 use super::listener::{self, Endpoint};
 use super::members::Router;
@@ -27,18 +28,6 @@
 
 /// Interval at which a stopping gateway checks whether its requests have ended.
 const STOP_POLL: Duration = Duration::from_millis(25);
-/// Left at the end of the time to stop, to give grants back and to exit: [`LAST_ANSWERS_MAX`] and twice
-/// [`GIVE_BACK_MAX`].
-const STOP_RESERVE: Duration = Duration::from_millis(1_150);
-/// Part of the time to stop, 0 to 1, in which any request is still let in. Not measured.
-const LINGER_SHARE: f64 = 0.4;
-/// Times the life of an answer about addresses in which callers may still come by it. Not measured.
-const LINGER_TTLS: f64 = 1.5;
-/// Longest time to write the answers of requests that a stop waits for no longer. Not measured: many times
-/// the way to a caller; longer only where a caller does not read.
-const LAST_ANSWERS_MAX: Duration = Duration::from_millis(150);
-/// Longest time to give grants back. Not measured: a write to the store and a loan take far less.
-const GIVE_BACK_MAX: Duration = Duration::from_millis(500);
 /// Interval at which connections to targets that are gone are closed.
 const SWEEP_GAP: Duration = Duration::from_secs(2);
 
@@ -121,8 +110,7 @@
         &shared,
         &relay.controller,
         &server,
-        options.address_ttl,
-        options.grace,
+        &stop::Plan::new(options.grace, options.address_ttl),
     )
     .await;
     Ok(())
@@ -167,33 +155,24 @@
 
 /// Stops in an order in which nothing can come in after the last look at what is under way: callers are
 /// sent elsewhere, the server closes, its connections end, and only then grants are given back.
-async fn stop(
-    shared: &Shared,
-    controller: &Controller,
-    server: &Server,
-    address_ttl: Millis,
-    grace: Millis,
-) {
+async fn stop(shared: &Shared, controller: &Controller, server: &Server, plan: &stop::Plan) {
     let since = Instant::now();
-    let limit = Duration::from_millis(grace.0).saturating_sub(STOP_RESERVE);
-    // Callers that hold an earlier answer about addresses still come for a while.
-    let linger = Duration::from_millis(address_ttl.0).mul_f64(LINGER_TTLS);
-    let linger = linger.min(limit.mul_f64(LINGER_SHARE));
-    let end = since + limit;
+    let end = since + plan.end;
     shared.set_stopping(Stop {
-        late: since + linger,
+        // Callers that hold an earlier answer about addresses still come for a while.
+        late: since + plan.linger,
         end,
     });
     let (active, connections) = (shared.active(), server.connections());
     tracing::info!(event = "stopping", active, connections);
     controller.tell(Message::Leave);
-    while Instant::now() < end && (since.elapsed() < linger || shared.active() > 0) {
+    while Instant::now() < end && (since.elapsed() < plan.linger || shared.active() > 0) {
         sleep(STOP_POLL).await;
     }
     server.close().await;
     let (active, connections) = (shared.active(), server.connections());
     tracing::info!(event = "closing", active, connections, ms = millis(since));
-    let cut = finish(shared, server, end).await;
+    let cut = finish(shared, server, end, plan.answers).await;
     let (active, connections) = (shared.active(), server.connections());
     tracing::info!(
         event = "giving_back",
@@ -202,7 +181,7 @@
         connections,
         ms = millis(since)
     );
-    give_back(controller).await;
+    give_back(controller, plan.give_back).await;
     tracing::info!(event = "stopped", ms = millis(since));
 }
 
@@ -212,23 +191,23 @@
 
 /// Waits until the connections of a closing server have ended; what is under way at `end` is given up
 /// with an answer. How many requests that were is returned.
-async fn finish(shared: &Shared, server: &Server, end: Instant) -> usize {
+async fn finish(shared: &Shared, server: &Server, end: Instant, answers: Duration) -> usize {
     if timeout_at(end, server.closed()).await.is_ok() {
         return 0;
     }
     let cut = shared.active();
     shared.cut.cancel();
-    if timeout(LAST_ANSWERS_MAX, server.closed()).await.is_err() {
+    if timeout(answers, server.closed()).await.is_err() {
         let connections = server.connections();
         tracing::warn!(event = "connections_cut", connections);
     }
     cut
 }
 
-async fn give_back(controller: &Controller) {
+async fn give_back(controller: &Controller, limit: Duration) {
     let (done, closed) = oneshot::channel();
     controller.tell(Message::Close { done });
-    if timeout(GIVE_BACK_MAX, closed).await.is_err() {
+    if timeout(limit, closed).await.is_err() {
         tracing::warn!(event = "give_back_timed_out");
     }
 }
--- a/tests/decision_rules.rs
+++ b/tests/decision_rules.rs
@@ -1,10 +1,13 @@
 //! The gateway's rules as tables: what follows a failed attempt, what a caller is told, on what terms a
-//! request is let in, and how grants are sized.
+//! request is let in, how grants are sized, and when a stop takes its steps.
+
+use std::time::Duration;
 
 use lanedeck::gateway::decision::admission::{self, Request, Source};
 use lanedeck::gateway::decision::grant::{self, Need, Role, Sizing};
 use lanedeck::gateway::decision::refusal::Reason;
 use lanedeck::gateway::decision::retry::{self, Decision, Failure, History, Limit, Verdict};
+use lanedeck::gateway::decision::stop::Plan;
 use lanedeck::gateway::route::{
     Backend, Config, Customer, Kind, Limits, Route, Service, ServiceKey,
 };
@@ -220,3 +223,28 @@
     assert_eq!(grant::lend(Tokens(120), Tokens(10), Tokens(30)), Tokens(30));
     assert_eq!(grant::lend(Tokens(5), Tokens(10), Tokens(30)), Tokens(5));
 }
+
+/// Users forgive the end of a long request at a stop to those that were sent within 3 s of the signal, and only
+/// within the last sixth of the time to stop.
+#[test]
+fn stop_steps() {
+    for grace in [1_000, 2_000, 5_000, 6_900, 8_000, 10_000, 30_000, 3_600_000] {
+        for keep in [100, 2_000, 5_000, 600_000] {
+            let plan = Plan::new(Millis(grace), Millis(keep));
+            let grace = Duration::from_millis(grace);
+            assert!(plan.linger < Duration::from_secs(3), "{plan:?}");
+            assert!(
+                plan.linger <= Duration::from_millis(keep) * 3 / 2,
+                "{plan:?}"
+            );
+            assert!(plan.linger < plan.end, "{plan:?}");
+            assert!(plan.end >= grace * 5 / 6, "{plan:?} of {grace:?}");
+            assert!(plan.answers > Duration::ZERO, "{plan:?}");
+            assert!(plan.give_back > plan.answers, "{plan:?}");
+            assert!(plan.end + plan.answers + plan.give_back < grace, "{plan:?}");
+        }
+    }
+    let plan = Plan::new(Millis(8_000), Millis(2_000));
+    assert_eq!(plan.end, Duration::from_millis(6_850));
+    assert_eq!(plan.linger, Duration::from_millis(2_740));
+}
