Have a server's close wait for what is still read, and look at its sockets

Cause, each from a review of the mend of the lost request: - hyper's graceful shutdown ends a connection at once whose last answer has been written, also while the rest of a refused body is still being read, so the caller's writes met a reset. In `lanedeck router` that was at every stop. - what is refused was discarded up to 4 MiB, whatever the configuration allows. - a turn of the runtime by `yield_now` is none on a thread that waits for a runtime with workers, which is where a router's stop runs: a listener was dropped over whole requests. - `wire::serve` ended at the first error of an accept, so that a moment's lack of descriptors took a router's link for the rest of its life, and left a stop nothing to wait for there.

Change: `net::Reading`, a connection's, discards refused bodies up to the configuration's limit; the close of a connection waits for them (2 s each at most). The turn is a timer of 1 ms, which goes off after the sockets have been looked at. `net::accept` goes on after an error, for callers' and for links' listeners alike. Ruled out: draining the listener by hand until it would block, which the runtime does with the accept loop once it has looked.

--- a/src/gateway/control/link.rs
+++ b/src/gateway/control/link.rs
@@ -59,9 +59,7 @@
         }
     };
     let key_hash = crate::util::hash_secret(&key);
-    if let Err(error) = wire::serve(listener, key_hash, answer, closing).await {
-        tracing::error!(event = "link_listener_failed", %error);
-    }
+    wire::serve(listener, key_hash, answer, closing).await;
 }
 
 /// Answers another router. Once grants are given back, tokens that change hands would end with this
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -46,6 +46,7 @@
 pub(super) async fn serve(
     relay: &Arc<Relay>,
     incoming: hyper::Request<Incoming>,
+    reading: &net::Reading,
 ) -> Response<Body> {
     let started = Instant::now();
     relay.shared.metrics.requests.add(1);
@@ -54,7 +55,7 @@
         Ok(request) => request,
         Err(error) => {
             tracing::info!(event = "refused", reason = "bad_header", %error);
-            net::discard(body);
+            reading.discard(body, body_max(relay));
             return reply::answer(Reason::BadHeader, &*relay.dialect, "");
         }
     };
@@ -71,11 +72,19 @@
     };
     departure.has_answer = true;
     result.unwrap_or_else(|reason| {
-        net::discard(body);
+        reading.discard(body, body_max(relay));
         refuse(relay, &id, reason, started)
     })
 }
 
+/// Longest body that is let in, in bytes.
+fn body_max(relay: &Relay) -> usize {
+    let config = relay.shared.config.load();
+    let limits = config.as_ref().map(|config| config.limits);
+    // Without a configuration nothing is let in; what is refused has the default bound.
+    limits.unwrap_or_default().body_bytes
+}
+
 fn refuse(relay: &Relay, id: &str, reason: Reason, started: Instant) -> Response<Body> {
     let elapsed = started.elapsed();
     let metrics = &relay.shared.metrics;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -13,15 +13,17 @@
 use hyper::service::HttpService;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
-use tokio::task::yield_now;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::socket::{Socket, Unanswered};
+use super::accept::accept;
+use super::socket::{Reading, Socket};
 
-/// Pause after a connection could not be accepted, so that a lack of sockets does not spin.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Time in which the runtime is sure to look at its sockets: a timer goes off after the sockets have been looked
+/// at. Not measured: the shortest that the runtime's timers have. To yield is no such turn where the runtime has
+/// workers and this thread only waits for them.
+const TURN: Duration = Duration::from_millis(1);
 
 /// Age up to which a connection is not closed although it carries no request: its first one may be on the
 /// way, and would meet a closed connection. Not measured: many times the way from a caller.
@@ -61,9 +63,9 @@
         let (refusing, closing) = (self.refusing.clone(), self.closing.clone());
         let connections = self.connections.clone();
         self.accepting.spawn(async move {
-            while let Some(socket) = accept(&listener, &refusing).await {
-                let unanswered = socket.unanswered();
-                connections.spawn(drive(open(socket), unanswered, closing.clone()));
+            while let Some(socket) = next(&listener, &refusing).await {
+                let reading = socket.reading();
+                connections.spawn(drive(open(socket), reading, closing.clone()));
             }
         });
     }
@@ -81,11 +83,11 @@
     /// each step: without them a close passed over requests that had arrived, up to 53 of 53 in one stop
     /// beside 96 callers that each open a connection a request (13 stops, 6 of them with such a loss).
     pub async fn close(&self) {
-        yield_now().await;
+        sleep(TURN).await;
         self.refusing.cancel();
         self.accepting.close();
         self.accepting.wait().await;
-        yield_now().await;
+        sleep(TURN).await;
         self.closing.cancel();
         self.connections.close();
     }
@@ -97,27 +99,15 @@
 }
 
 /// The next connection; `None` once none is to be accepted, and all that came before has been.
-async fn accept(listener: &TcpListener, refusing: &CancellationToken) -> Option<Socket> {
-    loop {
-        let accepted = tokio::select! {
-            biased;
-            accepted = listener.accept() => accepted,
-            () = refusing.cancelled() => return None,
-        };
-        match accepted {
-            Ok((stream, _)) => return Some(Socket::new(stream)),
-            Err(error) => {
-                tracing::warn!(event = "accept_failed", %error);
-                if refusing.is_cancelled() {
-                    return None;
-                }
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
+async fn next(listener: &TcpListener, refusing: &CancellationToken) -> Option<Socket> {
+    tokio::select! {
+        biased;
+        (stream, _) = accept(listener) => Some(Socket::new(stream)),
+        () = refusing.cancelled() => None,
     }
 }
 
-async fn drive<S>(connection: Accepted<S>, unanswered: Unanswered, closing: CancellationToken)
+async fn drive<S>(connection: Accepted<S>, reading: Reading, closing: CancellationToken)
 where
     S: HttpService<Incoming>,
     S::Error: Into<Box<dyn Error + Send + Sync>>,
@@ -129,9 +119,10 @@
     let close = async {
         closing.cancelled().await;
         sleep_until(accepted + FIRST_REQUEST_MAX).await;
-        if timeout(HEAD_REST_MAX, unanswered.over()).await.is_err() {
+        if timeout(HEAD_REST_MAX, reading.answered()).await.is_err() {
             tracing::debug!(event = "unanswered_at_close");
         }
+        reading.discarded().await;
     };
     let ended = tokio::select! {
         // The connection goes first: a request that has arrived is read, and keeps it open.
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -1,8 +1,9 @@
-//! A caller's connection that knows whether it has read something since it last wrote.
+//! A caller's connection that knows what of its requests is still being read.
 //!
 //! The HTTP library counts a kept connection as idle until a whole head has come, so it would close one over
 //! a part of a head. What has been read and not followed by a write is such a part, or a request under way.
-//! The socket owns the stream and never decides when it ends.
+//! Nor does the library wait for the rest of a refused body, if the connection's last answer has been written.
+//! The socket owns the stream and never decides when it ends; [`Server`](super::Server) does.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
@@ -11,9 +12,13 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use hyper::body::Incoming;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::sleep;
+use tokio_util::task::TaskTracker;
+
+use super::upload;
 
 /// Interval at which a closing server checks whether a connection has written. Not measured: short beside the
 /// way from a caller; only runs while a server closes.
@@ -23,20 +28,39 @@
 #[derive(Debug)]
 pub struct Socket {
     stream: TcpStream,
-    unanswered: Unanswered,
+    reading: Reading,
 }
 
-/// Whether a connection's last bytes were read and not written.
+/// What of a connection's requests is still being read, shared with what answers on it.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Unanswered(Arc<AtomicBool>);
+pub struct Reading {
+    /// Whether its last bytes were read and not written.
+    unanswered: Arc<AtomicBool>,
+    /// Bodies of refused requests that are being discarded.
+    discards: TaskTracker,
+}
+
+impl Reading {
+    /// Discards what is still to come of a refused request's body, at most `max` bytes, while the caller gets
+    /// the refusal.
+    pub fn discard(&self, body: Incoming, max: usize) {
+        if let Some(discard) = upload::discard(body, max) {
+            self.discards.spawn(discard);
+        }
+    }
 
-impl Unanswered {
     /// Waits until the connection has written since it last read.
-    pub(super) async fn over(&self) {
-        while self.0.load(Ordering::Relaxed) {
+    pub(super) async fn answered(&self) {
+        while self.unanswered.load(Ordering::Relaxed) {
             sleep(POLL).await;
         }
     }
+
+    /// Waits until no body is being discarded.
+    pub(super) async fn discarded(&self) {
+        self.discards.close();
+        self.discards.wait().await;
+    }
 }
 
 impl Socket {
@@ -46,13 +70,13 @@
             // The connection still works, only slower.
             tracing::debug!(event = "nodelay_failed", %error);
         }
-        let unanswered = Unanswered::default();
-        Self { stream, unanswered }
+        let reading = Reading::default();
+        Self { stream, reading }
     }
 
-    /// What tells whether a part of a request may have been read.
-    pub(super) fn unanswered(&self) -> Unanswered {
-        self.unanswered.clone()
+    /// What of its requests is still being read.
+    pub fn reading(&self) -> Reading {
+        self.reading.clone()
     }
 
     /// The other side's address.
@@ -65,7 +89,7 @@
 
     fn note_written(&self, written: &Poll<io::Result<usize>>) {
         if let Poll::Ready(Ok(1..)) = written {
-            self.unanswered.0.store(false, Ordering::Relaxed);
+            self.reading.unanswered.store(false, Ordering::Relaxed);
         }
     }
 }
@@ -79,7 +103,7 @@
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
         if buffer.filled().len() > before {
-            self.unanswered.0.store(true, Ordering::Relaxed);
+            self.reading.unanswered.store(true, Ordering::Relaxed);
         }
         read
     }
--- a/src/router/entry.rs
+++ b/src/router/entry.rs
@@ -24,7 +24,7 @@
 
 use super::http::{REQUEST_ID, reply};
 use super::request::{Id, Reason, Verdict};
-use crate::net::{Accepted, Server, Socket, discard};
+use crate::net::{Accepted, Reading, Server, Socket};
 
 /// Longest time to send a request's head, which also runs while a connection is idle. Not measured: hyper's
 /// default, and as long as a stop waits for a head.
@@ -69,8 +69,13 @@
         self.closing.cancel();
     }
 
-    async fn answer(&self, peer: Option<Address>, request: hyper::Request<Incoming>) -> Response {
-        let mut response = match self.read(request).await {
+    async fn answer(
+        &self,
+        peer: Option<Address>,
+        request: hyper::Request<Incoming>,
+        reading: &Reading,
+    ) -> Response {
+        let mut response = match self.read(request, reading).await {
             Ok(request) => self.route(peer, request).await,
             Err(response) => response,
         };
@@ -85,25 +90,25 @@
     async fn read(
         &self,
         request: hyper::Request<Incoming>,
+        reading: &Reading,
     ) -> Result<hyper::Request<Body>, Response> {
         let (parts, mut body) = request.into_parts();
         let too_large = || StatusCode::PAYLOAD_TOO_LARGE.into_response();
         if body.size_hint().lower() > self.body_max as u64 {
-            discard(body);
             return Err(too_large());
         }
         let whole = tokio::select! {
             biased;
             whole = Limited::new(&mut body, self.body_max).collect() => whole,
             () = self.closing.cancelled() => {
-                discard(body);
+                reading.discard(body, self.body_max);
                 return Err(refuse_part(&parts.headers));
             }
         };
         match whole {
             Ok(whole) => Ok(hyper::Request::from_parts(parts, whole.to_bytes().into())),
             Err(error) if error.is::<LengthLimitError>() => {
-                discard(body);
+                reading.discard(body, self.body_max);
                 Err(too_large())
             }
             // The caller has left, or has sent what is no body.
@@ -140,9 +145,10 @@
 ) -> Accepted<impl HttpService<Incoming, ResBody = Body, Error = Infallible, Future: Send> + Send> {
     // A caller that has left already has no address.
     let peer = socket.peer_addr().ok().map(Address::from);
+    let reading = socket.reading();
     let service = service_fn(move |request| {
-        let (entry, peer) = (entry.clone(), peer.clone());
-        async move { Ok::<_, Infallible>(entry.answer(peer, request).await) }
+        let (entry, peer, reading) = (entry.clone(), peer.clone(), reading.clone());
+        async move { Ok::<_, Infallible>(entry.answer(peer, request, &reading).await) }
     });
     http1::Builder::new()
         .timer(TokioTimer::new())
--- a/src/router/process.rs
+++ b/src/router/process.rs
@@ -113,12 +113,7 @@
             let shared = Arc::clone(&shared);
             async move { shared.answer_peer(request).await }
         };
-        let serve = wire::serve(listener, key_hash, answer, closing.clone());
-        let serving = tokio::spawn(async move {
-            if let Err(error) = serve.await {
-                tracing::error!(event = "peer_listener_failed", %error);
-            }
-        });
+        let serving = tokio::spawn(wire::serve(listener, key_hash, answer, closing.clone()));
         Self { closing, serving }
     }
 
--- a/src/wire/server.rs
+++ b/src/wire/server.rs
@@ -1,7 +1,6 @@
 //! The answering side.
 
 use std::future::Future;
-use std::io;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -15,7 +14,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::FRAME_MAX;
-use crate::util;
+use crate::{net, util};
 
 /// Flow-control window of a stream and of a connection, in bytes.
 pub(super) const WINDOW: u32 = 1 << 20;
@@ -26,16 +25,12 @@
 /// Serves peers until `closing`, and then until the questions that have come are answered and all
 /// connections have ended. A peer must show the fleet's key; `answer` gives the reply to each question, or
 /// `None` where this process is about to end.
-///
-/// # Errors
-/// The listener's error.
 pub async fn serve<Q, R, F, A>(
     listener: TcpListener,
     key_hash: String,
     answer: F,
     closing: CancellationToken,
-) -> io::Result<()>
-where
+) where
     Q: DeserializeOwned + Send + 'static,
     R: Serialize + Send + 'static,
     F: Fn(Q) -> A + Clone + Send + Sync + 'static,
@@ -47,7 +42,7 @@
         let (stream, peer) = tokio::select! {
             // Connections that came before are accepted first.
             biased;
-            accepted = listener.accept() => accepted?,
+            accepted = net::accept(&listener) => accepted,
             () = closing.cancelled() => break,
         };
         let (answer, key_hash) = (answer.clone(), key_hash.clone());
@@ -73,7 +68,6 @@
     closing_connections.cancel();
     connections.close();
     connections.wait().await;
-    Ok(())
 }
 
 async fn connection<Q, R, F, A>(
