Read settings on a thread of their own, and take signals before listening

Change: `Signals` owns the reload and runs it on a thread, one at a time; both doors make it before they bind anything and hand it over with their options. A router's last answers have 30 s.

--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -1,6 +1,7 @@
 //! `lanedeck demo`: a whole fleet on loopback in one process.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -112,11 +113,7 @@
             address: options.settings.me.address,
             leaving: false,
         });
-        tokio::spawn(async move {
-            if let Err(error) = crate::router::run(options).await {
-                tracing::error!(event = "router_ended", %error);
-            }
-        });
+        tokio::spawn(crate::router::run(options));
     }
     hosts.set(listed);
     Ok(Fleet {
@@ -149,7 +146,8 @@
     let checked = router::check(&args)?;
     // Nothing that the demonstration's settings come from can change.
     let in_force = checked.in_force.clone();
-    router::bound(checked, Box::new(move || Ok(in_force.clone()))).await
+    let signals = super::signals(Arc::new(move || Ok(in_force.clone())))?;
+    router::bound(checked, signals).await
 }
 
 fn target(address: SocketAddr, kind: &str, serves: &str, price: u64) -> Value {
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -312,6 +312,10 @@
 }
 
 async fn serve(checked: Checked, args: Vec<String>, adapter: Adapter) -> Result<()> {
+    let dialect = adapter.dialect.clone();
+    let store = (adapter.store)(checked.store);
+    let reload = super::reload(move || read(&args, &adapter).map(|checked| checked.in_force));
+    let signals = super::signals(reload)?;
     let callers = bind("front", checked.settings.me.front).await?;
     let link = bind("link", checked.settings.me.link).await?;
     let listeners = gateway::Listeners {
@@ -320,11 +324,8 @@
         directory: bind("directory", checked.directory).await?,
         metrics: bind("metrics", checked.metrics).await?,
     };
-    let dialect = adapter.dialect.clone();
-    let store = (adapter.store)(checked.store);
     let in_force = checked.in_force.replace('\n', " ");
     tracing::info!(event = "settings", in_force);
-    let reload = super::reload(move || read(&args, &adapter).map(|checked| checked.in_force));
     let options = gateway::Options {
         settings: checked.settings,
         listeners,
@@ -335,11 +336,11 @@
         grace: checked.grace,
         dialect,
         store,
-        reload,
+        signals,
         dropped: dropped_lines,
     };
     gateway::run(options).await.map_err(|source| Error::Io {
-        what: "signals".to_owned(),
+        what: "--link".to_owned(),
         source,
     })
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -20,7 +20,7 @@
 use snafu::Snafu;
 
 use crate::gateway::dialect::Dialect;
-use crate::signals::{Reload, hold_hangup};
+use crate::signals::{Reload, Signals, hold_hangup};
 use crate::store::Store;
 
 const ABOUT: &str = "lanedeck: a router fleet for prepaid token budgets
@@ -103,13 +103,25 @@
 }
 
 /// What a process does at SIGHUP; `read` reads and checks its settings and gives those in force.
-pub(crate) fn reload(read: impl Fn() -> Result<String> + Send + 'static) -> Reload {
-    Box::new(move || match read() {
+pub(crate) fn reload(read: impl Fn() -> Result<String> + Send + Sync + 'static) -> Reload {
+    Arc::new(move || match read() {
         Ok(in_force) => Ok(in_force.replace('\n', " ")),
         Err(error) => Err(error.to_string()),
     })
 }
 
+/// Takes the signals of a serving process; `reload` is what SIGHUP does.
+pub(crate) fn signals(reload: Reload) -> Result<Signals> {
+    Signals::new(reload).map_err(signals_failed)
+}
+
+fn signals_failed(source: io::Error) -> Error {
+    Error::Io {
+        what: "signals".to_owned(),
+        source,
+    }
+}
+
 #[derive(Debug, Options)]
 struct Args {
     #[options(help = "print this")]
@@ -147,10 +159,7 @@
 pub fn run(args: &[String], adapter: &Adapter) -> Result<()> {
     let name = args.first().map_or("", String::as_str);
     if matches!(name, "router" | "gateway") {
-        hold_hangup().map_err(|source| Error::Io {
-            what: "signals".to_owned(),
-            source,
-        })?;
+        hold_hangup().map_err(signals_failed)?;
     }
     let parsed = parse(args, adapter)?;
     if parsed.version {
--- a/src/cmd/router.rs
+++ b/src/cmd/router.rs
@@ -16,7 +16,7 @@
 use crate::router::host::Peer;
 use crate::router::key::Incarnation;
 use crate::router::request::Bound;
-use crate::signals::Reload;
+use crate::signals::Signals;
 use crate::units::{Millis, Offset};
 
 pub const ABOUT: &str = "Runs a router on an entry host until SIGTERM, and then until all that it
@@ -281,7 +281,7 @@
 }
 
 /// Binds a router's addresses; those given with port 0 are filled in.
-pub async fn bound(mut checked: Checked, reload: Reload) -> Result<router::Options> {
+pub async fn bound(mut checked: Checked, signals: Signals) -> Result<router::Options> {
     let entry = bind("entry", checked.settings.me.entry).await?;
     let peers = bind("peer", checked.settings.me.address).await?;
     let local = |listener: &TcpListener| {
@@ -302,7 +302,7 @@
         fleet_key: checked.fleet_key,
         body_max: checked.body_max,
         silence: checked.silence,
-        reload,
+        signals,
     })
 }
 
@@ -323,13 +323,11 @@
     let (args, adapter) = (args.to_vec(), adapter.clone());
     let reload = reload(move || read(&args, &adapter).map(|checked| checked.in_force));
     block_on(checked.threads, async {
-        let options = bound(checked, reload).await?;
+        let options = bound(checked, super::signals(reload)?).await?;
         let me = &options.settings.me;
         print(&format!("entry={} peer={}\n", me.entry, me.address))?;
         tracing::info!(event = "listening", entry = %me.entry, peer = %me.address, incarnation = %me.incarnation);
-        router::run(options).await.map_err(|source| Error::Io {
-            what: "signals".to_owned(),
-            source,
-        })
+        router::run(options).await;
+        Ok(())
     })
 }
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -22,7 +22,7 @@
 use super::shared::Shared;
 use super::state::Settings;
 use crate::net::{Pool, Server};
-use crate::signals::{Reload, Signals};
+use crate::signals::Signals;
 use crate::store::Store;
 use crate::units::Millis;
 
@@ -63,8 +63,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// The deployment's store.
     pub store: Arc<dyn Store>,
-    /// Reads and checks the settings again; the text is logged.
-    pub reload: Reload,
+    /// What stops it, and has its settings read again.
+    pub signals: Signals,
     /// Log lines that were dropped.
     pub dropped: fn() -> u64,
 }
@@ -73,9 +73,8 @@
 /// over.
 ///
 /// # Errors
-/// The system's, where signals cannot be taken.
-pub async fn run(options: Options) -> std::io::Result<()> {
-    let mut signals = Signals::new()?;
+/// The system's, about the listener of its link.
+pub async fn run(mut options: Options) -> std::io::Result<()> {
     let (sender, messages) = mpsc::unbounded_channel();
     let shared = Arc::new(Shared::default());
     shared.set_caller_addresses(vec![options.settings.me.front]);
@@ -105,7 +104,7 @@
         options.dropped,
     );
     tokio::spawn(sweep(Arc::clone(&relay)));
-    signals.stop(options.reload).await;
+    options.signals.stop().await;
     stop(
         &shared,
         &relay.controller,
--- a/src/router/process.rs
+++ b/src/router/process.rs
@@ -7,6 +7,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use volo_http::server::param::PathParams;
 use volo_http::server::route::{Router, get, post};
@@ -19,9 +20,14 @@
 use crate::router::client::{HttpHosts, HttpLog};
 use crate::router::control::{Input, Settings};
 use crate::router::http::Headers;
-use crate::signals::{Reload, Signals};
+use crate::signals::Signals;
 use crate::wire;
 
+/// Longest time to write the last answers of a stop. All has been decided by then, so only callers that do not
+/// read their answers, or never send the rest of a head, take as long; without a bound one of them keeps the
+/// process up until it is killed. Not measured: as long as a head may take.
+const LAST_ANSWERS_MAX: Duration = Duration::from_secs(30);
+
 /// What a router is started with.
 pub struct Options {
     /// Settings of the control state.
@@ -42,16 +48,12 @@
     pub body_max: usize,
     /// Longest silence of a target.
     pub silence: Duration,
-    /// Reads and checks the settings again; the text is logged.
-    pub reload: Reload,
+    /// What stops it, and has its settings read again.
+    pub signals: Signals,
 }
 
 /// Runs a router until SIGTERM or SIGINT, and then until all that it has begun is done.
-///
-/// # Errors
-/// The system's, where signals cannot be taken.
-pub async fn run(options: Options) -> std::io::Result<()> {
-    let mut signals = Signals::new()?;
+pub async fn run(mut options: Options) {
     let (input, inputs) = mpsc::unbounded_channel();
     let shared = Arc::new(Shared::new(
         input,
@@ -71,9 +73,8 @@
     let server = Server::default();
     let entry = Entry::new(routes(&shared), options.body_max);
     entry.listen(&server, options.entry);
-    signals.stop(options.reload).await;
+    options.signals.stop().await;
     stop(&shared, done, &entry, &server, peers).await;
-    Ok(())
 }
 
 /// Stops in an order in which nothing that was read goes without an answer: work is refused, what has begun
@@ -93,7 +94,10 @@
     tracing::info!(event = "closing", connections = server.connections());
     entry.close();
     server.close().await;
-    server.closed().await;
+    if timeout(LAST_ANSWERS_MAX, server.closed()).await.is_err() {
+        let connections = server.connections();
+        tracing::warn!(event = "connections_cut", connections);
+    }
     peers.close().await;
     tracing::info!(event = "stopped");
 }
--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -54,7 +54,7 @@
 
 /// An address that nobody listens on, outside of the ports that the system gives to connections,
 /// so that none takes it before the gateway does.
-fn free_address() -> SocketAddr {
+pub fn free_address() -> SocketAddr {
     const FIRST: u32 = 10_000;
     const COUNT: u32 = 20_000;
     const OF_PROCESS: u32 = 97;
--- /dev/null
+++ b/tests/slow_reload.rs
@@ -0,0 +1,77 @@
+//! A reload whose settings file is slow to read.
+//!
+//! Callers of a gateway got no answer, and its platform could not stop it, for as long as a settings file on a
+//! slow disk was read. The order of events: SIGHUP; the file is opened and read on the thread of the traffic;
+//! requests and SIGTERM wait behind it. The evidence: with a pipe in the file's place neither came through.
+
+mod deployment;
+
+use std::fs;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+
+use deployment::{Ask, free_address, try_ask, until};
+
+/// Sends a process a signal.
+fn signal(process: &Child, name: &str) {
+    let pid = process.id().to_string();
+    let sent = Command::new("kill").args([name, &pid]).status();
+    assert!(sent.unwrap().success());
+}
+
+/// Puts a pipe in a file's place, so that whoever reads it waits.
+fn block(path: &Path) {
+    fs::remove_file(path).unwrap();
+    let made = Command::new("mkfifo").arg(path).status();
+    assert!(made.unwrap().success());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_settings() {
+    let name = format!("lanedeck-slow-{:x}", rand::random::<u64>());
+    let settings = std::env::temp_dir().join(name);
+    fs::write(&settings, "LANEDECK_GRACE=1000\n").unwrap();
+    let [front, ready, directory, link, metrics, store] = std::array::from_fn(|_| free_address());
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lanedeck"));
+    command
+        .arg("gateway")
+        .env("LANEDECK_CONFIG", &settings)
+        .stdout(Stdio::null());
+    for (flag, address) in [
+        ("--front", front),
+        ("--ready", ready),
+        ("--directory", directory),
+        ("--link", link),
+        ("--metrics", metrics),
+        ("--store", store),
+    ] {
+        command.args([flag, &address.to_string()]);
+    }
+    let mut process = command.spawn().expect("the binary starts");
+    let is_up = || async { try_ask(metrics, &Ask::get("/metrics")).await.is_some() };
+    until(is_up).await;
+    block(&settings);
+    signal(&process, "-HUP");
+    signal(&process, "-HUP");
+    // Opens once the process has begun to read.
+    let blocked = settings.clone();
+    let open = move || fs::OpenOptions::new().write(true).open(blocked);
+    let writer = tokio::task::spawn_blocking(open).await.unwrap().unwrap();
+    let asked = tokio::time::timeout(deployment::LONG, is_up()).await;
+    signal(&process, "-TERM");
+    let waited = tokio::time::timeout(
+        deployment::LONG,
+        until(|| {
+            let ended = matches!(process.try_wait(), Ok(Some(_)));
+            async move { ended }
+        }),
+    )
+    .await;
+    if waited.is_err() {
+        process.kill().unwrap();
+    }
+    drop(writer);
+    fs::remove_file(settings).unwrap();
+    assert_eq!(asked, Ok(true), "requests are answered meanwhile");
+    assert!(waited.is_ok(), "it stops meanwhile");
+}
