Name the tests of a stop's windows after what they hold

Change: early_answer (a target that answers a long request from its head), link_shortage (a link through a lack of descriptors), stop_windows (the rest).

--- a/tests/stop_review.rs
+++ b/tests/stop_windows.rs
@@ -1,5 +1,4 @@
-//! Places beside a planned stop where a request or a question that was taken ends with neither its answer nor
-//! a refusal, or with less than was known. Each test tells what is seen, the order of events and the cause.
+//! Moments of a planned stop in which what is under way was cut: when the server closes, and when its time ends.
 
 mod common;
 mod deployment;
@@ -7,129 +6,24 @@
 use std::convert::Infallible;
 use std::io::{Read, Write};
 use std::net;
-use std::net::SocketAddr;
-use std::process::Command;
 use std::sync::mpsc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use common::area::{Area, chat, key, send};
 use deployment::runner::{Mode, Runner};
-use deployment::{Ask, Deployment, HOST, KEY, config, list_at, try_ask, until};
+use deployment::{Ask, Deployment, HOST, KEY, config, try_ask, until};
 use http_body_util::Full;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use lanedeck::gateway::message::{Reply, Request};
 use lanedeck::net::Server;
-use lanedeck::units::Tokens;
-use lanedeck::wire::{self, Missing};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
 const PLENTY: u64 = 1_000_000;
 
-/// A target that answers each request once its head has come, and closes the connection over the body.
-async fn early_target(answer: &'static str) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    tokio::spawn(async move {
-        while let Ok((mut line, _)) = listener.accept().await {
-            tokio::spawn(async move {
-                let mut head = [0; 1_024];
-                if line.read(&mut head).await.is_ok_and(|length| length > 0) {
-                    line.write_all(answer.as_bytes()).await.unwrap();
-                }
-            });
-        }
-    });
-    address
-}
-
-/// Callers see 502, which promises nothing, where the target has refused a long body with a promise, or has
-/// answered it whole. The order of events: the target reads the head, answers and closes; the gateway still
-/// writes the body and fails at that before it has read the answer, which has arrived. The cause: the library's
-/// connection ends at the first error of writing, and `Exchange::send` takes every error after the first byte
-/// as an attempt that broke off.
-#[tokio::test(flavor = "multi_thread")]
-async fn early_target_answer() {
-    const BODY: usize = 4_000_000;
-    const TRIES: usize = 20;
-    let answers = [
-        (
-            503,
-            "HTTP/1.1 503 Full\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n",
-        ),
-        (
-            200,
-            "HTTP/1.1 200 OK\r\nx-attempt-id: r\r\nx-server-seal: s\r\ncontent-length: 2\r\n\r\nok",
-        ),
-    ];
-    let mut wide = config(1, PLENTY);
-    wide["limits"]["maxBodyBytes"] = (4 << 20).into();
-    let mut seen = Vec::new();
-    for (_, answer) in answers {
-        let target = early_target(answer).await;
-        let deployment = Deployment::start_with(1, &wide, &[], &[]).await;
-        list_at(&deployment.store, "app", "i-app", target, "ready");
-        // The list of targets is read twice a second.
-        tokio::time::sleep(Duration::from_millis(1_500)).await;
-        let mut statuses = Vec::new();
-        for _ in 0..TRIES {
-            let request = Ask::new("r", "/once/x").post(&"x".repeat(BODY));
-            let answer = try_ask(deployment.gateways[0].front, &request).await;
-            statuses.push(answer.map_or(0, |answer| answer.status));
-        }
-        seen.push(statuses);
-    }
-    assert_eq!(seen, answers.map(|(status, _)| vec![status; TRIES]));
-}
-
-/// Sets how many files a process may have open.
-fn limit_files(process: u32, count: usize) {
-    let mut command = Command::new("prlimit");
-    command.args(["--pid", &process.to_string(), &format!("--nofile={count}:")]);
-    assert!(command.status().unwrap().success());
-}
-
-/// Other routers see a router that refuses their connections for the rest of its life, while callers are served.
-/// The order of events: the process has no descriptor left for a moment; the link's accept fails; the link's
-/// listener is dropped; descriptors are free again. The cause: `wire::serve` ends at the first error of an
-/// accept, where `net::Server` pauses and goes on. As its task has ended, a stop has nothing to wait for at the
-/// link, and questions in hand end with the process.
-#[tokio::test(flavor = "multi_thread")]
-async fn link_after_shortage() {
-    const FREE: usize = 8;
-    let mut deployment = Deployment::start_with(1, &config(1, PLENTY), &[], &[]).await;
-    let gateway = deployment.gateways.remove(0);
-    let folder = format!("/proc/{}/fd", gateway.id());
-    let open = || std::fs::read_dir(&folder).unwrap().count();
-    let before = open();
-    limit_files(gateway.id(), before + FREE);
-    let mut held = Vec::new();
-    for _ in 0..4 * FREE {
-        held.extend(TcpStream::connect(gateway.link).await);
-    }
-    // All that may be open is, so the next accept fails.
-    tokio::time::sleep(Duration::from_millis(300)).await;
-    drop(held);
-    limit_files(gateway.id(), 10 * (before + FREE));
-    until(|| gateway.is_ready()).await;
-    let request = Request::Give {
-        customer: deployment::CUSTOMER.to_owned(),
-        tokens: Tokens(1),
-    };
-    let mut last: Result<Reply, Missing> = Err(Missing::Silent);
-    for _ in 0..10 {
-        last = wire::Client::new("lanedeck-fleet")
-            .ask(gateway.link, &request)
-            .await;
-        tokio::time::sleep(Duration::from_millis(100)).await;
-    }
-    assert!(matches!(last, Ok(Reply::Taken)), "{last:?}");
-}
-
 /// Callers see a stream that is let in more than three seconds after the signal, begins, and is broken off in
 /// its midst by the end of the stop. The order of events: the signal; 3.3 s later a request that may take 30 s
 /// is let in, because callers may still come by their addresses; its stream begins; at 8.85 s the stop gives it
