--- a/tests/common/area.rs
+++ b/tests/common/area.rs
@@ -1,8 +1,8 @@
 //! A work area: the real binary in separate processes on loopback, ended when the test ends.
 
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::time::{Duration, Instant};
 
@@ -25,9 +25,8 @@
 }
 
 impl Process {
-    fn start(args: &[String]) -> Self {
+    fn start(args: &[String], log: LogFile) -> Self {
         let mut command = binary();
-        let log = LogFile::new(&args[0]);
         command.args(args).stdout(Stdio::piped()).stderr(log.open());
         let mut child = command.spawn().expect("the binary starts");
         let out = child.stdout.take().expect("a pipe");
@@ -72,6 +71,10 @@
         let _ = self.child.wait();
     }
 
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// Waits for the process to end by itself; its exit status.
     pub fn wait(&mut self, most: Duration) -> Option<i32> {
         let deadline = Instant::now() + most;
@@ -106,8 +109,19 @@
         Self { path, is_kept }
     }
 
+    /// One that is kept, and that the next process of this name adds to.
+    fn kept(folder: &Path, name: &str) -> Self {
+        let path = folder.join(format!("{name}.log"));
+        Self {
+            path,
+            is_kept: true,
+        }
+    }
+
     fn open(&self) -> std::fs::File {
-        std::fs::File::create(&self.path).expect("a file for logs")
+        let mut options = std::fs::OpenOptions::new();
+        let file = options.create(true).append(true).open(&self.path);
+        file.expect("a file for logs")
     }
 }
 
@@ -165,6 +179,22 @@
     }
 }
 
+/// What an area is made of.
+#[derive(Clone, Debug, Default)]
+pub struct Setup {
+    pub engines: usize,
+    pub services: usize,
+    /// Addresses of each router for callers and for other routers.
+    pub routers: Vec<(SocketAddr, SocketAddr)>,
+    pub router_options: Vec<String>,
+    pub engine_options: Vec<String>,
+    /// Where routers' logs stay.
+    pub logs: Option<PathBuf>,
+}
+
+/// A free port each time that a process starts.
+const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
 /// A fleet with its platform and targets.
 pub struct Area {
     runtime: tokio::runtime::Runtime,
@@ -175,6 +205,7 @@
     pub services: Vec<Process>,
     pub routers: Vec<Process>,
     options: Vec<String>,
+    logs: Option<PathBuf>,
 }
 
 impl Area {
@@ -189,10 +220,22 @@
         router_options: &[&str],
         engine_options: &[&str],
     ) -> Self {
-        let standin = |kind: &str, options: &[&str]| {
+        let own = |options: &[&str]| options.iter().map(|one| (*one).to_owned()).collect();
+        Self::with_setup(Setup {
+            engines,
+            services: 1,
+            routers: vec![(ANY, ANY); routers],
+            router_options: own(router_options),
+            engine_options: own(engine_options),
+            logs: None,
+        })
+    }
+
+    pub fn with_setup(setup: Setup) -> Self {
+        let standin = |kind: &str, options: &[String]| {
             let mut args = vec!["standin".to_owned(), kind.to_owned()];
-            args.extend(options.iter().map(|option| (*option).to_owned()));
-            Process::start(&args)
+            args.extend(options.iter().cloned());
+            Process::start(&args, LogFile::new(kind))
         };
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(2)
@@ -206,18 +249,19 @@
             client: builder.build().unwrap(),
             log: standin("log", &[]),
             hosts: standin("hosts", &[]),
-            engines: (0..engines)
-                .map(|_| standin("engine", engine_options))
+            engines: (0..setup.engines)
+                .map(|_| standin("engine", &setup.engine_options))
                 .collect(),
-            services: vec![standin("service", &[])],
-            routers: Vec::new(),
-            options: router_options
-                .iter()
-                .map(|option| (*option).to_owned())
+            services: (0..setup.services)
+                .map(|_| standin("service", &[]))
                 .collect(),
+            routers: Vec::new(),
+            options: setup.router_options,
+            logs: setup.logs,
         };
-        for place in 0..routers {
-            area.start_router(place);
+        for (place, (entry, peer)) in setup.routers.into_iter().enumerate() {
+            let router = area.router(place, entry, peer);
+            area.routers.push(router);
         }
         area.list_hosts(&[]);
         area.wait_ready();
@@ -256,7 +300,7 @@
 
     /// Starts a router in a place; a free port is taken.
     pub fn start_router(&mut self, place: usize) {
-        let router = Process::start(&self.router_args(place, "127.0.0.1:0", "127.0.0.1:0"));
+        let router = self.router(place, ANY, ANY);
         if place < self.routers.len() {
             self.routers[place] = router;
         } else {
@@ -264,7 +308,16 @@
         }
     }
 
-    fn router_args(&self, place: usize, entry: &str, peer: &str) -> Vec<String> {
+    fn router(&self, place: usize, entry: SocketAddr, peer: SocketAddr) -> Process {
+        let kept = |folder: &PathBuf| LogFile::kept(folder, &format!("r{place}"));
+        let log = self
+            .logs
+            .as_ref()
+            .map_or_else(|| LogFile::new("router"), kept);
+        Process::start(&self.router_args(place, entry, peer), log)
+    }
+
+    fn router_args(&self, place: usize, entry: SocketAddr, peer: SocketAddr) -> Vec<String> {
         let hall = ["nacka", "solna", "kista"][place % 3];
         let mut args = vec![
             "router".to_owned(),
@@ -284,8 +337,7 @@
     pub fn restart_router(&mut self, place: usize) {
         let (entry, peer) = (self.routers[place].address, self.routers[place].peer);
         self.routers[place].kill();
-        let args = self.router_args(place, &entry.to_string(), &peer.to_string());
-        self.routers[place] = Process::start(&args);
+        self.routers[place] = self.router(place, entry, peer);
     }
 
     /// Tells the host list all routers; those in `leaving` are leaving.
--- /dev/null
+++ b/tests/early_key.rs
@@ -0,0 +1,30 @@
+//! A router that has just been started has not read who its customers are. It is not to tell a proper
+//! caller that its key is wrong, nor, by that refusal, that a request has not run which has.
+
+mod common;
+
+use common::area::{Area, chat, key};
+use http::Method;
+
+const CHAT: &str = "/v1/chat/completions";
+
+#[test]
+fn early_key() {
+    let mut area = Area::new(1, 1);
+    let id = format!("{}00000007", area.prefix_of(0));
+    let named = [("lanedeck-request-id", id.as_str())];
+    let body = chat("once", 5);
+    let ask = |area: &Area| {
+        let to = area.routers[0].address;
+        area.send(Method::POST, to, CHAT, &key("kiosks"), &named, &body)
+    };
+    assert_eq!(ask(&area).events().last(), Some(&"[DONE]"));
+    // It stays without its configuration as long as the log is out.
+    area.faults(&area.log, &serde_json::json!({"down": true}));
+    area.restart_router(0);
+    let answer = ask(&area);
+    assert_eq!(area.ran()[&id], 1);
+    assert_ne!(answer.header("lanedeck-verdict"), "not_run", "{answer:?}");
+    assert!([502, 503].contains(&answer.status), "{answer:?}");
+    assert!(!answer.header("retry-after").is_empty(), "{answer:?}");
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -1,11 +1,12 @@
-//! Randomised runs over the real binary: gateways as processes, callers, targets and the store's
-//! stand-in, with steps and faults drawn from a seed.
+//! Randomised runs over the real binary: gateways, or routers, as processes, with callers, targets and
+//! the stand-in of the store or the log, and steps and faults drawn from a seed.
 //!
 //! `LANEDECK_SOAK_SEEDS=50` runs so many seeds, `LANEDECK_SOAK_SEEDS=7,12` these. A failure prints its
 //! seed and one timeline of what callers, targets and processes saw; the logs stay.
 
 #[path = "soak/caller.rs"]
 mod caller;
+mod common;
 mod deployment;
 #[path = "soak/line.rs"]
 mod line;
@@ -19,18 +20,24 @@
 mod promise;
 #[path = "soak/proxy.rs"]
 mod proxy;
+#[path = "soak/router/mod.rs"]
+mod router;
 #[path = "soak/run.rs"]
 mod run;
 #[path = "soak/timeline.rs"]
 mod timeline;
 
+use std::path::PathBuf;
 use std::sync::Mutex;
 
 use plan::{Kind, Plan};
 use run::{Outcome, run};
+use tokio::runtime::Runtime;
 
 /// Seeds of a run in CI: one to two minutes for all tests here.
 const SEEDS: u64 = 6;
+/// The same of routers: one batch of each kind.
+const ROUTER_SEEDS: u64 = 3;
 /// Seeds that run at once: a dozen processes.
 const AT_ONCE: usize = 3;
 /// Broken promises that are printed of a seed.
@@ -39,9 +46,9 @@
 /// One soak at a time, so that they don't load the machine together.
 static ONE: Mutex<()> = Mutex::new(());
 
-fn seeds() -> Vec<u64> {
+fn seeds(usual: u64) -> Vec<u64> {
     let Ok(text) = std::env::var("LANEDECK_SOAK_SEEDS") else {
-        return (1..=SEEDS).collect();
+        return (1..=usual).collect();
     };
     let numbers: Vec<u64> = text
         .split(',')
@@ -53,7 +60,9 @@
     }
 }
 
-fn soak(name: &str, kind: Kind) {
+/// Runs seeds, some at once, and fails with those that broke a promise. `batch` carries seeds out, each
+/// with its folder for logs.
+fn soak(name: &str, usual: u64, batch: impl Fn(&Runtime, Vec<(u64, PathBuf)>) -> Vec<Outcome>) {
     let _one = ONE
         .lock()
         .unwrap_or_else(std::sync::PoisonError::into_inner);
@@ -64,12 +73,11 @@
         .unwrap();
     let logs = std::env::temp_dir().join(format!("lanedeck-{name}-{}", std::process::id()));
     let mut failed = Vec::new();
-    for seeds in seeds().chunks(AT_ONCE) {
-        let runs = seeds.iter().map(|seed| {
-            let logs = logs.join(seed.to_string());
-            run(Plan::new(*seed, kind), logs)
-        });
-        for outcome in runtime.block_on(futures::future::join_all(runs)) {
+    for seeds in seeds(usual).chunks(AT_ONCE) {
+        let named = seeds
+            .iter()
+            .map(|seed| (*seed, logs.join(seed.to_string())));
+        for outcome in batch(&runtime, named.collect()) {
             println!("{name} seed {}: {}", outcome.seed, outcome.summary);
             if outcome.broken.is_empty() {
                 let _ = std::fs::remove_dir_all(logs.join(outcome.seed.to_string()));
@@ -89,6 +97,35 @@
     );
 }
 
+fn soak_gateways(name: &str, kind: Kind) {
+    soak(name, SEEDS, |runtime, seeds| {
+        let runs = seeds
+            .into_iter()
+            .map(|(seed, logs)| run(Plan::new(seed, kind), logs));
+        runtime.block_on(futures::future::join_all(runs))
+    });
+}
+
+fn soak_routers(name: &str, kind: Kind) {
+    soak(name, ROUTER_SEEDS, |runtime, seeds| {
+        let plans = seeds.into_iter().map(|(seed, logs)| {
+            let plan = router::Plan::new(seed, kind, None);
+            let addresses = router::addresses(&plan);
+            (plan, addresses, logs)
+        });
+        // No process is started before all addresses are tried.
+        let plans: Vec<_> = plans.collect();
+        std::thread::scope(|scope| {
+            let runs = plans.into_iter().map(|(plan, addresses, logs)| {
+                let handle = runtime.handle();
+                scope.spawn(move || router::run(handle, plan, addresses, &logs))
+            });
+            let runs: Vec<_> = runs.collect();
+            runs.into_iter().map(|run| run.join().unwrap()).collect()
+        })
+    });
+}
+
 fn show(outcome: &Outcome) {
     println!("seed {}: {} broken", outcome.seed, outcome.broken.len());
     for broken in outcome.broken.iter().take(SHOWN) {
@@ -100,12 +137,22 @@
 
 #[test]
 fn soak_planned() {
-    soak("soak_planned", Kind::Planned);
+    soak_gateways("soak_planned", Kind::Planned);
 }
 
 #[test]
 fn soak_faults() {
-    soak("soak_faults", Kind::Faults);
+    soak_gateways("soak_faults", Kind::Faults);
+}
+
+#[test]
+fn routers_planned() {
+    soak_routers("routers_planned", Kind::Planned);
+}
+
+#[test]
+fn routers_faults() {
+    soak_routers("routers_faults", Kind::Faults);
 }
 
 #[test]
@@ -114,5 +161,8 @@
         let plans = [7, 7, 8].map(|seed| format!("{:?}", Plan::new(seed, kind)));
         assert_eq!(plans[0], plans[1]);
         assert_ne!(plans[0], plans[2]);
+        let plans = [7, 7, 8].map(|seed| format!("{:?}", router::Plan::new(seed, kind, None)));
+        assert_eq!(plans[0], plans[1]);
+        assert_ne!(plans[0], plans[2]);
     }
 }
--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -84,6 +84,16 @@
     pub left: bool,
 }
 
+impl Call {
+    /// What its caller saw, for the timeline.
+    pub fn told(&self) -> Vec<(Instant, String)> {
+        let (id, gateway) = (&self.id, self.gateway);
+        let begun = format!("caller  {id} begins {:?} at {gateway}", self.route);
+        self.progress
+            .told(id, self.begun, begun, self.ended, self.left)
+    }
+}
+
 /// Where callers ask for addresses, and what they have seen.
 #[derive(Clone, Default)]
 pub struct World {
--- a/tests/soak/line.rs
+++ b/tests/soak/line.rs
@@ -28,6 +28,9 @@
     pub head: Option<(u16, HeaderMap)>,
     pub body: Vec<u8>,
     pub end: End,
+    /// Whether a connection without an answer ended in order, as it does where nothing of what was sent is
+    /// left unread, and not by a reset.
+    pub in_order: bool,
 }
 
 /// How a request ended for its caller.
@@ -57,6 +60,32 @@
     }
 }
 
+impl Progress {
+    /// What a caller saw of a try, for the timeline.
+    pub fn told(
+        &self,
+        id: &str,
+        begun: Instant,
+        begins: String,
+        ended: Instant,
+        left: bool,
+    ) -> Vec<(Instant, String)> {
+        let mut told = vec![(begun, begins)];
+        if let Some(sent) = self.sent.get() {
+            told.push((*sent, format!("caller  {id} has sent all")));
+        }
+        let ends = format!(
+            "caller  {id} ends: {:?}, status {:?}, {} bytes{}",
+            self.end,
+            self.status(),
+            self.body.len(),
+            if left { ", left" } else { "" }
+        );
+        told.push((ended, ends));
+        told
+    }
+}
+
 /// Sizes of the pieces of a body, and the pause before each.
 #[derive(Clone, Debug)]
 pub struct Pieces {
@@ -78,6 +107,10 @@
 pub struct Line {
     sender: SendRequest<Body>,
     pub address: SocketAddr,
+    /// When the connection was there.
+    pub opened: Instant,
+    /// Requests that were sent on it.
+    pub asked: u32,
     reading: Reading,
 }
 
@@ -98,6 +131,8 @@
         Some(Self {
             sender,
             address,
+            opened: Instant::now(),
+            asked: 0,
             reading,
         })
     }
@@ -108,6 +143,7 @@
 
     /// Sends a request and reads its answer, as far as either comes.
     pub async fn ask(&mut self, ask: &Ask, pieces: Option<&Pieces>, progress: &mut Progress) {
+        self.asked += 1;
         let body = body(&ask.body, pieces, &progress.sent);
         let mut request = http::Request::new(body);
         *request.method_mut() = ask.method.clone();
@@ -117,6 +153,7 @@
             Ok(response) => response,
             Err(mut error) => {
                 let was_not_sent = error.take_message().is_some();
+                progress.in_order = error.error().is_incomplete_message();
                 progress.end = if was_not_sent {
                     End::Unsent
                 } else {
--- a/tests/soak/promise.rs
+++ b/tests/soak/promise.rs
@@ -14,7 +14,7 @@
 
 /// How long a whole request may stay unread before its connection is closed. A process reads what has
 /// arrived within milliseconds; a loaded machine may hold it up for many times that.
-const UNREAD_MAX: Duration = Duration::from_secs(2);
+pub const UNREAD_MAX: Duration = Duration::from_secs(2);
 /// How long a target may get requests after the store has taken that it leaves, and a key may be served
 /// after the store has taken that it is revoked. Both are read at most each half a second; this is six
 /// times as much, for a loaded machine.
@@ -101,6 +101,27 @@
         broken
     }
 
+    /// What callers and targets saw of a request, for the timeline.
+    pub fn told(&self, id: Option<&str>) -> Vec<(Instant, String)> {
+        let calls = self
+            .calls
+            .iter()
+            .filter(|call| Some(call.id.as_str()) == id);
+        let mut told: Vec<_> = calls.flat_map(Call::told).collect();
+        for arrival in &self.arrivals {
+            if Some(arrival.header("x-attempt-id")) == id {
+                let got = format!(
+                    "target  {} got it, ran={} tenant={}",
+                    arrival.instance,
+                    arrival.ran,
+                    arrival.header("x-tenant")
+                );
+                told.push((arrival.at, got));
+            }
+        }
+        told
+    }
+
     /// Whether what the store took at one moment is in force at another one.
     fn is_in_force(&self, taken: Instant, now: Instant) -> bool {
         let since = now.checked_sub(IN_FORCE_MAX);
--- /dev/null
+++ b/tests/soak/router/caller.rs
@@ -0,0 +1,394 @@
+//! A caller of routers: what it asks, where it comes back, and what it was told.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::{Value, json};
+use tokio::time::{sleep, timeout};
+
+use super::plan::{self, Payer};
+use crate::common::area::key;
+use crate::deployment::{Ask, try_ask};
+use crate::line::{End, Line, Pieces, Progress, Reading};
+use crate::plan::{Habit, Kind};
+
+/// How long a caller waits for an answer: over twice the longest patience of a class and the longest stream,
+/// since a request without an answer by then breaks a promise.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Longest wait for an entry answer.
+const RESOLVE: Duration = Duration::from_secs(1);
+/// Connections that a caller keeps.
+const LINES: usize = 3;
+/// Returns with an id.
+const RETURNS: u32 = 3;
+/// Longest wait until a return, in milliseconds: shorter than what a refusal says, so that a run of seconds
+/// has many returns.
+const RETURN_WAIT: u64 = 400;
+/// Part of the refusals after which a caller that holds its answer about addresses asks for another, 0 to 1.
+const HEEDS: f64 = 0.1;
+/// Price of a call of the service, in tokens.
+pub const CALL_PRICE: u64 = 50;
+
+/// What is asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Work {
+    /// A model call with so many tokens, streamed.
+    Stream(u64),
+    /// The same in one answer.
+    Whole(u64),
+    /// A service call.
+    Call,
+}
+
+/// A request, the same in each try.
+#[derive(Clone, Debug)]
+pub struct Wish {
+    pub id: String,
+    pub payer: Payer,
+    pub work: Work,
+    pub repeatable: bool,
+    pub text: String,
+}
+
+impl Wish {
+    /// What it costs at the price of one.
+    pub fn cost(&self) -> u64 {
+        match self.work {
+            Work::Call => CALL_PRICE,
+            Work::Stream(tokens) | Work::Whole(tokens) => {
+                (self.prompt().len() as u64).div_ceil(4) + tokens
+            }
+        }
+    }
+
+    /// The prompt as an engine sees it.
+    pub fn prompt(&self) -> String {
+        format!("user: {}\n", self.text)
+    }
+
+    pub fn body(&self) -> String {
+        let call = |tokens: u64, stream: bool| {
+            let messages = json!([{ "role": "user", "content": self.text }]);
+            json!({ "model": "assistant", "messages": messages, "max_tokens": tokens, "stream": stream })
+                .to_string()
+        };
+        match self.work {
+            Work::Stream(tokens) => call(tokens, true),
+            Work::Whole(tokens) => call(tokens, false),
+            Work::Call => self.text.clone(),
+        }
+    }
+
+    fn ask(&self) -> Ask {
+        let path = match self.work {
+            Work::Call => "/v1/services/tickets",
+            Work::Stream(_) | Work::Whole(_) => "/v1/chat/completions",
+        };
+        let repeatable = if self.repeatable { "yes" } else { "no" };
+        Ask::get(path)
+            .post(&self.body())
+            .with("host", "router")
+            .with("authorization", &bearer(self.payer))
+            .with("lanedeck-request-id", &self.id)
+            .with("lanedeck-budget", self.payer.budget())
+            .with("lanedeck-repeatable", repeatable)
+    }
+}
+
+pub fn bearer(payer: Payer) -> String {
+    format!("Bearer {}", key(payer.customer()))
+}
+
+/// One try.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub wish: Arc<Wish>,
+    pub router: SocketAddr,
+    pub begun: Instant,
+    pub ended: Instant,
+    pub progress: Progress,
+    /// Whether its caller left before its end, as it had meant to.
+    pub left: bool,
+    /// Age of the connection, where this was the first request on it.
+    pub fresh: Option<Duration>,
+}
+
+/// What a try was told of its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    Ran(u64),
+    NotRun,
+    MayHaveRun,
+    Nothing,
+}
+
+impl Call {
+    /// What it was told, by the answer's headers or by the last event of a stream.
+    pub fn told(&self) -> Told {
+        let progress = &self.progress;
+        if progress.end != End::Whole {
+            return Told::Nothing;
+        }
+        let last = self.frames().pop().unwrap_or_default();
+        let verdict = progress.header("lanedeck-verdict");
+        let verdict = verdict.or_else(|| last["lanedeck"]["verdict"].as_str());
+        let billed = progress.header("lanedeck-billed");
+        let billed = billed.and_then(|text| text.parse().ok());
+        match verdict {
+            Some("ran") => Told::Ran(
+                billed
+                    .or_else(|| last["lanedeck"]["billed"].as_u64())
+                    .unwrap_or(0),
+            ),
+            Some("not_run") => Told::NotRun,
+            Some("may_have_run") => Told::MayHaveRun,
+            _ => Told::Nothing,
+        }
+    }
+
+    /// Events of a stream that are whole.
+    pub fn frames(&self) -> Vec<Value> {
+        let body = String::from_utf8_lossy(&self.progress.body);
+        let whole = body.rsplit_once("\n\n").map_or("", |(whole, _)| whole);
+        let data = whole.lines().filter_map(|line| line.strip_prefix("data:"));
+        data.filter_map(|text| serde_json::from_str(text.trim()).ok())
+            .collect()
+    }
+
+    /// What its caller saw, for the timeline.
+    pub fn lines(&self) -> Vec<(Instant, String)> {
+        let (id, work, router) = (&self.wish.id, self.wish.work, self.router);
+        let begins = format!(
+            "caller  {id} begins {work:?} repeatable={} fresh={} at {router}",
+            self.wish.repeatable,
+            self.fresh.is_some()
+        );
+        let mut lines = self
+            .progress
+            .told(id, self.begun, begins, self.ended, self.left);
+        lines.push((
+            self.ended,
+            format!("caller  {id} was told {:?}", self.told()),
+        ));
+        lines
+    }
+}
+
+/// Where callers ask, and what they have seen.
+#[derive(Clone)]
+pub struct World {
+    pub routers: Arc<Vec<SocketAddr>>,
+    pub kind: Kind,
+    /// All requests, from before their first byte is sent.
+    pub asked: Arc<Mutex<HashMap<String, Arc<Wish>>>>,
+    pub calls: Arc<Mutex<Vec<Call>>>,
+    number: Arc<AtomicU32>,
+}
+
+impl World {
+    pub fn new(routers: Vec<SocketAddr>, kind: Kind) -> Self {
+        Self {
+            routers: Arc::new(routers),
+            kind,
+            asked: Arc::default(),
+            calls: Arc::default(),
+            number: Arc::default(),
+        }
+    }
+}
+
+pub struct Caller {
+    plan: plan::Caller,
+    rng: StdRng,
+    world: World,
+    lines: Vec<Line>,
+    /// Addresses and the prefix of ids there.
+    entries: Vec<(SocketAddr, String)>,
+}
+
+impl Caller {
+    pub fn new(plan: plan::Caller, world: World) -> Self {
+        Self {
+            rng: StdRng::seed_from_u64(plan.seed),
+            plan,
+            world,
+            lines: Vec::new(),
+            entries: Vec::new(),
+        }
+    }
+
+    /// Calls until the end of the load.
+    pub async fn run(mut self, end: Instant) {
+        while Instant::now() < end {
+            let pause = self.rng.random_range(0..self.plan.pause);
+            sleep(Duration::from_millis(pause)).await;
+            if self.entries.is_empty() || self.plan.habit == Habit::Fresh {
+                self.resolve().await;
+            }
+            let Some(mut line) = self.line(None).await else {
+                self.resolve().await;
+                continue;
+            };
+            let Some(wish) = self.wish(line.address) else {
+                continue;
+            };
+            let mut returns = 0;
+            while self.call(&wish, line).await {
+                returns += 1;
+                if returns > RETURNS || Instant::now() >= end {
+                    break;
+                }
+                let wait = self.rng.random_range(0..RETURN_WAIT);
+                sleep(Duration::from_millis(wait)).await;
+                match self.line(Some(&wish)).await {
+                    Some(next) => line = next,
+                    None => break,
+                }
+            }
+        }
+    }
+
+    /// A request for the router at an address: an id belongs to one.
+    fn wish(&mut self, at: SocketAddr) -> Option<Arc<Wish>> {
+        let entry = self.entries.iter().find(|(address, _)| *address == at);
+        let Some((_, prefix)) = entry else {
+            // A connection that was kept from an earlier answer.
+            self.entries.clear();
+            return None;
+        };
+        let number = self.world.number.fetch_add(1, Ordering::Relaxed);
+        let id = format!("{prefix}{number:08x}");
+        let rng = &mut self.rng;
+        let tokens = match rng.random_range(0..10) {
+            0 => rng.random_range(60..200),
+            _ => rng.random_range(1..30),
+        };
+        let is_long = self.plan.payer == Payer::Rich && rng.random_bool(0.2);
+        let size = if is_long {
+            rng.random_range(5_000..60_000)
+        } else {
+            rng.random_range(1..100)
+        };
+        let wish = Arc::new(Wish {
+            payer: self.plan.payer,
+            work: match rng.random_range(0..3) {
+                0 => Work::Stream(tokens),
+                1 => Work::Whole(tokens),
+                _ => Work::Call,
+            },
+            repeatable: rng.random_bool(0.4),
+            text: format!("{id} {}", "b".repeat(size)),
+            id,
+        });
+        let mut asked = self.world.asked.lock().unwrap();
+        asked.insert(wish.id.clone(), Arc::clone(&wish));
+        Some(wish)
+    }
+
+    /// One try; whether another one is in order.
+    async fn call(&mut self, wish: &Arc<Wish>, mut line: Line) -> bool {
+        let is_long = wish.text.len() > 1_000;
+        let pieces = is_long.then(|| Pieces {
+            size: self.rng.random_range(3_000..20_000),
+            pause: Duration::from_millis(self.rng.random_range(0..40)),
+        });
+        let leaves = self.rng.random_bool(self.plan.leaves);
+        let leave = leaves.then(|| Duration::from_millis(self.rng.random_range(1..400)));
+        let mut progress = Progress::default();
+        let begun = Instant::now();
+        let fresh = (line.asked == 0).then(|| line.opened.elapsed());
+        let ask = wish.ask();
+        let asked = line.ask(&ask, pieces.as_ref(), &mut progress);
+        let in_time = timeout(leave.unwrap_or(PATIENCE), asked).await.is_ok();
+        let call = Call {
+            wish: Arc::clone(wish),
+            router: line.address,
+            begun,
+            ended: Instant::now(),
+            progress,
+            left: !in_time && leave.is_some(),
+            fresh,
+        };
+        let returns = self.returns(&call);
+        let heeds = self.plan.habit != Habit::Stale || self.rng.random_bool(HEEDS);
+        if call.progress.status() != Some(200) && heeds {
+            self.entries.clear();
+        }
+        let is_kept = matches!(self.plan.habit, Habit::Kept | Habit::Stale);
+        if is_kept && call.progress.end == End::Whole && line.is_open() {
+            self.lines.push(line);
+        }
+        self.world.calls.lock().unwrap().push(call);
+        returns
+    }
+
+    fn returns(&self, call: &Call) -> bool {
+        if call.left || !self.plan.returns {
+            return false;
+        }
+        let reason = call.progress.header("lanedeck-reason");
+        match (call.progress.end, call.told()) {
+            (_, Told::Ran(_)) => false,
+            (End::Whole, _) => reason != Some("budget_exhausted"),
+            (End::Unsent, _) => true,
+            // Under planned work a request that is lost is not sent again, so that it shows as lost.
+            _ => self.world.kind == Kind::Faults,
+        }
+    }
+
+    /// A connection: for a return often to where the request has been before.
+    async fn line(&mut self, wish: Option<&Wish>) -> Option<Line> {
+        self.lines.retain(Line::is_open);
+        let wants_kept = self.lines.len() >= LINES || self.rng.random_bool(0.7);
+        if wish.is_none() && wants_kept && !self.lines.is_empty() {
+            let number = self.rng.random_range(0..self.lines.len());
+            return Some(self.lines.swap_remove(number));
+        }
+        let home = wish.and_then(|wish| {
+            let mut entries = self.entries.iter();
+            entries.find(|(_, prefix)| wish.id.starts_with(prefix.as_str()))
+        });
+        let home = home.map(|(address, _)| *address);
+        let mut left: Vec<SocketAddr> = self.entries.iter().map(|(address, _)| *address).collect();
+        if let Some(home) = home.filter(|_| self.rng.random_bool(0.5))
+            && let Some(line) = Line::open(home, Reading::AtOnce).await
+        {
+            return Some(line);
+        }
+        while !left.is_empty() {
+            let number = self.rng.random_range(0..left.len());
+            let address = left.swap_remove(number);
+            if let Some(line) = Line::open(address, Reading::AtOnce).await {
+                return Some(line);
+            }
+        }
+        self.entries.clear();
+        None
+    }
+
+    async fn resolve(&mut self) {
+        let ask = Ask::get("/v1/entry").with("authorization", &bearer(self.plan.payer));
+        for _ in 0..3 {
+            let number = self.rng.random_range(0..self.world.routers.len());
+            let router = self.world.routers[number];
+            let Ok(Some(answer)) = timeout(RESOLVE, try_ask(router, &ask)).await else {
+                continue;
+            };
+            let body: Value = serde_json::from_str(&answer.body).unwrap_or_default();
+            let listed = body["use"].as_array().cloned().unwrap_or_default();
+            let entries = listed.iter().filter_map(|entry| {
+                let address = entry["address"].as_str()?.parse().ok()?;
+                Some((address, entry["prefix"].as_str()?.to_owned()))
+            });
+            self.entries = entries.collect();
+            if !self.entries.is_empty() {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/soak/router/plan.rs
@@ -0,0 +1,227 @@
+//! What happens in a run of routers, drawn from its seed before it begins.
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::plan::{Habit, Kind};
+
+/// How long callers send, in milliseconds: long enough that each router is stopped once or twice.
+const LOAD: u64 = 7_000;
+/// Room before the first step, in milliseconds: callers have open connections by then.
+const FIRST: u64 = 500;
+/// Longest time between steps, in milliseconds: shorter than a stop takes, so that steps overlap.
+const GAP: u64 = 500;
+/// Callers for each router: a request arrives each few milliseconds of a stop.
+const CALLERS: usize = 9;
+/// Prepaid tokens of the customer that runs out, at the start and added by a top-up.
+pub const SCARCE: u64 = 1_500;
+pub const TOP_UP: u64 = 500;
+/// Part of the steps that are faults, 0 to 1, where there are any.
+const FAULTS: f64 = 0.6;
+/// Engines and services: two of each, so that one may drain.
+pub const TARGETS: usize = 2;
+
+/// What pays for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Payer {
+    /// A budget that no run uses up.
+    Rich,
+    /// One that runs out.
+    Scarce,
+}
+
+impl Payer {
+    pub fn budget(self) -> &'static str {
+        match self {
+            Self::Rich => "plenty",
+            Self::Scarce => "few",
+        }
+    }
+
+    pub fn customer(self) -> &'static str {
+        match self {
+            Self::Rich => "kiosks",
+            Self::Scarce => "cooks",
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Caller {
+    pub seed: u64,
+    pub habit: Habit,
+    pub payer: Payer,
+    /// Longest pause between its calls, in milliseconds.
+    pub pause: u64,
+    /// Whether it comes back with the same id.
+    pub returns: bool,
+    /// Part of its calls that it leaves early, 0 to 1.
+    pub leaves: f64,
+}
+
+/// A change by an operator.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// More prepaid tokens for [`Payer::Scarce`].
+    TopUp,
+    /// An engine gets no new work, or work again.
+    Engine(usize, Work),
+    /// The same of a service.
+    Service(usize, Work),
+    /// Longest wait of the class of all requests, in milliseconds.
+    Patience(u64),
+}
+
+/// Whether a target is to get new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Work {
+    None,
+    Any,
+}
+
+/// Faults of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Harm {
+    /// It refuses a part of its requests, in thousandths; a service refuses all.
+    Refuses(u32),
+    /// An engine cuts a part of its streams, in thousandths; a service acts and answers with an error.
+    Breaks(u32),
+    /// It is slow: an engine so many times, a service so many tens of milliseconds.
+    Slow(u32),
+}
+
+/// Faults of the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogHarm {
+    Down,
+    /// Each answer takes so many milliseconds.
+    Slow(u64),
+    /// A part of the appends is taken, and answered with an error, in thousandths.
+    Loses(u32),
+}
+
+/// What is done. Routers and targets are numbers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// SIGTERM, and a start on the same addresses so many milliseconds after the process has ended.
+    Stop(usize, u64),
+    /// SIGHUP.
+    Reload(usize),
+    /// A change, confirmed at a router.
+    Change(usize, Change),
+    /// SIGKILL, and a start on the same addresses so many milliseconds later.
+    Kill(usize, u64),
+    /// SIGSTOP, and SIGCONT so many milliseconds later.
+    Freeze(usize, u64),
+    /// The log misbehaves for so many milliseconds.
+    Log(LogHarm, u64),
+    /// An engine misbehaves for so many milliseconds.
+    Engine(usize, Harm, u64),
+    /// A service misbehaves for so many milliseconds.
+    Service(usize, Harm, u64),
+}
+
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub seed: u64,
+    pub kind: Kind,
+    pub routers: usize,
+    /// Time that the log takes for an answer without any fault, in milliseconds: as long as it takes to give
+    /// grants back.
+    pub log: u64,
+    pub callers: Vec<Caller>,
+    /// Steps, each with its time in milliseconds.
+    pub steps: Vec<(u64, Step)>,
+    pub load: u64,
+}
+
+impl Plan {
+    /// The plan of a seed, with as many routers as are asked for.
+    pub fn new(seed: u64, kind: Kind, routers: Option<usize>) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let drawn = rng.random_range(2..=4);
+        let routers = routers.unwrap_or(drawn);
+        let mut plan = Self {
+            seed,
+            kind,
+            routers,
+            log: rng.random_range(2..=150),
+            callers: (0..routers * CALLERS).map(|_| caller(&mut rng)).collect(),
+            steps: Vec::new(),
+            load: LOAD,
+        };
+        let mut at = FIRST;
+        while at < LOAD {
+            let step = match kind {
+                Kind::Faults if rng.random_bool(FAULTS) => fault(&mut rng, routers),
+                _ => step(&mut rng, routers),
+            };
+            plan.steps.push((at, step));
+            // Half of the steps come with another one.
+            at += if rng.random_bool(0.5) {
+                rng.random_range(0..30)
+            } else {
+                rng.random_range(30..GAP)
+            };
+        }
+        plan
+    }
+}
+
+fn caller(rng: &mut StdRng) -> Caller {
+    Caller {
+        seed: rng.random(),
+        habit: match rng.random_range(0..10) {
+            0..5 => Habit::Kept,
+            5..8 => Habit::Stale,
+            _ => Habit::Fresh,
+        },
+        payer: match rng.random_range(0..10) {
+            0..6 => Payer::Rich,
+            _ => Payer::Scarce,
+        },
+        pause: [10, 50, 300][rng.random_range(0..3)],
+        returns: rng.random_bool(0.7),
+        leaves: [0.0, 0.0, 0.1][rng.random_range(0..3)],
+    }
+}
+
+fn step(rng: &mut StdRng, routers: usize) -> Step {
+    let router = rng.random_range(0..routers);
+    // The first of each kind always takes work.
+    let target = rng.random_range(1..TARGETS);
+    let work = [Work::None, Work::Any][rng.random_range(0..2)];
+    match rng.random_range(0..20) {
+        0..10 => Step::Stop(router, rng.random_range(0..600)),
+        10..13 => Step::Reload(router),
+        13..15 => Step::Change(router, Change::TopUp),
+        15..17 => Step::Change(router, Change::Engine(target, work)),
+        17 => Step::Change(router, Change::Service(target, work)),
+        _ => Step::Change(router, Change::Patience(rng.random_range(4_000..8_000))),
+    }
+}
+
+fn fault(rng: &mut StdRng, routers: usize) -> Step {
+    let router = rng.random_range(0..routers);
+    let target = rng.random_range(0..TARGETS);
+    let span = rng.random_range(100..2_000);
+    let harm = match rng.random_range(0..3) {
+        0 => Harm::Refuses(rng.random_range(100..700)),
+        1 => Harm::Breaks(rng.random_range(100..700)),
+        _ => Harm::Slow(rng.random_range(2..20)),
+    };
+    match rng.random_range(0..20) {
+        0..6 => Step::Kill(router, rng.random_range(0..600)),
+        6..9 => Step::Freeze(router, rng.random_range(100..3_000)),
+        9..12 => {
+            let harm = match rng.random_range(0..3) {
+                0 => LogHarm::Down,
+                1 => LogHarm::Slow(rng.random_range(200..900)),
+                _ => LogHarm::Loses(rng.random_range(100..700)),
+            };
+            Step::Log(harm, span)
+        }
+        12..16 => Step::Engine(target, harm, span),
+        _ => Step::Service(target, harm, span),
+    }
+}
--- /dev/null
+++ b/tests/soak/router/promise.rs
@@ -0,0 +1,292 @@
+//! The promises of routers, each checked from what callers and targets have seen.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use lanedeck::standin::engine::word;
+use lanedeck::standin::service::{Receipt, receipt};
+use serde_json::Value;
+
+use super::caller::{Call, Told, Wish, Work};
+use super::plan::Payer;
+use crate::line::End;
+use crate::promise::{Broken, UNREAD_MAX};
+
+/// A new connection on which a request was sent within this is not closed before it is read: half of the time
+/// that a router keeps one for its first request.
+const FRESH_MAX: Duration = Duration::from_millis(50);
+
+/// What a run has shown.
+#[derive(Default)]
+pub struct Seen {
+    pub calls: Vec<Call>,
+    /// All requests, by id.
+    pub asked: HashMap<String, Arc<Wish>>,
+    /// How often each id ran, over all targets.
+    pub ran: BTreeMap<String, u64>,
+    /// From when until when a router was killed, frozen, or on its way back from either.
+    pub disturbed: Vec<(SocketAddr, Instant, Instant)>,
+    /// When routers were started, and when they said that they are ready.
+    pub starts: Vec<(SocketAddr, Instant)>,
+    pub ready: Vec<(SocketAddr, Instant)>,
+    pub has_faults: bool,
+}
+
+/// Tokens that a payer got for requests that ran, each once. Where targets break streams off, a request is
+/// billed what came of it; such ones are left out, and `whole` has those whose answers came whole.
+pub fn spent(
+    asked: &HashMap<String, Arc<Wish>>,
+    ran: &BTreeMap<String, u64>,
+    payer: Payer,
+    whole: Option<&HashSet<String>>,
+) -> u64 {
+    let wishes = ran.keys().filter_map(|id| asked.get(id));
+    let own = wishes.filter(|wish| {
+        let came = wish.work == Work::Call || whole.is_none_or(|whole| whole.contains(&wish.id));
+        wish.payer == payer && came
+    });
+    own.map(|wish| wish.cost()).sum()
+}
+
+impl Seen {
+    /// All promises that were broken.
+    pub fn broken(&self) -> Vec<Broken> {
+        let mut broken = Vec::new();
+        let mut by_id: HashMap<&str, Vec<&Call>> = HashMap::new();
+        for call in &self.calls {
+            by_id.entry(&call.wish.id).or_default().push(call);
+        }
+        for (id, tries) in &by_id {
+            let runs = self.ran.get(*id).copied().unwrap_or(0);
+            let mut checks = vec![once(tries, runs), self.refused(tries, runs)];
+            for call in tries {
+                checks.extend([
+                    self.answered(call, runs),
+                    own_answer(call),
+                    self.denied(call),
+                    served(call, runs),
+                    billed(call),
+                ]);
+            }
+            broken.extend(checks.into_iter().flatten().map(|(promise, what)| Broken {
+                promise,
+                id: Some((*id).to_owned()),
+                what,
+            }));
+        }
+        for id in self.ran.keys().filter(|id| !self.asked.contains_key(*id)) {
+            broken.push(Broken {
+                promise: "UNASKED",
+                id: Some(id.clone()),
+                what: "ran, and no caller has sent it".to_owned(),
+            });
+        }
+        broken
+    }
+
+    /// What a payer's callers were told as billed, each request once.
+    pub fn told_billed(&self, payer: Payer) -> u64 {
+        let mut bills: HashMap<&str, u64> = HashMap::new();
+        for call in self.calls.iter().filter(|call| call.wish.payer == payer) {
+            if let Told::Ran(billed) = call.told() {
+                let bill = bills.entry(&call.wish.id).or_default();
+                *bill = billed.max(*bill);
+            }
+        }
+        bills.values().sum()
+    }
+
+    /// What callers and targets saw of a request, for the timeline.
+    pub fn told(&self, id: Option<&str>) -> Vec<(Instant, String)> {
+        let own = self
+            .calls
+            .iter()
+            .filter(|call| Some(call.wish.id.as_str()) == id);
+        let mut lines: Vec<_> = own.flat_map(Call::lines).collect();
+        let runs = id.and_then(|id| self.ran.get(id)).copied().unwrap_or(0);
+        if let Some((at, _)) = lines.last().cloned() {
+            lines.push((at, format!("target  it ran {runs} times in all")));
+        }
+        lines
+    }
+
+    fn was_disturbed(&self, call: &Call) -> bool {
+        let mut spans = self.disturbed.iter();
+        spans.any(|(router, from, to)| {
+            *router == call.router && call.begun <= *to && call.ended >= *from
+        })
+    }
+
+    /// LOST: each whole request that is read ends in a whole answer or a refusal.
+    fn answered(&self, call: &Call, runs: u64) -> Option<(&'static str, String)> {
+        if call.left || self.was_disturbed(call) {
+            return None;
+        }
+        let progress = &call.progress;
+        let sent = progress.sent.get();
+        let unread = sent.map(|sent| call.ended - *sent);
+        let first = call.fresh.and_then(|age| Some(age + (*sent? - call.begun)));
+        let what = match progress.end {
+            End::Open => "neither answered nor refused",
+            End::Cut if !self.has_faults => "its answer broke off",
+            // Its tries under faults may have run earlier.
+            End::Closed if runs > 0 && !self.has_faults => "ran, and its connection was closed",
+            End::Closed if progress.in_order && first.is_some_and(|age| age < FRESH_MAX) => {
+                "read on a new connection, which ended without an answer"
+            }
+            End::Closed if unread.is_some_and(|unread| unread > UNREAD_MAX) => {
+                "closed long after it was sent"
+            }
+            End::Whole if call.told() == Told::Nothing => "its answer tells no verdict",
+            End::Whole if broke_off(call) && !self.has_faults => "told that its answer broke off",
+            _ => return None,
+        };
+        Some(("LOST", what.to_owned()))
+    }
+}
+
+impl Seen {
+    /// DENIED: a proper request is not turned away for what its caller did.
+    fn denied(&self, call: &Call) -> Option<(&'static str, String)> {
+        match call.progress.status()? {
+            _ if self.is_early(call) => None,
+            status @ 400..=404 if status != 402 => {
+                Some(("DENIED", format!("{status} for a proper request")))
+            }
+            402 if call.wish.payer == Payer::Rich => {
+                Some(("DENIED", "402 with plenty of tokens".to_owned()))
+            }
+            _ => None,
+        }
+    }
+
+    /// REFUSED: where the last word on a request is that it has not run, it has not, and does not later.
+    fn refused(&self, tries: &[&Call], runs: u64) -> Option<(&'static str, String)> {
+        let last = tries.iter().max_by_key(|call| call.begun)?;
+        let is_promise = last.told() == Told::NotRun && !self.is_early(last);
+        (is_promise && runs > 0).then(|| ("REFUSED", "told that it has not run".to_owned()))
+    }
+
+    /// Whether a key was refused by a router that had been started and was not ready. It knows no customer
+    /// then, and says 403 and "not run" to all; `early_key` fails for it.
+    fn is_early(&self, call: &Call) -> bool {
+        let last = |moments: &[(SocketAddr, Instant)]| {
+            let own = moments.iter().filter(|(router, _)| *router == call.router);
+            own.map(|(_, at)| *at).filter(|at| *at <= call.begun).max()
+        };
+        let start = last(&self.starts);
+        let was_starting =
+            start.is_some_and(|start| last(&self.ready).is_none_or(|ready| ready < start));
+        call.progress.status() == Some(403) && was_starting
+    }
+}
+
+/// Whether a stream ended with the word that it broke off.
+fn broke_off(call: &Call) -> bool {
+    let is_stream = matches!(call.wish.work, Work::Stream(_));
+    let is_whole = call.progress.status() != Some(200) || matches!(call.told(), Told::Ran(_));
+    is_stream && !is_whole
+}
+
+/// TWICE: nothing that may not be repeated runs twice.
+fn once(tries: &[&Call], runs: u64) -> Option<(&'static str, String)> {
+    let is_twice = !tries.first()?.wish.repeatable && runs > 1;
+    is_twice.then(|| {
+        (
+            "TWICE",
+            format!("ran {runs} times in {} tries", tries.len()),
+        )
+    })
+}
+
+/// UNSERVED: what is said to have run has.
+fn served(call: &Call, runs: u64) -> Option<(&'static str, String)> {
+    let is_promise = matches!(call.told(), Told::Ran(_));
+    (is_promise && runs == 0).then(|| ("UNSERVED", "told that it ran".to_owned()))
+}
+
+/// BILLED: nobody is told a bill over what the request costs.
+fn billed(call: &Call) -> Option<(&'static str, String)> {
+    let (told, cost) = (call.told(), call.wish.cost());
+    let is_over = matches!(told, Told::Ran(billed) if billed > cost);
+    is_over.then(|| ("BILLED", format!("{told:?} for {cost}")))
+}
+
+/// MIXED and ORDER: an answer is its request's own and whole, or shows that it is not.
+fn own_answer(call: &Call) -> Option<(&'static str, String)> {
+    if call.progress.status()? != 200 {
+        return None;
+    }
+    let (wish, prompt) = (&call.wish, call.wish.prompt());
+    let words = |tokens: u64| -> String { (0..tokens).map(|place| word(&prompt, place)).collect() };
+    let is_whole = call.progress.end == End::Whole;
+    let fits = match wish.work {
+        Work::Stream(tokens) => return stream_fits(call, &prompt, tokens),
+        _ if !is_whole => true,
+        Work::Whole(tokens) => {
+            let body: Value = serde_json::from_slice(&call.progress.body).unwrap_or_default();
+            let content = body["choices"][0]["message"]["content"].as_str();
+            content == Some(&words(tokens)) && body["id"] == wish.id
+        }
+        Work::Call => {
+            let got: Option<Receipt> = serde_json::from_slice(&call.progress.body).ok();
+            let receipt = receipt(wish.text.as_bytes());
+            let request_id = wish.id.clone();
+            got == Some(Receipt {
+                request_id,
+                receipt,
+            })
+        }
+    };
+    (!fits).then(|| ("MIXED", "another's answer, or not whole".to_owned()))
+}
+
+fn stream_fits(call: &Call, prompt: &str, tokens: u64) -> Option<(&'static str, String)> {
+    let mut next = 0;
+    for frame in call.frames() {
+        if frame["error"].is_object() {
+            return None;
+        }
+        if frame["id"] != call.wish.id {
+            return Some(("MIXED", format!("an event of {}", frame["id"])));
+        }
+        if frame["usage"].is_object() {
+            let what = || format!("ended after {next} of {tokens} words");
+            return (next != tokens).then(|| ("ORDER", what()));
+        }
+        let text = frame["choices"][0]["delta"]["content"].as_str();
+        if frame["index"] != next || text != Some(&word(prompt, next)) {
+            return Some(("ORDER", format!("event {next} is {frame}")));
+        }
+        next += 1;
+    }
+    // Without its last event a stream shows that it is not whole, as long as its connection broke off.
+    let is_ended = call.progress.end == End::Whole;
+    is_ended.then(|| {
+        (
+            "ORDER",
+            format!("ended as whole after {next} of {tokens} words"),
+        )
+    })
+}
+
+/// What tries ended in, for a run's summary.
+pub fn tally(calls: &[Call]) -> BTreeMap<String, u32> {
+    let mut tally = BTreeMap::new();
+    for call in calls {
+        let progress = &call.progress;
+        let word = match (call.left, progress.end, progress.status()) {
+            (true, ..) => "left".to_owned(),
+            (_, End::Whole, Some(200)) if broke_off(call) => "broke_off".to_owned(),
+            (_, End::Whole, Some(status)) => {
+                let reason = progress.header("lanedeck-reason").unwrap_or("");
+                format!("{status} {reason}").trim().to_owned()
+            }
+            (_, end, _) => format!("{end:?}").to_lowercase(),
+        };
+        *tally.entry(word).or_default() += 1;
+    }
+    tally
+}
--- /dev/null
+++ b/tests/soak/router/run.rs
@@ -0,0 +1,505 @@
+//! One run of routers: an area by the plan, its callers, its steps in their time, and then the promises.
+
+use std::collections::{BTreeMap, HashSet};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use tokio::runtime::Handle;
+use tokio::time::timeout;
+
+use super::caller::{Caller, Told, World, bearer};
+use super::operator::{ASK, drained, operate, put, status};
+use super::plan::{Change, Harm, LogHarm, Payer, Plan, SCARCE, Step, TARGETS, TOP_UP, Work};
+use super::promise::{Seen, spent, tally};
+use crate::common::area::{Area, Setup, chat, target};
+use crate::deployment::{Ask, LONG, free_address, try_ask};
+use crate::plan::Kind;
+use crate::promise::Broken;
+use crate::run::Outcome;
+use crate::timeline::Journal;
+
+/// Addresses of each router, for callers and for other routers.
+pub type Addresses = Vec<(SocketAddr, SocketAddr)>;
+
+/// Prepaid tokens that no run uses up, whatever is stranded with dead routers.
+const PLENTY: u64 = 100_000_000;
+/// Interval of looks at the processes.
+const LOOK: Duration = Duration::from_millis(5);
+/// Longest that a process may take to end after SIGTERM: many times what the longest request takes, and as
+/// long as a router waits for a log that is out.
+const END_MAX: Duration = Duration::from_secs(60);
+/// How long a process that comes back counts as disturbed: it reads the log and finds its peers.
+const RETURN: Duration = Duration::from_secs(1);
+/// Returns of an operator that is refused: others are asked then.
+const CONFIRMS: usize = 4;
+
+/// What a step has in hand with a router.
+#[derive(Clone, Debug)]
+enum Hand {
+    Free,
+    /// SIGTERM was sent; the pause until it is started again.
+    Stopping(Instant, Duration),
+    /// It is gone until then; whether it was killed.
+    Gone(Instant, Option<Instant>),
+    /// It is frozen from one moment until another.
+    Frozen(Instant, Instant),
+    /// It was started again; whether it is ready, and since when it was disturbed.
+    Returning(Arc<AtomicBool>, Option<Instant>),
+}
+
+struct Run<'a> {
+    handle: &'a Handle,
+    plan: Plan,
+    journal: Journal,
+    area: Area,
+    hands: Vec<Hand>,
+    /// Faults that are on, and when they are over.
+    faults: Vec<(Instant, SocketAddr, Value, String)>,
+    world: World,
+    seen: Seen,
+    prepaid: Arc<Mutex<u64>>,
+    broken: Arc<Mutex<Vec<Broken>>>,
+    operators: Vec<tokio::task::JoinHandle<()>>,
+}
+
+/// Addresses for the routers of a plan. They are tried, so no process may be started meanwhile.
+pub fn addresses(plan: &Plan) -> Addresses {
+    (0..plan.routers)
+        .map(|_| (free_address(), free_address()))
+        .collect()
+}
+
+/// Carries a plan out.
+pub fn run(handle: &Handle, plan: Plan, addresses: Addresses, logs: &Path) -> Outcome {
+    std::fs::create_dir_all(logs).unwrap();
+    let mut run = Run::start(handle, plan, addresses, logs.to_owned());
+    let begin = Instant::now();
+    let end = begin + Duration::from_millis(run.plan.load);
+    let callers = run.plan.callers.clone().into_iter().map(|caller| {
+        let caller = Caller::new(caller, run.world.clone());
+        handle.spawn(caller.run(end))
+    });
+    let callers: Vec<_> = callers.collect();
+    let mut steps = run.plan.steps.clone().into_iter().peekable();
+    while steps.peek().is_some() || !run.is_quiet() || callers.iter().any(|one| !one.is_finished())
+    {
+        let now = begin.elapsed().as_millis() as u64;
+        if let Some((_, step)) = steps.next_if(|(at, _)| *at <= now) {
+            run.take(step);
+        } else {
+            std::thread::sleep(LOOK);
+        }
+        run.look();
+    }
+    for caller in callers {
+        handle.block_on(caller).unwrap();
+    }
+    run.journal.note("the load has ended");
+    run.end(logs)
+}
+
+impl<'a> Run<'a> {
+    fn start(handle: &'a Handle, plan: Plan, addresses: Addresses, logs: PathBuf) -> Self {
+        // A holder that is silent is closed within a run only where there are faults: without, a router that
+        // runs late on a loaded machine would be closed too.
+        let close = match plan.kind {
+            Kind::Planned => "--close-after=10000",
+            Kind::Faults => "--close-after=1000",
+        };
+        let options = [close, "--horizon=60", "--log-level=debug"];
+        let area = Area::with_setup(Setup {
+            engines: TARGETS,
+            services: TARGETS,
+            routers: addresses,
+            router_options: options.map(str::to_owned).to_vec(),
+            engine_options: ["--between=5", "--slots=64"].map(str::to_owned).to_vec(),
+            logs: Some(logs),
+        });
+        area.budget(Payer::Rich.budget(), Payer::Rich.customer(), PLENTY);
+        area.budget(Payer::Scarce.budget(), Payer::Scarce.customer(), SCARCE);
+        area.wait_same();
+        area.faults(&area.log, &json!({ "delay_ms": plan.log }));
+        let routers = area.routers.iter().map(|router| router.address).collect();
+        Self {
+            handle,
+            journal: Journal::default(),
+            hands: vec![Hand::Free; plan.routers],
+            faults: Vec::new(),
+            world: World::new(routers, plan.kind),
+            seen: Seen {
+                has_faults: plan.kind == Kind::Faults,
+                ..Seen::default()
+            },
+            prepaid: Arc::new(Mutex::new(SCARCE)),
+            broken: Arc::default(),
+            operators: Vec::new(),
+            area,
+            plan,
+        }
+    }
+
+    fn is_free(&self, number: usize) -> bool {
+        matches!(self.hands[number], Hand::Free)
+    }
+
+    fn is_quiet(&self) -> bool {
+        (0..self.hands.len()).all(|number| self.is_free(number))
+            && self.faults.is_empty()
+            && self.operators.iter().all(|one| one.is_finished())
+    }
+
+    fn take(&mut self, step: Step) {
+        let now = Instant::now();
+        match step {
+            Step::Stop(number, pause) => {
+                let others = (0..self.hands.len())
+                    .filter(|other| self.is_free(*other))
+                    .count();
+                if self.is_free(number) && others > 1 {
+                    self.signal(number, "TERM");
+                    self.hands[number] = Hand::Stopping(now, Duration::from_millis(pause));
+                }
+            }
+            Step::Reload(number) => {
+                if matches!(self.hands[number], Hand::Free | Hand::Stopping(..))
+                    && !self.area.routers[number].has_ended()
+                {
+                    self.signal(number, "HUP");
+                }
+            }
+            Step::Kill(number, pause) => {
+                if self.is_free(number) {
+                    self.journal.note(format!("SIGKILL r{number}"));
+                    self.area.routers[number].kill();
+                    let back = now + Duration::from_millis(pause);
+                    self.hands[number] = Hand::Gone(back, Some(now));
+                }
+            }
+            Step::Freeze(number, span) => {
+                if self.is_free(number) {
+                    self.signal(number, "STOP");
+                    self.hands[number] = Hand::Frozen(now, now + Duration::from_millis(span));
+                }
+            }
+            Step::Change(number, change) => self.change(number, change),
+            Step::Log(harm, span) => {
+                let faults = match harm {
+                    LogHarm::Down => json!({ "down": true }),
+                    LogHarm::Slow(millis) => json!({ "delay_ms": millis }),
+                    LogHarm::Loses(part) => {
+                        json!({ "delay_ms": self.plan.log, "lose_permille": part })
+                    }
+                };
+                let usual = json!({ "delay_ms": self.plan.log });
+                self.harm(
+                    self.area.log.address,
+                    &faults,
+                    usual,
+                    span,
+                    format!("log: {harm:?}"),
+                );
+            }
+            Step::Engine(number, harm, span) => {
+                let faults = match harm {
+                    Harm::Refuses(part) => json!({ "refuse_permille": part }),
+                    Harm::Breaks(part) => json!({ "cut_permille": part }),
+                    Harm::Slow(times) => json!({ "slow": times }),
+                };
+                let what = format!("engine {number}: {harm:?}");
+                self.harm(
+                    self.area.engines[number].address,
+                    &faults,
+                    json!({}),
+                    span,
+                    what,
+                );
+            }
+            Step::Service(number, harm, span) => {
+                let faults = match harm {
+                    Harm::Refuses(_) => json!({ "refuses": true }),
+                    Harm::Breaks(_) => json!({ "acts_and_fails": true }),
+                    Harm::Slow(times) => json!({ "delay_ms": times * 10 }),
+                };
+                let what = format!("service {number}: {harm:?}");
+                self.harm(
+                    self.area.services[number].address,
+                    &faults,
+                    json!({}),
+                    span,
+                    what,
+                );
+            }
+        }
+    }
+
+    fn signal(&self, number: usize, name: &str) {
+        self.journal.note(format!("SIG{name} r{number}"));
+        self.area.routers[number].signal(name);
+    }
+
+    /// A stand-in misbehaves for a while, unless it does already.
+    fn harm(&mut self, at: SocketAddr, faults: &Value, usual: Value, span: u64, what: String) {
+        if self.faults.iter().any(|(_, other, ..)| *other == at) {
+            return;
+        }
+        self.journal.note(what.clone());
+        self.area.post(at, "/v1/faults", "", faults);
+        let over = Instant::now() + Duration::from_millis(span);
+        self.faults.push((over, at, usual, what));
+    }
+
+    /// Takes each router and each fault on that is due.
+    fn look(&mut self) {
+        let now = Instant::now();
+        for number in 0..self.hands.len() {
+            let next = match self.hands[number].clone() {
+                Hand::Free => Hand::Free,
+                Hand::Stopping(since, pause) => self.stopping(number, since, pause),
+                Hand::Gone(until, killed) if now >= until => {
+                    let router = self.area.routers[number].address;
+                    self.seen.starts.push((router, now));
+                    self.area.restart_router(number);
+                    self.journal.note(format!("r{number} is started again"));
+                    Hand::Returning(self.watch(number), killed)
+                }
+                Hand::Frozen(since, until) if now >= until => {
+                    self.signal(number, "CONT");
+                    Hand::Returning(self.watch(number), Some(since))
+                }
+                Hand::Returning(ready, since) if ready.load(Ordering::Relaxed) => {
+                    let router = self.area.routers[number].address;
+                    if let Some(since) = since {
+                        self.seen.disturbed.push((router, since, now + RETURN));
+                    }
+                    self.journal.note(format!("r{number} is ready"));
+                    self.seen.ready.push((router, now));
+                    Hand::Free
+                }
+                waiting => waiting,
+            };
+            self.hands[number] = next;
+        }
+        let (over, on) = std::mem::take(&mut self.faults)
+            .into_iter()
+            .partition(|(until, ..)| now >= *until);
+        self.faults = on;
+        let over: Vec<(Instant, SocketAddr, Value, String)> = over;
+        for (_, at, usual, what) in over {
+            self.area.post(at, "/v1/faults", "", &usual);
+            self.journal.note(format!("over: {what}"));
+        }
+    }
+
+    fn stopping(&mut self, number: usize, since: Instant, pause: Duration) -> Hand {
+        let now = Instant::now();
+        if self.area.routers[number].has_ended() {
+            self.journal.note(format!("r{number} has ended"));
+            return Hand::Gone(now + pause, None);
+        }
+        if now < since + END_MAX {
+            return Hand::Stopping(since, pause);
+        }
+        self.broken.lock().unwrap().push(Broken {
+            promise: "LOST",
+            id: None,
+            what: format!("r{number} does not end after SIGTERM"),
+        });
+        self.area.routers[number].kill();
+        Hand::Gone(now + pause, Some(since))
+    }
+
+    /// Tells when a router is ready, or after a long wait: whether it is whole is asked at the end.
+    fn watch(&self, number: usize) -> Arc<AtomicBool> {
+        let (ready, router) = (
+            Arc::new(AtomicBool::new(false)),
+            self.area.routers[number].address,
+        );
+        let told = Arc::clone(&ready);
+        self.handle.spawn(async move {
+            let end = Instant::now() + LONG;
+            while Instant::now() < end {
+                let status = status(router).await;
+                if status["ready"] == true {
+                    break;
+                }
+                tokio::time::sleep(LOOK).await;
+            }
+            told.store(true, Ordering::Relaxed);
+        });
+        ready
+    }
+
+    /// An operator's change, planned and confirmed at a router; others are asked where it refuses.
+    fn change(&mut self, number: usize, change: Change) {
+        let intent = self.intent(change);
+        if change == Change::TopUp {
+            self.check_spend();
+        }
+        self.journal.note(format!("at r{number}: {change:?}"));
+        let routers = self.world.routers.clone();
+        let (journal, prepaid) = (self.journal.clone(), Arc::clone(&self.prepaid));
+        if change == Change::TopUp {
+            // It may be in force from now on, whatever the operator is told.
+            *prepaid.lock().unwrap() += TOP_UP;
+        }
+        self.operators.push(self.handle.spawn(async move {
+            for turn in 0..CONFIRMS {
+                let router = routers[(number + turn) % routers.len()];
+                let Some(plan) = operate(router, "/v1/intents", &intent).await else {
+                    continue;
+                };
+                if operate(router, "/v1/confirm", &plan["plan"])
+                    .await
+                    .is_some()
+                {
+                    journal.note(format!("{change:?} is in force"));
+                    return;
+                }
+            }
+            journal.note(format!("{change:?} was not confirmed"));
+        }));
+    }
+
+    fn intent(&self, change: Change) -> Value {
+        match change {
+            Change::TopUp => json!({ "budget": {
+                "name": Payer::Scarce.budget(),
+                "customer": Payer::Scarce.customer(),
+                "prepaid": *self.prepaid.lock().unwrap() + TOP_UP,
+            } }),
+            Change::Engine(number, work) => {
+                let object = target(&self.area.engines[number], "engine", "assistant");
+                put("target", &format!("engine-{number}"), drained(object, work))
+            }
+            Change::Service(number, work) => {
+                let object = target(&self.area.services[number], "service", "tickets");
+                put(
+                    "target",
+                    &format!("tickets-{number}"),
+                    drained(object, work),
+                )
+            }
+            Change::Patience(millis) => {
+                let class = json!({ "rank": 1, "price_permille": 1_000, "patience": millis });
+                put("class", "std", json!({ "class": class }))
+            }
+        }
+    }
+
+    /// BUDGET: a customer has not got more than is prepaid. A look before each time that more is prepaid,
+    /// and one at the end, see each moment.
+    fn check_spend(&self) -> u64 {
+        let ran: BTreeMap<String, u64> = self.area.ran();
+        let asked = self.world.asked.lock().unwrap();
+        let whole = (self.plan.kind == Kind::Faults).then(|| self.whole());
+        let spent = spent(&asked, &ran, Payer::Scarce, whole.as_ref());
+        let prepaid = *self.prepaid.lock().unwrap();
+        self.journal
+            .note(format!("{spent} of {prepaid} tokens are spent"));
+        self.check_sum("worked for", spent, prepaid);
+        prepaid.saturating_sub(spent)
+    }
+
+    /// Requests whose callers were told that they ran.
+    fn whole(&self) -> HashSet<String> {
+        let calls = self.world.calls.lock().unwrap();
+        let whole = calls
+            .iter()
+            .filter(|call| matches!(call.told(), Told::Ran(_)));
+        whole.map(|call| call.wish.id.clone()).collect()
+    }
+
+    fn check_sum(&self, what: &str, sum: u64, prepaid: u64) {
+        if sum > prepaid {
+            self.broken.lock().unwrap().push(Broken {
+                promise: "BUDGET",
+                id: None,
+                what: format!("{what} {sum} tokens of {prepaid}"),
+            });
+        }
+    }
+
+    fn end(mut self, logs: &Path) -> Outcome {
+        self.area.faults(&self.area.log, &json!({}));
+        self.is_whole_again();
+        let left = self.check_spend();
+        let mut seen = std::mem::take(&mut self.seen);
+        seen.ran = self.area.ran();
+        seen.ran.retain(|id, _| !is_probe(id));
+        seen.calls = std::mem::take(&mut *self.world.calls.lock().unwrap());
+        seen.asked = std::mem::take(&mut *self.world.asked.lock().unwrap());
+        let prepaid = *self.prepaid.lock().unwrap();
+        self.check_sum("billed", seen.told_billed(Payer::Scarce), prepaid);
+        let mut broken = std::mem::take(&mut *self.broken.lock().unwrap());
+        broken.extend(seen.broken());
+        let timeline = broken.first().map_or(String::new(), |first| {
+            let id = first.id.as_deref();
+            self.journal.print(logs, id, seen.told(id))
+        });
+        Outcome {
+            seed: self.plan.seed,
+            broken,
+            timeline,
+            summary: format!(
+                "{} routers, {} calls {:?}, {left} of {prepaid} tokens left",
+                self.plan.routers,
+                seen.calls.len(),
+                tally(&seen.calls),
+            ),
+        }
+    }
+
+    /// RECOVER: once nothing happens any more, each router serves models and services within a bound.
+    fn is_whole_again(&self) {
+        for kind in ["engine", "tickets"] {
+            for number in 0..TARGETS {
+                let change = match kind {
+                    "engine" => Change::Engine(number, Work::Any),
+                    _ => Change::Service(number, Work::Any),
+                };
+                self.area.apply(&self.intent(change));
+            }
+        }
+        for (number, router) in self.world.routers.iter().enumerate() {
+            let asks = [
+                ("/v1/chat/completions", chat("whole", 3)),
+                ("/v1/services/tickets", "x".into()),
+            ];
+            for (path, body) in asks {
+                let ask = Ask::get(path)
+                    .post(&body)
+                    .with("authorization", &bearer(Payer::Rich))
+                    .with("lanedeck-budget", Payer::Rich.budget());
+                let end = Instant::now() + LONG;
+                let mut last = None;
+                while Instant::now() < end && last != Some(200) {
+                    let answer = self
+                        .handle
+                        .block_on(async { timeout(ASK, try_ask(*router, &ask)).await });
+                    last = answer.ok().flatten().map(|answer| answer.status);
+                    std::thread::sleep(LOOK);
+                }
+                if last != Some(200) {
+                    self.broken.lock().unwrap().push(Broken {
+                        promise: "RECOVER",
+                        id: None,
+                        what: format!("r{number} answers {last:?} on {path}"),
+                    });
+                }
+            }
+        }
+    }
+}
+
+/// Whether an id is one that a router gave: of the requests that ask whether the service is whole.
+fn is_probe(id: &str) -> bool {
+    let number = id.get(id.len().saturating_sub(8)..);
+    number.is_some_and(|number| number >= FIRST_OWN)
+}
+
+/// Numbers that callers choose are below this one, in hexadecimal digits.
+const FIRST_OWN: &str = "80000000";
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -503,7 +503,7 @@
         broken.extend(seen.broken());
         let timeline = broken.first().map_or(String::new(), |first| {
             let id = first.id.as_deref();
-            self.journal.print(logs, id, &seen.calls, &seen.arrivals)
+            self.journal.print(logs, id, seen.told(id))
         });
         Outcome {
             seed: self.plan.seed,
--- a/tests/soak/timeline.rs
+++ b/tests/soak/timeline.rs
@@ -6,11 +6,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-use crate::caller::Call;
-use crate::deployment::runner::Arrival;
-
 /// Events that a timeline shows of each process, besides those of the request.
-const EVENTS: [&str; 14] = [
+const EVENTS: [&str; 16] = [
     "started",
     "stopping",
     "closing",
@@ -25,6 +22,8 @@
     "store_regained",
     "target_changed",
     "target_removed",
+    "incarnation_closed",
+    "invariant_violated",
 ];
 const DAY_MS: f64 = 86_400_000.0;
 /// Most lines of a printed timeline, so that a failure stays readable.
@@ -62,32 +61,22 @@
         at.saturating_duration_since(self.began).as_secs_f64() * 1e3
     }
 
-    /// The timeline around a request, or of all steps where no request is named.
-    pub fn print(&self, logs: &Path, id: Option<&str>, calls: &[Call], ran: &[Arrival]) -> String {
-        let call = calls.iter().find(|call| Some(call.id.as_str()) == id);
-        let window = call.map_or((0.0, f64::INFINITY), |call| {
-            (self.ms(call.begun) - AROUND, self.ms(call.ended) + AROUND)
-        });
+    /// The timeline around a request, or of all steps where no request is named. `told` is what its caller and
+    /// its targets saw of it.
+    pub fn print(&self, logs: &Path, id: Option<&str>, told: Vec<(Instant, String)>) -> String {
+        let first = told.iter().map(|(at, _)| self.ms(*at)).reduce(f64::min);
+        let last = told.iter().map(|(at, _)| self.ms(*at)).reduce(f64::max);
+        let window = match (first, last) {
+            (Some(first), Some(last)) => (first - AROUND)..(last + AROUND),
+            _ => 0.0..f64::INFINITY,
+        };
         let mut lines: Vec<(f64, String)> = Vec::new();
         for (at, step) in self.steps.lock().unwrap().iter() {
             lines.push((self.ms(*at), format!("step    {step}")));
         }
         lines.extend(self.logged(logs, id));
-        lines.retain(|(at, _)| (window.0..window.1).contains(at));
-        if let Some(call) = call {
-            self.caller(call, &mut lines);
-        }
-        for arrival in ran {
-            if Some(arrival.header("x-attempt-id")) == id {
-                let told = format!(
-                    "target  {} got it, ran={} tenant={}",
-                    arrival.instance,
-                    arrival.ran,
-                    arrival.header("x-tenant")
-                );
-                lines.push((self.ms(arrival.at), told));
-            }
-        }
+        lines.retain(|(at, _)| window.contains(at));
+        lines.extend(told.into_iter().map(|(at, line)| (self.ms(at), line)));
         lines.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut text = String::new();
         for (at, line) in lines.iter().take(LINES_MAX) {
@@ -99,26 +88,6 @@
         text
     }
 
-    fn caller(&self, call: &Call, lines: &mut Vec<(f64, String)>) {
-        let begun = format!(
-            "caller  {} begins {:?} at {}",
-            call.id, call.route, call.gateway
-        );
-        lines.push((self.ms(call.begun), begun));
-        if let Some(sent) = call.progress.sent.get() {
-            lines.push((self.ms(*sent), format!("caller  {} has sent all", call.id)));
-        }
-        let ended = format!(
-            "caller  {} ends: {:?}, status {:?}, {} bytes{}",
-            call.id,
-            call.progress.end,
-            call.progress.status(),
-            call.progress.body.len(),
-            if call.left { ", left" } else { "" }
-        );
-        lines.push((self.ms(call.ended), ended));
-    }
-
     /// Lines that the processes logged.
     fn logged(&self, logs: &Path, id: Option<&str>) -> Vec<(f64, String)> {
         let mut lines = Vec::new();
@@ -133,7 +102,8 @@
                 let rest: Vec<&str> = fields.collect();
                 let field = |name: &str| rest.iter().find_map(|field| field.strip_prefix(name));
                 let is_shown = field("event=").is_some_and(|event| EVENTS.contains(&event));
-                if is_shown || (id.is_some() && field("id=") == id) {
+                let own = field("id=").or_else(|| field("request="));
+                if is_shown || (id.is_some() && own == id) {
                     lines.push((at, format!("{name:<7} {}", rest.join(" "))));
                 }
             }
