--- a/tests/soak/router/caller.rs
+++ b/tests/soak/router/caller.rs
@@ -24,13 +24,16 @@
 const RESOLVE: Duration = Duration::from_secs(1);
 /// Connections that a caller keeps.
 const LINES: usize = 3;
-/// Returns with an id.
-const RETURNS: u32 = 3;
+/// Returns with an id: under faults until a lost router is closed, which takes its witness a second or more.
+const RETURNS: u32 = 12;
 /// Longest wait until a return, in milliseconds: shorter than what a refusal says, so that a run of seconds
 /// has many returns.
 const RETURN_WAIT: u64 = 400;
 /// Part of the refusals after which a caller that holds its answer about addresses asks for another, 0 to 1.
 const HEEDS: f64 = 0.1;
+/// Longest time to spend what is left, and the pause between two calls.
+const USE_UP: Duration = Duration::from_secs(5);
+const USE_UP_PAUSE: Duration = Duration::from_millis(10);
 /// Price of a call of the service, in tokens.
 pub const CALL_PRICE: u64 = 50;
 
@@ -209,6 +212,8 @@
     lines: Vec<Line>,
     /// Addresses and the prefix of ids there.
     entries: Vec<(SocketAddr, String)>,
+    /// Whether its last refusal said that the budget is used up.
+    is_exhausted: bool,
 }
 
 impl Caller {
@@ -219,6 +224,7 @@
             world,
             lines: Vec::new(),
             entries: Vec::new(),
+            is_exhausted: false,
         }
     }
 
@@ -245,6 +251,9 @@
                 }
                 let wait = self.rng.random_range(0..RETURN_WAIT);
                 sleep(Duration::from_millis(wait)).await;
+                if self.entries.is_empty() {
+                    self.resolve().await;
+                }
                 match self.line(Some(&wish)).await {
                     Some(next) => line = next,
                     None => break,
@@ -253,35 +262,60 @@
         }
     }
 
-    /// A request for the router at an address: an id belongs to one.
+    /// Spends what is left at a router until it says that nothing is, or for a while: what was granted twice
+    /// shows only then.
+    pub async fn use_up(mut self, router: SocketAddr) {
+        let end = Instant::now() + USE_UP;
+        self.resolve().await;
+        while Instant::now() < end {
+            let wish = self.named(router, Work::Call, 1);
+            let (Some(wish), Some(line)) = (wish, Line::open(router, Reading::AtOnce).await) else {
+                self.resolve().await;
+                continue;
+            };
+            self.call(&wish, line).await;
+            if self.is_exhausted {
+                return;
+            }
+            sleep(USE_UP_PAUSE).await;
+        }
+    }
+
+    /// A request for the router at an address.
     fn wish(&mut self, at: SocketAddr) -> Option<Arc<Wish>> {
-        let entry = self.entries.iter().find(|(address, _)| *address == at);
-        let Some((_, prefix)) = entry else {
-            // A connection that was kept from an earlier answer.
-            self.entries.clear();
-            return None;
-        };
-        let number = self.world.number.fetch_add(1, Ordering::Relaxed);
-        let id = format!("{prefix}{number:08x}");
         let rng = &mut self.rng;
         let tokens = match rng.random_range(0..10) {
             0 => rng.random_range(60..200),
             _ => rng.random_range(1..30),
         };
+        let work = match rng.random_range(0..3) {
+            0 => Work::Stream(tokens),
+            1 => Work::Whole(tokens),
+            _ => Work::Call,
+        };
         let is_long = self.plan.payer == Payer::Rich && rng.random_bool(0.2);
         let size = if is_long {
             rng.random_range(5_000..60_000)
         } else {
             rng.random_range(1..100)
         };
+        self.named(at, work, size)
+    }
+
+    /// A request with an id of the router at an address.
+    fn named(&mut self, at: SocketAddr, work: Work, size: usize) -> Option<Arc<Wish>> {
+        let entry = self.entries.iter().find(|(address, _)| *address == at);
+        let Some((_, prefix)) = entry else {
+            // A connection that was kept from an earlier answer.
+            self.entries.clear();
+            return None;
+        };
+        let number = self.world.number.fetch_add(1, Ordering::Relaxed);
+        let id = format!("{prefix}{number:08x}");
         let wish = Arc::new(Wish {
             payer: self.plan.payer,
-            work: match rng.random_range(0..3) {
-                0 => Work::Stream(tokens),
-                1 => Work::Whole(tokens),
-                _ => Work::Call,
-            },
-            repeatable: rng.random_bool(0.4),
+            work,
+            repeatable: self.rng.random_bool(0.4),
             text: format!("{id} {}", "b".repeat(size)),
             id,
         });
@@ -314,6 +348,8 @@
             left: !in_time && leave.is_some(),
             fresh,
         };
+        let reason = call.progress.header("lanedeck-reason");
+        self.is_exhausted = reason == Some("budget_exhausted");
         let returns = self.returns(&call);
         let heeds = self.plan.habit != Habit::Stale || self.rng.random_bool(HEEDS);
         if call.progress.status() != Some(200) && heeds {
@@ -331,10 +367,9 @@
         if call.left || !self.plan.returns {
             return false;
         }
-        let reason = call.progress.header("lanedeck-reason");
         match (call.progress.end, call.told()) {
             (_, Told::Ran(_)) => false,
-            (End::Whole, _) => reason != Some("budget_exhausted"),
+            (End::Whole, _) => !self.is_exhausted,
             (End::Unsent, _) => true,
             // Under planned work a request that is lost is not sent again, so that it shows as lost.
             _ => self.world.kind == Kind::Faults,
--- a/tests/soak/router/run.rs
+++ b/tests/soak/router/run.rs
@@ -13,11 +13,11 @@
 
 use super::caller::{Caller, Told, World, bearer};
 use super::operator::{ASK, drained, operate, put, status};
-use super::plan::{Change, Harm, LogHarm, Payer, Plan, SCARCE, Step, TARGETS, TOP_UP, Work};
+use super::plan::{self, Change, Harm, LogHarm, Payer, Plan, SCARCE, Step, TARGETS, TOP_UP, Work};
 use super::promise::{Seen, spent, tally};
 use crate::common::area::{Area, Setup, chat, target};
 use crate::deployment::{Ask, LONG, free_address, try_ask};
-use crate::plan::Kind;
+use crate::plan::{Habit, Kind};
 use crate::promise::Broken;
 use crate::run::Outcome;
 use crate::timeline::Journal;
@@ -426,6 +426,7 @@
     fn end(mut self, logs: &Path) -> Outcome {
         self.area.faults(&self.area.log, &json!({}));
         self.is_whole_again();
+        self.use_up();
         let left = self.check_spend();
         let mut seen = std::mem::take(&mut self.seen);
         seen.ran = self.area.ran();
@@ -453,6 +454,24 @@
         }
     }
 
+    /// Spends what is left of the customer whose tokens run out, at all routers at once.
+    fn use_up(&self) {
+        let spender = plan::Caller {
+            seed: self.plan.seed,
+            habit: Habit::Fresh,
+            payer: Payer::Scarce,
+            pause: 0,
+            returns: false,
+            leaves: 0.0,
+        };
+        let spend = |router: &SocketAddr| {
+            let caller = Caller::new(spender.clone(), self.world.clone());
+            caller.use_up(*router)
+        };
+        let spends = futures::future::join_all(self.world.routers.iter().map(spend));
+        self.handle.block_on(spends);
+    }
+
     /// RECOVER: once nothing happens any more, each router serves models and services within a bound.
     fn is_whole_again(&self) {
         for kind in ["engine", "tickets"] {
