Split the soak's run by job

Change: what is done to processes and the store is in tests/soak/faults.rs, the end of a run in tests/soak/ending.rs. Functions are moved as they were, but for their visibility.

--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -1,6 +1,5 @@
 //! One run: a deployment by the plan, its callers, its steps in their time, and then the promises.
 
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
@@ -9,17 +8,22 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use crate::caller::{Call, Caller, Route, World};
-use crate::deployment::runner::{Arrival, Mode, Runner, Work};
+use crate::caller::{Caller, World};
+use crate::deployment::runner::{Arrival, Mode, Runner};
 use crate::deployment::store::{Fault, Store};
-use crate::deployment::{Ask, Deployment, LONG, list_at, try_ask};
+use crate::deployment::{Deployment, LONG, list_at};
 use crate::operator::Config;
 use crate::place::Place;
-use crate::plan::{Change, Kind, Notice, Owner, Plan, Step, TARGETS, TOP_UP};
-use crate::promise::{Broken, IN_FORCE_MAX, Seen, WHOLE, spent, tally};
+use crate::plan::{Change, Kind, Notice, Plan, Step, TARGETS, TOP_UP};
+use crate::promise::{Broken, IN_FORCE_MAX, Seen};
 use crate::proxy::{Harm, Proxy};
 use crate::timeline::Journal;
 
+#[path = "ending.rs"]
+mod ending;
+#[path = "faults.rs"]
+mod faults;
+
 /// The time to stop of each gateway, in milliseconds: several times the longest work.
 const GRACE: &str = "8000";
 /// Time from a target's word that it drains until its entry goes.
@@ -241,112 +245,6 @@
         });
     }
 
-    /// Kills a gateway and starts it again.
-    fn kill(&mut self, number: usize, pause: Duration) {
-        let place = self.places[number].clone();
-        if place.is_taken() {
-            return;
-        }
-        *place.is_taken.lock().unwrap() = true;
-        let from = Instant::now();
-        self.journal.note(format!("SIGKILL {}", place.name));
-        place.gateway.lock().unwrap().kill();
-        let (journal, seen) = (self.journal.clone(), Arc::clone(&self.seen));
-        self.tasks.spawn(async move {
-            sleep(pause).await;
-            start_again(&place, &journal).await;
-            let span = (place.front, from, Instant::now() + RETURN);
-            seen.lock().unwrap().disturbed.push(span);
-        });
-    }
-
-    /// Freezes a gateway for a while.
-    fn freeze(&mut self, number: usize, span: Duration) {
-        let place = self.places[number].clone();
-        if place.is_taken() {
-            return;
-        }
-        *place.is_taken.lock().unwrap() = true;
-        let from = Instant::now();
-        self.journal.note(format!("SIGSTOP {}", place.name));
-        place.signal("STOP");
-        let (journal, seen) = (self.journal.clone(), Arc::clone(&self.seen));
-        self.tasks.spawn(async move {
-            sleep(span).await;
-            place.signal("CONT");
-            journal.note(format!("SIGCONT {}", place.name));
-            let mut seen = seen.lock().unwrap();
-            let to = Instant::now() + RETURN;
-            seen.disturbed.push((place.front, from, to));
-            seen.unstable.push((from, to));
-            *place.is_taken.lock().unwrap() = false;
-        });
-    }
-
-    /// The store misbehaves towards a gateway or all of them for a while.
-    fn harm_store(&mut self, some: Option<usize>, fault: Fault, span: u64) {
-        let chosen = |place: &(usize, &Place)| some.is_none_or(|number| number == place.0);
-        let places = self.places.iter().enumerate().filter(chosen);
-        let addresses: Vec<SocketAddr> = places.map(|(_, place)| place.store).collect();
-        let (store, usual) = (self.store.clone(), Fault::Slow(self.plan.store));
-        let to = Instant::now() + Duration::from_millis(span) + RETURN;
-        let unstable = (Instant::now(), to);
-        self.seen.lock().unwrap().unstable.push(unstable);
-        self.during(
-            span,
-            format!("store for {some:?}: {fault:?}"),
-            move |is_on| {
-                for address in &addresses {
-                    store.set_fault(*address, if is_on { fault } else { usual });
-                }
-            },
-        );
-    }
-
-    /// Begins something and ends it after so many milliseconds.
-    fn during(&mut self, span: u64, what: String, set: impl Fn(bool) + Send + 'static) {
-        self.journal.note(what.clone());
-        set(true);
-        let journal = self.journal.clone();
-        self.tasks.spawn(async move {
-            sleep(Duration::from_millis(span)).await;
-            set(false);
-            journal.note(format!("over: {what}"));
-        });
-    }
-
-    /// A target vanishes. An instance of another service is at its address until its entry goes, and a
-    /// new one of its own after that.
-    fn crash(&mut self, number: usize) {
-        {
-            let mut leaving = self.leaving.lock().unwrap();
-            if leaving
-                .iter()
-                .any(|other| TARGETS[*other] == TARGETS[number])
-            {
-                return;
-            }
-            leaving.push(number);
-        }
-        let instance = self.targets[number].runner.instance();
-        self.journal.note(format!("{instance} vanishes"));
-        let (store, targets) = (self.store.clone(), Arc::clone(&self.targets));
-        let (journal, leaving) = (self.journal.clone(), Arc::clone(&self.leaving));
-        self.tasks.spawn(async move {
-            let target = &targets[number];
-            let (place, life) = instance.split_once('-').unwrap();
-            target.runner.replace(&format!("{FOREIGN}{number}-{life}"));
-            sleep(UNTIL_FORGOTTEN).await;
-            store.put("keyed.servers", &instance, None);
-            sleep(UNTIL_BACK).await;
-            let next = format!("{place}-{}", life.parse::<u32>().unwrap() + 1);
-            target.runner.replace(&next);
-            list_at(&store, target.service, &next, target.address, "ready");
-            journal.note(format!("{next} has its address"));
-            leaving.lock().unwrap().retain(|other| *other != number);
-        });
-    }
-
     fn change(&mut self, change: Change) {
         let config = &mut self.config;
         config.version += 1;
@@ -425,153 +323,8 @@
         let of = |target: &Target| target.runner.arrivals();
         self.targets.iter().flat_map(of).collect()
     }
-
-    /// Requests that have ended and of which nothing came to their callers: a customer has not got what was
-    /// lost on the way, or came after it left.
-    fn unseen(&self) -> HashSet<String> {
-        let calls = self.world.calls.lock().unwrap();
-        // A refusal has a body of its own, of which no token is a target's.
-        let has_got =
-            |call: &&Call| call.progress.status() == Some(200) && !call.progress.body.is_empty();
-        let unseen = calls.iter().filter(|call| !has_got(call));
-        unseen.map(|call| call.id.clone()).collect()
-    }
-
-    /// BUDGET: a customer has not got more than is prepaid. What it gets only grows, so a look before
-    /// each time that more is prepaid, and one at the end, see each moment.
-    fn check_spend(&self) -> u64 {
-        let spent = spent(&self.arrivals(), Owner::Scarce, &self.unseen());
-        let prepaid = self.config.prepaid;
-        self.journal
-            .note(format!("{spent} of {prepaid} tokens are spent"));
-        if spent > prepaid {
-            self.broken.lock().unwrap().push(Broken {
-                promise: "BUDGET",
-                id: None,
-                what: format!("{spent} tokens of {prepaid}"),
-            });
-        }
-        prepaid.saturating_sub(spent)
-    }
-
-    /// Spends what is left of the customer whose tokens run out, at all gateways at once, until each says
-    /// that nothing is left: what was granted twice shows only then.
-    /// Returned are the gateways that neither served nor said so within the bound, with their last status:
-    /// no rule bounds that, so it is told and breaks no promise.
-    async fn use_up(&self) -> Vec<(String, Option<u16>)> {
-        let spend = |place: &Place| {
-            let (front, name) = (place.front, place.name.clone());
-            async move {
-                let end = Instant::now() + LONG;
-                for number in 0.. {
-                    let id = format!("{PROBE}{name}spend{number}");
-                    let ask = Ask::talk(&id, Route::Talk.path(), BITE, BITE_OUT)
-                        .with("authorization", &format!("Bearer {}", Owner::Scarce.key()))
-                        .with(Work::HEADER, &BITE_WORK.text());
-                    let status = try_ask(front, &ask).await.map(|answer| answer.status);
-                    if status == Some(402) {
-                        return None;
-                    }
-                    if Instant::now() >= end {
-                        return Some((name, status));
-                    }
-                    sleep(LOOK).await;
-                }
-                None
-            }
-        };
-        let ended = futures::future::join_all(self.places.iter().map(spend)).await;
-        ended.into_iter().flatten().collect()
-    }
-
-    async fn end(mut self, logs: &std::path::Path) -> Outcome {
-        while let Some(ended) = self.tasks.join_next().await {
-            ended.unwrap();
-        }
-        sleep(QUIET).await;
-        let whole = self.is_whole_again().await;
-        let unsettled = self.use_up().await;
-        let left = self.check_spend();
-        let mut seen = std::mem::take(&mut *self.seen.lock().unwrap());
-        seen.has_faults = self.plan.kind == Kind::Faults;
-        seen.calls = std::mem::take(&mut *self.world.calls.lock().unwrap());
-        let arrivals = self.arrivals();
-        let is_ours = |arrival: &Arrival| !arrival.header("x-attempt-id").starts_with(PROBE);
-        seen.arrivals = arrivals.into_iter().filter(is_ours).collect();
-        let mut broken = std::mem::take(&mut *self.broken.lock().unwrap());
-        broken.extend(whole);
-        broken.extend(seen.broken());
-        let timeline = broken.first().map_or(String::new(), |first| {
-            let id = first.id.as_deref();
-            self.journal.print(logs, id, seen.told(id))
-        });
-        Outcome {
-            seed: self.plan.seed,
-            broken,
-            timeline,
-            summary: format!(
-                "{} gateways, {} calls {:?}, {} departures, {left} of {} tokens left, unsettled {unsettled:?}",
-                self.plan.gateways,
-                seen.calls.len(),
-                tally(&seen.calls),
-                seen.departures.len(),
-                self.config.prepaid
-            ),
-        }
-    }
-
-    /// RECOVER: once nothing happens any more, each gateway serves each route within a bound, and none
-    /// has ended by itself.
-    async fn is_whole_again(&self) -> Vec<Broken> {
-        let mut broken = Vec::new();
-        for place in &self.places {
-            for route in WHOLE {
-                let end = Instant::now() + LONG;
-                let mut last = None;
-                let mut number = 0;
-                while Instant::now() < end && last != Some(200) {
-                    number += 1;
-                    let id = format!("{PROBE}{}{:?}{number}", place.name, route);
-                    let ask = if route.is_stream() {
-                        Ask::talk(&id, route.path(), 20, 30)
-                    } else {
-                        Ask::new(&id, route.path())
-                    };
-                    let work = Work {
-                        events: 3,
-                        ..Work::default()
-                    };
-                    let ask = ask.with(Work::HEADER, &work.text());
-                    last = try_ask(place.front, &ask).await.map(|answer| answer.status);
-                    sleep(LOOK).await;
-                }
-                if last != Some(200) {
-                    broken.push(Broken {
-                        promise: "RECOVER",
-                        id: None,
-                        what: format!("{} answers {last:?} on {route:?}", place.name),
-                    });
-                }
-            }
-        }
-        broken
-    }
 }
 
-/// Tokens of a prompt that uses up what is left: few requests to the end of a budget.
-const BITE: u64 = 120;
-/// Most tokens of its answer.
-const BITE_OUT: u64 = 20;
-const BITE_WORK: Work = Work {
-    wait: 0,
-    filler: 0,
-    events: 10,
-    gap: 2,
-};
-
-/// How the ids of requests begin that ask whether the service is whole.
-const PROBE: &str = "whole-";
-
 async fn start_again(place: &Place, journal: &Journal) {
     place.start_again();
     journal.note(format!("{} is started again", place.name));
