Refuse for starting, not for a wrong key, before the log has been read

Cause: found by the soak of routers. A key was proved against the configuration that the router had, which is empty until it has read the log, so each proper key was refused with 403 and "not run" just after a start; with the id of a request that had run elsewhere "not run" was false. The control state knows that it is starting, but was asked later. Ruled out: proving the key against the last configuration of another router, of which a new process has none.

Change: traffic sees whether the log has been read (`Shared::is_ready`). Before, callers get 503 `starting` with a time to come back; a request with an id gets "may have run", as one that is not whole at a stop. The soak's exception for such answers is gone, so it is stricter than it was.

--- a/src/router/api/caller.rs
+++ b/src/router/api/caller.rs
@@ -19,7 +19,7 @@
 use crate::router::http::relay::kind;
 use crate::router::http::reply::Wrong;
 use crate::router::http::{BUDGET, CLASS, REPEATABLE, REQUEST_ID, chat, reply};
-use crate::router::request::{Id, Verdict};
+use crate::router::request::{Id, Reason, Verdict};
 use crate::router::shared::Shared;
 use crate::units::Tokens;
 use crate::util::{is_name, secret_matches};
@@ -42,6 +42,18 @@
     headers.get(name).and_then(|value| value.to_str().ok())
 }
 
+/// Refuses a request that comes before this router knows who its customers are: no key can be judged by then. One
+/// with an id may be a repeat of one that has run.
+fn starting(shared: &Shared, headers: &HeaderMap) -> Option<Response> {
+    if shared.is_ready() {
+        return None;
+    }
+    let id = text(headers, REQUEST_ID).and_then(|id| id.parse().ok());
+    let reason = Reason::Starting;
+    let refused = |id| reply::refused(id, &Verdict::MayHaveRun { reason }, "");
+    Some(id.map_or_else(reply::starting, refused))
+}
+
 /// The name that a key proves; the secret is never logged.
 fn customer(shared: &Shared, headers: &HeaderMap) -> Result<String, Wrong> {
     let denied = |message: &str| Err(Wrong::new(StatusCode::UNAUTHORIZED, "no_key", message));
@@ -127,6 +139,9 @@
 
 /// `POST /v1/chat/completions`
 pub async fn chat(shared: Arc<Shared>, headers: HeaderMap, body: Bytes) -> Response {
+    if let Some(refusal) = starting(&shared, &headers) {
+        return refusal;
+    }
     let caller = match caller(&shared, &headers, true) {
         Ok(caller) => caller,
         Err(wrong) => return wrong.reply(),
@@ -167,6 +182,9 @@
     headers: HeaderMap,
     body: Bytes,
 ) -> Response {
+    if let Some(refusal) = starting(&shared, &headers) {
+        return refusal;
+    }
     let caller = match caller(&shared, &headers, false) {
         Ok(caller) => caller,
         Err(wrong) => return wrong.reply(),
@@ -326,6 +344,9 @@
 
 /// `GET /v1/entry`
 pub async fn entry(shared: Arc<Shared>, headers: HeaderMap) -> Response {
+    if !shared.is_ready() {
+        return reply::starting();
+    }
     let customer = match customer(&shared, &headers) {
         Ok(customer) => customer,
         Err(wrong) => return wrong.reply(),
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -72,6 +72,7 @@
                 edge.act(action);
             }
         }
+        shared.set_ready(state.is_ready());
         let prefix = state.prefix();
         shared.set_incarnation(prefix.incarnation, prefix.epoch);
     }
--- a/src/router/http/reply.rs
+++ b/src/router/http/reply.rs
@@ -16,6 +16,9 @@
 /// When to come back after a stopping router has refused a question. Not measured: another router
 /// answers at once.
 const STOPPING_RETRY: Millis = Millis(1_000);
+/// When to come back after a router has refused a question that has just been started. Not measured: it reads the
+/// log in a fraction of that where the log answers.
+const STARTING_RETRY: Millis = Millis(1_000);
 
 /// A JSON reply.
 pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response {
@@ -78,9 +81,18 @@
 /// A refusal of a question that a stopping router does not answer any more.
 pub fn stopping() -> Response {
     let message = "this router is about to stop: use another; nothing was done";
-    let reason = Reason::Stopping.word();
-    let mut response = Wrong::new(StatusCode::SERVICE_UNAVAILABLE, reason, message).reply();
-    set_retry_after(response.headers_mut(), STOPPING_RETRY);
+    unavailable(Reason::Stopping, message, STOPPING_RETRY)
+}
+
+/// A refusal of a question that a router cannot answer before it has read the log.
+pub fn starting() -> Response {
+    let message = "this router has not read the log yet: nothing was done";
+    unavailable(Reason::Starting, message, STARTING_RETRY)
+}
+
+fn unavailable(reason: Reason, message: &str, retry: Millis) -> Response {
+    let mut response = Wrong::new(StatusCode::SERVICE_UNAVAILABLE, reason.word(), message).reply();
+    set_retry_after(response.headers_mut(), retry);
     response
 }
 
--- a/src/router/shared.rs
+++ b/src/router/shared.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -43,6 +43,7 @@
     /// The fleet's key.
     pub fleet_key: String,
     pub(super) log: HttpLog,
+    is_ready: AtomicBool,
     active: Mutex<HashMap<SocketAddr, Instant>>,
     waiting: Mutex<HashMap<Token, oneshot::Sender<Action>>>,
     next: AtomicU64,
@@ -50,6 +51,16 @@
 }
 
 impl Shared {
+    /// Whether the log has been read to its end once: before, nobody is known.
+    pub fn is_ready(&self) -> bool {
+        self.is_ready.load(Ordering::Acquire)
+    }
+
+    /// Notes whether the control state has read the log to its end once.
+    pub(super) fn set_ready(&self, is_ready: bool) {
+        self.is_ready.store(is_ready, Ordering::Release);
+    }
+
     pub(super) fn new(
         input: mpsc::UnboundedSender<Input>,
         incarnation: Incarnation,
@@ -64,6 +75,7 @@
         Self {
             input,
             config: ArcSwap::from_pointee(Config::default()),
+            is_ready: AtomicBool::new(false),
             prefix: ArcSwap::from_pointee(prefix),
             answers: Answers::default(),
             metrics: Metrics::default(),
--- a/tests/soak/router/promise.rs
+++ b/tests/soak/router/promise.rs
@@ -28,9 +28,6 @@
     pub ran: BTreeMap<String, u64>,
     /// From when until when a router was killed, frozen, or on its way back from either.
     pub disturbed: Vec<(SocketAddr, Instant, Instant)>,
-    /// When routers were started, and when they said that they are ready.
-    pub starts: Vec<(SocketAddr, Instant)>,
-    pub ready: Vec<(SocketAddr, Instant)>,
     pub has_faults: bool,
 }
 
@@ -151,7 +148,6 @@
     /// DENIED: a proper request is not turned away for what its caller did.
     fn denied(&self, call: &Call) -> Option<(&'static str, String)> {
         match call.progress.status()? {
-            _ if self.is_early(call) => None,
             status @ 400..=404 if status != 402 => {
                 Some(("DENIED", format!("{status} for a proper request")))
             }
@@ -165,22 +161,9 @@
     /// REFUSED: where the last word on a request is that it has not run, it has not, and does not later.
     fn refused(&self, tries: &[&Call], runs: u64) -> Option<(&'static str, String)> {
         let last = tries.iter().max_by_key(|call| call.begun)?;
-        let is_promise = last.told() == Told::NotRun && !self.is_early(last);
+        let is_promise = last.told() == Told::NotRun;
         (is_promise && runs > 0).then(|| ("REFUSED", "told that it has not run".to_owned()))
     }
-
-    /// Whether a key was refused by a router that had been started and was not ready. It knows no customer
-    /// then, and says 403 and "not run" to all; `early_key` fails for it.
-    fn is_early(&self, call: &Call) -> bool {
-        let last = |moments: &[(SocketAddr, Instant)]| {
-            let own = moments.iter().filter(|(router, _)| *router == call.router);
-            own.map(|(_, at)| *at).filter(|at| *at <= call.begun).max()
-        };
-        let start = last(&self.starts);
-        let was_starting =
-            start.is_some_and(|start| last(&self.ready).is_none_or(|ready| ready < start));
-        call.progress.status() == Some(403) && was_starting
-    }
 }
 
 /// Whether a stream ended with the word that it broke off.
--- a/tests/soak/router/run.rs
+++ b/tests/soak/router/run.rs
@@ -260,8 +260,6 @@
                 Hand::Free => Hand::Free,
                 Hand::Stopping(since, pause) => self.stopping(number, since, pause),
                 Hand::Gone(until, killed) if now >= until => {
-                    let router = self.area.routers[number].address;
-                    self.seen.starts.push((router, now));
                     self.area.restart_router(number);
                     self.journal.note(format!("r{number} is started again"));
                     Hand::Returning(self.watch(number), killed)
@@ -271,12 +269,11 @@
                     Hand::Returning(self.watch(number), Some(since))
                 }
                 Hand::Returning(ready, since) if ready.load(Ordering::Relaxed) => {
-                    let router = self.area.routers[number].address;
                     if let Some(since) = since {
+                        let router = self.area.routers[number].address;
                         self.seen.disturbed.push((router, since, now + RETURN));
                     }
                     self.journal.note(format!("r{number} is ready"));
-                    self.seen.ready.push((router, now));
                     Hand::Free
                 }
                 waiting => waiting,
