Tell callers to come back by what the cause of a refusal knows

Cause: each refusal told a fixed time by its reason alone. Two of them told too little.

Change: `refusal::shortage` decides between the budget being short here, short everywhere (a reason of its own, `budget_short_everywhere`: 30 s, since only an operator adds to it) and cut off. `Reason::retry_after` takes what is known: while the store is lost, as long as it has been (5 s to 60 s); without a configuration, as long as the process has run (0.3 s to 60 s); then up to as long again by a hash of the request's id, so that callers who were refused together do not return together. The line `refused` has the time told.

Ruled out: a shorter time where others have contact with the store.

Tests: `decision_rules` tokens_that_did_not_come, when_to_come_back and callers_are_spread failed before.

Conclusion: a short time is now told where a return is served, and a long one where it is not. The returns of those who are told 30 s are still nearly all refused: these callers come back after a third of their time whatever longer they are told.

--- a/src/gateway/control/shortage.rs
+++ b/src/gateway/control/shortage.rs
@@ -5,7 +5,7 @@
 
 use super::context::Control;
 use super::waiting::Waiting;
-use crate::gateway::decision::refusal::{Reason, Refusal};
+use crate::gateway::decision::refusal::{self, Reason, Refusal, Shortage};
 use crate::gateway::job::Job;
 
 /// Refuses the requests that have waited for long enough.
@@ -24,18 +24,28 @@
 }
 
 fn refuse(control: &Control, waiting: Vec<Waiting>) {
-    let refusal = if control.shared.store_answers() {
-        Refusal::Short
-    } else {
-        Refusal::CutOff
-    };
     for waiting in waiting {
+        let refusal = reason(control, &waiting.job);
         log(control, &waiting.job, refusal);
         // Its caller may have left.
         let _ = waiting.reply.send(Err(refusal));
     }
 }
 
+/// Why a request is refused whose tokens did not come.
+fn reason(control: &Control, job: &Job) -> Refusal {
+    let left = job.payer.as_ref().map(|(customer, prepaid)| {
+        let (_, spent) = control.state.borrow().balance(customer);
+        prepaid.saturating_sub(spent)
+    });
+    refusal::shortage(&Shortage {
+        cost: job.max_cost(),
+        // What waits for tokens has a payer.
+        left: left.unwrap_or_default(),
+        store_answers: control.shared.store_answers(),
+    })
+}
+
 /// Logs what decided that a request cannot be paid for.
 pub(super) fn log(control: &Control, job: &Job, refusal: Refusal) {
     let Some((customer, prepaid)) = &job.payer else {
--- a/src/gateway/decision/refusal.rs
+++ b/src/gateway/decision/refusal.rs
@@ -5,10 +5,11 @@
 //! that a later try may not meet.
 
 use http::StatusCode;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::retry::{Failure, Verdict};
 use crate::gateway::deadline::Over;
-use crate::units::Millis;
+use crate::units::{Millis, Tokens};
 
 /// Time to come back without a configuration: one comes within a read of the store. Not measured.
 const NO_CONFIG_RETRY: Millis = Millis(300);
@@ -23,6 +24,18 @@
 /// Time to come back after a target's refusal, or where the retry budget is used up. Not measured.
 const REFUSED_RETRY: Millis = Millis(100);
 
+/// Time to come back where little is left of a budget: only a request under way that costs less than was
+/// reserved frees any of it, and an operator adds to it. Not measured: longer than nearly all callers wait.
+const SCARCE_RETRY: Millis = Millis(30_000);
+/// Longest time to come back for what is late, which may come at any time. Not measured.
+const LATE_RETRY_MAX: Millis = Millis(60_000);
+
+/// A budget is scarce where what is left of it pays for fewer requests of this cost than that: it is spread
+/// over routers and requests under way. Within half a second of a refusal, a request of the customer that
+/// cost as much was paid for in 4 of 100 cases below 16, and in 46 of 100 above (docs/BENCHMARKS.md, coming
+/// back).
+const SCARCE_REQUESTS: u64 = 16;
+
 /// Why the control state does not let a request run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -34,10 +47,45 @@
     Exhausted,
     /// This router's part of the budget does not cover it, and no more came in time.
     Short,
-    /// The same, while the store does not answer.
+    /// The same, and little is left of the whole budget.
+    Scarce,
+    /// This router's part does not cover it, while the store does not answer.
     CutOff,
 }
 
+/// What is known when tokens did not come that a request waited for.
+#[derive(Clone, Copy, Debug)]
+pub struct Shortage {
+    /// The most that the request may cost.
+    pub cost: Tokens,
+    /// Tokens of the prepaid budget that nobody is known to have spent.
+    pub left: Tokens,
+    /// Whether the store answers.
+    pub store_answers: bool,
+}
+
+/// Decides why a request is refused whose tokens did not come.
+pub fn shortage(shortage: &Shortage) -> Refusal {
+    if !shortage.store_answers {
+        Refusal::CutOff
+    } else if shortage.left.0 / SCARCE_REQUESTS < shortage.cost.0 {
+        Refusal::Scarce
+    } else {
+        Refusal::Short
+    }
+}
+
+/// What is known when a caller is told when to come back.
+#[derive(Clone, Copy, Debug)]
+pub struct Outlook<'a> {
+    /// The request's id.
+    pub id: &'a str,
+    /// How long the store has not answered, where it does not.
+    pub store_lost: Option<Millis>,
+    /// How long the process has run.
+    pub running: Millis,
+}
+
 /// Why a caller gets no target's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reason {
@@ -122,12 +170,27 @@
         }
     }
 
-    /// When to come back, where it has not run and a later try may.
-    pub fn retry_after(self) -> Option<Millis> {
+    /// When to come back, where it has not run and a later try may. Callers are spread by their requests'
+    /// ids over as long again as the shortest time, so that those refused together do not return together.
+    pub fn retry_after(self, outlook: &Outlook<'_>) -> Option<Millis> {
+        let shortest = match (self, outlook.store_lost) {
+            // What is late is as late again, where no more is known of it.
+            (Self::NoConfig, None) => outlook.running.clamp(NO_CONFIG_RETRY, LATE_RETRY_MAX),
+            (Self::NoConfig | Self::Refused(Refusal::CutOff), Some(lost)) => {
+                lost.clamp(CUT_OFF_RETRY, LATE_RETRY_MAX)
+            }
+            _ => self.shortest_retry()?,
+        };
+        Some(spread(shortest, outlook.id))
+    }
+
+    /// The shortest time to come back, by the reason alone.
+    pub fn shortest_retry(self) -> Option<Millis> {
         match self {
             Self::NoConfig => Some(NO_CONFIG_RETRY),
             Self::Stopping => Some(STOPPING_RETRY),
             Self::Refused(Refusal::Short) => Some(GRANT_RETRY),
+            Self::Refused(Refusal::Scarce) => Some(SCARCE_RETRY),
             Self::Refused(Refusal::CutOff) => Some(CUT_OFF_RETRY),
             Self::Refused(Refusal::NoTarget) | Self::Unreachable => Some(NO_TARGET_RETRY),
             Self::Refused(Refusal::NoRepeats) | Self::TargetRefused => Some(REFUSED_RETRY),
@@ -158,6 +221,7 @@
             Self::Refused(Refusal::NoRepeats) => "no_repeats",
             Self::Refused(Refusal::Exhausted) => "budget_exhausted",
             Self::Refused(Refusal::Short) => "budget_short_here",
+            Self::Refused(Refusal::Scarce) => "budget_short_everywhere",
             Self::Refused(Refusal::CutOff) => "budget_short_and_cut_off",
             Self::TargetRefused => "target_refused",
             Self::Unreachable => "unreachable",
@@ -168,3 +232,8 @@
         }
     }
 }
+
+/// A time from `shortest` to twice that, the same for an id each time.
+fn spread(shortest: Millis, id: &str) -> Millis {
+    shortest + Millis(xxh3_64(id.as_bytes()) % (shortest.0 + 1))
+}
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -84,6 +84,7 @@
         controller: Controller::new(sender),
         dialect: options.dialect,
         pool: Pool::default(),
+        started: Instant::now(),
     });
     control::spawn(control::Parts {
         settings: options.settings,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use super::attempt::Controller;
 use super::dialect::{Dialect, Reply};
 use super::shared::Shared;
@@ -31,6 +33,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// Idle connections to targets.
     pub pool: Pool,
+    /// The start of the process.
+    pub started: Instant,
 }
 
 impl Relay {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -11,7 +11,7 @@
 use super::body::Body;
 use super::deadline::Deadline;
 use super::decision::admission;
-use super::decision::refusal::Reason;
+use super::decision::refusal::{Outlook, Reason};
 use super::decision::retry::Verdict;
 use super::dialect;
 use super::exchange::{Answer, Buffered, Exchange};
@@ -22,6 +22,7 @@
 use super::stream::Stream;
 use super::upload;
 use crate::net;
+use crate::units::Millis;
 
 /// Notes a caller that leaves before it has the head of an answer: what serves it is then dropped.
 struct Departure<'a> {
@@ -56,7 +57,7 @@
         Err(error) => {
             tracing::info!(event = "refused", reason = "bad_header", %error);
             reading.discard(body, body_max(relay));
-            return reply::answer(Reason::BadHeader, &*relay.dialect, "");
+            return reply::answer(Reason::BadHeader, None, &*relay.dialect, "");
         }
     };
     let id = request.id.clone();
@@ -93,6 +94,11 @@
         Verdict::NotRun => metrics.refused.add(1),
     }
     metrics.refusal.note(elapsed);
+    let retry_after = reason.retry_after(&Outlook {
+        id,
+        store_lost: relay.shared.store_lost(),
+        running: Millis(relay.started.elapsed().as_millis() as u64),
+    });
     let config = relay.shared.config.load();
     tracing::info!(
         event = "refused",
@@ -100,9 +106,10 @@
         reason = reason.word(),
         status = reason.status().as_u16(),
         config = config.as_ref().map_or(0, |config| config.version),
+        retry_after_ms = retry_after.map(|after| after.0),
         ms = elapsed.as_millis() as u64
     );
-    reply::answer(reason, &*relay.dialect, id)
+    reply::answer(reason, retry_after, &*relay.dialect, id)
 }
 
 /// Lets a request in by the configuration in force, and reads its body.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -19,6 +19,7 @@
 use super::metrics::Metrics;
 use super::route::Config;
 use crate::store::{CallError, Topic};
+use crate::units::Millis;
 
 /// Calls that are turned away for their number count as lost contact after this long without a call
 /// that succeeded. Not measured: one interval of heartbeats.
@@ -45,7 +46,8 @@
     has_targets: AtomicBool,
     stop: OnceLock<Stop<Instant>>,
     gives_back: AtomicBool,
-    is_store_lost: AtomicBool,
+    /// Since when the store does not answer. Only the control thread writes it.
+    store_lost: ArcSwapOption<Instant>,
     store_answered: ArcSwapOption<Instant>,
 }
 
@@ -136,7 +138,14 @@
 
     /// Whether the store answered the last call for grants or targets.
     pub fn store_answers(&self) -> bool {
-        !self.is_store_lost.load(Ordering::Relaxed)
+        self.store_lost.load().is_none()
+    }
+
+    /// How long the store has not answered, where it does not.
+    pub fn store_lost(&self) -> Option<Millis> {
+        let lost = self.store_lost.load();
+        lost.as_ref()
+            .map(|at| Millis(at.elapsed().as_millis() as u64))
     }
 
     /// Notes that a call to the store has had no answer for a while.
@@ -166,7 +175,8 @@
         let is_recent = last.as_ref().is_some_and(|at| now - **at < LIMITED_MAX);
         let is_passing = matches!(result, Err(CallError::Limited)) && is_recent;
         let is_lost = !is_answer && !is_passing;
-        if self.is_store_lost.swap(is_lost, Ordering::Relaxed) != is_lost {
+        if self.store_lost.load().is_some() != is_lost {
+            self.store_lost.store(is_lost.then(|| Arc::new(now)));
             match result {
                 Err(error) if is_lost => tracing::warn!(event = "store_lost", %error),
                 _ => tracing::info!(event = "store_regained"),
--- a/tests/decision_rules.rs
+++ b/tests/decision_rules.rs
@@ -5,7 +5,7 @@
 
 use lanedeck::gateway::decision::admission::{self, Request, Source};
 use lanedeck::gateway::decision::grant::{self, Need, Role, Sizing};
-use lanedeck::gateway::decision::refusal::Reason;
+use lanedeck::gateway::decision::refusal::{self, Outlook, Reason, Refusal, Shortage};
 use lanedeck::gateway::decision::retry::{self, Decision, Failure, History, Limit, Verdict};
 use lanedeck::gateway::decision::stop::Plan;
 use lanedeck::gateway::route::{
@@ -99,6 +99,114 @@
     assert_eq!(reason, Reason::TimedOut);
 }
 
+#[test]
+fn tokens_that_did_not_come() {
+    let decide = |cost, left, store_answers| {
+        refusal::shortage(&Shortage {
+            cost: Tokens(cost),
+            left: Tokens(left),
+            store_answers,
+        })
+    };
+    // Much is left, so a loan or a grant is on its way; little is, so the budget is as good as used up.
+    assert_eq!(decide(1_000, 500_000, true), Refusal::Short);
+    assert_eq!(decide(1_000, 1_000, true), Refusal::Scarce);
+    assert_eq!(decide(1_000, 15_999, true), Refusal::Scarce);
+    assert_eq!(decide(1_000, 16_000, true), Refusal::Short);
+    assert_eq!(decide(u64::MAX, 16_000, true), Refusal::Scarce);
+    // What others hold or have spent is not known without the store.
+    assert_eq!(decide(1_000, 1_000, false), Refusal::CutOff);
+}
+
+fn told(reason: Reason, id: &str, store_lost: Option<Millis>) -> u64 {
+    let after = reason.retry_after(&Outlook {
+        id,
+        store_lost,
+        running: Millis(10),
+    });
+    after.expect("a later try may be served").0
+}
+
+#[test]
+fn when_to_come_back() {
+    let short = told(Reason::Refused(Refusal::Short), "r1", None);
+    let scarce = told(Reason::Refused(Refusal::Scarce), "r1", None);
+    assert!(short < 1_000, "a loan or a grant takes less: {short}");
+    assert!(scarce >= 30_000, "no soon return is promised: {scarce}");
+    // The longer the store has been away, the longer its return is likely to take, up to a bound.
+    let cut_off = Reason::Refused(Refusal::CutOff);
+    let lost = |ms| told(cut_off, "r1", Some(Millis(ms)));
+    assert_eq!(lost(10), lost(5_000), "outages last many seconds");
+    assert!(lost(20_000) >= 20_000);
+    assert!(lost(20_000) > lost(5_000));
+    assert_eq!(lost(60_000), lost(10_000_000));
+    // A configuration comes from the store as well.
+    let no_config = |lost: Option<u64>| told(Reason::NoConfig, "r1", lost.map(Millis));
+    assert!(no_config(None) < 1_000);
+    assert_eq!(no_config(Some(10)), lost(10));
+    let no_config_for = |ms| {
+        let outlook = Outlook {
+            id: "r1",
+            store_lost: None,
+            running: Millis(ms),
+        };
+        Reason::NoConfig.retry_after(&outlook).unwrap().0
+    };
+    assert_eq!(
+        no_config_for(10),
+        no_config_for(300),
+        "a read takes a while"
+    );
+    assert!(
+        no_config_for(2_500) >= 2_500,
+        "it is late, so it may take longer"
+    );
+    assert_eq!(no_config_for(60_000), no_config_for(10_000_000));
+    // Another router serves at once, whatever the store does.
+    let stopping = told(Reason::Stopping, "r1", Some(Millis(20_000)));
+    assert!(stopping < 100, "{stopping}");
+    // Nothing is told where a later try meets the same, or the request may have run.
+    for reason in [
+        Reason::Refused(Refusal::Exhausted),
+        Reason::NoKey,
+        Reason::BrokenOff,
+        Reason::Late,
+    ] {
+        let outlook = Outlook {
+            id: "r1",
+            store_lost: None,
+            running: Millis(10),
+        };
+        assert_eq!(reason.retry_after(&outlook), None, "{reason:?}");
+    }
+}
+
+#[test]
+fn callers_are_spread() {
+    let reason = Reason::Refused(Refusal::CutOff);
+    let shortest = reason.shortest_retry().unwrap().0;
+    let ids = 0..1_000;
+    let times = ids.map(|number| told(reason, &format!("r{number}"), None));
+    let times: Vec<u64> = times.collect();
+    assert!(
+        times
+            .iter()
+            .all(|time| (shortest..=2 * shortest).contains(time))
+    );
+    // No tenth of the span has more than twice its part.
+    let mut tenths = [0; 10];
+    for time in &times {
+        let tenth = (time - shortest) * 10 / (shortest + 1);
+        tenths[usize::try_from(tenth).unwrap()] += 1;
+    }
+    assert!(tenths.iter().all(|count| *count <= 200), "{tenths:?}");
+    assert_eq!(
+        told(reason, "r7", None),
+        told(reason, "r7", None),
+        "an id always has the same time"
+    );
+}
+
 fn config() -> Config {
     let route = |prefix: &str, public: bool, rank: u8| Route {
         name: prefix.to_owned(),
