Keep how far a gateway's stop has come in one value

Cause: a stop was told by a time, a token and a flag among the shared state's other fields, each with methods there; that they follow each other was said nowhere, and the rule for late requests stood with admission.

What runs is as it was.

--- a/src/gateway/control/grants.rs
+++ b/src/gateway/control/grants.rs
@@ -45,7 +45,7 @@
     let mut known = Rows::new(partition);
     let delay = Duration::from_millis(rand::rng().random_range(0..START_SPREAD_MS));
     wait(delay, &now).await;
-    while !control.shared.gives_back() {
+    while !control.shared.stop.gives_back() {
         let begun = Instant::now();
         let written = rows::write(&control, &mut known, Purpose::Renew).await;
         // What still waits does not wait for the store to be back.
@@ -72,7 +72,7 @@
 
 /// Gives back what is not used; nothing runs any more.
 pub(super) async fn give_back(control: &Rc<Control>) {
-    control.shared.set_gives_back();
+    control.shared.stop.give_back();
     let unused = control.state.borrow_mut().take_unused();
     let transfers = loans::transfer_all(control, unused);
     let partitions: Vec<u32> = control.renewals.borrow().keys().copied().collect();
--- a/src/gateway/control/link.rs
+++ b/src/gateway/control/link.rs
@@ -65,7 +65,7 @@
 /// Answers another router. Once grants are given back, tokens that change hands would end with this
 /// process.
 pub(super) fn answer(control: &Control, request: Request) -> Reply {
-    let gives_back = control.shared.gives_back();
+    let gives_back = control.shared.stop.gives_back();
     match request {
         Request::Heartbeat(heartbeat) => answer_heartbeat(control, heartbeat),
         Request::Lend { .. } | Request::Give { .. } if gives_back => Reply::Declined,
--- a/src/gateway/control/loans.rs
+++ b/src/gateway/control/loans.rs
@@ -65,7 +65,7 @@
             loan,
         };
         if let Ok(Reply::Lent(lent)) = control.links.ask(lender, &request).await {
-            if control.shared.gives_back() {
+            if control.shared.stop.gives_back() {
                 // Nothing waits for it any more, and what is kept here ends with the process.
                 transfer(&control, customer.clone(), lent, vec![lender]).await;
                 break;
--- a/src/gateway/control/rows.rs
+++ b/src/gateway/control/rows.rs
@@ -144,7 +144,7 @@
     let is_here = |customer: &str| control.partition_of(customer) == number;
     match purpose {
         // A renewal that was under way when grants were given back would take one again.
-        Purpose::Renew if control.shared.gives_back() => Vec::new(),
+        Purpose::Renew if control.shared.stop.gives_back() => Vec::new(),
         Purpose::Renew => {
             let waiting = control.waiting.borrow().needed();
             let mut state = control.state.borrow_mut();
--- a/src/gateway/decision/admission.rs
+++ b/src/gateway/decision/admission.rs
@@ -17,15 +17,6 @@
 /// what is granted in time can still meet it. Not measured.
 const GRANT_WAIT_DIVISOR: u32 = 5;
 
-/// A stop that has begun.
-#[derive(Clone, Copy, Debug)]
-pub struct Stop<T> {
-    /// From then on only requests are let in that end before `end`.
-    pub late: T,
-    /// What runs then is cut off.
-    pub end: T,
-}
-
 /// What a request shows at the door.
 #[derive(Clone, Copy, Debug)]
 pub struct Request<'a> {
@@ -91,11 +82,6 @@
     first.saturating_add(within).min(RANK_MAX)
 }
 
-/// Whether a request comes too late for a stop to wait for its end.
-pub fn is_too_late<T: PartialOrd>(stop: &Stop<T>, now: T, deadline: T) -> bool {
-    now >= stop.late && deadline > stop.end
-}
-
 /// Who pays for a request, and all that it has prepaid. Only model requests of customers with a
 /// prepaid budget are paid for.
 pub fn payer(customer: Option<&Customer>, is_model: bool) -> Option<(String, Tokens)> {
--- a/src/gateway/decision/stop.rs
+++ b/src/gateway/decision/stop.rs
@@ -1,4 +1,4 @@
-//! The steps of a planned stop, as times after its signal.
+//! The steps of a planned stop, as times after its signal, and which requests are let in during one.
 
 use std::time::Duration;
 
@@ -50,3 +50,17 @@
         }
     }
 }
+
+/// A stop that has begun.
+#[derive(Clone, Copy, Debug)]
+pub struct Times<T> {
+    /// From then on only requests are let in that end before `end`.
+    pub late: T,
+    /// What runs then is given up.
+    pub end: T,
+}
+
+/// Whether a request comes too late for a stop to wait for its end.
+pub fn is_too_late<T: PartialOrd>(times: &Times<T>, now: T, deadline: T) -> bool {
+    now >= times.late && deadline > times.end
+}
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -97,7 +97,7 @@
         let reading = reading.clone();
         async move {
             let mut response = endpoint.answer(request, &reading).await;
-            if shared.is_stopping() {
+            if shared.stop.has_begun() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 mod shared;
 pub mod sse;
 pub(crate) mod state;
+mod stop;
 mod stream;
 pub mod targets;
 mod upload;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -13,7 +13,6 @@
 
 use super::attempt::{Controller, Message};
 use super::control;
-use super::decision::admission::Stop;
 use super::decision::stop;
 use super::dialect::Dialect;
 use super::listener::{self, Endpoint};
@@ -158,7 +157,7 @@
 async fn stop(shared: &Shared, controller: &Controller, server: &Server, plan: &stop::Plan) {
     let since = Instant::now();
     let end = since + plan.end;
-    shared.set_stopping(Stop {
+    shared.stop.begin(stop::Times {
         // Callers that hold an earlier answer about addresses still come for a while.
         late: since + plan.linger,
         end,
@@ -196,7 +195,7 @@
         return 0;
     }
     let cut = shared.active();
-    shared.cut.cancel();
+    shared.stop.give_up();
     if timeout(answers, server.closed()).await.is_err() {
         let connections = server.connections();
         tracing::warn!(event = "connections_cut", connections);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -132,10 +132,10 @@
         },
     )?;
     let deadline = started + Duration::from_millis(terms.time_limit.0);
-    if relay.shared.is_too_late(deadline) {
+    if relay.shared.stop.is_too_late(deadline) {
         return Err(Reason::Stopping);
     }
-    let deadline = Deadline::new(deadline, relay.shared.cut.clone());
+    let deadline = Deadline::new(deadline, relay.shared.stop.given_up());
     let body = upload::read(body, config.limits.body_bytes, &deadline).await?;
     let path = parts.uri.path_and_query().cloned();
     let mut headers = parts.headers;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -1,23 +1,22 @@
 //! What the control thread and the traffic thread both see.
 //!
 //! The control thread replaces each value as a whole and the traffic reads it without waiting; the
-//! traffic counts the requests under way, and the process marks its stop.
+//! traffic counts the requests under way, and the process takes the steps of its stop.
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bytes::Bytes;
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use tokio_util::sync::CancellationToken;
 
-use super::decision::admission::{self, Stop};
 use super::metrics::Metrics;
 use super::route::Config;
+use super::stop::Progress;
 use crate::store::{CallError, Topic};
 use crate::units::Millis;
 
@@ -40,12 +39,10 @@
     pub metrics: Metrics,
     /// Wakes the task that writes this router's own entry.
     pub entry_changed: Notify,
-    /// Cancelled when a stop waits for requests no longer.
-    pub cut: CancellationToken,
+    /// How far a stop has come.
+    pub stop: Progress,
     active: AtomicUsize,
     has_targets: AtomicBool,
-    stop: OnceLock<Stop<Instant>>,
-    gives_back: AtomicBool,
     /// Since when the store does not answer. Only the control thread writes it.
     store_lost: ArcSwapOption<Instant>,
     store_answered: ArcSwapOption<Instant>,
@@ -107,33 +104,7 @@
     /// Whether callers may come.
     pub fn is_ready(&self) -> bool {
         let knows = self.config.load().is_some() && self.has_targets.load(Ordering::Relaxed);
-        knows && !self.is_stopping()
-    }
-
-    /// Notes that the process is stopping. Only the first stop counts.
-    pub fn set_stopping(&self, stop: Stop<Instant>) {
-        let _ = self.stop.set(stop);
-    }
-
-    /// Whether the process is stopping.
-    pub fn is_stopping(&self) -> bool {
-        self.stop.get().is_some()
-    }
-
-    /// Whether a request that may take until `deadline` comes too late for a stop to wait for it.
-    pub fn is_too_late(&self, deadline: Instant) -> bool {
-        let stop = self.stop.get();
-        stop.is_some_and(|stop| admission::is_too_late(stop, Instant::now(), deadline))
-    }
-
-    /// Notes that grants are being given back, so that none is renewed any more.
-    pub fn set_gives_back(&self) {
-        self.gives_back.store(true, Ordering::Relaxed);
-    }
-
-    /// Whether grants are being given back.
-    pub fn gives_back(&self) -> bool {
-        self.gives_back.load(Ordering::Relaxed)
+        knows && !self.stop.has_begun()
     }
 
     /// Whether the store answered the last call for grants or targets.
