--- a/tests/common/world.rs
+++ b/tests/common/world.rs
@@ -20,6 +20,7 @@
 
 mod callers;
 mod log;
+mod script;
 mod setup;
 
 pub const NODES: usize = 4;
@@ -96,7 +97,20 @@
 }
 
 impl World {
+    /// A run with faults, and callers that send again.
     pub fn new(seed: u64) -> Self {
+        let mut world = Self::quiet(seed);
+        world.calm = false;
+        world.after(3_000, Event::Fault);
+        for _ in 0..300 {
+            let at = world.rng.random_range(2_000..RUN);
+            world.after(at, Event::Arrive(usize::MAX));
+        }
+        world
+    }
+
+    /// A run in which only that happens which a test brings about.
+    pub fn quiet(seed: u64) -> Self {
         let mut world = Self {
             rng: StdRng::seed_from_u64(seed),
             now: 1,
@@ -117,7 +131,7 @@
             faults: Faults::default(),
             count: 0,
             verdicts: BTreeMap::new(),
-            calm: false,
+            calm: true,
             traced: std::env::var_os("LANEDECK_TRACE").is_some(),
         };
         world.configure();
@@ -132,11 +146,6 @@
             });
             world.after(0, Event::Start(node));
         }
-        world.after(3_000, Event::Fault);
-        for _ in 0..300 {
-            let at = world.rng.random_range(2_000..RUN);
-            world.after(at, Event::Arrive(usize::MAX));
-        }
         world
     }
 
@@ -273,18 +282,14 @@
         match self.rng.random_range(0..8) {
             0 if self.nodes[node].state.is_some() => {
                 self.faults.note("kill");
-                self.nodes[node].state = None;
-                self.nodes[node].life += 1;
-                self.nodes[node].frozen = false;
-                self.nodes[node].held.clear();
+                self.kill(node);
                 let wait = self.rng.random_range(100..6_000);
                 self.after(wait, Event::Start(node));
             }
             1 if !self.nodes[node].frozen => {
                 self.faults.note("freeze");
-                self.nodes[node].frozen = true;
                 let wait = self.rng.random_range(200..12_000);
-                self.after(wait, Event::Thaw(node));
+                self.freeze(node, wait);
             }
             2 => {
                 self.faults.note("log outage or end of one");
--- a/tests/common/world/callers.rs
+++ b/tests/common/world/callers.rs
@@ -42,18 +42,7 @@
         let ticket = Ticket(self.next);
         let life = self.nodes[node].life;
         self.tickets.insert((node, life, ticket), caller);
-        let spec = Spec {
-            ticket,
-            id,
-            fingerprint: 1,
-            customer: format!("c{customer}"),
-            budget: format!("c{customer}"),
-            class: "std".into(),
-            kind: Kind::Engine,
-            serves: "m".into(),
-            max_tokens: Tokens(MOST),
-            repeatable,
-        };
+        let spec = spec(ticket, id, customer, repeatable);
         let lag = self.lag();
         self.after(lag, Event::ToNode(node, life, Input::Arrive(spec)));
         let wait = self.rng.random_range(1_000..6_000);
@@ -154,3 +143,18 @@
         billed == ran && doubt == 0
     }
 }
+
+pub(super) fn spec(ticket: Ticket, id: Id, customer: usize, repeatable: bool) -> Spec {
+    Spec {
+        ticket,
+        id,
+        fingerprint: 1,
+        customer: format!("c{customer}"),
+        budget: format!("c{customer}"),
+        class: "std".into(),
+        kind: Kind::Engine,
+        serves: "m".into(),
+        max_tokens: Tokens(MOST),
+        repeatable,
+    }
+}
--- /dev/null
+++ b/tests/common/world/script.rs
@@ -0,0 +1,96 @@
+//! Steps of a test that brings faults about itself, one by one.
+
+use lanedeck::router::budget::Budget;
+
+use super::callers::spec;
+use super::*;
+
+impl World {
+    /// Lets time pass.
+    pub fn pass(&mut self, span: u64) {
+        let until = self.now + span;
+        while let Some(Reverse((at, key))) = self.queue.peek().copied()
+            && at <= until
+        {
+            self.queue.pop();
+            self.now = at;
+            let event = self.events.remove(&key).unwrap();
+            self.step(event);
+        }
+        self.now = until;
+    }
+
+    /// A caller that sends a request once and never comes back.
+    pub fn call(&mut self, node: usize, customer: usize) -> Id {
+        let number = self.rng.random_range(0..1 << 30);
+        let id = self.state(node).prefix().with_number(number);
+        let cost = self.rng.random_range(1..=MOST);
+        self.cost.insert(id, cost);
+        let ticket = Ticket(self.next);
+        let life = self.nodes[node].life;
+        let spec = spec(ticket, id, customer, true);
+        self.after(1, Event::ToNode(node, life, Input::Arrive(spec)));
+        id
+    }
+
+    /// Lets time pass until a target has a request.
+    pub fn pass_until_dispatched(&mut self, id: Id) {
+        for _ in 0..1_000 {
+            if self.ran_at.contains_key(&id) {
+                return;
+            }
+            self.pass(5);
+        }
+        panic!("{id} is not dispatched");
+    }
+
+    pub fn kill(&mut self, node: usize) {
+        self.nodes[node].state = None;
+        self.nodes[node].life += 1;
+        self.nodes[node].frozen = false;
+        self.nodes[node].held.clear();
+    }
+
+    pub fn freeze(&mut self, node: usize, span: u64) {
+        self.nodes[node].frozen = true;
+        self.after(span, Event::Thaw(node));
+    }
+
+    pub fn stop(&mut self, node: usize) {
+        self.tell(node, Input::Stop);
+    }
+
+    pub fn state(&self, node: usize) -> &State {
+        self.nodes[node].state.as_ref().expect("a live node")
+    }
+
+    /// A customer's budget, as a node sees it.
+    pub fn budget(&self, node: usize, customer: usize) -> &Budget {
+        let name = format!("c{customer}");
+        let Stream::Shard(shard) = Stream::of_customer(&name) else {
+            unreachable!()
+        };
+        let ledger = self.state(node).ledger(shard);
+        ledger.budget(ledger.find(&name).unwrap()).unwrap()
+    }
+
+    /// The node that a customer's ledger has as the witness of another.
+    pub fn witness_of(&self, node: usize, customer: usize) -> usize {
+        let Stream::Shard(shard) = Stream::of_customer(&format!("c{customer}")) else {
+            unreachable!()
+        };
+        let state = self.state(node);
+        let member = state.ledger(shard).sequence().member(state.incarnation());
+        let witness = member.witness.expect("a witness in the ledger");
+        let is_it = |one: &usize| {
+            let state = self.nodes[*one].state.as_ref();
+            state.is_some_and(|state| state.incarnation() == witness)
+        };
+        (0..NODES).find(is_it).expect("a witness that lives")
+    }
+
+    /// What each request cost the target that ran it.
+    pub fn cost_of(&self, id: Id) -> Tokens {
+        Tokens(self.cost[&id])
+    }
+}
