Have a leaving witness wait for its wards, and its wards change it at once

Cause: a router that is stopped as planned ended as soon as its own accounts were done, and a holder looked for another witness only when its own had not answered for a second. A holder that died in between was left to a witness that was gone with the only accounts of it, so its grant stayed held until an operator released it.

Change: a holder asks another witness as soon as its own says, or the host list says, that it leaves, where another can take its place; until the ledger names the new one both must acknowledge, as before. A leaving witness tells its wards each second, and ends when the ledger has none under it that has somebody else to go to or may have died, and when nothing is in doubt that it alone may judge; at most STOP_WAIT after the last request, as for a log that is out. It writes its own leave first, so two that stop together do not wait for each other. The decisions are in control::decision::witness. What processes send and store is unchanged.

With two routers only there is nobody to go to, and a holder that dies just after its witness has ended is still held.

--- a/src/router/budget/witness.rs
+++ b/src/router/budget/witness.rs
@@ -76,6 +76,17 @@
     pub billed: Tokens,
 }
 
+/// A closed holder's request whose outcome nobody has told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Doubt {
+    /// The request.
+    pub id: Id,
+    /// The budget that pays.
+    pub budget: BudgetKey,
+    /// What may be billed, and where it went.
+    pub reservation: Reservation,
+}
+
 #[derive(Clone, Debug)]
 struct Held {
     ward: Ward,
@@ -307,14 +318,18 @@
     }
 
     /// Requests of closed holders that are still open: ask their targets.
-    pub fn doubtful(&self) -> Vec<(Id, Reservation)> {
+    pub fn doubtful(&self) -> Vec<Doubt> {
         let closed = self.wards.iter().filter(|(_, held)| held.closed.is_some());
         let entries = closed.flat_map(|(holder, held)| {
             let entries = held.ward.entries.iter();
-            entries.map(|(nonce, (_, state))| (*holder, *nonce, *state))
+            entries.map(|(nonce, (budget, state))| (*holder, *nonce, *budget, *state))
         });
-        let open = entries.filter_map(|(incarnation, nonce, state)| match state {
-            State::Open(reservation) => Some((Id { incarnation, nonce }, reservation)),
+        let open = entries.filter_map(|(incarnation, nonce, budget, state)| match state {
+            State::Open(reservation) => Some(Doubt {
+                id: Id { incarnation, nonce },
+                budget,
+                reservation,
+            }),
             State::Settled(_) | State::Taken(_) => None,
         });
         open.collect()
@@ -343,6 +358,12 @@
             .retain(|_, held| held.closed.is_none_or(|at| now < at + CLOSED_KEEP));
     }
 
+    /// Holders that have named this router, with when each was last heard.
+    pub fn holders(&self) -> impl Iterator<Item = (Incarnation, Millis)> {
+        let wards = self.wards.iter();
+        wards.map(|(holder, held)| (*holder, held.heard))
+    }
+
     /// Holders that this router is the witness of.
     pub fn wards(&self) -> usize {
         self.wards.len()
--- a/src/router/control/operator.rs
+++ b/src/router/control/operator.rs
@@ -101,7 +101,8 @@
         self.send_heartbeats();
     }
 
-    /// Ends the process once nothing is in progress and the log has its accounts.
+    /// Ends the process once nothing is in progress, the log has its accounts, and nobody needs it as a
+    /// witness. It leaves as a holder first: of two that stop together, neither waits for the other.
     pub(super) fn finish_stop(&mut self) {
         if !self.stopping || self.exited || !self.jobs.is_empty() {
             self.stopping_since = self.now;
@@ -114,12 +115,9 @@
         if self.settling.is_empty() {
             self.write_leave();
         }
-        if !patient
-            || self
-                .writers
-                .values()
-                .all(crate::router::log::Writer::is_empty)
-        {
+        let mut writers = self.writers.values();
+        let is_written = writers.all(crate::router::log::Writer::is_empty);
+        if !patient || (is_written && !self.is_awaited()) {
             self.exited = true;
             self.actions.push(Action::Exit);
         }
--- a/src/router/control/peers.rs
+++ b/src/router/control/peers.rs
@@ -1,11 +1,12 @@
 //! This router among the others: heartbeats, and its duties as a witness.
 
 use super::action::Token;
+use super::decision::witness::{Ward, is_awaited};
 use super::state::Asked;
 use super::{Action, Call, State};
 use crate::router::budget::{Answer, Replay, Taken};
 use crate::router::host::Peer;
-use crate::router::key::{Incarnation, SHARDS, Stream};
+use crate::router::key::{BudgetKey, Incarnation, SHARDS, Stream};
 use crate::router::log::Record;
 use crate::router::message::{Notice, Reply, Request};
 use crate::router::request::{EPOCH_KEEP, Id, Prefix};
@@ -40,7 +41,14 @@
         me.epoch = epoch;
         me.applied = applied;
         me.leaving = leaving;
-        for to in self.membership.round(self.now, &mut self.rng) {
+        let mut told = self.membership.round(self.now, &mut self.rng);
+        if leaving {
+            let wards = self.named_wards().map(|(holder, _)| holder);
+            told.extend(wards.filter_map(|holder| self.membership.address_of(holder)));
+            told.sort_unstable();
+            told.dedup();
+        }
+        for to in told {
             let peers = self.membership.tell(self.now, &mut self.rng);
             self.call(to, Asked::Heartbeat, Request::Heartbeat { peers });
         }
@@ -217,11 +225,11 @@
             return;
         }
         self.last_inquiry = self.now;
-        for (id, reservation) in self.witness.doubtful().into_iter().take(INQUIRIES) {
+        for doubt in self.witness.doubtful().into_iter().take(INQUIRIES) {
             self.actions.push(Action::Inquire {
-                id,
-                request: reservation.request,
-                target: reservation.target,
+                id: doubt.id,
+                request: doubt.reservation.request,
+                target: doubt.reservation.target,
             });
         }
     }
@@ -232,6 +240,36 @@
         self.write_closes();
     }
 
+    /// Holders that a ledger has under this router, with when each was last heard.
+    fn named_wards(&self) -> impl Iterator<Item = (Incarnation, Millis)> {
+        let is_named = |holder| (0..SHARDS).any(|shard| self.is_witness_in(shard, holder));
+        let holders = self.witness.holders();
+        holders.filter(move |(holder, _)| is_named(*holder))
+    }
+
+    /// Whether tokens stay held, or in doubt, if this router ends now.
+    pub(super) fn is_awaited(&self) -> bool {
+        let others = self.membership.well(self.now);
+        let mut wards = self.named_wards().map(|(holder, heard)| Ward {
+            unheard: self.now.saturating_sub(heard),
+            has_other: others.iter().any(|peer| peer.incarnation != holder),
+        });
+        let mut doubts = self.witness.doubtful().into_iter();
+        wards.any(|ward| is_awaited(&ward))
+            || doubts.any(|doubt| self.is_judge_of(doubt.id, doubt.budget))
+    }
+
+    /// Whether a request is in doubt, and this router's word decides it.
+    fn is_judge_of(&self, id: Id, budget: BudgetKey) -> bool {
+        let ledger = self.ledger(budget.shard);
+        let judge = ledger.sequence().member(id.incarnation).witness;
+        let key = (id.incarnation, id.nonce);
+        judge == Some(self.incarnation())
+            && ledger
+                .budget(budget.index)
+                .is_some_and(|budget| budget.doubt.contains_key(&key))
+    }
+
     fn is_witness_in(&self, shard: u8, holder: Incarnation) -> bool {
         let member = self.ledger(shard).sequence().member(holder);
         member.gone.is_none() && member.witness == Some(self.incarnation())
@@ -268,12 +306,7 @@
             return;
         }
         let key = (id.incarnation, id.nonce);
-        let judge = ledger.sequence().member(id.incarnation).witness;
-        let doubted = judge == Some(self.incarnation())
-            && ledger
-                .budget(budget.index)
-                .is_some_and(|budget| budget.doubt.contains_key(&key));
-        if !doubted {
+        if !self.is_judge_of(id, budget) {
             self.witness.written(id);
             return;
         }
--- a/src/router/control/witnesses.rs
+++ b/src/router/control/witnesses.rs
@@ -2,6 +2,7 @@
 
 use rand::RngExt;
 
+use super::decision::witness::{self, Decision, Standing};
 use super::job::Stage;
 use super::link::Link;
 use super::state::{Asked, LinkKey};
@@ -13,8 +14,6 @@
 use crate::router::request::{Id, Ticket, Verdict};
 use crate::units::{Millis, Tokens};
 
-/// A witness that has not answered for this long is replaced. Not measured.
-const SILENT: Millis = Millis(1_000);
 /// An earlier incarnation's bills are given up when its witness is silent for this long.
 /// Not measured.
 const LATE_WAIT: Millis = Millis(10_000);
@@ -62,15 +61,20 @@
         }
     }
 
-    /// Keeps a witness that answers, and has the ledgers name it.
+    /// Keeps a witness that answers and stays, and has the ledgers name it.
     pub(super) fn watch_witness(&mut self) {
         self.drop_links();
         let me = self.incarnation();
         match self.membership.me().witness {
             Some(witness) => {
                 let link = self.links.get(&(me, witness));
-                let answers = link.is_some_and(|link| self.now <= link.heard + SILENT);
-                if !answers {
+                let heard = link.map_or(Millis::ZERO, |link| link.heard);
+                let standing = Standing {
+                    unanswered: self.now.saturating_sub(heard),
+                    is_leaving: self.membership.is_leaving(self.now, witness),
+                    has_other: self.next_witness().is_some(),
+                };
+                if witness::decide(&standing) == Decision::Change {
                     self.change_witness(Some(witness));
                 }
             }
@@ -79,12 +83,18 @@
         self.name_witnesses();
     }
 
-    fn change_witness(&mut self, old: Option<Incarnation>) {
+    /// Who would be asked next: one that has not been asked lately.
+    fn next_witness(&self) -> Option<Incarnation> {
         let me = self.incarnation();
-        let recently =
+        let is_new =
             |peer: &&crate::router::host::Peer| !self.links.contains_key(&(me, peer.incarnation));
-        let chosen = self.membership.witness(self.now, recently);
-        let chosen = chosen.map(|peer| peer.incarnation);
+        let chosen = self.membership.witness(self.now, is_new);
+        chosen.map(|peer| peer.incarnation)
+    }
+
+    fn change_witness(&mut self, old: Option<Incarnation>) {
+        let me = self.incarnation();
+        let chosen = self.next_witness();
         if chosen.is_none() && old.is_none() {
             return;
         }
--- a/src/router/host/member.rs
+++ b/src/router/host/member.rs
@@ -185,6 +185,12 @@
         }
     }
 
+    /// Whether a peer is still there and says, or the host list says, that it leaves.
+    pub fn is_leaving(&self, now: Millis, incarnation: Incarnation) -> bool {
+        let known = self.known.get(&incarnation);
+        known.is_some_and(|known| self.stand(now, known) == Standing::Leaving)
+    }
+
     /// Whether the host list calls this router leaving.
     pub fn am_leaving(&self) -> bool {
         self.me.leaving || self.leaving.contains(&self.me.address)
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -94,6 +94,28 @@
     );
 }
 
+/// Tokens of a router that died just after its witness was told to stop stayed held: the witness ended
+/// with the only accounts of it.
+#[test]
+fn witness_leaves() {
+    let mut area = Area::with_options(1, 3, &["--close-after=1000"], &["--between=20"]);
+    let to = area.routers[0].address;
+    let answer = area.send(Method::POST, to, CHAT, &key("kiosks"), &[], &chat("x", 5));
+    assert_eq!(answer.events().last(), Some(&"[DONE]"));
+    area.settled("kiosks", 2 + 5);
+    let witness = area.status(0)["witness"].clone();
+    let is_it = |place: &usize| area.status(*place)["incarnation"] == witness;
+    let witness = (1..3).find(is_it).expect("a witness");
+    area.routers[witness].signal("TERM");
+    area.routers[0].kill();
+    assert_eq!(area.routers[witness].wait(Duration::from_secs(40)), Some(0));
+    area.routers.remove(witness);
+    area.routers.remove(0);
+    area.wait("nothing held", |area| area.seen("kiosks")["held"] == 0);
+    let seen = area.settled("kiosks", 2 + 5);
+    assert_eq!(seen["in_doubt"], 0);
+}
+
 #[test]
 fn log_out() {
     let mut area = Area::new(1, 2);
