Keep a closed router as the witness of its wards

Cause: a router that is closed goes on under a new incarnation, and gave up with the old one what it was the witness of, though it had still heard all that it acknowledged. The ledger takes a dead holder's close, and the bills of its requests, from the witness that it has on record only, so grants stayed held and requests in doubt until an operator released them.

Change: a process is a witness under each incarnation that it has had, with books and outboxes of their own. It answers the wards that an earlier one has, takes on no more under it, closes and judges under it, and tells of it as leaving, so that its wards find another; it is dropped when it has no wards. The outboxes keep what was sent with its numbers, and drop what was not: a draft that gave a number anew would have let a record count without those before it (found by reading; numbers_kept). What processes send and store is unchanged.

--- a/src/router/budget/witness.rs
+++ b/src/router/budget/witness.rs
@@ -358,6 +358,11 @@
             .retain(|_, held| held.closed.is_none_or(|at| now < at + CLOSED_KEEP));
     }
 
+    /// Whether a holder has named this router.
+    pub fn has(&self, holder: Incarnation) -> bool {
+        self.wards.contains_key(&holder)
+    }
+
     /// Holders that have named this router, with when each was last heard.
     pub fn holders(&self) -> impl Iterator<Item = (Incarnation, Millis)> {
         let wards = self.wards.iter();
--- a/src/router/control/arrive.rs
+++ b/src/router/control/arrive.rs
@@ -260,7 +260,7 @@
         let repeatable = job.spec.repeatable;
         self.jobs.insert(ticket, job);
         let by = self.incarnation();
-        if witness == by {
+        if self.witnesses.contains_key(&witness) {
             let taken = self.take_over(id, shard, by, repeatable);
             self.judged(ticket, taken);
             return;
--- a/src/router/control/operator.rs
+++ b/src/router/control/operator.rs
@@ -5,7 +5,7 @@
 use super::action::{StatusBudget, Token};
 use super::state::Confirming;
 use super::{Action, State, Status, StatusPeer};
-use crate::router::budget::Budget;
+use crate::router::budget::{Budget, Witness};
 use crate::router::config::{Intent, World, plan};
 use crate::router::intent::{Outcome, Plan, Refused};
 use crate::router::key::{BudgetKey, SHARDS, Stream};
@@ -115,7 +115,7 @@
         if self.settling.is_empty() {
             self.write_leave();
         }
-        let mut writers = self.writers.values();
+        let mut writers = self.writers.values().chain(self.past_writers.values());
         let is_written = writers.all(crate::router::log::Writer::is_empty);
         if !patient || (is_written && !self.is_awaited()) {
             self.exited = true;
@@ -143,7 +143,7 @@
             stopping: self.stopping,
             log_up: !self.is_log_out(),
             witness: me.witness.map(hex),
-            wards: self.witness.wards(),
+            wards: self.witnesses.values().map(Witness::wards).sum(),
             applied: applied.collect(),
             waiting: self
                 .queues
--- a/src/router/control/peers.rs
+++ b/src/router/control/peers.rs
@@ -4,10 +4,10 @@
 use super::decision::witness::{Ward, is_awaited};
 use super::state::Asked;
 use super::{Action, Call, State};
-use crate::router::budget::{Answer, Replay, Taken};
+use crate::router::budget::{Answer, Doubt, Replay, Resolved, Taken, Witness};
 use crate::router::host::Peer;
 use crate::router::key::{BudgetKey, Incarnation, SHARDS, Stream};
-use crate::router::log::Record;
+use crate::router::log::{Record, Writer};
 use crate::router::message::{Notice, Reply, Request};
 use crate::router::request::{EPOCH_KEEP, Id, Prefix};
 use crate::units::{Millis, Tokens};
@@ -18,6 +18,8 @@
 const PRUNE_EVERY: Millis = Millis(10_000);
 /// A ward silent for this long, whose ledgers name another witness, is forgotten. Not measured.
 const FORGET_AFTER: Millis = Millis(3_600_000);
+/// The same for a ward that has named an earlier incarnation of this process. Not measured.
+const PAST_FORGET_AFTER: Millis = Millis(60_000);
 /// Time between two rounds of questions to targets about requests in doubt. Not measured.
 const INQUIRE_EVERY: Millis = Millis(1_000);
 /// Questions in a round. Not measured.
@@ -27,6 +29,16 @@
 /// A router behind the log asks a peer for its state this often. Not measured.
 const STATE_EVERY: Millis = Millis(1_000);
 
+/// A holder that a ledger has under this process.
+#[derive(Clone, Copy, Debug)]
+struct Named {
+    /// The incarnation of this process that it has named.
+    witness: Incarnation,
+    holder: Incarnation,
+    /// When it was last heard.
+    heard: Millis,
+}
+
 impl State {
     pub(super) fn send_heartbeats(&mut self) {
         if self.now < self.last_heartbeat + HEARTBEAT_INTERVAL && self.last_heartbeat > Millis::ZERO
@@ -42,12 +54,12 @@
         me.applied = applied;
         me.leaving = leaving;
         let mut told = self.membership.round(self.now, &mut self.rng);
-        if leaving {
-            let wards = self.named_wards().map(|(holder, _)| holder);
-            told.extend(wards.filter_map(|holder| self.membership.address_of(holder)));
-            told.sort_unstable();
-            told.dedup();
-        }
+        let me = self.incarnation();
+        let wards = self.named_wards();
+        let to_move = wards.filter(|ward| leaving || ward.witness != me);
+        told.extend(to_move.filter_map(|ward| self.membership.address_of(ward.holder)));
+        told.sort_unstable();
+        told.dedup();
         for to in told {
             let peers = self.membership.tell(self.now, &mut self.rng);
             self.call(to, Asked::Heartbeat, Request::Heartbeat { peers });
@@ -73,17 +85,20 @@
     }
 
     pub(super) fn asked(&mut self, token: Token, request: Request) {
-        let me = self.incarnation();
         let reply = match request {
             Request::Heartbeat { peers } => {
                 self.hear(&peers);
                 let peers = self.membership.tell(self.now, &mut self.rng);
                 Reply::Heartbeat { peers }
             }
-            Request::Ward { to, .. } | Request::Take { to, .. } if to != me => Reply::Gone,
+            Request::Ward { to, holder, .. } if !self.is_witness_of(to, holder) => Reply::Gone,
+            Request::Take { to, .. } if !self.witnesses.contains_key(&to) => Reply::Gone,
             Request::Ward {
-                holder, seq, asks, ..
-            } => Reply::Ward(self.answer_ward(holder, seq, asks)),
+                to,
+                holder,
+                seq,
+                asks,
+            } => Reply::Ward(self.answer_ward(to, holder, seq, asks)),
             Request::Take {
                 id,
                 shard,
@@ -146,39 +161,38 @@
         }
     }
 
-    fn answer_ward(&mut self, holder: Incarnation, seq: u64, asks: Vec<Notice>) -> Vec<Answer> {
-        match self.witness.replay(holder, seq) {
+    /// Whether this process answers a holder under a name. Under an earlier incarnation it keeps the
+    /// wards that it has, and takes on no more.
+    fn is_witness_of(&self, name: Incarnation, holder: Incarnation) -> bool {
+        let witness = self.witnesses.get(&name);
+        name == self.incarnation() || witness.is_some_and(|witness| witness.has(holder))
+    }
+
+    fn answer_ward(
+        &mut self,
+        name: Incarnation,
+        holder: Incarnation,
+        seq: u64,
+        asks: Vec<Notice>,
+    ) -> Vec<Answer> {
+        let now = self.now;
+        let Some(witness) = self.witnesses.get_mut(&name) else {
+            return Vec::new();
+        };
+        match witness.replay(holder, seq) {
             Replay::Again(answers) => answers,
             Replay::Stale => Vec::new(),
             Replay::New => {
+                let asks = asks.into_iter();
                 let answers: Vec<Answer> = asks
-                    .into_iter()
-                    .map(|ask| self.answer_ask(holder, ask))
+                    .map(|ask| answer_ask(witness, now, holder, ask))
                     .collect();
-                self.witness.answered(holder, seq, &answers);
+                witness.answered(holder, seq, &answers);
                 answers
             }
         }
     }
 
-    fn answer_ask(&mut self, holder: Incarnation, ask: Notice) -> Answer {
-        let now = self.now;
-        let id = |nonce| Id {
-            incarnation: holder,
-            nonce,
-        };
-        match ask {
-            Notice::Adopt(ward) => self.witness.adopt(now, holder, ward),
-            Notice::Open {
-                nonce,
-                budget,
-                reservation,
-            } => self.witness.open(now, id(nonce), budget, reservation),
-            Notice::Settle { nonce, billed } => self.witness.settle(now, id(nonce), billed),
-            Notice::Heard { epoch } => self.witness.heard(now, holder, epoch),
-        }
-    }
-
     /// Judges a takeover. Only a witness whose close, or whose ward's leave, the ledger has taken
     /// may do so: nothing can be dispatched under that incarnation any more.
     pub(super) fn take_over(
@@ -195,11 +209,12 @@
         if member.gone.is_none() {
             return Taken::Alive;
         }
-        if member.witness != Some(self.incarnation()) {
+        let judge = member.witness;
+        let Some(witness) = judge.and_then(|name| self.witnesses.get_mut(&name)) else {
             return Taken::Unknown;
-        }
-        self.witness.close(self.now, id.incarnation);
-        let taken = self.witness.take(id, by, repeatable);
+        };
+        witness.close(self.now, id.incarnation);
+        let taken = witness.take(id, by, repeatable);
         self.write_closes();
         taken
     }
@@ -207,25 +222,46 @@
     /// Closes wards that have gone silent. The clock only decides when this is tried: a close
     /// counts if the ledger still names this router as the witness.
     pub(super) fn watch_wards(&mut self) {
-        for holder in self.witness.silent(self.now, self.settings.close_after) {
-            let named = (0..SHARDS).any(|shard| self.is_witness_in(shard, holder));
-            if named {
-                self.witness.close(self.now, holder);
+        let now = self.now;
+        for (name, holder) in self.silent_wards(self.settings.close_after) {
+            let is_named = (0..SHARDS).any(|shard| self.is_witness_in(shard, name, holder));
+            if is_named && let Some(witness) = self.witnesses.get_mut(&name) {
+                witness.close(now, holder);
             }
         }
-        for holder in self.witness.silent(self.now, FORGET_AFTER) {
-            self.witness.forget(holder);
+        let me = self.incarnation();
+        for (name, witness) in &mut self.witnesses {
+            let is_past = *name != me;
+            let after = if is_past {
+                PAST_FORGET_AFTER
+            } else {
+                FORGET_AFTER
+            };
+            for holder in witness.silent(now, after) {
+                witness.forget(holder);
+            }
         }
         self.write_closes();
     }
 
+    /// Wards that have been silent for `span` and are not closed, with the name that they know.
+    fn silent_wards(&self, span: Millis) -> Vec<(Incarnation, Incarnation)> {
+        let witnesses = self.witnesses.iter();
+        let silent = witnesses.flat_map(|(name, witness)| {
+            let silent = witness.silent(self.now, span).into_iter();
+            silent.map(|holder| (*name, holder))
+        });
+        silent.collect()
+    }
+
     /// Asks the targets of closed wards' requests what became of them.
     pub(super) fn inquire(&mut self) {
         if self.now < self.last_inquiry + INQUIRE_EVERY {
             return;
         }
         self.last_inquiry = self.now;
-        for doubt in self.witness.doubtful().into_iter().take(INQUIRIES) {
+        let doubts = self.witnesses.values().flat_map(Witness::doubtful);
+        for doubt in doubts.take(INQUIRIES) {
             self.actions.push(Action::Inquire {
                 id: doubt.id,
                 request: doubt.reservation.request,
@@ -236,83 +272,121 @@
 
     /// A target has told that a request of a closed ward is done.
     pub(super) fn take_fate(&mut self, id: Id, used: Tokens) {
-        self.witness.told(id, used);
+        for witness in self.witnesses.values_mut() {
+            witness.told(id, used);
+        }
         self.write_closes();
     }
 
-    /// Holders that a ledger has under this router, with when each was last heard.
-    fn named_wards(&self) -> impl Iterator<Item = (Incarnation, Millis)> {
-        let is_named = |holder| (0..SHARDS).any(|shard| self.is_witness_in(shard, holder));
-        let holders = self.witness.holders();
-        holders.filter(move |(holder, _)| is_named(*holder))
+    /// Holders that a ledger has under this process.
+    fn named_wards(&self) -> impl Iterator<Item = Named> {
+        let wards = self.witnesses.iter().flat_map(|(name, witness)| {
+            let holders = witness.holders();
+            holders.map(|(holder, heard)| Named {
+                witness: *name,
+                holder,
+                heard,
+            })
+        });
+        wards.filter(|one| {
+            (0..SHARDS).any(|shard| self.is_witness_in(shard, one.witness, one.holder))
+        })
     }
 
     /// Whether tokens stay held, or in doubt, if this router ends now.
     pub(super) fn is_awaited(&self) -> bool {
         let others = self.membership.well(self.now);
-        let mut wards = self.named_wards().map(|(holder, heard)| Ward {
-            unheard: self.now.saturating_sub(heard),
-            has_other: others.iter().any(|peer| peer.incarnation != holder),
+        let mut wards = self.named_wards().map(|named| Ward {
+            unheard: self.now.saturating_sub(named.heard),
+            has_other: others.iter().any(|peer| peer.incarnation != named.holder),
         });
-        let mut doubts = self.witness.doubtful().into_iter();
+        let mut witnesses = self.witnesses.iter();
+        let is_judge = |name| move |doubt: Doubt| self.is_judge_of(name, doubt.id, doubt.budget);
         wards.any(|ward| is_awaited(&ward))
-            || doubts.any(|doubt| self.is_judge_of(doubt.id, doubt.budget))
+            || witnesses.any(|(name, one)| one.doubtful().into_iter().any(is_judge(*name)))
     }
 
-    /// Whether a request is in doubt, and this router's word decides it.
-    fn is_judge_of(&self, id: Id, budget: BudgetKey) -> bool {
+    /// Whether a request is in doubt, and the word of this process under a name decides it.
+    fn is_judge_of(&self, name: Incarnation, id: Id, budget: BudgetKey) -> bool {
         let ledger = self.ledger(budget.shard);
         let judge = ledger.sequence().member(id.incarnation).witness;
         let key = (id.incarnation, id.nonce);
-        judge == Some(self.incarnation())
+        judge == Some(name)
             && ledger
                 .budget(budget.index)
                 .is_some_and(|budget| budget.doubt.contains_key(&key))
     }
 
-    fn is_witness_in(&self, shard: u8, holder: Incarnation) -> bool {
+    fn is_witness_in(&self, shard: u8, name: Incarnation, holder: Incarnation) -> bool {
         let member = self.ledger(shard).sequence().member(holder);
-        member.gone.is_none() && member.witness == Some(self.incarnation())
+        member.gone.is_none() && member.witness == Some(name)
+    }
+
+    /// The outbox of this process as a witness under a name.
+    fn witness_writer(&mut self, name: Incarnation, shard: u8) -> &mut Writer {
+        let stream = Stream::Shard(shard);
+        if name == self.incarnation() {
+            return self.writer(stream);
+        }
+        let writer = self.past_writers.get_mut(&(name, stream));
+        writer.expect("a writer each stream of a past incarnation")
+    }
+
+    /// Drops earlier incarnations that nobody needs as a witness any more.
+    pub(super) fn drop_past(&mut self) {
+        let me = self.incarnation();
+        self.witnesses
+            .retain(|name, witness| *name == me || witness.wards() > 0);
+        let witnesses = &self.witnesses;
+        self.past_writers
+            .retain(|(name, _), _| witnesses.contains_key(name));
+        self.membership
+            .drop_past(|name| witnesses.contains_key(&name));
     }
 
     /// Writes closes, and the bills decided since, until the ledgers have them.
     fn write_closes(&mut self) {
-        for holder in self.witness.closed() {
-            for shard in 0..SHARDS {
-                if self.is_witness_in(shard, holder) {
-                    self.write_close(shard, holder);
+        let names: Vec<Incarnation> = self.witnesses.keys().copied().collect();
+        for name in names {
+            for holder in self.witnesses[&name].closed() {
+                for shard in 0..SHARDS {
+                    if self.is_witness_in(shard, name, holder) {
+                        self.write_close(shard, name, holder);
+                    }
                 }
             }
-        }
-        for resolved in self.witness.unwritten() {
-            self.write_resolve(resolved);
+            for resolved in self.witnesses[&name].unwritten() {
+                self.write_resolve(name, resolved);
+            }
         }
     }
 
-    fn write_close(&mut self, shard: u8, holder: Incarnation) {
+    fn write_close(&mut self, shard: u8, name: Incarnation, holder: Incarnation) {
         let same =
             |record: &Record| matches!(record, Record::Close { holder: one, .. } if *one == holder);
-        let budgets = self.witness.report(holder, shard);
-        let writer = self.writer(Stream::Shard(shard));
+        let budgets = self.witnesses[&name].report(holder, shard);
+        let writer = self.witness_writer(name, shard);
         if !writer.holds(same) {
             writer.push(Record::Close { holder, budgets });
         }
     }
 
-    fn write_resolve(&mut self, resolved: crate::router::budget::Resolved) {
-        let crate::router::budget::Resolved { id, budget, billed } = resolved;
+    fn write_resolve(&mut self, name: Incarnation, resolved: Resolved) {
+        let Resolved { id, budget, billed } = resolved;
         let ledger = self.ledger(budget.shard);
         if !ledger.sequence().is_gone(id.incarnation) {
             return;
         }
         let key = (id.incarnation, id.nonce);
-        if !self.is_judge_of(id, budget) {
-            self.witness.written(id);
+        if !self.is_judge_of(name, id, budget) {
+            if let Some(witness) = self.witnesses.get_mut(&name) {
+                witness.written(id);
+            }
             return;
         }
         let (holder, nonce) = key;
         let same = |record: &Record| matches!(record, Record::Resolve { holder: h, nonce: n, .. } if (*h, *n) == key);
-        let writer = self.writer(budget.stream());
+        let writer = self.witness_writer(name, budget.shard);
         if !writer.holds(same) {
             writer.push(Record::Resolve {
                 holder,
@@ -329,7 +403,10 @@
         self.last_prune = self.now;
         let epoch = self.epoch();
         self.holder.prune(epoch.saturating_sub(EPOCH_KEEP));
-        self.witness.prune(self.now);
+        for witness in self.witnesses.values_mut() {
+            witness.prune(self.now);
+        }
+        self.drop_past();
         let jobs = &self.jobs;
         let gone = self.table.prune(epoch, |ticket| jobs.contains_key(&ticket));
         if !gone.is_empty() {
@@ -337,3 +414,20 @@
         }
     }
 }
+
+fn answer_ask(witness: &mut Witness, now: Millis, holder: Incarnation, ask: Notice) -> Answer {
+    let id = |nonce| Id {
+        incarnation: holder,
+        nonce,
+    };
+    match ask {
+        Notice::Adopt(ward) => witness.adopt(now, holder, ward),
+        Notice::Open {
+            nonce,
+            budget,
+            reservation,
+        } => witness.open(now, id(nonce), budget, reservation),
+        Notice::Settle { nonce, billed } => witness.settle(now, id(nonce), billed),
+        Notice::Heard { epoch } => witness.heard(now, holder, epoch),
+    }
+}
--- a/src/router/control/state.rs
+++ b/src/router/control/state.rs
@@ -127,8 +127,12 @@
     pub(super) settling: BTreeMap<u64, Settling>,
     /// Requests that earlier incarnations of this process left running, by id in their accounts.
     pub(super) late: BTreeMap<Id, Settling>,
-    /// What this router keeps for other holders.
-    pub(super) witness: Witness,
+    /// What this process keeps for other holders, by the incarnation of its own that they have named.
+    /// That it was closed as a holder changes nothing in what it knows of its wards, so it stays their
+    /// witness under the name that the ledgers have.
+    pub(super) witnesses: BTreeMap<Incarnation, Witness>,
+    /// Outboxes of earlier incarnations that are still witnesses.
+    pub(super) past_writers: BTreeMap<(Incarnation, Stream), Writer>,
     /// Where each budget last ran short, as far as this router has acted on it.
     pub(super) scarce_seen: HashMap<BudgetKey, Offset>,
     /// When each budget was last asked for.
@@ -205,7 +209,8 @@
             link_count: 0,
             settling: BTreeMap::new(),
             late: BTreeMap::new(),
-            witness: Witness::default(),
+            witnesses: BTreeMap::from([(incarnation, Witness::default())]),
+            past_writers: BTreeMap::new(),
             scarce_seen: HashMap::new(),
             asked_at: HashMap::new(),
             table: Table::default(),
--- a/src/router/control/streams.rs
+++ b/src/router/control/streams.rs
@@ -68,6 +68,7 @@
             Stream::Shard(shard) => self.ledger(shard).sequence().member(me),
         };
         self.writer(stream).applied(member.seq);
+        self.past_moved(stream);
         match stream {
             Stream::Config => self.config_moved(),
             Stream::Shard(_) if member.gone.is_some() && !self.stopping => self.reborn(),
@@ -79,6 +80,18 @@
         self.answer_confirms();
     }
 
+    fn past_moved(&mut self, stream: Stream) {
+        let sequence = match stream {
+            Stream::Config => self.config.state().sequence(),
+            Stream::Shard(shard) => self.ledgers[usize::from(shard)].state().sequence(),
+        };
+        for ((name, written), writer) in &mut self.past_writers {
+            if *written == stream {
+                writer.applied(sequence.member(*name).seq);
+            }
+        }
+    }
+
     fn config_moved(&mut self) {
         let targets = self.config.state().targets();
         self.pool.update(targets);
@@ -96,6 +109,10 @@
     pub(super) fn appended(&mut self, stream: Stream, taken: bool) {
         if !taken {
             self.writer(stream).refused();
+            let past = self.past_writers.iter_mut();
+            for (_, writer) in past.filter(|((_, written), _)| *written == stream) {
+                writer.refused();
+            }
         }
     }
 
@@ -137,7 +154,9 @@
     pub(super) fn flush(&mut self) {
         let gap = self.settings.append_gap;
         let mut appends = Vec::new();
-        for (stream, writer) in &mut self.writers {
+        let past = self.past_writers.iter_mut();
+        let past = past.map(|((_, stream), writer)| (stream, writer));
+        for (stream, writer) in self.writers.iter_mut().chain(past) {
             if let Some(batch) = writer.due(self.now, gap) {
                 appends.push((*stream, batch));
             }
--- a/src/router/control/witnesses.rs
+++ b/src/router/control/witnesses.rs
@@ -7,7 +7,7 @@
 use super::link::Link;
 use super::state::{Asked, LinkKey};
 use super::{Action, State};
-use crate::router::budget::{Answer, Holder, Ward};
+use crate::router::budget::{Answer, Holder, Ward, Witness};
 use crate::router::key::{Incarnation, SHARDS, Stream};
 use crate::router::log::{Record, Writer};
 use crate::router::message::{Notice, Reply};
@@ -349,16 +349,19 @@
         self.asked_at.clear();
         self.epochs_began = self.now;
         for (stream, writer) in &mut self.writers {
-            *writer = Writer::new(new);
+            let mut past = std::mem::replace(writer, Writer::new(new));
+            past.drop_unsent();
+            self.past_writers.insert((old, *stream), past);
             let plans = self.confirming.iter().map(|one| &one.plan);
             for plan in plans.filter(|plan| plan.stream == *stream) {
                 writer.push(Record::Change(plan.clone()));
             }
         }
-        let me = self.membership.me_mut();
-        me.incarnation = new;
-        me.witness = None;
-        me.epoch = 1;
+        self.witnesses.insert(new, Witness::default());
+        self.membership.renew(new);
+        self.drop_past();
+        // The wards are to know soon that they need another witness.
+        self.last_heartbeat = Millis::ZERO;
         self.actions.push(Action::Reborn { incarnation: new });
         self.rejudge(old);
     }
--- a/src/router/host/member.rs
+++ b/src/router/host/member.rs
@@ -76,6 +76,8 @@
 #[derive(Debug)]
 pub struct Membership {
     me: Peer,
+    /// Earlier incarnations of this process that are still witnesses; they are told of as leaving.
+    past: Vec<Peer>,
     known: BTreeMap<Incarnation, Known>,
     listed: BTreeSet<SocketAddr>,
     leaving: BTreeSet<SocketAddr>,
@@ -86,6 +88,7 @@
     pub fn new(me: Peer) -> Self {
         Self {
             me,
+            past: Vec::new(),
             known: BTreeMap::new(),
             listed: BTreeSet::new(),
             leaving: BTreeSet::new(),
@@ -97,6 +100,21 @@
         &self.me
     }
 
+    /// This process goes on under a new incarnation.
+    pub fn renew(&mut self, incarnation: Incarnation) {
+        let mut past = self.me.clone();
+        past.leaving = true;
+        self.past.push(past);
+        self.me.incarnation = incarnation;
+        self.me.witness = None;
+        self.me.epoch = 1;
+    }
+
+    /// Tells no more of earlier incarnations that `keep` does not hold for.
+    pub fn drop_past(&mut self, keep: impl Fn(Incarnation) -> bool) {
+        self.past.retain(|one| keep(one.incarnation));
+    }
+
     /// This router, to be changed.
     pub fn me_mut(&mut self) -> &mut Peer {
         &mut self.me
@@ -112,7 +130,8 @@
 
     /// Somebody tells of a peer.
     pub fn heard(&mut self, now: Millis, peer: &Peer) {
-        if peer.incarnation == self.me.incarnation {
+        let mut ours = self.past.iter().chain([&self.me]);
+        if ours.any(|one| one.incarnation == peer.incarnation) {
             return;
         }
         match self.known.get_mut(&peer.incarnation) {
@@ -131,7 +150,9 @@
 
     /// Starts a round: whom to tell.
     pub fn round<R: Rng>(&mut self, now: Millis, rng: &mut R) -> Vec<SocketAddr> {
-        self.me.counter += 1;
+        for one in self.past.iter_mut().chain([&mut self.me]) {
+            one.counter += 1;
+        }
         self.known
             .retain(|_, known| now < known.moved + FORGET_AFTER);
         let known = self.known.values().map(|known| known.peer.address);
@@ -149,7 +170,7 @@
         told
     }
 
-    /// What to tell: this router first, then a few others that are well.
+    /// What to tell: this router first, then its earlier incarnations, then a few others that are well.
     pub fn tell<R: Rng>(&self, now: Millis, rng: &mut R) -> Vec<Peer> {
         let ill_after = self.ill_after();
         let well = self
@@ -157,6 +178,7 @@
             .values()
             .filter(|known| now <= known.moved + ill_after);
         let mut told = vec![self.me.clone()];
+        told.extend(self.past.iter().cloned().sample(rng, TOLD_MAX));
         told.extend(well.map(|known| known.peer.clone()).sample(rng, TOLD_MAX));
         told
     }
--- a/src/router/log/writer.rs
+++ b/src/router/log/writer.rs
@@ -19,6 +19,8 @@
 pub struct Writer {
     writer: Incarnation,
     next: u64,
+    /// The last number that was sent.
+    sent: u64,
     waiting: VecDeque<Entry>,
     /// When the oldest waiting record was first sent.
     first_sent: Option<Millis>,
@@ -32,6 +34,7 @@
         Self {
             writer,
             next: 1,
+            sent: 0,
             waiting: VecDeque::new(),
             first_sent: None,
             in_flight: None,
@@ -77,13 +80,23 @@
         self.in_flight = Some(now);
         self.first_sent.get_or_insert(now);
         self.last_sent = now;
-        let entries = self.waiting.iter().take(BATCH_MAX).cloned().collect();
+        let entries: Vec<Entry> = self.waiting.iter().take(BATCH_MAX).cloned().collect();
+        self.sent = self.sent.max(entries.last().map_or(0, |entry| entry.seq));
         Some(Batch {
             writer: self.writer,
             entries,
         })
     }
 
+    /// Drops what was never sent. What was sent may be in the log already or still on its way, so it
+    /// keeps its numbers: a number that was given to another record would let those after it count
+    /// without it.
+    pub fn drop_unsent(&mut self) {
+        let sent = self.sent;
+        self.waiting.retain(|entry| entry.seq <= sent);
+        self.next = sent + 1;
+    }
+
     /// The fold has applied all of ours through `seq`.
     pub fn applied(&mut self, seq: u64) {
         let before = self.waiting.len();
--- a/tests/witness_change.rs
+++ b/tests/witness_change.rs
@@ -14,7 +14,8 @@
 
 use common::world::{NODES, World};
 use lanedeck::router::key::Incarnation;
-use lanedeck::units::Tokens;
+use lanedeck::router::log::{Record, Writer};
+use lanedeck::units::{Millis, Tokens};
 
 const SEEDS: u64 = 20;
 const HOLDER: usize = 0;
@@ -88,3 +89,21 @@
     }
     assert!(found.is_empty(), "{} of 120: {found:#?}", found.len());
 }
+
+/// A number that was sent is not given to another record: the fold would take those after it without it.
+#[test]
+fn numbers_kept() {
+    let mut writer = Writer::new(Incarnation(1));
+    writer.push(Record::Mark);
+    writer.push(Record::Leave);
+    let sent = writer.due(Millis(1_000), Millis(100)).expect("a batch");
+    writer.push(Record::Mark);
+    writer.drop_unsent();
+    assert_eq!(writer.push(Record::Leave), 3, "the first that was not sent");
+    let again = writer.due(Millis(5_000), Millis(100)).expect("a batch");
+    assert_eq!(again.entries[..2], sent.entries[..]);
+    assert_eq!(again.entries.len(), 3);
+    writer.applied(3);
+    writer.drop_unsent();
+    assert_eq!(writer.push(Record::Leave), 4);
+}
