Split the run of routers by job

Change: what is checked at the end of a run is in tests/soak/router/ending.rs. Functions are moved as they were, but for their visibility; three doc lines of `Hand` say what their moments are.

--- a/tests/soak/router/run.rs
+++ b/tests/soak/router/run.rs
@@ -1,6 +1,5 @@
 //! One run of routers: an area by the plan, its callers, its steps in their time, and then the promises.
 
-use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -9,19 +8,23 @@
 
 use serde_json::{Value, json};
 use tokio::runtime::Handle;
-use tokio::time::timeout;
 
-use super::caller::{Caller, Told, World, bearer};
-use super::operator::{ASK, drained, operate, put, status};
-use super::plan::{self, Change, Harm, LogHarm, Payer, Plan, SCARCE, Step, TARGETS, TOP_UP, Work};
-use super::promise::{Seen, spent, tally};
-use crate::common::area::{Area, Setup, chat, target};
-use crate::deployment::{Ask, LONG, free_address, try_ask};
-use crate::plan::{Habit, Kind};
+use super::caller::{Caller, World};
+use super::operator::{drained, operate, put, status};
+use super::plan::{Change, Harm, LogHarm, Payer, Plan, SCARCE, Step, TARGETS, TOP_UP};
+use super::promise::{Seen, tally};
+use crate::common::area::{Area, Setup, target};
+use crate::deployment::{LONG, free_address};
+use crate::plan::Kind;
 use crate::promise::Broken;
 use crate::run::Outcome;
 use crate::timeline::Journal;
 
+#[path = "ending.rs"]
+mod ending;
+
+use ending::is_probe;
+
 /// Addresses of each router, for callers and for other routers.
 pub type Addresses = Vec<(SocketAddr, SocketAddr)>;
 
@@ -41,13 +44,13 @@
 #[derive(Clone, Debug)]
 enum Hand {
     Free,
-    /// SIGTERM was sent; the pause until it is started again.
+    /// SIGTERM was sent at this moment; the pause until it is started again.
     Stopping(Instant, Duration),
-    /// It is gone until then; whether it was killed.
+    /// It is gone until then; when it was killed, if it was.
     Gone(Instant, Option<Instant>),
     /// It is frozen from one moment until another.
     Frozen(Instant, Instant),
-    /// It was started again; whether it is ready, and since when it was disturbed.
+    /// It is on its way back; whether it is ready, and since when it was disturbed, if it was.
     Returning(Arc<AtomicBool>, Option<Instant>),
 }
 
@@ -387,39 +390,6 @@
         }
     }
 
-    /// BUDGET: a customer has not got more than is prepaid. A look before each time that more is prepaid,
-    /// and one at the end, see each moment.
-    fn check_spend(&self) -> u64 {
-        let ran: BTreeMap<String, u64> = self.area.ran();
-        let asked = self.world.asked.lock().unwrap();
-        let whole = (self.plan.kind == Kind::Faults).then(|| self.whole());
-        let spent = spent(&asked, &ran, Payer::Scarce, whole.as_ref());
-        let prepaid = *self.prepaid.lock().unwrap();
-        self.journal
-            .note(format!("{spent} of {prepaid} tokens are spent"));
-        self.check_sum("worked for", spent, prepaid);
-        prepaid.saturating_sub(spent)
-    }
-
-    /// Requests whose callers were told that they ran.
-    fn whole(&self) -> HashSet<String> {
-        let calls = self.world.calls.lock().unwrap();
-        let whole = calls
-            .iter()
-            .filter(|call| matches!(call.told(), Told::Ran(_)));
-        whole.map(|call| call.wish.id.clone()).collect()
-    }
-
-    fn check_sum(&self, what: &str, sum: u64, prepaid: u64) {
-        if sum > prepaid {
-            self.broken.lock().unwrap().push(Broken {
-                promise: "BUDGET",
-                id: None,
-                what: format!("{what} {sum} tokens of {prepaid}"),
-            });
-        }
-    }
-
     fn end(mut self, logs: &Path) -> Outcome {
         self.area.faults(&self.area.log, &json!({}));
         self.is_whole_again();
@@ -450,72 +420,4 @@
             ),
         }
     }
-
-    /// Spends what is left of the customer whose tokens run out, at all routers at once.
-    fn use_up(&self) {
-        let spender = plan::Caller {
-            seed: self.plan.seed,
-            habit: Habit::Fresh,
-            payer: Payer::Scarce,
-            pause: 0,
-            returns: false,
-            leaves: 0.0,
-        };
-        let spend = |router: &SocketAddr| {
-            let caller = Caller::new(spender.clone(), self.world.clone());
-            caller.use_up(*router)
-        };
-        let spends = futures::future::join_all(self.world.routers.iter().map(spend));
-        self.handle.block_on(spends);
-    }
-
-    /// RECOVER: once nothing happens any more, each router serves models and services within a bound.
-    fn is_whole_again(&self) {
-        for kind in ["engine", "tickets"] {
-            for number in 0..TARGETS {
-                let change = match kind {
-                    "engine" => Change::Engine(number, Work::Any),
-                    _ => Change::Service(number, Work::Any),
-                };
-                self.area.apply(&self.intent(change));
-            }
-        }
-        for (number, router) in self.world.routers.iter().enumerate() {
-            let asks = [
-                ("/v1/chat/completions", chat("whole", 3)),
-                ("/v1/services/tickets", "x".into()),
-            ];
-            for (path, body) in asks {
-                let ask = Ask::get(path)
-                    .post(&body)
-                    .with("authorization", &bearer(Payer::Rich))
-                    .with("lanedeck-budget", Payer::Rich.budget());
-                let end = Instant::now() + LONG;
-                let mut last = None;
-                while Instant::now() < end && last != Some(200) {
-                    let answer = self
-                        .handle
-                        .block_on(async { timeout(ASK, try_ask(*router, &ask)).await });
-                    last = answer.ok().flatten().map(|answer| answer.status);
-                    std::thread::sleep(LOOK);
-                }
-                if last != Some(200) {
-                    self.broken.lock().unwrap().push(Broken {
-                        promise: "RECOVER",
-                        id: None,
-                        what: format!("r{number} answers {last:?} on {path}"),
-                    });
-                }
-            }
-        }
-    }
 }
-
-/// Whether an id is one that a router gave: of the requests that ask whether the service is whole.
-fn is_probe(id: &str) -> bool {
-    let number = id.get(id.len().saturating_sub(8)..);
-    number.is_some_and(|number| number >= FIRST_OWN)
-}
-
-/// Numbers that callers choose are below this one, in hexadecimal digits.
-const FIRST_OWN: &str = "80000000";
