--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,8 +1,9 @@
-//! Serves HTTP/1.1 on listeners until it is shut down, and then cuts nothing off.
+//! Serves HTTP/1.1 on listeners until it is shut down, and then ends with what it has begun to read.
 //!
 //! What decides that a server is done is not a count of requests but its connections: a request that is
 //! read while a shutdown begins holds its connection open, so there is no moment between the last look and
-//! the end in which one can come in unseen. The server owns the accept loops and the connections; what is
+//! the end in which one can come in unseen. Of what a caller sends ahead of an answer, only the request that is
+//! being answered is kept, as HTTP/1.1 allows. The server owns the accept loops and the connections; what is
 //! answered is the business of the connections' services.
 
 use std::error::Error;
@@ -98,7 +99,8 @@
     }
 }
 
-/// The next connection; `None` once none is to be accepted, and all that came before has been.
+/// The next connection; `None` once none is to be accepted, and all that came before has been, but for those that
+/// came while no connection could be accepted.
 async fn next(listener: &TcpListener, refusing: &CancellationToken) -> Option<Socket> {
     tokio::select! {
         biased;
