Pass on no order to a target that a caller has set

Cause: only the instance, the customer, the urgency and the key were taken off a caller's headers.

Change: one list in the adapter of the orders that routers give to targets; what a caller sets of them is dropped and logged once a connection. A request that names its id, key, time, model or size twice is told 400: a target could read the other one. The soak's callers forge orders, and its promises look for them.

--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -63,6 +63,9 @@
     pub prompt: Option<Prompt>,
     /// Id of the last event that the caller has of a stream that it resumes.
     pub last_event: Option<String>,
+    /// Whether its caller has set headers by which only routers order something of a target; they are not
+    /// passed on.
+    pub has_orders: bool,
 }
 
 /// A header that cannot be read.
@@ -70,7 +73,7 @@
 #[snafu(display("{header}: wanted is {wanted}"))]
 pub struct BadHeader {
     /// Its name.
-    pub header: &'static str,
+    pub header: String,
     /// What it has to hold.
     pub wanted: &'static str,
 }
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -17,7 +17,7 @@
 use super::relay::Relay;
 use super::serve;
 use super::shared::Shared;
-use crate::net::{Accepted, Reading, Server, Socket};
+use crate::net::{Accepted, Server, Socket};
 use crate::units::Millis;
 
 /// Smallest buffer for a head and the start of a body, in bytes; the server takes no smaller one.
@@ -37,9 +37,13 @@
 }
 
 impl Endpoint {
-    async fn answer(&self, request: hyper::Request<Incoming>, reading: &Reading) -> Response<Body> {
+    async fn answer(
+        &self,
+        request: hyper::Request<Incoming>,
+        connection: &serve::Connection,
+    ) -> Response<Body> {
         match self {
-            Self::Callers(relay) => serve::serve(relay, request, reading).await,
+            Self::Callers(relay) => serve::serve(relay, request, connection).await,
             Self::Ready(shared, dialect) => {
                 let asks = dialect.is_ready_check(request.uri());
                 let status = match (asks, shared.is_ready()) {
@@ -91,12 +95,12 @@
         .map(|config| config.limits)
         // Without a configuration, requests are refused; their heads are bounded all the same.
         .unwrap_or_default();
-    let reading = socket.reading();
+    let connection = Arc::new(serve::Connection::new(socket.reading()));
     let service = service_fn(move |request| {
         let (shared, endpoint) = (Arc::clone(&shared), endpoint.clone());
-        let reading = reading.clone();
+        let connection = Arc::clone(&connection);
         async move {
-            let mut response = endpoint.answer(request, &reading).await;
+            let mut response = endpoint.answer(request, &connection).await;
             if shared.stop.has_begun() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -1,6 +1,7 @@
 //! Serves one caller's request from its first byte to its answer.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use http::uri::PathAndQuery;
@@ -24,6 +25,31 @@
 use crate::net;
 use crate::units::Millis;
 
+/// A caller's connection.
+pub(super) struct Connection {
+    reading: net::Reading,
+    /// Whether it was logged that the caller sends headers that are the routers' to set.
+    orders_told: AtomicBool,
+}
+
+impl Connection {
+    /// A connection that was just accepted.
+    pub(super) fn new(reading: net::Reading) -> Self {
+        Self {
+            reading,
+            orders_told: AtomicBool::new(false),
+        }
+    }
+
+    /// Notes headers that are not passed on; logged once a connection, so that a caller that always sends
+    /// them does not fill the log.
+    fn note_orders(&self, id: &str) {
+        if !self.orders_told.swap(true, Ordering::Relaxed) {
+            tracing::warn!(event = "orders_dropped", %id);
+        }
+    }
+}
+
 /// Notes a caller that leaves before it has the head of an answer: what serves it is then dropped.
 struct Departure<'a> {
     relay: &'a Relay,
@@ -47,7 +73,7 @@
 pub(super) async fn serve(
     relay: &Arc<Relay>,
     incoming: hyper::Request<Incoming>,
-    reading: &net::Reading,
+    connection: &Connection,
 ) -> Response<Body> {
     let started = Instant::now();
     relay.shared.metrics.requests.add(1);
@@ -56,11 +82,14 @@
         Ok(request) => request,
         Err(error) => {
             tracing::info!(event = "refused", reason = "bad_header", %error);
-            reading.discard(body, body_max(relay));
+            connection.reading.discard(body, body_max(relay));
             return reply::answer(Reason::BadHeader, None, &*relay.dialect, "");
         }
     };
     let id = request.id.clone();
+    if request.has_orders {
+        connection.note_orders(&id);
+    }
     let mut departure = Departure {
         relay,
         id: &id,
@@ -73,7 +102,7 @@
     };
     departure.has_answer = true;
     result.unwrap_or_else(|reason| {
-        reading.discard(body, body_max(relay));
+        connection.reading.discard(body, body_max(relay));
         refuse(relay, &id, reason, started)
     })
 }
--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -341,6 +341,12 @@
         self
     }
 
+    /// One more value of a header.
+    pub fn also(mut self, name: &'static str, value: &str) -> Self {
+        self.headers.append(name, value.parse().unwrap());
+        self
+    }
+
     pub fn without(mut self, name: &str) -> Self {
         self.headers.remove(name);
         self
--- a/tests/gateway_path.rs
+++ b/tests/gateway_path.rs
@@ -55,6 +55,56 @@
     assert_eq!(arrivals[0].header("x-expect-instance"), "i-app");
 }
 
+/// What callers send of a router's orders to targets reaches none of them.
+#[tokio::test(flavor = "multi_thread")]
+async fn forged_orders() {
+    let (deployment, app, engine) = one().await;
+    let front = deployment.gateways[0].front;
+    let orders = [
+        ("x-kv-hold", "h1"),
+        ("x-pin-ms", "4000"),
+        ("x-kv-backup", "10.0.0.1:80"),
+        ("kv-from", "10.0.0.1:80/h1"),
+        ("kv-fetch", "10.0.0.1:80"),
+        ("x-expect-version", "7"),
+        ("x-request-urgency", "0"),
+    ];
+    for mut request in [
+        Ask::new("r1", "/often/x"),
+        Ask::talk("s1", "/talk/x", 100, 50),
+    ] {
+        for (name, value) in orders {
+            request = request.with(name, value);
+        }
+        assert_eq!(ask(front, &request).await.status, 200);
+    }
+    for arrival in [&app.arrivals()[0], &engine.arrivals()[0]] {
+        for (name, forged) in orders {
+            assert_ne!(arrival.header(name), forged, "{name} is not the caller's");
+        }
+    }
+}
+
+/// A request that says twice what it is or costs is not read one way here and another way at a target.
+#[tokio::test(flavor = "multi_thread")]
+async fn doubled_headers() {
+    let (deployment, app, engine) = one().await;
+    let front = deployment.gateways[0].front;
+    for (name, second) in [
+        ("x-attempt-id", "other"),
+        ("x-deadline-ms", "9000"),
+        ("x-token-count", "1,1"),
+        ("x-prompt-prefix", "c3:1"),
+        ("x-model", "other"),
+        ("authorization", "Bearer other"),
+    ] {
+        let request = Ask::talk("d1", "/talk/x", 100, 50).with("x-deadline-ms", "4000");
+        let answer = ask(front, &request.also(name, second)).await;
+        assert_eq!(answer.status, 400, "{name} twice");
+    }
+    assert_eq!(app.runs() + engine.runs(), 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn streamed_answer() {
     let (deployment, _, engine) = one().await;
--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -101,6 +101,19 @@
     pub calls: Arc<Mutex<Vec<Call>>>,
 }
 
+/// Headers by which routers order something of a target; some callers forge them.
+pub const ORDERS: [&str; 7] = [
+    "x-kv-hold",
+    "x-pin-ms",
+    "x-kv-backup",
+    "kv-from",
+    "kv-fetch",
+    "x-expect-version",
+    "x-expect-instance",
+];
+/// The value of a forged order.
+pub const FORGED: &str = "1000";
+
 /// What a caller is about to ask.
 struct Wish {
     route: Route,
@@ -109,6 +122,8 @@
     body: String,
     pieces: Option<Pieces>,
     leave: Option<Duration>,
+    /// An order that it forges.
+    forged: Option<&'static str>,
 }
 
 pub struct Caller {
@@ -198,6 +213,9 @@
             body: "b".repeat(size),
             pieces,
             leave: leaves.then(|| Duration::from_millis(rng.random_range(1..400))),
+            forged: rng
+                .random_bool(0.3)
+                .then(|| ORDERS[rng.random_range(0..ORDERS.len())]),
         }
     }
 
@@ -207,6 +225,10 @@
         } else {
             Ask::new(id, wish.route.path())
         };
+        let ask = match wish.forged {
+            Some(name) => ask.with(name, FORGED),
+            None => ask,
+        };
         ask.post(&wish.body)
             .with("host", HOST)
             .with("x-deadline-ms", &DEADLINE.to_string())
--- a/tests/soak/promise.rs
+++ b/tests/soak/promise.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use crate::caller::{Call, Route};
+use crate::caller::{Call, FORGED, ORDERS, Route};
 use crate::deployment::runner::{Arrival, Work};
 use crate::line::End;
 use crate::plan::Owner;
@@ -252,6 +252,7 @@
             || run.path != call.ask.path
             || run.body != call.ask.body
             || run.header("x-tenant") != call.owner.name()
+            || ORDERS.iter().any(|name| run.header(name) == FORGED)
             || !["x-model", "x-token-count", "x-prompt-prefix"]
                 .into_iter()
                 .all(same)
