Tell callers of all routers of a large fleet, each of others

Cause: callers are told at most 64 addresses, and every router told the first 64 in one order.

Change: which are left out depends on the router that is asked.

Measured: tests/caller_spread.rs all_are_told, each address told by 40 of 86 routers at least (0 for 22 of them before).

A trial, not kept: a router with over twice the mean of the others asked callers to connect anew (Connection: close on part of its answers).

--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -154,6 +154,16 @@
         self.largest
     }
 
+    /// As many addresses as callers are told. Each router leaves out others, so that a large fleet gets its
+    /// callers evenly: where all told the first 64 of 86 in one order, the last got half of what the others had.
+    fn choose_addresses(&self, mut addresses: Vec<SocketAddr>) -> Vec<SocketAddr> {
+        let seed = xxh3_64(self.me.name.as_bytes());
+        addresses.sort_by_cached_key(|one| xxh3_64_with_seed(one.to_string().as_bytes(), seed));
+        addresses.truncate(ADDRESSES_MAX);
+        addresses.sort_unstable();
+        addresses
+    }
+
     /// Where callers may connect: the live routers that take them. Where no other is live, it is more
     /// likely this router that is cut off, so all that were ever live are told.
     pub fn caller_addresses(&self, now: Millis) -> Vec<SocketAddr> {
@@ -170,8 +180,6 @@
         if self.me.is_ready || addresses.is_empty() {
             addresses.push(self.me.front);
         }
-        addresses.sort_unstable();
-        addresses.truncate(ADDRESSES_MAX);
-        addresses
+        self.choose_addresses(addresses)
     }
 }
--- /dev/null
+++ b/tests/caller_spread.rs
@@ -0,0 +1,50 @@
+//! Callers spread over the fleet: whom its routers tell them of.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use lanedeck::gateway::members::{Members, Router, Source};
+use lanedeck::units::Millis;
+
+const NOW: Millis = Millis(1_000_000);
+const FLEET: u16 = 86;
+
+fn router(number: u16) -> Router {
+    let address = |port: u16| SocketAddr::from(([10, 1, (number / 200) as u8, number as u8], port));
+    Router {
+        name: format!("r{number}"),
+        incarnation: 1,
+        front: address(8_000),
+        link: address(8_001),
+        hall: "hall".into(),
+        is_ready: true,
+        heartbeat: 1,
+    }
+}
+
+/// The addresses that a router of a large fleet tells callers.
+fn told(me: u16) -> Vec<SocketAddr> {
+    let mut members = Members::new(router(me), Millis(1_000));
+    members.me.is_ready = true;
+    for number in (0..FLEET).filter(|number| *number != me) {
+        members.update(NOW, router(number), Source::Link);
+    }
+    members.caller_addresses(NOW)
+}
+
+/// Each router is told by about as many others: with one order for all, 22 of 86 were told by nobody.
+#[test]
+fn all_are_told() {
+    let mut times: HashMap<SocketAddr, u32> = HashMap::new();
+    for me in 0..FLEET {
+        let addresses = told(me);
+        assert_eq!(addresses.len(), 64, "what callers take");
+        assert_eq!(addresses, told(me), "the same each time");
+        for address in addresses {
+            *times.entry(address).or_default() += 1;
+        }
+    }
+    assert_eq!(times.len(), usize::from(FLEET));
+    let least = times.values().min().unwrap();
+    assert!(*least >= 40, "told by {least} of 86; 64 is the mean");
+}
