Keep most of a grant through a quick restart

Cause: what a router held ahead counted as spent when it died.

What is left is the steady clock that the processes of one host share.

Change: with its row a router promises not to pass a mark of three seconds of demand before a time of that clock; cut off from the store, it may go on beyond it after that time. The next process on the host has started before it, or knows nothing, and after a loss of power it knows nothing either. Rows of earlier programs are read as before; an earlier program cannot read new rows, and grants nothing more beside them.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -8,6 +8,7 @@
 use super::router::bind;
 use super::settings::{Checker, missing};
 use super::{Adapter, Command, Error, Result, dropped_lines, parse, start_output_logs};
+use crate::boot_clock;
 use crate::gateway;
 use crate::gateway::decision::grant::Sizing;
 use crate::gateway::decision::retry::Bound;
@@ -232,6 +233,7 @@
                 retries: retries?,
                 sizing: sizing?,
                 seed: rand::rng().random(),
+                started: None,
             },
             ready: ready?,
             directory: directory?,
@@ -324,10 +326,13 @@
         directory: bind("directory", checked.directory).await?,
         metrics: bind("metrics", checked.metrics).await?,
     };
+    let mut settings = checked.settings;
+    // The address of the link is this process's now, so no earlier one of its name lives.
+    settings.started = boot_clock::Reading::now();
     let in_force = checked.in_force.replace('\n', " ");
     tracing::info!(event = "settings", in_force);
     let options = gateway::Options {
-        settings: checked.settings,
+        settings,
         listeners,
         link,
         fleet_key: checked.fleet_key,
--- a/src/gateway/control/context.rs
+++ b/src/gateway/control/context.rs
@@ -25,10 +25,6 @@
 /// its heartbeats.
 const LOAD_BELIEVED: Duration = Duration::from_millis(1_200);
 
-/// Start of the control state's clock. Times before the start are needed for differences, so it does
-/// not begin at zero.
-const CLOCK_START: u64 = 1_000_000;
-
 /// The control thread's state and its means.
 pub(super) struct Control {
     pub(super) state: RefCell<State>,
@@ -54,13 +50,15 @@
     /// When all that were asked had no tokens of a customer.
     pub(super) nothing: RefCell<HashMap<String, Instant>>,
     pub(super) started: Instant,
+    /// What the control state's clock read then.
+    pub(super) clock_start: Millis,
 }
 
 impl Control {
     /// The time of the control state's clock.
     pub(super) fn now(&self) -> Millis {
         let elapsed = u64::try_from(self.started.elapsed().as_millis());
-        Millis(CLOCK_START + elapsed.expect("a process runs for less than 2^64 milliseconds"))
+        self.clock_start + Millis(elapsed.expect("a process runs for less than 2^64 milliseconds"))
     }
 
     /// Closes the link, once what other routers have asked is answered.
--- a/src/gateway/control/grants.rs
+++ b/src/gateway/control/grants.rs
@@ -73,7 +73,7 @@
 /// Gives back what is not used; nothing runs any more.
 pub(super) async fn give_back(control: &Rc<Control>) {
     control.shared.stop.give_back();
-    let unused = control.state.borrow_mut().take_unused();
+    let unused = control.state.borrow_mut().take_unused(control.now());
     let transfers = loans::transfer_all(control, unused);
     let partitions: Vec<u32> = control.renewals.borrow().keys().copied().collect();
     let writes = partitions.into_iter().map(|partition| {
--- a/src/gateway/control/loans.rs
+++ b/src/gateway/control/loans.rs
@@ -108,7 +108,7 @@
 fn loan(control: &Control, customer: &str) -> Option<Loan> {
     let needed = control.waiting.borrow().needed().remove(customer)?;
     let mut state = control.state.borrow_mut();
-    let lacking = state.lacking(customer, needed);
+    let lacking = state.lacking(control.now(), customer, needed);
     let wanted = lacking + state.demand(control.now(), customer);
     (lacking > Tokens::ZERO).then_some(Loan { lacking, wanted })
 }
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -34,6 +34,7 @@
 use super::job::Job;
 use super::shared::Shared;
 use super::state::{Settings, State};
+use crate::boot_clock;
 use crate::store::Store;
 
 /// What the control thread is started with.
@@ -72,6 +73,7 @@
         .enable_all()
         .build()
         .expect("a runtime starts");
+    let started = parts.settings.started;
     let control = Rc::new(Control {
         state: RefCell::new(State::new(parts.settings)),
         waiting: RefCell::default(),
@@ -87,6 +89,7 @@
         borrowing: RefCell::default(),
         nothing: RefCell::default(),
         started: Instant::now(),
+        clock_start: started.map_or(boot_clock::AT_BOOT, |started| started.at),
     });
     let (asked, questions) = mpsc::unbounded_channel();
     let tasks = LocalSet::new();
--- a/src/gateway/control/rows.rs
+++ b/src/gateway/control/rows.rs
@@ -12,7 +12,6 @@
 use super::context::Control;
 use crate::gateway::escrow::Row;
 use crate::store::{CallError, Page, Partition, Record, Timeout, Topic, hedge};
-use crate::util;
 
 /// Conditional appends in a row that others may win. Not measured.
 const ATTEMPTS_MAX: u32 = 12;
@@ -163,7 +162,7 @@
     let name = &state.members.me.name;
     let record = |(customer, row): &(String, Row)| Record {
         key: row_key(customer, name),
-        value: Some(util::encode(row).into()),
+        value: Some(row.encode().into()),
     };
     rows.iter().map(record).collect()
 }
@@ -217,7 +216,7 @@
         };
         let row: Option<Row> = match &record.value {
             None => None,
-            Some(value) => match util::decode(value) {
+            Some(value) => match Row::decode(value) {
                 Some(row) => Some(row),
                 None => {
                     let bytes = value.len();
--- a/src/gateway/control/shortage.rs
+++ b/src/gateway/control/shortage.rs
@@ -36,7 +36,7 @@
 /// Why a request is refused if its tokens do not come.
 pub(super) fn reason(control: &Control, job: &Job) -> Refusal {
     let left = job.payer.as_ref().map(|(customer, prepaid)| {
-        let (_, spent) = control.state.borrow().balance(customer);
+        let (_, spent) = control.state.borrow().balance(control.now(), customer);
         prepaid.saturating_sub(spent)
     });
     refusal::shortage(&Shortage {
@@ -52,7 +52,7 @@
     let Some((customer, prepaid)) = &job.payer else {
         return;
     };
-    let (available, spent) = control.state.borrow().balance(customer);
+    let (available, spent) = control.state.borrow().balance(control.now(), customer);
     tracing::info!(
         event = "payment_refused",
         id = %job.id,
--- a/src/gateway/decision/grant.rs
+++ b/src/gateway/decision/grant.rs
@@ -14,6 +14,9 @@
 /// A lender that has this many times what is wanted lends more than is lacking. Not measured.
 const PLENTY: u64 = 4;
 
+/// Requests that a router may begin beyond its demand before it writes to the store again. Not measured.
+const MARK_REQUESTS: u64 = 2;
+
 /// A router's part in keeping a customer's budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
@@ -85,6 +88,15 @@
     Tokens(covered.max(spread) as u64)
 }
 
+/// Decides how many tokens beyond those it uses a router may spend while the store answers it: the demand of a
+/// span in which it may be cut off and still has to keep to that, and a few requests, since demand comes in whole
+/// ones. What is granted above it is for a longer time without the store.
+pub fn below_mark(demand: f64, last_cost: Tokens, waiting: Tokens, span: Millis) -> Tokens {
+    let covered = demand * seconds(span);
+    let some = last_cost.0 * MARK_REQUESTS;
+    Tokens(covered as u64 + some).max(waiting)
+}
+
 fn seconds(span: Millis) -> f64 {
     span.0 as f64 / 1_000.0
 }
--- a/src/gateway/escrow/account.rs
+++ b/src/gateway/escrow/account.rs
@@ -3,7 +3,9 @@
 //! The account asserts after each change that spend and reservations stay within what is granted and
 //! borrowed.
 
+use super::guard::{self, Guard};
 use super::row::{Ledger, Loan, Row};
+use crate::boot_clock::Reading;
 use crate::gateway::decision::grant::{self, Holding, Need, Role, Sizing};
 use crate::units::{Millis, Tokens};
 
@@ -28,6 +30,48 @@
     pub incarnation: u64,
     /// Its part in keeping the customer's budget.
     pub role: Role,
+    /// When its process had started, where its host has a steady clock: no earlier process of the router lives.
+    /// The account's times are of the same clock.
+    pub started: Option<Reading>,
+}
+
+/// What a row lets its process spend.
+#[derive(Clone, Copy, Debug, Default)]
+struct Limit {
+    /// Tokens in all.
+    granted: Tokens,
+    /// Tokens before `until`.
+    mark: Tokens,
+    /// The end of what is promised.
+    until: Millis,
+}
+
+impl Limit {
+    fn of(row: &Row) -> Self {
+        let guard = row.guard.as_ref();
+        Self {
+            granted: row.granted,
+            mark: guard.map_or(row.granted, |guard| guard.mark.min(row.granted)),
+            until: guard.map_or(Millis::ZERO, |guard| guard.until.at),
+        }
+    }
+
+    /// The limit where either row may be the one that the store has.
+    fn and(self, other: Self) -> Self {
+        Self {
+            granted: self.granted.min(other.granted),
+            mark: self.mark.min(other.mark),
+            until: self.until.max(other.until),
+        }
+    }
+
+    fn at(self, now: Millis) -> Tokens {
+        if now < self.until {
+            self.mark
+        } else {
+            self.granted
+        }
+    }
 }
 
 /// This router's part of one customer's budget.
@@ -35,10 +79,10 @@
 pub struct Account {
     /// Tokens that earlier processes of this router have spent, or may have.
     spent_before: Tokens,
-    /// Tokens that the store has granted this process, in all.
-    granted: Tokens,
-    /// Tokens that may be spent of them: less while a row that grants less may be on its way.
-    limit: Tokens,
+    /// What the row in the store lets this process spend.
+    acknowledged: Limit,
+    /// What it and those rows let it spend that may be on their way.
+    sent: Option<Limit>,
     /// Tokens that other routers have lent, and count as spent.
     borrowed: Tokens,
     /// Tokens that were settled here or lent to others.
@@ -49,16 +93,17 @@
     demand: f64,
     /// When `demand` was last brought up to date.
     demand_at: Millis,
-    /// Tokens that a row on its way would grant.
-    sent: Option<Tokens>,
+    /// Cost of the last request that was reserved for.
+    last_cost: Tokens,
     /// The row that the store has.
     written: Option<Row>,
 }
 
 impl Account {
     /// Tokens that can still be reserved.
-    pub fn available(&self) -> Tokens {
-        (self.limit + self.borrowed).saturating_sub(self.spent + self.reserved)
+    pub fn available(&self, now: Millis) -> Tokens {
+        let limit = self.sent.unwrap_or(self.acknowledged).at(now);
+        (limit + self.borrowed).saturating_sub(self.spent + self.reserved)
     }
 
     /// Tokens that all routers together have spent, as far as their rows tell.
@@ -73,7 +118,7 @@
 
     /// Lends tokens to another router, for which they count as spent here; how many is returned.
     pub fn lend(&mut self, now: Millis, loan: Loan) -> Tokens {
-        let lent = grant::lend(self.available(), loan.lacking, loan.wanted);
+        let lent = grant::lend(self.available(now), loan.lacking, loan.wanted);
         self.spent += lent;
         self.note_demand(now, lent);
         self.check();
@@ -82,9 +127,9 @@
 
     /// Takes out tokens that were borrowed, are neither spent nor reserved, and are more than `keep`; they
     /// are to be given to another router.
-    pub fn take_excess(&mut self, keep: Tokens) -> Tokens {
+    pub fn take_excess(&mut self, now: Millis, keep: Tokens) -> Tokens {
         let unused = self.borrowed.saturating_sub(self.spent + self.reserved);
-        let excess = unused.min(self.available()).saturating_sub(keep);
+        let excess = unused.min(self.available(now)).saturating_sub(keep);
         self.borrowed = self.borrowed.saturating_sub(excess);
         self.check();
         excess
@@ -124,13 +169,15 @@
     /// Why it cannot be paid for.
     pub fn reserve(
         &mut self,
+        now: Millis,
         tokens: Tokens,
         prepaid: Tokens,
         ledger: &Ledger,
         router: &str,
     ) -> Result<(), Short> {
-        if tokens <= self.available() {
+        if tokens <= self.available(now) {
             self.reserved += tokens;
+            self.last_cost = tokens;
             self.check();
             return Ok(());
         }
@@ -150,7 +197,7 @@
 
     fn check(&self) {
         assert!(
-            self.spent + self.reserved <= self.granted + self.borrowed,
+            self.spent + self.reserved <= self.acknowledged.granted + self.borrowed,
             "spend stays within what is granted and lent"
         );
     }
@@ -170,9 +217,10 @@
             router,
             incarnation,
             role,
+            started,
         } = *holder;
         self.decay(now);
-        self.adopt(ledger.row(router), incarnation);
+        self.adopt(ledger.row(router), holder);
         let used = self.used();
         let spent = ledger.spent_by_others(router) + self.spent_before + used;
         let granted = grant::size(
@@ -185,9 +233,11 @@
                 waiting,
                 left: prepaid.saturating_sub(spent),
                 free: self.free(ledger, router, prepaid),
-                granted: self.granted,
+                granted: self.acknowledged.granted,
             },
         );
+        let mark = used + grant::below_mark(self.demand, self.last_cost, waiting, guard::SPAN);
+        let until = self.promise_end(now);
         Row {
             incarnation,
             spent_before: self.spent_before,
@@ -198,13 +248,29 @@
                 // It is counted where it borrows.
                 Role::Borrower => 0,
             },
+            guard: started.map(|started| Guard {
+                mark: mark.min(granted),
+                until: Reading {
+                    boot: started.boot,
+                    at: until,
+                },
+            }),
+        }
+    }
+
+    /// When the promise of a row ends that is written now. While an earlier row may be on its way it is not
+    /// prolonged: writes are not answered, so what is granted may soon be needed.
+    fn promise_end(&self, now: Millis) -> Millis {
+        match self.sent {
+            Some(sent) => sent.until,
+            None => now + guard::SPAN,
         }
     }
 
     /// Tokens of the budget that are granted to no other router.
     fn free(&self, ledger: &Ledger, router: &str, prepaid: Tokens) -> Tokens {
         if ledger.has_unreadable() {
-            return self.granted;
+            return self.acknowledged.granted;
         }
         prepaid.saturating_sub(ledger.committed_by_others(router) + self.spent_before)
     }
@@ -214,38 +280,33 @@
         grant::is_worth_writing(self.written.as_ref().map(holding), holding(row), prepaid)
     }
 
-    /// Whether a row grants more than there is.
+    /// Whether a row lets more be spent than there is.
     pub fn gains(&self, row: &Row) -> bool {
-        row.granted > self.granted
+        let (row, now) = (Limit::of(row), self.acknowledged);
+        row.granted > now.granted || row.mark > now.mark
     }
 
     /// Takes over what the store has of an earlier process of this router, which is gone.
-    fn adopt(&mut self, row: Option<&Row>, incarnation: u64) {
+    fn adopt(&mut self, row: Option<&Row>, holder: &Holder<'_>) {
         let Some(row) = row else {
             return;
         };
-        if row.incarnation != incarnation {
-            let spent = row.spent_before + row.granted;
+        if row.incarnation != holder.incarnation {
+            let spent = row.spent_before + row.spent_at_most(holder.started);
             self.spent_before = self.spent_before.max(spent);
         }
     }
 
-    /// Notes that a row is on its way to the store: from now on the lower grant holds.
+    /// Notes that a row is on its way to the store: from now on the lower limit holds. An earlier row may still be
+    /// on its way too, so the least of all does.
     pub fn send(&mut self, row: &Row) {
-        // An earlier row may still be on its way too, so the least of all holds.
-        let before = if self.sent.is_some() {
-            self.limit
-        } else {
-            self.granted
-        };
-        self.limit = before.min(row.granted);
-        self.sent = Some(row.granted);
+        let before = self.sent.unwrap_or(self.acknowledged);
+        self.sent = Some(before.and(Limit::of(row)));
     }
 
     /// Notes that the store has this row.
     pub fn acknowledge(&mut self, row: &Row) {
-        self.granted = row.granted;
-        self.limit = row.granted;
+        self.acknowledged = Limit::of(row);
         self.sent = None;
         self.written = Some(*row);
         self.check();
@@ -254,7 +315,6 @@
     /// Notes that a row that was sent is not in the store and never will be.
     pub fn withdraw(&mut self) {
         self.sent = None;
-        self.limit = self.granted;
     }
 
     /// The row that gives everything back, once nothing runs any more.
@@ -266,6 +326,7 @@
             granted: used,
             spent: used,
             demand: 0,
+            guard: None,
         }
     }
 }
--- a/src/gateway/escrow/mod.rs
+++ b/src/gateway/escrow/mod.rs
@@ -3,11 +3,13 @@
 //! Each customer's budget is a set of rows in the store, one a router. A row says what the router
 //! was granted; the sum over all rows never passes what was prepaid, since a row is only written
 //! if nothing else has been written since its writer last read. A router spends only what its row
-//! grants and what others lend it. What a router had when it died stays spent: nobody can tell how
-//! much of it was. How large a grant should be is [`grant`](super::decision::grant)'s decision; this module keeps the sums.
+//! grants and what others lend it. What a router had when it died stays spent, but for
+//! what its [`Guard`] proves that it was not. How large a grant should be is [`grant`](super::decision::grant)'s decision; this module keeps the sums.
 
 mod account;
+pub mod guard;
 mod row;
 
 pub use account::{Account, Holder, Short};
+pub use guard::Guard;
 pub use row::{Ledger, Loan, Row};
--- a/src/gateway/escrow/row.rs
+++ b/src/gateway/escrow/row.rs
@@ -5,7 +5,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::guard::Guard;
+use crate::boot_clock::Reading;
 use crate::units::Tokens;
+use crate::util;
 
 /// What a router asks another one to lend it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -29,6 +32,39 @@
     pub spent: Tokens,
     /// Tokens that are asked of it in a second.
     pub demand: u64,
+    /// What the process promises while the store answers it. It stands after the other fields, and rows of
+    /// earlier programs end without it.
+    #[serde(skip)]
+    pub guard: Option<Guard>,
+}
+
+impl Row {
+    /// Encodes it for the store.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut bytes = util::encode(self);
+        if let Some(guard) = &self.guard {
+            bytes.extend(util::encode(guard));
+        }
+        bytes
+    }
+
+    /// Decodes a row of the store; `None` where the bytes are not a whole one.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        let (mut row, rest): (Self, &[u8]) = util::decode_first(bytes)?;
+        if !rest.is_empty() {
+            row.guard = Some(util::decode(rest)?);
+        }
+        Some(row)
+    }
+
+    /// The most that its process may have spent, where that is gone and the next one on its host has started at
+    /// `started`.
+    pub fn spent_at_most(&self, started: Option<Reading>) -> Tokens {
+        match self.guard {
+            Some(guard) if guard.is_kept(started) => guard.mark.min(self.granted),
+            _ => self.granted,
+        }
+    }
 }
 
 /// All rows of a customer, as of the last read.
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -20,6 +20,7 @@
 use super::key::{JobKey, TargetKey};
 use super::members::{Members, Router};
 use super::targets::Targets;
+use crate::boot_clock::Reading;
 use crate::units::{Millis, Tokens};
 
 /// Settings of the control state.
@@ -35,6 +36,8 @@
     pub sizing: Sizing,
     /// Seed of random choices.
     pub seed: u64,
+    /// When this process was sure to be the only one of its name, where its host has a steady clock.
+    pub started: Option<Reading>,
 }
 
 #[derive(Debug)]
--- a/src/gateway/state/money.rs
+++ b/src/gateway/state/money.rs
@@ -45,7 +45,7 @@
         let ledger = self.ledgers.entry(customer.clone()).or_default();
         let account = self.accounts.entry(customer.clone()).or_default();
         let name = &self.settings.me.name;
-        match account.reserve(cost, *prepaid, ledger, name) {
+        match account.reserve(now, cost, *prepaid, ledger, name) {
             // A refused request comes again, so only those that are reserved for count as demand.
             Ok(()) => {
                 account.note_demand(now, cost);
@@ -102,6 +102,7 @@
                 router: &self.settings.me.name,
                 incarnation: self.settings.me.incarnation,
                 role,
+                started: self.settings.started,
             };
             let ledger = self.ledgers.entry(customer.clone()).or_default();
             let account = self.accounts.entry(customer.clone()).or_default();
@@ -154,14 +155,14 @@
 
     /// Tokens that this router can still reserve for a customer, and tokens that all routers together
     /// have spent as far as that is known.
-    pub fn balance(&self, customer: &str) -> (Tokens, Tokens) {
+    pub fn balance(&self, now: Millis, customer: &str) -> (Tokens, Tokens) {
         let (Some(account), Some(ledger)) =
             (self.accounts.get(customer), self.ledgers.get(customer))
         else {
             return (Tokens::ZERO, Tokens::ZERO);
         };
         let spent = account.spent(ledger, &self.settings.me.name);
-        (account.available(), spent)
+        (account.available(now), spent)
     }
 
     /// This router's part in keeping a customer's budget.
@@ -197,17 +198,18 @@
             .into_iter()
             .filter(|customer| self.role(now, customer) == Role::Borrower);
         let borrowed: Vec<String> = borrowed.collect();
-        self.take_borrowed(borrowed, |account| account.demand(now))
+        self.take_borrowed(now, borrowed, |account| account.demand(now))
     }
 
     /// Takes out all that was borrowed and not used.
-    pub fn take_unused(&mut self) -> Vec<(String, Tokens)> {
+    pub fn take_unused(&mut self, now: Millis) -> Vec<(String, Tokens)> {
         let customers = self.accounts.keys().cloned().collect();
-        self.take_borrowed(customers, |_| Tokens::ZERO)
+        self.take_borrowed(now, customers, |_| Tokens::ZERO)
     }
 
     fn take_borrowed(
         &mut self,
+        now: Millis,
         customers: Vec<String>,
         keep: impl Fn(&mut Account) -> Tokens,
     ) -> Vec<(String, Tokens)> {
@@ -215,7 +217,7 @@
         for customer in customers {
             let account = self.accounts.entry(customer.clone()).or_default();
             let keep = keep(account);
-            let tokens = account.take_excess(keep);
+            let tokens = account.take_excess(now, keep);
             if tokens > Tokens::ZERO {
                 taken.push((customer, tokens));
             }
@@ -230,9 +232,10 @@
     }
 
     /// Tokens that this router lacks to pay for requests of this cost.
-    pub fn lacking(&self, customer: &str, cost: Tokens) -> Tokens {
+    pub fn lacking(&self, now: Millis, customer: &str, cost: Tokens) -> Tokens {
         let account = self.accounts.get(customer);
-        cost.saturating_sub(account.map_or(Tokens::ZERO, Account::available))
+        let available = account.map(|account| account.available(now));
+        cost.saturating_sub(available.unwrap_or(Tokens::ZERO))
     }
 
     /// Tokens a second that are asked of this router for a customer.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 
 #![warn(clippy::unwrap_used)]
 
+pub mod boot_clock;
 pub mod cmd;
 pub mod ejection;
 pub mod gateway;
--- a/src/util.rs
+++ b/src/util.rs
@@ -16,9 +16,15 @@
 
 /// Decodes a value; `None` where the bytes are not a whole one.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+    let (value, rest) = decode_first(bytes)?;
+    rest.is_empty().then_some(value)
+}
+
+/// Decodes the value that some bytes begin with, and returns the bytes after it.
+pub fn decode_first<T: DeserializeOwned>(bytes: &[u8]) -> Option<(T, &[u8])> {
     let config = bincode::config::standard().with_limit::<{ 64 << 20 }>();
     let (value, used) = bincode::serde::decode_from_slice(bytes, config).ok()?;
-    (used == bytes.len()).then_some(value)
+    Some((value, &bytes[used..]))
 }
 
 /// The stored form of a secret: hexadecimal SHA-256.
--- a/tests/escrow_rows.rs
+++ b/tests/escrow_rows.rs
@@ -6,6 +6,7 @@
 
 use arbtest::arbitrary::Unstructured;
 use arbtest::arbtest;
+use lanedeck::boot_clock::Reading;
 use lanedeck::gateway::decision::grant::{Role, Sizing};
 use lanedeck::gateway::escrow::{Account, Holder, Ledger, Loan, Row, Short};
 use lanedeck::units::{Millis, Tokens};
@@ -16,6 +17,10 @@
 const SEEDS: u64 = 4_000;
 /// Random bytes of one run.
 const BYTES: u64 = 4_096;
+const STARTED: Reading = Reading {
+    boot: 1,
+    at: Millis(999_000),
+};
 const SIZING: Sizing = Sizing {
     horizon: Millis(8_000),
     exact: Millis(2_000),
@@ -47,13 +52,16 @@
     ledger: Ledger,
     read: usize,
     reserved: Vec<Tokens>,
+    /// When its process had started, by its host's clock.
+    started: Reading,
     /// An append whose answer was lost.
     unknown: Option<(usize, Row)>,
 }
 
 impl Router {
-    fn new(number: usize, incarnation: u64) -> Self {
+    fn new(number: usize, incarnation: u64, started: Reading) -> Self {
         Self {
+            started,
             name: format!("r{number}"),
             incarnation,
             account: Account::default(),
@@ -92,6 +100,7 @@
             router: &self.name,
             incarnation: self.incarnation,
             role,
+            started: Some(self.started),
         };
         self.account
             .wanted(now, &self.ledger, &holder, prepaid, &SIZING, waiting)
@@ -121,7 +130,9 @@
     fn new() -> Self {
         Self {
             store: Store::default(),
-            routers: (0..ROUTERS).map(|n| Router::new(n, n as u64)).collect(),
+            routers: (0..ROUTERS)
+                .map(|n| Router::new(n, n as u64, STARTED))
+                .collect(),
             late: Vec::new(),
             spent: 0,
             incarnations: ROUTERS as u64,
@@ -160,12 +171,13 @@
         }
     }
 
-    fn kill(&mut self, index: usize) {
+    /// Kills a router; the next process has started at `started`.
+    fn kill(&mut self, index: usize, started: Reading) {
         // Whatever was under way may have been handed out whole.
         let reserved: Tokens = self.routers[index].reserved.iter().copied().sum();
         self.spent += reserved.0;
         self.incarnations += 1;
-        self.routers[index] = Router::new(index, self.incarnations);
+        self.routers[index] = Router::new(index, self.incarnations, started);
     }
 
     fn outstanding(&self) -> u64 {
@@ -188,7 +200,7 @@
             router.account.note_demand(now, cost);
             let result = router
                 .account
-                .reserve(cost, prepaid, &router.ledger, &router.name);
+                .reserve(now, cost, prepaid, &router.ledger, &router.name);
             match result {
                 Ok(()) => router.reserved.push(cost),
                 Err(Short::Here | Short::Exhausted) => {}
@@ -228,12 +240,21 @@
                     let loan = Loan { lacking, wanted };
                     world.routers[index].account.lend(now, loan)
                 } else {
-                    world.routers[index].account.take_excess(Tokens::ZERO)
+                    world.routers[index].account.take_excess(now, Tokens::ZERO)
                 };
                 world.routers[other].account.borrow(tokens);
             }
         }
-        _ => world.kill(index),
+        _ => {
+            // A host that lost power has another boot, whose clock may read anything.
+            let started = if u.ratio(1, 4)? {
+                let at = Millis(u.int_in_range(0..=2 * now.0)?);
+                Reading { boot: 2, at }
+            } else {
+                Reading { boot: 1, at: now }
+            };
+            world.kill(index, started);
+        }
     }
     Ok(())
 }
@@ -273,7 +294,7 @@
         let router = &mut world.routers[index];
         if router
             .account
-            .reserve(cost, prepaid, &router.ledger, &router.name)
+            .reserve(now, cost, prepaid, &router.ledger, &router.name)
             .is_ok()
         {
             router.account.settle(cost, cost);
--- a/tests/pinned_gateway.rs
+++ b/tests/pinned_gateway.rs
@@ -82,6 +82,7 @@
         granted: Tokens(70_000),
         spent: Tokens(251),
         demand: 900,
+        guard: None,
     };
     pin("fb2c0105fc70110100fbfb00fb8403", &row);
     pin("0000000000", &Row::default());
