Keep borrowed tokens that are not worth a message, and log what a restart proves

Cause: a borrower gave back what it held beyond its demand of a second, each second and for each customer.

Change: under one part in 10,000 of a budget stays where it is, until the router stops. A row that a process adopts is logged with what was granted and what counts.

--- a/src/gateway/decision/grant.rs
+++ b/src/gateway/decision/grant.rs
@@ -14,6 +14,10 @@
 /// A lender that has this many times what is wanted lends more than is lacking. Not measured.
 const PLENTY: u64 = 4;
 
+/// Borrowed tokens of less than one part in this many of the prepaid budget are kept until they are needed: 80
+/// borrowers then keep less than one part in a hundred. Not measured beyond that.
+const GIVE_BACK_DIVISOR: u64 = 10_000;
+
 /// Requests that a router may begin beyond its demand before it writes to the store again. Not measured.
 const MARK_REQUESTS: u64 = 2;
 
@@ -134,6 +138,13 @@
     }
 }
 
+/// Decides the least number of borrowed tokens that is worth giving back, of a budget of `prepaid`. Without it each
+/// borrower gave a few tokens back each second as its demand fell, a message for each customer: 17,315 messages on a
+/// day of 86 routers, half of them of 27 tokens or fewer and 83 in 100 of under 200.
+pub fn least_given_back(prepaid: Tokens) -> Tokens {
+    Tokens(prepaid.0 / GIVE_BACK_DIVISOR)
+}
+
 /// Decides how much of what is available a router lends: what the other lacks, and what it wants
 /// beyond that only where there is plenty.
 pub fn lend(available: Tokens, lacking: Tokens, wanted: Tokens) -> Tokens {
--- a/src/gateway/escrow/account.rs
+++ b/src/gateway/escrow/account.rs
@@ -125,11 +125,14 @@
         lent
     }
 
-    /// Takes out tokens that were borrowed, are neither spent nor reserved, and are more than `keep`; they
-    /// are to be given to another router.
-    pub fn take_excess(&mut self, now: Millis, keep: Tokens) -> Tokens {
+    /// Takes out tokens that were borrowed, are neither spent nor reserved, and are more than `keep`, where these are
+    /// `least` or more; they are to be given to another router.
+    pub fn take_excess(&mut self, now: Millis, keep: Tokens, least: Tokens) -> Tokens {
         let unused = self.borrowed.saturating_sub(self.spent + self.reserved);
         let excess = unused.min(self.available(now)).saturating_sub(keep);
+        if excess < least {
+            return Tokens::ZERO;
+        }
         self.borrowed = self.borrowed.saturating_sub(excess);
         self.check();
         excess
@@ -292,7 +295,13 @@
             return;
         };
         if row.incarnation != holder.incarnation {
-            let spent = row.spent_before + row.spent_at_most(holder.started);
+            let by_last = row.spent_at_most(holder.started);
+            let spent = row.spent_before + by_last;
+            if spent > self.spent_before {
+                let (router, granted) = (holder.router, row.granted.0);
+                let by_last = by_last.0;
+                tracing::info!(event = "row_adopted", router, granted, counted = by_last);
+            }
             self.spent_before = self.spent_before.max(spent);
         }
     }
--- a/src/gateway/state/money.rs
+++ b/src/gateway/state/money.rs
@@ -11,6 +11,15 @@
 use crate::gateway::members::Router;
 use crate::units::{Millis, Tokens};
 
+/// Which borrowed tokens are given to the routers that hold a customer's grants.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Remainder {
+    /// Those beyond the demand of a second, where they are worth a message.
+    Worth,
+    /// All that are not used.
+    All,
+}
+
 impl State {
     /// Settles a request that has ended at what was delivered to its customer.
     pub(super) fn settle(&mut self, running: &Running) {
@@ -198,26 +207,33 @@
             .into_iter()
             .filter(|customer| self.role(now, customer) == Role::Borrower);
         let borrowed: Vec<String> = borrowed.collect();
-        self.take_borrowed(now, borrowed, |account| account.demand(now))
+        self.take_borrowed(now, borrowed, Remainder::Worth)
     }
 
     /// Takes out all that was borrowed and not used.
     pub fn take_unused(&mut self, now: Millis) -> Vec<(String, Tokens)> {
         let customers = self.accounts.keys().cloned().collect();
-        self.take_borrowed(now, customers, |_| Tokens::ZERO)
+        self.take_borrowed(now, customers, Remainder::All)
     }
 
     fn take_borrowed(
         &mut self,
         now: Millis,
         customers: Vec<String>,
-        keep: impl Fn(&mut Account) -> Tokens,
+        remainder: Remainder,
     ) -> Vec<(String, Tokens)> {
         let mut taken = Vec::new();
         for customer in customers {
             let account = self.accounts.entry(customer.clone()).or_default();
-            let keep = keep(account);
-            let tokens = account.take_excess(now, keep);
+            let (keep, least) = match remainder {
+                Remainder::All => (Tokens::ZERO, Tokens::ZERO),
+                Remainder::Worth => {
+                    let prepaid = self.prepaid.get(&customer).copied();
+                    let least = grant::least_given_back(prepaid.unwrap_or_default());
+                    (account.demand(now), least)
+                }
+            };
+            let tokens = account.take_excess(now, keep, least);
             if tokens > Tokens::ZERO {
                 taken.push((customer, tokens));
             }
--- a/tests/escrow_rows.rs
+++ b/tests/escrow_rows.rs
@@ -7,7 +7,7 @@
 use arbtest::arbitrary::Unstructured;
 use arbtest::arbtest;
 use lanedeck::boot_clock::Reading;
-use lanedeck::gateway::decision::grant::{Role, Sizing};
+use lanedeck::gateway::decision::grant::{Role, Sizing, least_given_back};
 use lanedeck::gateway::escrow::{Account, Holder, Ledger, Loan, Row, Short};
 use lanedeck::units::{Millis, Tokens};
 
@@ -240,7 +240,9 @@
                     let loan = Loan { lacking, wanted };
                     world.routers[index].account.lend(now, loan)
                 } else {
-                    world.routers[index].account.take_excess(now, Tokens::ZERO)
+                    world.routers[index]
+                        .account
+                        .take_excess(now, Tokens::ZERO, Tokens::ZERO)
                 };
                 world.routers[other].account.borrow(tokens);
             }
@@ -304,6 +306,20 @@
     assert_eq!(served, 100, "each token is spent once");
 }
 
+/// What a borrower no longer needs is given back where it is worth a message, and kept where it is a few tokens.
+#[test]
+fn few_tokens_stay() {
+    let (now, least) = (Millis(1_000_000), least_given_back(Tokens(2_000_000)));
+    let mut account = Account::default();
+    account.borrow(Tokens(1_000));
+    let keep = Tokens(1_000 - least.0 + 1);
+    assert_eq!(account.take_excess(now, keep, least), Tokens::ZERO);
+    assert_eq!(account.available(now), Tokens(1_000), "nothing has gone");
+    let keep = Tokens(1_000 - least.0);
+    assert_eq!(account.take_excess(now, keep, least), least);
+    assert_eq!(account.available(now), keep);
+}
+
 #[test]
 fn lowered_budget() {
     let mut world = World::new();
--- a/tests/spend_guard.rs
+++ b/tests/spend_guard.rs
@@ -47,7 +47,7 @@
     let mut now = START;
     let mut row = renew(&mut account, &mut ledger, now);
     for turn in 1..=60 {
-        now = now + Millis(100);
+        now += Millis(100);
         if account.reserve(now, COST, PREPAID, &ledger, "r0").is_ok() {
             account.note_demand(now, COST);
             account.settle(COST, COST);
@@ -142,7 +142,7 @@
     let mut now = written;
     let mut ends = Vec::new();
     for _ in 0..4 {
-        now = now + Millis(500);
+        now += Millis(500);
         let sent = account.wanted(now, &ledger, &holder(1, START), PREPAID, &SIZING, COST);
         account.send(&sent);
         ends.push(sent.guard.unwrap().until.at);
