--- a/tests/stop_gaps.rs
+++ b/tests/stop_gaps.rs
@@ -17,9 +17,9 @@
 use hyper::body::Incoming;
 use lanedeck::gateway::escrow::Row;
 use lanedeck::gateway::message::{Reply, Request};
+use lanedeck::net;
 use lanedeck::units::Tokens;
 use lanedeck::wire::{self, Missing};
-use lanedeck::{net, util};
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -450,5 +450,5 @@
     let key = format!("{customer}/g0");
     let item = items.iter().find(|item| item["key"] == key.as_str())?;
     let value = STANDARD.decode(item["value"].as_str().unwrap()).unwrap();
-    util::decode(&value)
+    Row::decode(&value)
 }
