Name a doubled header without a copy of its name

Cause: since doubled headers are refused, the error held its header's name as an owned string, and each model request made one for an error that seldom comes.

--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -73,7 +73,7 @@
 #[snafu(display("{header}: wanted is {wanted}"))]
 pub struct BadHeader {
     /// Its name.
-    pub header: String,
+    pub header: &'static str,
     /// What it has to hold.
     pub wanted: &'static str,
 }
