Derive an account's limit from the row that the store has

A clock that could not be converted was passed over without a line. Addresses were hashed and sorted also where all are told.

Change: the limit is derived, Row::mark bounds a mark, the clock's value is converted by the library, and addresses are only drawn where there are too many.

--- a/src/boot_clock.rs
+++ b/src/boot_clock.rs
@@ -3,6 +3,8 @@
 //! It counts from the boot, also while the host sleeps, and nobody can set it. A reading names its boot, since
 //! readings of two boots say nothing of each other.
 
+use std::time::Duration;
+
 use nix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
@@ -36,9 +38,8 @@
         };
         match clock_gettime(ClockId::CLOCK_BOOTTIME) {
             Ok(time) => {
-                let whole = u64::try_from(time.tv_sec()).ok()? * 1_000;
-                let part = u64::try_from(time.tv_nsec()).ok()? / 1_000_000;
-                let at = AT_BOOT + Millis(whole + part);
+                let elapsed = Duration::from(time).as_millis() as u64;
+                let at = AT_BOOT + Millis(elapsed);
                 Some(Self { boot, at })
             }
             Err(error) => {
--- a/src/gateway/escrow/account.rs
+++ b/src/gateway/escrow/account.rs
@@ -48,11 +48,10 @@
 
 impl Limit {
     fn of(row: &Row) -> Self {
-        let guard = row.guard.as_ref();
         Self {
             granted: row.granted,
-            mark: guard.map_or(row.granted, |guard| guard.mark.min(row.granted)),
-            until: guard.map_or(Millis::ZERO, |guard| guard.until.at),
+            mark: row.mark(),
+            until: row.guard.map_or(Millis::ZERO, |guard| guard.until.at),
         }
     }
 
@@ -79,9 +78,7 @@
 pub struct Account {
     /// Tokens that earlier processes of this router have spent, or may have.
     spent_before: Tokens,
-    /// What the row in the store lets this process spend.
-    acknowledged: Limit,
-    /// What it and those rows let it spend that may be on their way.
+    /// What the row in the store and those that may be on their way let this process spend.
     sent: Option<Limit>,
     /// Tokens that other routers have lent, and count as spent.
     borrowed: Tokens,
@@ -100,9 +97,14 @@
 }
 
 impl Account {
+    /// What the row in the store lets this process spend.
+    fn acknowledged(&self) -> Limit {
+        self.written.as_ref().map(Limit::of).unwrap_or_default()
+    }
+
     /// Tokens that can still be reserved.
     pub fn available(&self, now: Millis) -> Tokens {
-        let limit = self.sent.unwrap_or(self.acknowledged).at(now);
+        let limit = self.sent.unwrap_or_else(|| self.acknowledged()).at(now);
         (limit + self.borrowed).saturating_sub(self.spent + self.reserved)
     }
 
@@ -200,7 +202,7 @@
 
     fn check(&self) {
         assert!(
-            self.spent + self.reserved <= self.acknowledged.granted + self.borrowed,
+            self.spent + self.reserved <= self.acknowledged().granted + self.borrowed,
             "spend stays within what is granted and lent"
         );
     }
@@ -236,7 +238,7 @@
                 waiting,
                 left: prepaid.saturating_sub(spent),
                 free: self.free(ledger, router, prepaid),
-                granted: self.acknowledged.granted,
+                granted: self.acknowledged().granted,
             },
         );
         let ahead = granted.saturating_sub(used);
@@ -276,7 +278,7 @@
     /// Tokens of the budget that are granted to no other router.
     fn free(&self, ledger: &Ledger, router: &str, prepaid: Tokens) -> Tokens {
         if ledger.has_unreadable() {
-            return self.acknowledged.granted;
+            return self.acknowledged().granted;
         }
         prepaid.saturating_sub(ledger.committed_by_others(router) + self.spent_before)
     }
@@ -288,7 +290,7 @@
 
     /// Whether a row lets more be spent than there is.
     pub fn gains(&self, row: &Row) -> bool {
-        let (row, now) = (Limit::of(row), self.acknowledged);
+        let (row, now) = (Limit::of(row), self.acknowledged());
         row.granted > now.granted || row.mark > now.mark
     }
 
@@ -312,13 +314,12 @@
     /// Notes that a row is on its way to the store: from now on the lower limit holds. An earlier row may still be
     /// on its way too, so the least of all does.
     pub fn send(&mut self, row: &Row) {
-        let before = self.sent.unwrap_or(self.acknowledged);
+        let before = self.sent.unwrap_or_else(|| self.acknowledged());
         self.sent = Some(before.and(Limit::of(row)));
     }
 
     /// Notes that the store has this row.
     pub fn acknowledge(&mut self, row: &Row) {
-        self.acknowledged = Limit::of(row);
         self.sent = None;
         self.written = Some(*row);
         self.check();
--- a/src/gateway/escrow/row.rs
+++ b/src/gateway/escrow/row.rs
@@ -57,11 +57,17 @@
         Some(row)
     }
 
+    /// Tokens that its process may spend while its promise lasts.
+    pub(super) fn mark(&self) -> Tokens {
+        let mark = self.guard.map_or(self.granted, |guard| guard.mark);
+        mark.min(self.granted)
+    }
+
     /// The most that its process may have spent, where that is gone and the next one on its host has started at
     /// `started`.
     pub fn spent_at_most(&self, started: Option<Reading>) -> Tokens {
         match self.guard {
-            Some(guard) if guard.is_kept(started) => guard.mark.min(self.granted),
+            Some(guard) if guard.is_kept(started) => self.mark(),
             _ => self.granted,
         }
     }
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -157,9 +157,11 @@
     /// As many addresses as callers are told. Each router leaves out others, so that a large fleet gets its
     /// callers evenly: where all told the first 64 of 86 in one order, the last got half of what the others had.
     fn choose_addresses(&self, mut addresses: Vec<SocketAddr>) -> Vec<SocketAddr> {
-        let seed = xxh3_64(self.me.name.as_bytes());
-        addresses.sort_by_cached_key(|one| xxh3_64_with_seed(one.to_string().as_bytes(), seed));
-        addresses.truncate(ADDRESSES_MAX);
+        if addresses.len() > ADDRESSES_MAX {
+            let seed = xxh3_64(self.me.name.as_bytes());
+            addresses.sort_by_cached_key(|one| xxh3_64_with_seed(one.to_string().as_bytes(), seed));
+            addresses.truncate(ADDRESSES_MAX);
+        }
         addresses.sort_unstable();
         addresses
     }
