Share what the tests write twice

Cause: both soaks chose the request of a timeline alike, two tests listed a gateway's addresses as flags, and two randomised tests had one check twice.

--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -69,6 +69,22 @@
     }
 }
 
+/// The flags that give a gateway its addresses and the store's.
+pub fn address_flags(
+    [front, ready, directory, link, metrics, store]: [SocketAddr; 6],
+) -> Vec<String> {
+    let places = [
+        ("--front", front),
+        ("--ready", ready),
+        ("--directory", directory),
+        ("--link", link),
+        ("--metrics", metrics),
+        ("--store", store),
+    ];
+    let flags = places.map(|(flag, address)| [flag.to_owned(), address.to_string()]);
+    flags.concat()
+}
+
 /// Starts the binary; its log goes to the end of a file, or nowhere.
 fn spawn(flags: &[String], log: Option<&PathBuf>) -> Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_lanedeck"));
@@ -96,20 +112,11 @@
     fn start(name: &str, store: SocketAddr, flags: &[&str], log: Option<PathBuf>) -> Self {
         let starting = START.lock().unwrap_or_else(PoisonError::into_inner);
         let [front, ready, directory, link, metrics] = std::array::from_fn(|_| free_address());
-        let places = [
-            ("--front", front),
-            ("--ready", ready),
-            ("--directory", directory),
-            ("--link", link),
-            ("--metrics", metrics),
-            ("--store", store),
-        ];
+        let places = [front, ready, directory, link, metrics, store];
         let mut all = ["gateway", "--name", name, "--heartbeat", "200"]
             .map(str::to_owned)
             .to_vec();
-        for (flag, address) in places {
-            all.extend([flag.to_owned(), address.to_string()]);
-        }
+        all.extend(address_flags(places));
         all.extend(flags.iter().map(|flag| (*flag).to_owned()));
         let child = spawn(&all, log.as_ref());
         drop(starting);
--- a/tests/escrow_rows.rs
+++ b/tests/escrow_rows.rs
@@ -206,6 +206,12 @@
         self.routers[index] = Router::new(index, self.incarnations, started);
     }
 
+    /// What was handed out and what may still be is within what was prepaid.
+    fn check(&self, prepaid: Tokens) {
+        let most = self.spent + self.outstanding();
+        assert!(most <= prepaid.0, "spent {most} of {}", prepaid.0);
+    }
+
     fn outstanding(&self) -> u64 {
         let reserved = self.routers.iter().flat_map(|router| &router.reserved);
         reserved.map(|tokens| tokens.0).sum()
@@ -299,8 +305,7 @@
                 }
                 let now = Millis(1_000_000 + number as u64 * 137);
                 step(&mut world, u, now, prepaid)?;
-                let most = world.spent + world.outstanding();
-                assert!(most <= prepaid.0, "spent {most} of {}", prepaid.0);
+                world.check(prepaid);
             }
             Ok(())
         })
@@ -329,8 +334,7 @@
                 for _ in 0..u.int_in_range(0..=30)? {
                     world.serve(index, now, Tokens(400), prepaid);
                 }
-                let most = world.spent + world.outstanding();
-                assert!(most <= prepaid.0, "spent {most} of {}", prepaid.0);
+                world.check(prepaid);
             }
             Ok(())
         })
@@ -362,7 +366,7 @@
     assert_eq!(served, 100, "each token is spent once");
 }
 
-/// What a borrower no longer needs is given back where it is worth a message, and kept where it is a few tokens.
+/// What a borrower has beyond its need is given back where it is worth a message, and kept where it is a few tokens.
 #[test]
 fn few_tokens_stay() {
     let (now, least) = (Millis(1_000_000), least_given_back(Tokens(2_000_000)));
--- a/tests/slow_reload.rs
+++ b/tests/slow_reload.rs
@@ -10,7 +10,7 @@
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 
-use deployment::{Ask, free_address, try_ask, until};
+use deployment::{Ask, address_flags, free_address, try_ask, until};
 
 /// Sends a process a signal.
 fn signal(process: &Child, name: &str) {
@@ -31,22 +31,14 @@
     let name = format!("lanedeck-slow-{:x}", rand::random::<u64>());
     let settings = std::env::temp_dir().join(name);
     fs::write(&settings, "LANEDECK_GRACE=1000\n").unwrap();
-    let [front, ready, directory, link, metrics, store] = std::array::from_fn(|_| free_address());
+    let places: [_; 6] = std::array::from_fn(|_| free_address());
+    let [_, _, _, _, metrics, _] = places;
     let mut command = Command::new(env!("CARGO_BIN_EXE_lanedeck"));
     command
         .arg("gateway")
+        .args(address_flags(places))
         .env("LANEDECK_CONFIG", &settings)
         .stdout(Stdio::null());
-    for (flag, address) in [
-        ("--front", front),
-        ("--ready", ready),
-        ("--directory", directory),
-        ("--link", link),
-        ("--metrics", metrics),
-        ("--store", store),
-    ] {
-        command.args([flag, &address.to_string()]);
-    }
     let mut process = command.spawn().expect("the binary starts");
     let is_up = || async { try_ask(metrics, &Ask::get("/metrics")).await.is_some() };
     until(is_up).await;
--- a/tests/soak/router/run.rs
+++ b/tests/soak/router/run.rs
@@ -404,10 +404,7 @@
         self.check_sum("billed", seen.told_billed(Payer::Scarce), prepaid);
         let mut broken = std::mem::take(&mut *self.broken.lock().unwrap());
         broken.extend(seen.broken());
-        let timeline = broken.first().map_or(String::new(), |first| {
-            let id = first.id.as_deref();
-            self.journal.print(logs, id, seen.told(id))
-        });
+        let timeline = self.journal.around_first(logs, &broken, |id| seen.told(id));
         Outcome {
             seed: self.plan.seed,
             broken,
--- a/tests/soak/timeline.rs
+++ b/tests/soak/timeline.rs
@@ -6,6 +6,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
+use crate::promise::Broken;
+
 /// Events that a timeline shows of each process, besides those of the request.
 const EVENTS: [&str; 16] = [
     "started",
@@ -61,9 +63,23 @@
         at.saturating_duration_since(self.began).as_secs_f64() * 1e3
     }
 
+    /// The timeline around the request that shows the first broken promise; nothing where none was broken. `told` is
+    /// what a request's caller and its targets saw of it.
+    pub fn around_first(
+        &self,
+        logs: &Path,
+        broken: &[Broken],
+        told: impl Fn(Option<&str>) -> Vec<(Instant, String)>,
+    ) -> String {
+        broken.first().map_or(String::new(), |first| {
+            let id = first.id.as_deref();
+            self.print(logs, id, told(id))
+        })
+    }
+
     /// The timeline around a request, or of all steps where no request is named. `told` is what its caller and
     /// its targets saw of it.
-    pub fn print(&self, logs: &Path, id: Option<&str>, told: Vec<(Instant, String)>) -> String {
+    fn print(&self, logs: &Path, id: Option<&str>, told: Vec<(Instant, String)>) -> String {
         let first = told.iter().map(|(at, _)| self.ms(*at)).reduce(f64::min);
         let last = told.iter().map(|(at, _)| self.ms(*at)).reduce(f64::max);
         let window = match (first, last) {
