Promise a rate of spending that outlives a loss of power, and hold more ahead with it

Ruled out: the store's groups as a witness of time (they wait while the store is down, and a late join is taken in seconds after it was sent).

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -254,6 +254,9 @@
 /// Log lines that wait to be written; more are dropped and counted.
 const LOG_LINES_MAX: usize = 8_192;
 
+/// Bytes of log lines that are written at once: what waits when the writer has its turn is one call of the system.
+const LOG_BUFFER: usize = 32 << 10;
+
 static DROPPED: std::sync::OnceLock<tracing_appender::non_blocking::ErrorCounter> =
     std::sync::OnceLock::new();
 
@@ -273,7 +276,7 @@
     let (writer, guard) = tracing_appender::non_blocking::NonBlockingBuilder::default()
         .lossy(true)
         .buffered_lines_limit(LOG_LINES_MAX)
-        .finish(io::stdout());
+        .finish(io::BufWriter::with_capacity(LOG_BUFFER, io::stdout()));
     let _ = DROPPED.set(writer.error_counter());
     let filter = EnvFilter::new(format!("warn,lanedeck={level}"));
     let layer = tracing_logfmt::builder()
--- a/src/gateway/control/context.rs
+++ b/src/gateway/control/context.rs
@@ -18,7 +18,7 @@
 use crate::gateway::state::State;
 use crate::gateway::targets::Outstanding;
 use crate::store::Store;
-use crate::units::Millis;
+use crate::units::{Millis, Tokens};
 use crate::wire;
 
 /// How long another router's outstanding requests count after it told of them. Not measured: four of
@@ -30,8 +30,10 @@
     pub(super) state: RefCell<State>,
     /// Requests that wait for a grant.
     pub(super) waiting: RefCell<Queue>,
-    /// Wakes the tasks that renew grants, by partition.
-    pub(super) renewals: RefCell<HashMap<u32, Rc<Notify>>>,
+    /// Tokens that other routers wait for, by customer.
+    pub(super) asked: RefCell<HashMap<String, Tokens>>,
+    /// The tasks that renew grants, by partition.
+    pub(super) renewals: RefCell<HashMap<u32, Rc<Renewal>>>,
     /// Partitions of the store that customers are spread over.
     pub(super) partitions: u32,
     pub(super) shared: Arc<Shared>,
@@ -50,10 +52,21 @@
     /// When all that were asked had no tokens of a customer.
     pub(super) nothing: RefCell<HashMap<String, Instant>>,
     pub(super) started: Instant,
+    /// The host's boot, where it tells one.
+    pub(super) boot: Option<u64>,
     /// What the control state's clock read then.
     pub(super) clock_start: Millis,
 }
 
+/// How the task that renews a partition's grants is spoken with.
+#[derive(Debug, Default)]
+pub(super) struct Renewal {
+    /// Wakes it before its interval is over.
+    pub(super) now: Notify,
+    /// Told each time that it has renewed grants, or could not.
+    pub(super) done: Notify,
+}
+
 impl Control {
     /// The time of the control state's clock.
     pub(super) fn now(&self) -> Millis {
@@ -86,12 +99,26 @@
         u32::try_from(partition).expect("a remainder of a number of 32 bits")
     }
 
+    /// The task that renews a customer's grants, once there is one.
+    pub(super) fn renewal_of(&self, customer: &str) -> Option<Rc<Renewal>> {
+        let partition = self.partition_of(customer);
+        self.renewals.borrow().get(&partition).cloned()
+    }
+
     /// Has a customer's grant renewed now, and not at the next interval.
     pub(super) fn renew_now(&self, customer: &str) {
-        let partition = self.partition_of(customer);
-        if let Some(renewal) = self.renewals.borrow().get(&partition) {
-            renewal.notify_one();
+        if let Some(renewal) = self.renewal_of(customer) {
+            renewal.now.notify_one();
+        }
+    }
+
+    /// Tokens that requests and other routers wait for, by customer.
+    pub(super) fn needed(&self) -> HashMap<String, Tokens> {
+        let mut needed = self.waiting.borrow().needed();
+        for (customer, tokens) in self.asked.borrow().iter() {
+            *needed.entry(customer.clone()).or_default() += *tokens;
         }
+        needed
     }
 
     /// Notes that all that were asked have no tokens of a customer.
--- a/src/gateway/control/grants.rs
+++ b/src/gateway/control/grants.rs
@@ -12,7 +12,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
 
-use super::context::Control;
+use super::context::{Control, Renewal};
 use super::loans;
 use super::rows::{self, Purpose, Rows};
 
@@ -33,21 +33,22 @@
         let partition = control.partition_of(&customer);
         let mut renewals = control.renewals.borrow_mut();
         if let Entry::Vacant(vacant) = renewals.entry(partition) {
-            let now = Rc::new(Notify::new());
-            vacant.insert(Rc::clone(&now));
-            tokio::task::spawn_local(renew(Rc::clone(control), partition, now));
+            let renewal = Rc::new(Renewal::default());
+            vacant.insert(Rc::clone(&renewal));
+            tokio::task::spawn_local(renew(Rc::clone(control), partition, renewal));
         }
     }
 }
 
-/// Renews a partition's rows for as long as the process runs; `now` has it do so at once.
-async fn renew(control: Rc<Control>, partition: u32, now: Rc<Notify>) {
+/// Renews a partition's rows for as long as the process runs.
+async fn renew(control: Rc<Control>, partition: u32, renewal: Rc<Renewal>) {
     let mut known = Rows::new(partition);
     let delay = Duration::from_millis(rand::rng().random_range(0..START_SPREAD_MS));
-    wait(delay, &now).await;
+    wait(delay, &renewal.now).await;
     while !control.shared.stop.gives_back() {
         let begun = Instant::now();
         let written = rows::write(&control, &mut known, Purpose::Renew).await;
+        renewal.done.notify_waiters();
         // What still waits does not wait for the store to be back.
         control.retry_waiting();
         loans::spawn_for_waiting(&control, partition, begun);
@@ -60,7 +61,7 @@
         } else {
             LOST_INTERVAL
         };
-        wait(interval, &now).await;
+        wait(interval, &renewal.now).await;
     }
 }
 
--- a/src/gateway/control/link.rs
+++ b/src/gateway/control/link.rs
@@ -14,7 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::context::Control;
-use super::{apply, loans};
+use super::{apply, clock, loans};
 use crate::gateway::members::{Router, Source};
 use crate::gateway::message::{Heartbeat, Reply, Request};
 use crate::wire::{self, Missing};
@@ -64,17 +64,29 @@
 
 /// Answers another router. Once grants are given back, tokens that change hands would end with this
 /// process.
-pub(super) fn answer(control: &Control, request: Request) -> Reply {
+pub(super) fn answer(control: &Rc<Control>, request: Request, reply: oneshot::Sender<Reply>) {
     let gives_back = control.shared.stop.gives_back();
-    match request {
+    let answer = match request {
         Request::Heartbeat(heartbeat) => answer_heartbeat(control, heartbeat),
         Request::Lend { .. } | Request::Give { .. } if gives_back => Reply::Declined,
-        Request::Lend { customer, loan } => Reply::Lent(loans::lend(control, &customer, loan)),
+        Request::Lend { customer, loan } => {
+            let control = Rc::clone(control);
+            tokio::task::spawn_local(async move {
+                let lent = loans::lend(&control, &customer, loan).await;
+                if reply.send(Reply::Lent(lent)).is_err() {
+                    tracing::warn!(event = "loan_unclaimed", %customer, lent = lent.0);
+                }
+            });
+            return;
+        }
         Request::Give { customer, tokens } => {
             loans::take(control, &customer, tokens);
             Reply::Taken
         }
-    }
+        Request::Clocks => Reply::Clocks(clock::read(control)),
+    };
+    // A peer that has hung up meanwhile asks again.
+    let _ = reply.send(answer);
 }
 
 fn answer_heartbeat(control: &Control, theirs: Heartbeat) -> Reply {
@@ -128,7 +140,7 @@
 
 /// Some of the other routers, drawn at random; also those that count as dead, since only a call shows
 /// that they are back.
-fn draw(control: &Control, count: usize) -> Vec<Router> {
+pub(super) fn draw(control: &Control, count: usize) -> Vec<Router> {
     let state = control.state.borrow();
     let known: Vec<&Router> = state.members.known().collect();
     known
@@ -155,7 +167,7 @@
                 apply::peer_targets(control, targets);
             }
         }
-        Ok(reply @ (Reply::Lent(_) | Reply::Taken | Reply::Declined)) => {
+        Ok(reply @ (Reply::Lent(_) | Reply::Taken | Reply::Declined | Reply::Clocks(_))) => {
             tracing::warn!(event = "peer_answer_unfit", name = %router.name, ?reply);
         }
         Err(missing) => set_unreachable(control, &router, missing),
--- a/src/gateway/control/loans.rs
+++ b/src/gateway/control/loans.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::context::Control;
 use super::shortage;
@@ -19,6 +19,11 @@
 
 /// Routers that are asked for a loan, one after the other. Not measured: half of the holders.
 const LENDERS_MAX: usize = 4;
+/// How long a router that is asked for a loan waits for a grant that covers it. Not measured: a write to the store takes
+/// a few milliseconds, and the one who asks waits for 400 and has others to ask.
+const RENEWAL_WAIT: Duration = Duration::from_millis(50);
+/// Renewals that such a router waits for: one may be under way that does not know of the loan yet.
+const RENEWALS_MAX: u32 = 2;
 /// Interval at which borrowed tokens that are not needed are given back. Not measured.
 const GIVE_BACK_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -129,19 +134,56 @@
         .collect()
 }
 
-/// Lends to another router that asks.
-pub(super) fn lend(control: &Control, customer: &str, loan: Loan) -> Tokens {
-    let mut state = control.state.borrow_mut();
-    let lent = state.lend(control.now(), customer, loan);
-    drop(state);
+/// Lends to another router that asks. Where this one may not spend as much before it writes to the store, or has no
+/// more, it writes first: asked again by a borrower that the store gives no grants, it was often asked before that
+/// write was done (tests/gateway_loans.rs no_grants, 2 of 30 requests refused).
+pub(super) async fn lend(control: &Control, customer: &str, loan: Loan) -> Tokens {
+    let mut lent = lend_now(control, customer, loan);
+    let until = Instant::now() + RENEWAL_WAIT;
+    for _ in 0..RENEWALS_MAX {
+        if lent >= loan.lacking || !control.shared.store_answers() {
+            break;
+        }
+        let rest = Loan {
+            lacking: loan.lacking.saturating_sub(lent),
+            wanted: loan.wanted.saturating_sub(lent),
+        };
+        await_renewal(control, customer, rest.lacking, until).await;
+        lent += lend_now(control, customer, rest);
+    }
     let (lacking, wanted) = (loan.lacking.0, loan.wanted.0);
     tracing::info!(event = "loan_made", %customer, lacking, wanted, lent = lent.0);
-    if lent < loan.lacking && control.shared.store_answers() {
-        control.renew_now(customer);
-    }
     lent
 }
 
+fn lend_now(control: &Control, customer: &str, loan: Loan) -> Tokens {
+    let mut state = control.state.borrow_mut();
+    state.lend(control.now(), customer, loan)
+}
+
+/// Has a customer's grant renewed with what another router lacks, and waits for the end of that, not beyond `until`.
+async fn await_renewal(control: &Control, customer: &str, lacking: Tokens, until: Instant) {
+    let Some(renewal) = control.renewal_of(customer) else {
+        return;
+    };
+    note_asked(control, customer, |asked| asked + lacking);
+    let done = renewal.done.notified();
+    renewal.now.notify_one();
+    // What is there then is lent, whether or not that was in time.
+    let _ = timeout_at(until, done).await;
+    note_asked(control, customer, |asked| asked.saturating_sub(lacking));
+}
+
+/// Changes what other routers wait for of a customer's tokens.
+fn note_asked(control: &Control, customer: &str, change: impl Fn(Tokens) -> Tokens) {
+    let mut all = control.asked.borrow_mut();
+    let asked = all.remove(customer).unwrap_or_default();
+    let asked = change(asked);
+    if asked > Tokens::ZERO {
+        all.insert(customer.to_owned(), asked);
+    }
+}
+
 /// Takes tokens that another router gives.
 pub(super) fn take(control: &Control, customer: &str, tokens: Tokens) {
     control.nothing.borrow_mut().remove(customer);
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -5,6 +5,7 @@
 //! borrowed the state.
 
 mod apply;
+mod clock;
 mod context;
 mod follow;
 mod grants;
@@ -77,6 +78,7 @@
     let control = Rc::new(Control {
         state: RefCell::new(State::new(parts.settings)),
         waiting: RefCell::default(),
+        asked: RefCell::default(),
         renewals: RefCell::default(),
         partitions: parts.partitions,
         shared: parts.shared,
@@ -89,6 +91,7 @@
         borrowing: RefCell::default(),
         nothing: RefCell::default(),
         started: Instant::now(),
+        boot: started.map(|started| started.boot),
         clock_start: started.map_or(boot_clock::AT_BOOT, |started| started.at),
     });
     let (asked, questions) = mpsc::unbounded_channel();
@@ -100,6 +103,7 @@
     let link = link::listen(parts.link, parts.fleet_key, asked, closing);
     tasks.spawn_local(control.link.track_future(link));
     tasks.spawn_local(link::send_heartbeats(Rc::clone(&control)));
+    tasks.spawn_local(clock::compare(Rc::clone(&control)));
     tasks.spawn_local(loans::give_back_excess(Rc::clone(&control)));
     tasks.block_on(&runtime, serve(control, parts.messages, questions));
 }
@@ -117,8 +121,7 @@
                 None => return,
             },
             Some((request, reply)) = questions.recv() => {
-                // A peer that has hung up meanwhile asks again.
-                let _ = reply.send(link::answer(&control, request));
+                link::answer(&control, request, reply);
             }
             () = sleep_until(expiry) => shortage::refuse_expired(&control),
         }
--- a/src/gateway/control/rows.rs
+++ b/src/gateway/control/rows.rs
@@ -132,7 +132,7 @@
 
 /// Whether a request waits for a grant of this partition.
 fn is_awaited(control: &Control, known: &Rows) -> bool {
-    let customers = control.waiting.borrow().needed();
+    let customers = control.needed();
     let mut customers = customers.into_keys();
     customers.any(|customer| control.partition_of(&customer) == known.partition.number)
 }
@@ -145,7 +145,7 @@
         // A renewal that was under way when grants were given back would take one again.
         Purpose::Renew if control.shared.stop.gives_back() => Vec::new(),
         Purpose::Renew => {
-            let waiting = control.waiting.borrow().needed();
+            let waiting = control.needed();
             let mut state = control.state.borrow_mut();
             state.rows(control.now(), &waiting, is_here)
         }
--- a/src/gateway/decision/grant.rs
+++ b/src/gateway/decision/grant.rs
@@ -18,13 +18,27 @@
 /// borrowers then keep less than one part in a hundred. Not measured beyond that.
 const GIVE_BACK_DIVISOR: u64 = 10_000;
 
-/// One part in this many of what a router holds ahead may always be spent or lent before it writes again. Without it
-/// a router that had just begun to serve a customer lent a part of what another one lacked that got no grants
-/// (tests/gateway_loans.rs no_grants, 40 of 40 runs). A quarter is not measured beyond that.
-const MARK_AHEAD_DIVISOR: u64 = 4;
-
-/// Requests that a router may begin beyond its demand before it writes to the store again. Not measured.
-const MARK_REQUESTS: u64 = 2;
+/// Requests that a router may begin at once beyond its demand before it writes to the store again. Not measured.
+const BURST_REQUESTS: u64 = 2;
+/// Seconds of demand that a router may spend at once before it writes to the store again: it writes each second, and
+/// demand comes in clumps. Not measured.
+const BURST_SECONDS: f64 = 0.5;
+/// One part in this many of what a router holds ahead may always be spent or lent at once before it writes again.
+/// Without it a router that had just begun to serve a customer lent a part of what another one lacked that got no
+/// grants (tests/gateway_loans.rs no_grants, 40 of 40 runs). Not measured beyond that.
+const BURST_DIVISOR: u64 = 32;
+/// How much faster than its demand a router may spend before it writes again: demand varies from second to second.
+/// Not measured.
+const RATE_FACTOR: f64 = 1.25;
+/// A router may spend all that it holds ahead in so many seconds without a write, whatever its demand: it lends to
+/// others whose demand it does not know yet, and is held up for no longer than a promise lasts.
+const RATE_SECONDS: f64 = 8.0;
+
+/// Age at which a promise is renewed although nothing else has changed. Each renewal is a write; without any, a router
+/// that nobody asks is held to nothing, and all that it holds is lost with it: in trials of twenty routers over five
+/// days of faults, three times each, renewals raised the mean worth from 0.516 to 0.539 where a third of each budget
+/// is spread over routers.
+const RENEWAL_AGE: Millis = Millis(1_500);
 
 /// A router's part in keeping a customer's budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -97,21 +111,39 @@
     Tokens(covered.max(spread) as u64)
 }
 
-/// Decides how many tokens beyond those it uses a router may spend while the store answers it: the demand of a
-/// span in which it may be cut off and still has to keep to that, a few requests, since demand comes in whole ones,
-/// and a part of what it holds ahead, so that it can lend to routers whose demand it does not know yet. What is
-/// granted above it is for a longer time without the store.
-pub fn below_mark(
-    demand: f64,
-    last_cost: Tokens,
-    waiting: Tokens,
-    ahead: Tokens,
-    span: Millis,
-) -> Tokens {
-    let covered = demand * seconds(span);
-    let some = last_cost.0 * MARK_REQUESTS;
-    let lent = Tokens(ahead.0 / MARK_AHEAD_DIVISOR);
-    Tokens(covered as u64 + some).max(waiting).max(lent)
+/// What bears on how fast a router may spend before it writes to the store again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Spending {
+    /// Tokens a second that are asked of it.
+    pub demand: f64,
+    /// Cost of the last request that it paid for.
+    pub last_cost: Tokens,
+    /// Tokens that requests wait for.
+    pub waiting: Tokens,
+    /// Tokens that are granted to it beyond those that it uses.
+    pub ahead: Tokens,
+}
+
+/// How fast a router may spend before it writes to the store again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pace {
+    /// Tokens at once.
+    pub burst: Tokens,
+    /// Tokens a second beyond those.
+    pub rate: u64,
+}
+
+/// Decides how fast a router may spend before it writes to the store again: near its demand, which is what it asks
+/// for anyway, and fast enough that it can lend what it holds ahead. What it could have spent by then is lost with
+/// it, and what is granted beyond is not.
+pub fn pace(spending: &Spending) -> Pace {
+    let requests = spending.last_cost.0 * BURST_REQUESTS;
+    let clump = (spending.demand * BURST_SECONDS) as u64;
+    let lent = Tokens(spending.ahead.0 / BURST_DIVISOR);
+    Pace {
+        burst: Tokens(requests + clump).max(spending.waiting).max(lent),
+        rate: (spending.demand * RATE_FACTOR).max(spending.ahead.0 as f64 / RATE_SECONDS) as u64,
+    }
 }
 
 fn seconds(span: Millis) -> f64 {
@@ -127,6 +159,17 @@
     pub spent: Tokens,
     /// Tokens that its earlier processes have spent, or may have.
     pub spent_before: Tokens,
+    /// What the router promises of its spending, where it does.
+    pub promise: Option<Promise>,
+}
+
+/// What a row promises, as far as its renewal depends on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Promise {
+    /// When it begins.
+    pub begin: Millis,
+    /// Tokens that the router may spend then.
+    pub mark: Tokens,
 }
 
 /// Whether a row differs enough from the one that was last written to be worth a call to the store.
@@ -138,6 +181,16 @@
     !is_near(written.granted, row.granted)
         || !is_near(written.spent, row.spent)
         || written.spent_before != row.spent_before
+        || is_renewal_due(&written, &row, prepaid)
+}
+
+/// Whether the promise of a row is old, and keeps tokens from being lost that are worth a write.
+fn is_renewal_due(written: &Holding, row: &Holding, prepaid: Tokens) -> bool {
+    let Some((old, new)) = written.promise.zip(row.promise) else {
+        return false;
+    };
+    let kept = row.granted.saturating_sub(new.mark);
+    kept.0 > prepaid.0 / CHANGE_DIVISOR && new.begin.saturating_sub(old.begin) >= RENEWAL_AGE
 }
 
 /// Decides a router's role for a customer that it is not among the first holders of: one of which much
--- a/src/gateway/escrow/account.rs
+++ b/src/gateway/escrow/account.rs
@@ -3,10 +3,11 @@
 //! The account asserts after each change that spend and reservations stay within what is granted and
 //! borrowed.
 
-use super::guard::{self, Guard};
+use super::guard::{self, Guard, Rise, Start};
 use super::row::{Ledger, Loan, Row};
 use crate::boot_clock::Reading;
-use crate::gateway::decision::grant::{self, Holding, Need, Role, Sizing};
+use crate::gateway::clock::Clock;
+use crate::gateway::decision::grant::{self, Holding, Need, Promise, Role, Sizing, Spending};
 use crate::units::{Millis, Tokens};
 
 /// Time constant of the estimate of demand, in milliseconds. Not measured.
@@ -22,7 +23,7 @@
 }
 
 /// Whose row it is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug)]
 pub struct Holder<'a> {
     /// The router's name.
     pub router: &'a str,
@@ -33,43 +34,50 @@
     /// When its process had started, where its host has a steady clock: no earlier process of the router lives.
     /// The account's times are of the same clock.
     pub started: Option<Reading>,
+    /// What the fleet's hosts tell of their clocks.
+    pub clock: &'a Clock,
 }
 
-/// What a row lets its process spend.
-#[derive(Clone, Copy, Debug, Default)]
-struct Limit {
-    /// Tokens in all.
-    granted: Tokens,
-    /// Tokens before `until`.
-    mark: Tokens,
-    /// The end of what is promised.
-    until: Millis,
-}
-
-impl Limit {
-    fn of(row: &Row) -> Self {
-        Self {
-            granted: row.granted,
-            mark: row.mark(),
-            until: row.guard.map_or(Millis::ZERO, |guard| guard.until.at),
+impl Holder<'_> {
+    /// When its process had started, as far as the clocks tell it now.
+    fn start(&self, now: Millis) -> Start {
+        let wall = self.started.zip(self.clock.offset(now));
+        Start {
+            boot: self.started.filter(|_| self.clock.tells_boots()),
+            wall: wall.map(|(started, offset)| offset.wall(started.at)),
         }
     }
+}
 
-    /// The limit where either row may be the one that the store has.
-    fn and(self, other: Self) -> Self {
-        Self {
-            granted: self.granted.min(other.granted),
-            mark: self.mark.min(other.mark),
-            until: self.until.max(other.until),
-        }
-    }
+/// What an earlier process of the router may have spent.
+#[derive(Clone, Copy, Debug)]
+struct Predecessor {
+    /// Its last row.
+    row: Row,
+    /// Tokens, with those of the processes before it.
+    counted: Tokens,
+    /// Whether the fleet's time of day was known when that was judged.
+    is_settled: bool,
+}
 
-    fn at(self, now: Millis) -> Tokens {
-        if now < self.until {
-            self.mark
-        } else {
-            self.granted
+impl Predecessor {
+    /// Judges what it may have spent by the clocks that are known now.
+    fn judge(&mut self, router: &str, start: &Start) {
+        let by_last = self.row.spent_at_most(start);
+        let counted = self.row.spent_before + by_last;
+        if counted != self.counted {
+            let granted = self.row.granted.0;
+            let by_fleet = start.wall.is_some();
+            tracing::info!(
+                event = "row_adopted",
+                router,
+                granted,
+                counted = by_last.0,
+                by_fleet
+            );
         }
+        self.counted = counted;
+        self.is_settled = start.wall.is_some();
     }
 }
 
@@ -78,8 +86,10 @@
 pub struct Account {
     /// Tokens that earlier processes of this router have spent, or may have.
     spent_before: Tokens,
-    /// What the row in the store and those that may be on their way let this process spend.
-    sent: Option<Limit>,
+    /// What the last row says of an earlier process.
+    predecessor: Option<Predecessor>,
+    /// Rows that may be on their way to the store.
+    sent: Vec<Row>,
     /// Tokens that other routers have lent, and count as spent.
     borrowed: Tokens,
     /// Tokens that were settled here or lent to others.
@@ -97,15 +107,21 @@
 }
 
 impl Account {
-    /// What the row in the store lets this process spend.
-    fn acknowledged(&self) -> Limit {
-        self.written.as_ref().map(Limit::of).unwrap_or_default()
+    /// What the row in the store grants this process.
+    fn granted(&self) -> Tokens {
+        self.written.map_or(Tokens::ZERO, |row| row.granted)
+    }
+
+    /// What this process may spend of its own grant by `now`, whichever of its rows the store has.
+    fn limit(&self, now: Millis) -> Tokens {
+        let acknowledged = self.written.map_or(Tokens::ZERO, |row| row.limit(now));
+        let sent = self.sent.iter().map(|row| row.limit(now));
+        sent.fold(acknowledged, Tokens::min)
     }
 
     /// Tokens that can still be reserved.
     pub fn available(&self, now: Millis) -> Tokens {
-        let limit = self.sent.unwrap_or_else(|| self.acknowledged()).at(now);
-        (limit + self.borrowed).saturating_sub(self.spent + self.reserved)
+        (self.limit(now) + self.borrowed).saturating_sub(self.spent + self.reserved)
     }
 
     /// Tokens that all routers together have spent, as far as their rows tell.
@@ -142,7 +158,7 @@
 
     /// Whether the store has a row of this process.
     pub fn is_written(&self) -> bool {
-        self.written.is_some() || self.sent.is_some()
+        self.written.is_some() || !self.sent.is_empty()
     }
 
     /// Adds what another router has lent.
@@ -202,7 +218,7 @@
 
     fn check(&self) {
         assert!(
-            self.spent + self.reserved <= self.acknowledged().granted + self.borrowed,
+            self.spent + self.reserved <= self.granted() + self.borrowed,
             "spend stays within what is granted and lent"
         );
     }
@@ -223,9 +239,10 @@
             incarnation,
             role,
             started,
+            clock,
         } = *holder;
         self.decay(now);
-        self.adopt(ledger.row(router), holder);
+        self.adopt(now, ledger.row(router), holder);
         let used = self.used();
         let spent = ledger.spent_by_others(router) + self.spent_before + used;
         let granted = grant::size(
@@ -238,14 +255,29 @@
                 waiting,
                 left: prepaid.saturating_sub(spent),
                 free: self.free(ledger, router, prepaid),
-                granted: self.acknowledged().granted,
+                granted: self.granted(),
             },
         );
-        let ahead = granted.saturating_sub(used);
-        let below_mark =
-            grant::below_mark(self.demand, self.last_cost, waiting, ahead, guard::SPAN);
-        let mark = used + below_mark;
-        let until = self.promise_end(now);
+        let pace = grant::pace(&Spending {
+            demand: self.demand,
+            last_cost: self.last_cost,
+            waiting,
+            ahead: granted.saturating_sub(used),
+        });
+        let begin = self.promise_begin(now);
+        let risen = Tokens(pace.rate * now.saturating_sub(begin).0 / 1_000);
+        let guard = started.map(|started| Guard {
+            mark: (used + pace.burst).saturating_sub(risen).min(granted),
+            until: Reading {
+                boot: started.boot,
+                at: begin + guard::SPAN,
+            },
+            rise: Some(Rise {
+                begin,
+                wall: clock.offset(now).map(|offset| offset.wall(begin)),
+                rate: pace.rate,
+            }),
+        });
         Row {
             incarnation,
             spent_before: self.spent_before,
@@ -256,29 +288,21 @@
                 // It is counted where it borrows.
                 Role::Borrower => 0,
             },
-            guard: started.map(|started| Guard {
-                mark: mark.min(granted),
-                until: Reading {
-                    boot: started.boot,
-                    at: until,
-                },
-            }),
+            guard,
         }
     }
 
-    /// When the promise of a row ends that is written now. While an earlier row may be on its way it is not
+    /// When the promise of a row begins that is written now. While an earlier row may be on its way it is not
     /// prolonged: writes are not answered, so what is granted may soon be needed.
-    fn promise_end(&self, now: Millis) -> Millis {
-        match self.sent {
-            Some(sent) => sent.until,
-            None => now + guard::SPAN,
-        }
+    fn promise_begin(&self, now: Millis) -> Millis {
+        let sent = self.sent.first().and_then(|row| row.guard);
+        sent.map_or(now, |guard| guard.begin())
     }
 
     /// Tokens of the budget that are granted to no other router.
     fn free(&self, ledger: &Ledger, router: &str, prepaid: Tokens) -> Tokens {
         if ledger.has_unreadable() {
-            return self.acknowledged().granted;
+            return self.granted();
         }
         prepaid.saturating_sub(ledger.committed_by_others(router) + self.spent_before)
     }
@@ -288,46 +312,49 @@
         grant::is_worth_writing(self.written.as_ref().map(holding), holding(row), prepaid)
     }
 
-    /// Whether a row lets more be spent than there is.
-    pub fn gains(&self, row: &Row) -> bool {
-        let (row, now) = (Limit::of(row), self.acknowledged());
-        row.granted > now.granted || row.mark > now.mark
+    /// Whether a row lets more be spent now than there is.
+    pub fn gains(&self, now: Millis, row: &Row) -> bool {
+        let limit = self.written.map_or(Tokens::ZERO, |row| row.limit(now));
+        row.granted > self.granted() || row.limit(now) > limit
     }
 
-    /// Takes over what the store has of an earlier process of this router, which is gone.
-    fn adopt(&mut self, row: Option<&Row>, holder: &Holder<'_>) {
-        let Some(row) = row else {
-            return;
-        };
-        if row.incarnation != holder.incarnation {
-            let by_last = row.spent_at_most(holder.started);
-            let spent = row.spent_before + by_last;
-            if spent > self.spent_before {
-                let (router, granted) = (holder.router, row.granted.0);
-                let by_last = by_last.0;
-                tracing::info!(event = "row_adopted", router, granted, counted = by_last);
-            }
-            self.spent_before = self.spent_before.max(spent);
+    /// Takes over what the store has of an earlier process of this router, which is gone. It is judged anew until
+    /// the fleet's time of day is known, and not after that: no later look knows more.
+    fn adopt(&mut self, now: Millis, row: Option<&Row>, holder: &Holder<'_>) {
+        if let Some(row) = row
+            && row.incarnation != holder.incarnation
+            && self.predecessor.is_none_or(|before| before.row != *row)
+        {
+            self.predecessor = Some(Predecessor {
+                row: *row,
+                counted: Tokens::ZERO,
+                is_settled: false,
+            });
+        }
+        if let Some(predecessor) = &mut self.predecessor
+            && !predecessor.is_settled
+        {
+            predecessor.judge(holder.router, &holder.start(now));
+            self.spent_before = predecessor.counted;
         }
     }
 
     /// Notes that a row is on its way to the store: from now on the lower limit holds. An earlier row may still be
     /// on its way too, so the least of all does.
     pub fn send(&mut self, row: &Row) {
-        let before = self.sent.unwrap_or_else(|| self.acknowledged());
-        self.sent = Some(before.and(Limit::of(row)));
+        self.sent.push(*row);
     }
 
     /// Notes that the store has this row.
     pub fn acknowledge(&mut self, row: &Row) {
-        self.sent = None;
+        self.sent.clear();
         self.written = Some(*row);
         self.check();
     }
 
     /// Notes that a row that was sent is not in the store and never will be.
     pub fn withdraw(&mut self) {
-        self.sent = None;
+        self.sent.clear();
     }
 
     /// The row that gives everything back, once nothing runs any more.
@@ -349,5 +376,9 @@
         granted: row.granted,
         spent: row.spent,
         spent_before: row.spent_before,
+        promise: row.guard.map(|guard| Promise {
+            begin: guard.begin(),
+            mark: guard.mark,
+        }),
     }
 }
--- a/src/gateway/escrow/guard.rs
+++ b/src/gateway/escrow/guard.rs
@@ -1,45 +1,114 @@
-//! A router's promise on what it spends while the store answers it, and what that proves once it is gone.
+//! A router's promise of how fast it spends while the store answers it, and what that proves once it is gone.
 //!
-//! A row grants enough for a time without the store, most of which is never spent. With it the router promises
-//! not to pass a lower mark before a time of its host's steady clock. The promise is renewed with each row, so a
-//! router that reaches the store never passes its mark, and one that is cut off may pass it once the promise has
-//! ended. The next process on the same host, which cannot start before the last one has ended, reads the same
-//! clock: if it has started before the end of the promise, the last one never passed its mark, and all that was
-//! granted above it is free.
+//! A row grants enough for a time without the store, most of which is never spent. With it the router promises, for
+//! [`SPAN`], to spend no more than a mark that rises with time at a rate near its demand. The promise is renewed with
+//! each row, so a router that reaches the store is never held up by it; one that is cut off may spend faster once the
+//! promise has ended. The next process on the same host knows how long after the row it has started itself, and its
+//! predecessor ended before that: no more than the mark had risen to by then can be spent, and all that was granted
+//! above it is free.
 //!
-//! This rests on three things: the processes of one name run on one host, one after the other (the second cannot
-//! listen on the link's address while the first lives); the clock counts on from one process to the next; and the
-//! id of a boot changes with each boot. A process that is frozen may wake at any time, since it looks at the clock
-//! whenever it spends. After a loss of power the clock begins anew, and nothing is proved: what was granted stays
-//! counted as spent.
+//! That time is told by two clocks. The host's steady clock counts on from one process to the next, for as long as
+//! the host has power. The time of day that most hosts of the fleet agree on ([`Clock`](crate::gateway::clock::Clock))
+//! outlives a loss of power of all of them. Where both tell it, the longer time counts; where neither does, nothing
+//! is proved, and what was granted stays counted as spent.
+//!
+//! This rests on these things: the processes of one name run on one host, one after the other (the second cannot
+//! listen on the link's address while the first lives); the steady clock counts on, and the id of a boot changes with
+//! each boot, unless another host names the same one; and no two thirds of the hosts that were asked have their time
+//! of day set back alike between the row and the start. A
+//! process that is frozen may wake at any time, since it looks at its own steady clock whenever it spends. A row that
+//! the store takes in late only shortens what is proved, since its time is that of its making.
 
 use serde::{Deserialize, Serialize};
 
 use crate::boot_clock::Reading;
 use crate::units::{Millis, Tokens};
 
-/// How long a promise lasts. It has to cover the age of the last row (rows are written each second) and the time
-/// in which a process that was killed is started again. Longer, more must be below the mark and is lost with a
-/// router; shorter, less is proved.
-pub const SPAN: Millis = Millis(3_000);
+/// How long a promise lasts. It has to cover the age of the last row (two seconds at most while the store answers) and
+/// the time in which a host that has lost power serves again. Longer, a router that is cut off while its demand rises
+/// is held to the earlier rate for longer. In trials of twenty routers over five days of faults, three times each,
+/// eight seconds at a rate lost less than three seconds at a fixed mark (mean worth 0.548 and 0.539).
+pub const SPAN: Millis = Millis(8_000);
+
+/// How long promises lasted that name no rate: they began that long before their end.
+const SPAN_WITHOUT_RATE: Millis = Millis(3_000);
+
+/// What is added to a time between two readings of the fleet's time of day, since each is off by a little: hosts
+/// count as agreed within a quarter of a second, at the row and at the start.
+const WALL_ERROR: Millis = Millis(500);
 
 /// A promise, as the store keeps it with its row.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Guard {
-    /// Tokens of its grant that the router does not pass before `until`, in all.
+    /// Tokens of its grant that the router does not pass when the promise begins, in all.
     pub mark: Tokens,
     /// The end of the promise, by the clock of the router's host.
     pub until: Reading,
+    /// How the mark rises. It stands after the other fields, and promises of earlier programs end without it.
+    #[serde(skip)]
+    pub rise: Option<Rise>,
+}
+
+/// How the mark of a promise rises.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rise {
+    /// When the promise begins, by the clock of the router's host.
+    pub begin: Millis,
+    /// The same by the time of day that the fleet's hosts agree on, where they do.
+    pub wall: Option<Millis>,
+    /// Tokens a second.
+    pub rate: u64,
+}
+
+/// When a process had started: no earlier process of its name lives then.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Start {
+    /// By the steady clock, where its host has one.
+    pub boot: Option<Reading>,
+    /// By the time of day that the fleet's hosts agree on, where they do.
+    pub wall: Option<Millis>,
 }
 
 impl Guard {
-    /// Whether a process that has started at `started` proves that the one which made the promise ended within it.
-    pub fn is_kept(&self, started: Option<Reading>) -> bool {
-        let Some(started) = started else {
-            return false;
+    /// When the promise begins, by the clock of the router's host.
+    pub fn begin(&self) -> Millis {
+        let without_rate = self.until.at.saturating_sub(SPAN_WITHOUT_RATE);
+        self.rise.map_or(without_rate, |rise| rise.begin)
+    }
+
+    /// The most that is spent by `at` of the router's clock; `None` after the promise.
+    pub fn limit(&self, at: Millis) -> Option<Tokens> {
+        let rate = self.rise.map_or(0, |rise| rise.rate);
+        let since = at.saturating_sub(self.begin());
+        // What another program wrote may be of any size.
+        let risen = rate.saturating_mul(since.0) / 1_000;
+        (at < self.until.at).then(|| Tokens(self.mark.0.saturating_add(risen)))
+    }
+
+    /// The most that the router had spent when the next process on its host started; `None` where nothing proves
+    /// that it ended within the promise.
+    pub fn proved(&self, start: &Start) -> Option<Tokens> {
+        let since = self.since(start)?;
+        self.limit(Millis(self.begin().0.checked_add(since.0)?))
+    }
+
+    /// How long after the promise began a process has started, at most. A promise that names the fleet's time of day
+    /// is judged by it, and by the boot's clock as well where that is told; a start before the promise is the error of
+    /// one of the clocks, and nothing follows from it.
+    fn since(&self, start: &Start) -> Option<Millis> {
+        let by_boot = match start.boot {
+            Some(boot) if boot.boot == self.until.boot => {
+                Some(boot.at.0.checked_sub(self.begin().0)?)
+            }
+            _ => None,
+        };
+        let Some(began) = self.rise.and_then(|rise| rise.wall) else {
+            return by_boot.map(Millis);
         };
-        let begun = self.until.at.saturating_sub(SPAN);
-        let within = begun <= started.at && started.at < self.until.at;
-        started.boot == self.until.boot && within
+        let started = start.wall? + WALL_ERROR;
+        let by_wall = started.0.checked_sub(began.0)?;
+        Some(Millis(
+            by_boot.map_or(by_wall, |by_boot| by_boot.max(by_wall)),
+        ))
     }
 }
--- a/src/gateway/escrow/mod.rs
+++ b/src/gateway/escrow/mod.rs
@@ -11,5 +11,5 @@
 mod row;
 
 pub use account::{Account, Holder, Short};
-pub use guard::Guard;
+pub use guard::{Guard, Rise, Start};
 pub use row::{Ledger, Loan, Row};
--- a/src/gateway/escrow/row.rs
+++ b/src/gateway/escrow/row.rs
@@ -5,9 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::guard::Guard;
-use crate::boot_clock::Reading;
-use crate::units::Tokens;
+use super::guard::{Guard, Start};
+use crate::units::{Millis, Tokens};
 use crate::util;
 
 /// What a router asks another one to lend it.
@@ -44,6 +43,9 @@
         let mut bytes = util::encode(self);
         if let Some(guard) = &self.guard {
             bytes.extend(util::encode(guard));
+            if let Some(rise) = &guard.rise {
+                bytes.extend(util::encode(rise));
+            }
         }
         bytes
     }
@@ -51,25 +53,27 @@
     /// Decodes a row of the store; `None` where the bytes are not a whole one.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
         let (mut row, rest): (Self, &[u8]) = util::decode_first(bytes)?;
+        if rest.is_empty() {
+            return Some(row);
+        }
+        let (mut guard, rest): (Guard, &[u8]) = util::decode_first(rest)?;
         if !rest.is_empty() {
-            row.guard = Some(util::decode(rest)?);
+            guard.rise = Some(util::decode(rest)?);
         }
+        row.guard = Some(guard);
         Some(row)
     }
 
-    /// Tokens that its process may spend while its promise lasts.
-    pub(super) fn mark(&self) -> Tokens {
-        let mark = self.guard.map_or(self.granted, |guard| guard.mark);
-        mark.min(self.granted)
+    /// Tokens that its process may spend in all by `at` of its host's clock.
+    pub(super) fn limit(&self, at: Millis) -> Tokens {
+        let promised = self.guard.and_then(|guard| guard.limit(at));
+        promised.map_or(self.granted, |limit| limit.min(self.granted))
     }
 
-    /// The most that its process may have spent, where that is gone and the next one on its host has started at
-    /// `started`.
-    pub fn spent_at_most(&self, started: Option<Reading>) -> Tokens {
-        match self.guard {
-            Some(guard) if guard.is_kept(started) => self.mark(),
-            _ => self.granted,
-        }
+    /// The most that its process may have spent, where that is gone and the next one on its host has started.
+    pub fn spent_at_most(&self, start: &Start) -> Tokens {
+        let proved = self.guard.and_then(|guard| guard.proved(start));
+        proved.map_or(self.granted, |limit| limit.min(self.granted))
     }
 }
 
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -3,6 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::clock::Readings;
 use super::escrow::Loan;
 use super::members::Router;
 use super::targets::{Outstanding, View};
@@ -40,6 +41,8 @@
         /// How many.
         tokens: Tokens,
     },
+    /// What do its host's clocks read?
+    Clocks,
 }
 
 /// What it is answered.
@@ -60,4 +63,6 @@
     Taken,
     /// No tokens have changed hands, and none will here.
     Declined,
+    /// What the clocks of the answering router's host read.
+    Clocks(Readings),
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod attempt;
 pub mod body;
+pub mod clock;
 mod control;
 mod deadline;
 pub mod decision;
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -11,6 +11,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use super::clock::Clock;
 use super::decision::grant::Sizing;
 use super::decision::refusal::Refusal;
 use super::decision::retry::{Bound, Budget, Charge};
@@ -63,6 +64,8 @@
     pub targets: Targets,
     /// The routers.
     pub members: Members,
+    /// The time of day that the hosts agree on.
+    pub clock: Clock,
     accounts: HashMap<String, Account>,
     ledgers: HashMap<String, Ledger>,
     prepaid: HashMap<String, Tokens>,
@@ -78,6 +81,7 @@
         Self {
             members: Members::new(settings.me.clone(), settings.heartbeat),
             random: StdRng::seed_from_u64(settings.seed),
+            clock: Clock::new(settings.started.map(|started| started.boot)),
             settings,
             targets: Targets::default(),
             accounts: HashMap::new(),
--- a/src/gateway/state/money.rs
+++ b/src/gateway/state/money.rs
@@ -112,12 +112,13 @@
                 incarnation: self.settings.me.incarnation,
                 role,
                 started: self.settings.started,
+                clock: &self.clock,
             };
             let ledger = self.ledgers.entry(customer.clone()).or_default();
             let account = self.accounts.entry(customer.clone()).or_default();
             let needed = waiting.get(&customer).copied().unwrap_or(Tokens::ZERO);
             let row = account.wanted(now, ledger, &holder, prepaid, &sizing, needed);
-            let is_needed = needed > Tokens::ZERO && account.gains(&row);
+            let is_needed = needed > Tokens::ZERO && account.gains(now, &row);
             if is_needed || account.is_worth_writing(&row, prepaid) {
                 rows.push((customer, row));
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod store;
 pub mod units;
 pub mod util;
+pub mod wall_clock;
 pub mod wire;
--- /dev/null
+++ b/tests/fleet_clock.rs
@@ -0,0 +1,83 @@
+//! The time of day that hosts agree on: from how many, how nearly, and for how long.
+
+use lanedeck::boot_clock::Reading;
+use lanedeck::gateway::clock::{Clock, Readings};
+use lanedeck::units::Millis;
+
+const NOW: Millis = Millis(1_000_000);
+const WALL: u64 = 1_800_000_000_000;
+const BOOT: u64 = 7;
+
+fn told(wall: u64) -> Readings {
+    Readings {
+        boot: None,
+        wall: Some(Millis(wall)),
+    }
+}
+
+/// What is agreed on where hosts are so many milliseconds off.
+fn agreed(off: &[i64]) -> Option<u64> {
+    let mut clock = Clock::new(None);
+    for (number, off) in off.iter().enumerate() {
+        let wall = WALL.saturating_add_signed(*off);
+        clock.note(&format!("h{number}"), NOW, &told(wall));
+    }
+    let offset = clock.offset(NOW)?;
+    Some(offset.wall(NOW).0)
+}
+
+#[test]
+fn most_agree() {
+    assert_eq!(agreed(&[0, 0]), None, "two say nothing of who is right");
+    assert_eq!(agreed(&[0, 20, -30]), Some(WALL));
+    assert_eq!(agreed(&[0, 0, 2_000]), Some(WALL));
+    assert_eq!(agreed(&[-9_000, 0, 0]), Some(WALL));
+    assert_eq!(agreed(&[0, 0, 2_000, 2_000]), None);
+    assert_eq!(agreed(&[0, 0, 0, 2_000, 2_000]), None, "three of five");
+    assert_eq!(
+        agreed(&[0, 0, 0, 0, 2_000, 2_000]),
+        Some(WALL),
+        "two thirds"
+    );
+    assert_eq!(agreed(&[0, 400, 800]), None, "none is near another");
+}
+
+#[test]
+fn old_news() {
+    let mut clock = Clock::new(None);
+    for host in ["h1", "h2", "h3"] {
+        clock.note(host, NOW, &told(WALL));
+    }
+    let later = NOW + Millis(5_000);
+    let offset = clock.offset(later).unwrap();
+    assert_eq!(offset.wall(later).0, WALL + 5_000);
+    assert_eq!(clock.offset(NOW + Millis(6_000)), None);
+}
+
+/// A host whose time of day is set counts with what it told last.
+#[test]
+fn told_again() {
+    let mut clock = Clock::new(None);
+    for host in ["h1", "h2", "h3"] {
+        clock.note(host, NOW, &told(WALL));
+    }
+    clock.note("h1", NOW, &told(WALL + 5_000));
+    assert_eq!(clock.offset(NOW).unwrap().wall(NOW).0, WALL);
+    clock.note("h2", NOW, &told(WALL + 9_000));
+    assert_eq!(clock.offset(NOW), None);
+}
+
+#[test]
+fn boot_ids() {
+    let read = |boot, at| Readings {
+        boot: Some(Reading { boot, at }),
+        wall: None,
+    };
+    let mut clock = Clock::new(Some(BOOT));
+    clock.note("h1", NOW, &read(BOOT, NOW + Millis(300)));
+    assert!(clock.tells_boots(), "the same clock");
+    clock.note("h2", NOW, &read(BOOT + 1, NOW + Millis(9_000)));
+    assert!(clock.tells_boots(), "another boot");
+    clock.note("h3", NOW, &read(BOOT, NOW + Millis(9_000)));
+    assert!(!clock.tells_boots(), "two clocks of one boot");
+}
--- a/tests/pinned_gateway.rs
+++ b/tests/pinned_gateway.rs
@@ -11,10 +11,12 @@
 use std::time::Duration;
 
 use http::HeaderMap;
+use lanedeck::boot_clock::Reading;
 use lanedeck::gateway::body::Body;
+use lanedeck::gateway::clock::Readings;
 use lanedeck::gateway::decision::refusal::{Reason, Refusal};
 use lanedeck::gateway::dialect::{Dialect, Forward, Listing};
-use lanedeck::gateway::escrow::{Loan, Row};
+use lanedeck::gateway::escrow::{Guard, Loan, Rise, Row};
 use lanedeck::gateway::members::Router;
 use lanedeck::gateway::message::{Heartbeat, Reply, Request};
 use lanedeck::gateway::metrics::Metrics;
@@ -86,6 +88,44 @@
     };
     pin("fb2c0105fc70110100fbfb00fb8403", &row);
     pin("0000000000", &Row::default());
+    let guard = Guard {
+        mark: Tokens(400),
+        until: Reading {
+            boot: 7,
+            at: Millis(9_000),
+        },
+        rise: None,
+    };
+    let promised = Row {
+        guard: Some(guard),
+        ..row
+    };
+    pin_bytes(
+        "fb2c0105fc70110100fbfb00fb8403fb900107fb2823",
+        &promised.encode(),
+    );
+    let rise = Rise {
+        begin: Millis(1_000),
+        wall: Some(Millis(1_800_000_000_000)),
+        rate: 70,
+    };
+    let rising = Row {
+        guard: Some(Guard {
+            rise: Some(rise),
+            ..guard
+        }),
+        ..row
+    };
+    pin_bytes(
+        "fb2c0105fc70110100fbfb00fb8403fb900107fb2823fbe80301fd00505c18a301000046",
+        &rising.encode(),
+    );
+}
+
+/// The encoded form of what encodes itself.
+fn pin_bytes(literal: &str, bytes: &[u8]) {
+    let text: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+    assert_eq!(text, literal);
 }
 
 #[test]
@@ -107,6 +147,7 @@
         tokens: Tokens(4_321),
     };
     pin("0204616e6e61fbe110", &give);
+    pin("03", &Request::Clocks);
 }
 
 #[test]
@@ -135,6 +176,14 @@
     pin("0163", &Reply::Lent(Tokens(99)));
     pin("02", &Reply::Taken);
     pin("03", &Reply::Declined);
+    let readings = Readings {
+        boot: Some(Reading {
+            boot: 7,
+            at: Millis(1_000),
+        }),
+        wall: Some(Millis(1_800_000_000_000)),
+    };
+    pin("040107fbe80301fd00505c18a3010000", &Reply::Clocks(readings));
 }
 
 /// Answers one request of a store's client, and returns the request with its host replaced.
