Believe the fleet's time of day only where three quarters of a dozen hosts tell it

Cause, by reckoning: where a third of the hosts have their time of day set alike, two of the first three that are heard are among them once in five draws, and a promise would be judged by them. Change: three quarters of at least twelve hosts (of three in four in a smaller fleet). tests/escrow_rows.rs never_over_a_loss_of_power was seen to fail with the time since a row halved (spent 45,459 of 45,000).

--- a/src/gateway/clock.rs
+++ b/src/gateway/clock.rs
@@ -4,7 +4,7 @@
 //! alike outlives a loss of power, which the steady clock does not, and does not follow one host whose time of day
 //! is set. Nothing is told where too few hosts are known or too many differ.
 //!
-//! What rests on it holds unless two thirds of the hosts that were asked have their time of day set alike, by as
+//! What rests on it holds unless three quarters of the hosts that were asked have their time of day set alike, by as
 //! much as a promise lasts, between two looks that are compared.
 
 use std::collections::HashMap;
@@ -16,11 +16,15 @@
 
 /// Hosts whose time of day must be known, this one among them: two that differ say nothing of who is right.
 const HOSTS_MIN: usize = 3;
+/// The same in a fleet of sixteen or more; in a smaller one three of four routers must have told theirs. Where 28 in 100
+/// hosts are set alike, nine or more of twelve that are drawn are among them once in a thousand draws, and two of three
+/// once in five.
+const HOSTS_ENOUGH: usize = 12;
 /// How far from the median a time of day counts as the same, in milliseconds. Not measured: hosts whose time of day
 /// is kept by the usual means differ by far less, and a step that matters is longer.
 const SAME: u64 = 250;
 /// How long a comparison is believed. Not measured: a few rounds of them.
-const BELIEVED: Millis = Millis(6_000);
+const BELIEVED: Millis = Millis(8_000);
 
 /// How far two readings of one steady clock may differ, each told over a link, in milliseconds. Not measured.
 const SAME_BOOT: u64 = 1_000;
@@ -54,6 +58,8 @@
     boot: Option<u64>,
     /// Whether another host names the same boot, and its steady clock reads otherwise.
     is_boot_shared: bool,
+    /// Routers that the fleet was seen to have.
+    fleet: usize,
 }
 
 impl Clock {
@@ -80,20 +86,26 @@
             .retain(|_, (at, _)| now.saturating_sub(*at) < BELIEVED);
     }
 
+    /// Notes how many routers the fleet was seen to have.
+    pub fn set_fleet(&mut self, routers: usize) {
+        self.fleet = routers;
+    }
+
     /// Whether the id of this host's boot tells one boot from another. Where two hosts name the same boot and their
     /// clocks differ, it does not.
     pub fn tells_boots(&self) -> bool {
         !self.is_boot_shared
     }
 
-    /// The offset that two thirds of the hosts agree on; `None` where they do not, or too few have told theirs.
+    /// The offset that three quarters of the hosts agree on; `None` where they do not, or too few have told theirs.
     pub fn offset(&self, now: Millis) -> Option<Offset> {
         let fresh = self
             .told
             .values()
             .filter(|(at, _)| now.saturating_sub(*at) < BELIEVED);
         let mut offsets: Vec<i64> = fresh.map(|(_, ahead)| *ahead).collect();
-        if offsets.len() < HOSTS_MIN {
+        let enough = (self.fleet * 3).div_ceil(4).clamp(HOSTS_MIN, HOSTS_ENOUGH);
+        if offsets.len() < enough {
             return None;
         }
         offsets.sort_unstable();
@@ -101,6 +113,6 @@
         let alike = offsets
             .iter()
             .filter(|ahead| ahead.abs_diff(median) <= SAME);
-        (alike.count() * 3 >= offsets.len() * 2).then_some(Offset(median))
+        (alike.count() * 4 >= offsets.len() * 3).then_some(Offset(median))
     }
 }
--- a/src/gateway/control/clock.rs
+++ b/src/gateway/control/clock.rs
@@ -19,9 +19,11 @@
 const INTERVAL: Duration = Duration::from_millis(1_500);
 /// Interval of rounds until they do: a process that starts soon wants to know what its predecessor may have spent.
 const FIRST_INTERVAL: Duration = Duration::from_millis(200);
-/// Routers that are asked in a round, whatever the size of the fleet. Not measured: with this host, a dozen are known
-/// at any time.
+/// Routers that are asked in a round while hosts agree, whatever the size of the fleet. Not measured: with this host, a
+/// dozen are known at any time.
 const FAN_OUT: usize = 3;
+/// The same until they do: two rounds tell of as many as are needed.
+const FIRST_FAN_OUT: usize = 6;
 /// Answers that take longer say too little of the time at which they were given. Not measured: below what hosts may
 /// differ by.
 const ANSWER_MAX: Millis = Millis(200);
@@ -30,12 +32,15 @@
 pub(super) async fn compare(control: Rc<Control>) {
     loop {
         note_own(&control);
-        for router in link::draw(&control, FAN_OUT) {
+        let agreed = control.state.borrow().clock.offset(control.now());
+        let (fan_out, interval) = match agreed {
+            Some(_) => (FAN_OUT, INTERVAL),
+            None => (FIRST_FAN_OUT, FIRST_INTERVAL),
+        };
+        for router in link::draw(&control, fan_out) {
             let control = Rc::clone(&control);
             tokio::task::spawn_local(async move { ask(&control, &router).await });
         }
-        let agreed = control.state.borrow().clock.offset(control.now());
-        let interval = agreed.map_or(FIRST_INTERVAL, |_| INTERVAL);
         sleep(interval).await;
     }
 }
@@ -57,6 +62,8 @@
     let (now, own) = (control.now(), read(control));
     let mut state = control.state.borrow_mut();
     let name = state.members.me.name.clone();
+    let routers = state.members.count();
+    state.clock.set_fleet(routers);
     state.clock.note(&name, now, &own);
 }
 
--- a/src/gateway/escrow/guard.rs
+++ b/src/gateway/escrow/guard.rs
@@ -14,7 +14,7 @@
 //!
 //! This rests on these things: the processes of one name run on one host, one after the other (the second cannot
 //! listen on the link's address while the first lives); the steady clock counts on, and the id of a boot changes with
-//! each boot, unless another host names the same one; and no two thirds of the hosts that were asked have their time
+//! each boot, unless another host names the same one; and no three quarters of the hosts that were asked have their time
 //! of day set back alike between the row and the start. A
 //! process that is frozen may wake at any time, since it looks at its own steady clock whenever it spends. A row that
 //! the store takes in late only shortens what is proved, since its time is that of its making.
