--- a/src/gateway/control/loans.rs
+++ b/src/gateway/control/loans.rs
@@ -143,7 +143,7 @@
 }
 
 /// Lends to another router that asks. Where this one may not spend as much before it writes to the store, or has no
-/// more, it writes first: asked again by a borrower that the store gives no grants, it was often asked before that
+/// more and the budget has, it writes first: asked again by a borrower that the store gives no grants, it was often asked before that
 /// write was done (tests/gateway_loans.rs no_grants, 2 of 30 requests refused).
 pub(super) async fn lend(control: &Control, customer: &str, loan: Loan) -> Tokens {
     let mut lent = lend_now(control, customer, loan);
@@ -156,6 +156,11 @@
             lacking: loan.lacking.saturating_sub(lent),
             wanted: loan.wanted.saturating_sub(lent),
         };
+        if !control.state.borrow().can_cover(customer, rest.lacking) {
+            // Others may have given something back since the rows were read.
+            control.renew_now(customer);
+            break;
+        }
         await_renewal(control, customer, rest.lacking, until).await;
         lent += lend_now(control, customer, rest);
     }
--- a/src/gateway/escrow/account.rs
+++ b/src/gateway/escrow/account.rs
@@ -312,6 +312,18 @@
         grant::is_worth_writing(self.written.as_ref().map(holding), holding(row), prepaid)
     }
 
+    /// Whether a row that is written now can grant so many tokens more than are used, as far as the rows that were
+    /// last read tell.
+    pub fn can_cover(
+        &self,
+        tokens: Tokens,
+        ledger: &Ledger,
+        router: &str,
+        prepaid: Tokens,
+    ) -> bool {
+        self.used() + tokens <= self.free(ledger, router, prepaid)
+    }
+
     /// Whether a row lets more be spent now than there is.
     pub fn gains(&self, now: Millis, row: &Row) -> bool {
         let limit = self.written.map_or(Tokens::ZERO, |row| row.limit(now));
--- a/src/gateway/state/money.rs
+++ b/src/gateway/state/money.rs
@@ -200,6 +200,18 @@
         account.map_or(Tokens::ZERO, |account| account.lend(now, loan))
     }
 
+    /// Whether a write to the store can let this router lend so many tokens more.
+    pub fn can_cover(&self, customer: &str, tokens: Tokens) -> bool {
+        let (Some(account), Some(ledger), Some(prepaid)) = (
+            self.accounts.get(customer),
+            self.ledgers.get(customer),
+            self.prepaid.get(customer),
+        ) else {
+            return false;
+        };
+        account.can_cover(tokens, ledger, &self.settings.me.name, *prepaid)
+    }
+
     /// Takes out what was borrowed and is more than the demand of a second, of each customer whose
     /// grants others hold; it is to be given to them.
     pub fn take_excess(&mut self, now: Millis) -> Vec<(String, Tokens)> {
