Share what tests of the fleet and of promises write twice

Cause: the router of a fleet stood in three test files, and never_over_a_promise and never_over_a_loss_of_power had one loop with another gap and another flag. Change: tests/fleet, and ample_runs with both as arguments; the random sequences, the assertions and the seeds are the same.

--- a/tests/caller_spread.rs
+++ b/tests/caller_spread.rs
@@ -1,6 +1,8 @@
 //! Callers spread over the fleet: whom its routers tell them of.
 
 use std::collections::HashMap;
+mod fleet;
+
 use std::net::SocketAddr;
 
 use lanedeck::gateway::members::{Members, Router, Source};
@@ -9,16 +11,13 @@
 const NOW: Millis = Millis(1_000_000);
 const FLEET: u16 = 86;
 
+/// A router on a host of its own.
 fn router(number: u16) -> Router {
     let address = |port: u16| SocketAddr::from(([10, 1, (number / 200) as u8, number as u8], port));
     Router {
-        name: format!("r{number}"),
-        incarnation: 1,
         front: address(8_000),
         link: address(8_001),
-        hall: "hall".into(),
-        is_ready: true,
-        heartbeat: 1,
+        ..fleet::router(number)
     }
 }
 
--- a/tests/escrow_rows.rs
+++ b/tests/escrow_rows.rs
@@ -351,21 +351,20 @@
     }
 }
 
-/// The same with ample budgets, of which much is held ahead, and with long times between two writes of a router, so
-/// that promises end before their router dies.
-#[test]
-fn never_over_a_promise() {
+/// Runs ample budgets, of which much is held ahead, with times of up to `gap_max` milliseconds between two steps.
+fn ample_runs(gap_max: u64, has_fleet: bool) {
     for seed in 1..=SEEDS {
         arbtest(|u| {
             let prepaid = Tokens(u.int_in_range(20_000..=60_000)?);
             let mut world = World::new();
             world.sizing = AMPLE;
+            world.has_fleet = has_fleet;
             let mut now = Millis(1_000_000);
             for _ in 0..STEPS {
                 if u.is_empty() {
                     break;
                 }
-                now += Millis(u.int_in_range(0..=600)?);
+                now += Millis(u.int_in_range(0..=gap_max)?);
                 step(&mut world, u, now, prepaid)?;
                 // Demand comes in bursts, and some of it uses up all that there is.
                 let index = u.int_in_range(0..=ROUTERS - 1)?;
@@ -380,33 +379,17 @@
     }
 }
 
+/// With long times between two writes of a router, so that promises end before their router dies.
+#[test]
+fn never_over_a_promise() {
+    ample_runs(600, false);
+}
+
 /// The same where routers agree on the time of day, so that a promise outlives a loss of power; a quarter of those that
 /// are heard may be off by many seconds, and so may this host's clock after it.
 #[test]
 fn never_over_a_loss_of_power() {
-    for seed in 1..=SEEDS {
-        arbtest(|u| {
-            let prepaid = Tokens(u.int_in_range(20_000..=60_000)?);
-            let mut world = World::new();
-            world.sizing = AMPLE;
-            world.has_fleet = true;
-            let mut now = Millis(1_000_000);
-            for _ in 0..STEPS {
-                if u.is_empty() {
-                    break;
-                }
-                now += Millis(u.int_in_range(0..=900)?);
-                step(&mut world, u, now, prepaid)?;
-                let index = u.int_in_range(0..=ROUTERS - 1)?;
-                for _ in 0..u.int_in_range(0..=30)? {
-                    world.serve(index, now, Tokens(400), prepaid);
-                }
-                world.check(prepaid);
-            }
-            Ok(())
-        })
-        .seed(seed << 32 | BYTES);
-    }
+    ample_runs(900, true);
 }
 
 #[test]
--- a/tests/gateway_loans.rs
+++ b/tests/gateway_loans.rs
@@ -1,14 +1,15 @@
 //! Few routers hold a customer's grants; the others borrow from them, also while the store is out.
 
 mod deployment;
+mod fleet;
 
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Instant;
 
 use deployment::runner::Runner;
 use deployment::store::Fault;
 use deployment::{Ask, CUSTOMER, Deployment, ask, config, until};
+use fleet::router;
 use lanedeck::gateway::decision::admission::NOTHING_PAUSE;
 use lanedeck::gateway::members::{Members, Router, Source};
 use lanedeck::units::Millis;
@@ -18,19 +19,6 @@
 const PLENTY: u64 = 1_000_000;
 const MORE_THAN_GRANTED: u64 = 600_000;
 
-fn router(number: u16) -> Router {
-    let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
-    Router {
-        name: format!("r{number}"),
-        incarnation: 1,
-        front: address(1_000 + number),
-        link: address(2_000 + number),
-        hall: "hall".into(),
-        is_ready: true,
-        heartbeat: 1,
-    }
-}
-
 /// The fleet as one of its routers sees it.
 fn members(me: u16, count: u16) -> Members {
     let mut members = Members::new(router(me), Millis(1_000));
--- a/tests/member_view.rs
+++ b/tests/member_view.rs
@@ -1,6 +1,6 @@
 //! Which routers count as live while the store is not read, and after that; who holds a customer's grants then.
 
-use std::net::SocketAddr;
+mod fleet;
 
 use lanedeck::gateway::members::{Members, Router, Source};
 use lanedeck::units::Millis;
@@ -11,20 +11,14 @@
 const HOLDERS: usize = 8;
 
 fn router(number: u16, heartbeat: u64) -> Router {
-    let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
     Router {
-        name: format!("r{number}"),
-        incarnation: 1,
-        front: address(1_000 + number),
-        link: address(2_000 + number),
-        hall: "hall".into(),
-        is_ready: true,
         heartbeat,
+        ..fleet::router(number)
     }
 }
 
 /// One of a large fleet that has just read all entries.
-fn fleet() -> Members {
+fn large_fleet() -> Members {
     let mut members = Members::new(router(0, 1), INTERVAL);
     members.me.is_ready = true;
     members.note_read(START);
@@ -43,7 +37,7 @@
 /// grants does not change. By their silence alone 5 of 8 were others at the end.
 #[test]
 fn same_holders_in_a_cut() {
-    let mut members = fleet();
+    let mut members = large_fleet();
     let before = holders(&members, START);
     members.note_unread();
     for second in 0..9 {
@@ -61,7 +55,7 @@
 /// A router whose link does not answer is not live, whether the store is read or not.
 #[test]
 fn unreachable_in_a_cut() {
-    let mut members = fleet();
+    let mut members = large_fleet();
     members.note_unread();
     let gone = holders(&members, START).remove(0);
     assert!(members.set_unreachable(&gone, 1));
@@ -71,7 +65,7 @@
 /// After the cut, entries that stay away are missed from then on.
 #[test]
 fn missed_after_a_cut() {
-    let mut members = fleet();
+    let mut members = large_fleet();
     members.note_unread();
     let back = START + Millis(9_000);
     members.note_read(back);
