Compute a promise's mark in one place, and its span from one constant

Cause, from a reading of the whole change: how far a mark has risen was reckoned by the router that makes the promise and by the one that judges it, each in its own words; the span of eight seconds stood a second time in the sizing of grants; a bound by what is granted and the limit of the row in the store stood twice. Change: Rise::risen, Row::at_most, Account::acknowledged, and the span as an input of grant::pace. No value differs. Ruled out: the time of day that hosts agree on is sorted for each row that is written; kept out of a cache, since it lapses with time and a row is written each second.

--- a/src/gateway/decision/grant.rs
+++ b/src/gateway/decision/grant.rs
@@ -23,16 +23,12 @@
 /// Seconds of demand that a router may spend at once before it writes to the store again: it writes each second, and
 /// demand comes in clumps. Not measured.
 const BURST_SECONDS: f64 = 0.5;
-/// One part in this many of what a router holds ahead may always be spent or lent at once before it writes again.
-/// Without it a router that had just begun to serve a customer lent a part of what another one lacked that got no
-/// grants (tests/gateway_loans.rs no_grants, 40 of 40 runs). Not measured beyond that.
+/// One part in this many of what a router holds ahead may always be spent or lent at once before it writes again. Not
+/// measured: a quarter of a second at the least rate.
 const BURST_DIVISOR: u64 = 32;
 /// How much faster than its demand a router may spend before it writes again: demand varies from second to second.
 /// Not measured.
 const RATE_FACTOR: f64 = 1.25;
-/// A router may spend all that it holds ahead in so many seconds without a write, whatever its demand: it lends to
-/// others whose demand it does not know yet, and is held up for no longer than a promise lasts.
-const RATE_SECONDS: f64 = 8.0;
 
 /// Age at which a promise is renewed although nothing else has changed. Each renewal is a write; without any, a router
 /// that nobody asks is held to nothing, and all that it holds is lost with it: in trials of twenty routers over five
@@ -122,6 +118,8 @@
     pub waiting: Tokens,
     /// Tokens that are granted to it beyond those that it uses.
     pub ahead: Tokens,
+    /// How long it keeps to the pace without a write.
+    pub span: Millis,
 }
 
 /// How fast a router may spend before it writes to the store again.
@@ -134,15 +132,17 @@
 }
 
 /// Decides how fast a router may spend before it writes to the store again: near its demand, which is what it asks
-/// for anyway, and fast enough that it can lend what it holds ahead. What it could have spent by then is lost with
+/// for anyway, and fast enough to use up in the span what it holds ahead, whatever its demand, since it lends to others
+/// whose demand it does not know yet. What it could have spent by then is lost with
 /// it, and what is granted beyond is not.
 pub fn pace(spending: &Spending) -> Pace {
     let requests = spending.last_cost.0 * BURST_REQUESTS;
     let clump = (spending.demand * BURST_SECONDS) as u64;
     let lent = Tokens(spending.ahead.0 / BURST_DIVISOR);
+    let lending = spending.ahead.0 as f64 / seconds(spending.span);
     Pace {
         burst: Tokens(requests + clump).max(spending.waiting).max(lent),
-        rate: (spending.demand * RATE_FACTOR).max(spending.ahead.0 as f64 / RATE_SECONDS) as u64,
+        rate: (spending.demand * RATE_FACTOR).max(lending) as u64,
     }
 }
 
--- a/src/gateway/escrow/account.rs
+++ b/src/gateway/escrow/account.rs
@@ -112,11 +112,15 @@
         self.written.map_or(Tokens::ZERO, |row| row.granted)
     }
 
+    /// What the row in the store lets this process spend by `now`.
+    fn acknowledged(&self, now: Millis) -> Tokens {
+        self.written.map_or(Tokens::ZERO, |row| row.limit(now))
+    }
+
     /// What this process may spend of its own grant by `now`, whichever of its rows the store has.
     fn limit(&self, now: Millis) -> Tokens {
-        let acknowledged = self.written.map_or(Tokens::ZERO, |row| row.limit(now));
         let sent = self.sent.iter().map(|row| row.limit(now));
-        sent.fold(acknowledged, Tokens::min)
+        sent.fold(self.acknowledged(now), Tokens::min)
     }
 
     /// Tokens that can still be reserved.
@@ -263,20 +267,23 @@
             last_cost: self.last_cost,
             waiting,
             ahead: granted.saturating_sub(used),
+            span: guard::SPAN,
         });
         let begin = self.promise_begin(now);
-        let risen = Tokens(pace.rate * now.saturating_sub(begin).0 / 1_000);
+        let rise = Rise {
+            begin,
+            wall: clock.offset(now).map(|offset| offset.wall(begin)),
+            rate: pace.rate,
+        };
         let guard = started.map(|started| Guard {
-            mark: (used + pace.burst).saturating_sub(risen).min(granted),
+            mark: (used + pace.burst)
+                .saturating_sub(rise.risen(now))
+                .min(granted),
             until: Reading {
                 boot: started.boot,
                 at: begin + guard::SPAN,
             },
-            rise: Some(Rise {
-                begin,
-                wall: clock.offset(now).map(|offset| offset.wall(begin)),
-                rate: pace.rate,
-            }),
+            rise: Some(rise),
         });
         Row {
             incarnation,
@@ -326,8 +333,7 @@
 
     /// Whether a row lets more be spent now than there is.
     pub fn gains(&self, now: Millis, row: &Row) -> bool {
-        let limit = self.written.map_or(Tokens::ZERO, |row| row.limit(now));
-        row.granted > self.granted() || row.limit(now) > limit
+        row.granted > self.granted() || row.limit(now) > self.acknowledged(now)
     }
 
     /// Takes over what the store has of an earlier process of this router, which is gone. It is judged anew until
--- a/src/gateway/escrow/guard.rs
+++ b/src/gateway/escrow/guard.rs
@@ -69,6 +69,14 @@
     pub wall: Option<Millis>,
 }
 
+impl Rise {
+    /// Tokens by which the mark has risen at `at` of the router's clock.
+    pub(super) fn risen(&self, at: Millis) -> Tokens {
+        let since = at.saturating_sub(self.begin);
+        Tokens(self.rate.saturating_mul(since.0) / 1_000)
+    }
+}
+
 impl Guard {
     /// When the promise begins, by the clock of the router's host.
     pub fn begin(&self) -> Millis {
@@ -78,11 +86,9 @@
 
     /// The most that is spent by `at` of the router's clock; `None` after the promise.
     pub fn limit(&self, at: Millis) -> Option<Tokens> {
-        let rate = self.rise.map_or(0, |rise| rise.rate);
-        let since = at.saturating_sub(self.begin());
+        let risen = self.rise.map_or(Tokens::ZERO, |rise| rise.risen(at));
         // What another program wrote may be of any size.
-        let risen = rate.saturating_mul(since.0) / 1_000;
-        (at < self.until.at).then(|| Tokens(self.mark.0.saturating_add(risen)))
+        (at < self.until.at).then(|| Tokens(self.mark.0.saturating_add(risen.0)))
     }
 
     /// The most that the router had spent when the next process on its host started; `None` where nothing proves
--- a/src/gateway/escrow/row.rs
+++ b/src/gateway/escrow/row.rs
@@ -66,14 +66,17 @@
 
     /// Tokens that its process may spend in all by `at` of its host's clock.
     pub(super) fn limit(&self, at: Millis) -> Tokens {
-        let promised = self.guard.and_then(|guard| guard.limit(at));
-        promised.map_or(self.granted, |limit| limit.min(self.granted))
+        self.at_most(self.guard.and_then(|guard| guard.limit(at)))
     }
 
     /// The most that its process may have spent, where that is gone and the next one on its host has started.
     pub fn spent_at_most(&self, start: &Start) -> Tokens {
-        let proved = self.guard.and_then(|guard| guard.proved(start));
-        proved.map_or(self.granted, |limit| limit.min(self.granted))
+        self.at_most(self.guard.and_then(|guard| guard.proved(start)))
+    }
+
+    /// What is granted, or a lower bound where there is one.
+    fn at_most(&self, bound: Option<Tokens>) -> Tokens {
+        bound.map_or(self.granted, |bound| bound.min(self.granted))
     }
 }
 
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -12,10 +12,9 @@
 
 use super::body::Body;
 use super::deadline::Deadline;
-use super::decision::admission;
-use super::decision::overload;
 use super::decision::refusal::{Outlook, Reason};
 use super::decision::retry::Verdict;
+use super::decision::{admission, overload};
 use super::dialect;
 use super::exchange::{Answer, Buffered, Exchange};
 use super::headers;
