Tell in the log which requests are the same one again

Cause: the incident's logs cannot tell whether one request was present at all crashes of targets, since each try has an id of its own and nothing else names what is asked.

Change: attempt_sent and attempt_failed carry a fingerprint: a hash of customer, method, host, path and body, seeded by the fleet's key, so that it is the same at all routers and cannot be worked out by a caller. No rule depends on it yet.

What hashing costs was not measured by itself.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -21,6 +21,7 @@
 use super::decision::refusal::Reason;
 use super::decision::retry::{self, Decision, Failure, History, Verdict};
 use super::dialect::{self, BadForward, Forward};
+use super::fingerprint::Fingerprint;
 use super::headers;
 use super::job::Job;
 use super::relay::Relay;
@@ -52,6 +53,7 @@
     pub(super) path: PathAndQuery,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    pub(super) fingerprint: Fingerprint,
     /// Attempts that were sent to a target.
     pub(super) sent: u32,
     /// Attempts that reached no target.
@@ -164,6 +166,7 @@
             route = %self.route.name,
             config = self.config.version,
             instance = %attempt.placement().instance,
+            fingerprint = %self.fingerprint,
             attempts = self.sent,
             left_ms = self.deadline.left().as_millis() as u64
         );
@@ -282,6 +285,7 @@
             event = "attempt_failed",
             id = %self.request.id,
             instance = %attempt.placement().instance,
+            fingerprint = %self.fingerprint,
             reason,
             limit,
             attempts = self.sent,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod dialect;
 pub mod escrow;
 mod exchange;
+pub mod fingerprint;
 mod headers;
 pub mod job;
 pub mod key;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -15,6 +15,7 @@
 use super::control;
 use super::decision::stop;
 use super::dialect::Dialect;
+use super::fingerprint::Hasher;
 use super::lag;
 use super::listener::{self, Endpoint};
 use super::members::Router;
@@ -83,6 +84,7 @@
         shared: Arc::clone(&shared),
         controller: Controller::new(sender),
         dialect: options.dialect,
+        hasher: Hasher::new(&options.fleet_key),
         pool: Pool::default(),
         started: Instant::now(),
     });
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -9,6 +9,7 @@
 
 use super::attempt::Controller;
 use super::dialect::{Dialect, Reply};
+use super::fingerprint::Hasher;
 use super::shared::Shared;
 use crate::net::{self, Connection, Pool};
 
@@ -31,6 +32,8 @@
     pub controller: Controller,
     /// What the deployment speaks.
     pub dialect: Arc<dyn Dialect>,
+    /// Tells which requests are the same one again.
+    pub hasher: Hasher,
     /// Idle connections to targets.
     pub pool: Pool,
     /// The start of the process.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -176,12 +176,23 @@
     let deadline = Deadline::new(deadline, relay.shared.stop.given_up());
     let body = upload::read(body, config.limits.body_bytes, &deadline).await?;
     let path = parts.uri.path_and_query().cloned();
+    let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
+    let customer = terms.customer.map(|customer| customer.name.clone());
+    let fingerprint = relay.hasher.fingerprint(
+        customer.as_deref(),
+        &[
+            parts.method.as_str().as_bytes(),
+            host(&parts).as_bytes(),
+            path.as_str().as_bytes(),
+            &body,
+        ],
+    );
     let mut headers = parts.headers;
     headers::strip_request(&mut headers);
     Ok(Exchange {
         relay: Arc::clone(relay),
         event_tokens: terms.event_tokens,
-        customer: terms.customer.map(|customer| customer.name.clone()),
+        customer,
         rank: terms.rank,
         route: terms.route.clone(),
         config: Arc::clone(&config),
@@ -189,9 +200,10 @@
         started,
         deadline,
         method: parts.method,
-        path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
+        path,
         headers,
         body,
+        fingerprint,
         sent: 0,
         unreached: 0,
         verdict: Verdict::NotRun,
