Reproduce the request that crashes its targets, failing, and list it as known

Cause: under test. The stand-in of a target can crash now: port and connections close at once, and it starts again under its id 1.5 s later, with the time of its start in its entry.

--- /dev/null
+++ b/tests/crashing_request.rs
@@ -0,0 +1,192 @@
+//! A request that crashes each target by which it is run, sent again and again at any router.
+//!
+//! What callers saw: an answer broke off, again and again, since another request had made its target crash.
+//! A caller sent that one each quarter of a second, with a new id each time, at one router after the other.
+//! Each router took it for a request that it had never seen, sent it to a target that was well, told its caller
+//! that it had broken off, and forgot it. So it reached targets for as long as it was sent: eleven times more
+//! once three targets had ended under it, 14 ended in all, and each took the answers with it on which it worked.
+//!
+//! The cause is that a router judged targets by what became of requests, and never a request by what became of
+//! its targets. The evidence: in each of these crashes, at whichever router, one request was on its way of
+//! which customer, path and body were the same, sent a fraction of a second before, under another id each time.
+
+mod deployment;
+
+use std::time::{Duration, Instant};
+
+use deployment::runner::{CRASHING, Runner};
+use deployment::{Ask, Deployment, ask, config, try_ask};
+
+const PLENTY: u64 = 1_000_000_000;
+/// Time between two tries of the request that crashes targets.
+const TRY_GAP: Duration = Duration::from_millis(250);
+/// Time between two requests of others.
+const OTHER_GAP: Duration = Duration::from_millis(50);
+/// How long it is sent.
+const PLAY: Duration = Duration::from_secs(20);
+/// By then after its third crash, all routers have to know; and how often it may be sent after that.
+const KNOWN_BY: Duration = Duration::from_secs(3);
+const SENT_LATE_MAX: usize = 3;
+
+async fn fleet(service: &str) -> (Deployment, Vec<Runner>) {
+    let mut runners = Vec::new();
+    for number in 0..6 {
+        runners.push(Runner::start(&format!("i-{number}")).await);
+    }
+    let mut deployment = Deployment::start(0, &config(1, PLENTY), &[]).await;
+    for runner in &runners {
+        runner.list_in(&deployment.store, service);
+    }
+    for number in 0..3 {
+        deployment.add(&format!("g{number}"), &[]).await;
+    }
+    deployment.wait_ready().await;
+    deployment.wait_acquainted().await;
+    (deployment, runners)
+}
+
+/// Crashes of all targets in order.
+fn crashes(runners: &[Runner]) -> Vec<Instant> {
+    let mut all: Vec<Instant> = runners.iter().flat_map(Runner::crashes).collect();
+    all.sort();
+    all
+}
+
+/// How often a crashing request reached targets later than [`KNOWN_BY`] after the third crash.
+fn sent_late(runners: &[Runner]) -> usize {
+    let Some(third) = crashes(runners).get(2).copied() else {
+        return 0;
+    };
+    let arrivals = runners.iter().flat_map(Runner::arrivals);
+    let is_late = |at: Instant| at > third + KNOWN_BY;
+    arrivals
+        .filter(|arrival| arrival.ran && is_late(arrival.at))
+        .filter(|arrival| {
+            let body = String::from_utf8_lossy(&arrival.body).into_owned();
+            body.contains(CRASHING) || arrival.path.contains(CRASHING)
+        })
+        .count()
+}
+
+/// Sends what `make` makes of a number at all routers in turn, for as long as the play lasts; the numbers of
+/// requests and of those that were answered whole are returned.
+async fn send(
+    fronts: Vec<std::net::SocketAddr>,
+    gap: Duration,
+    make: fn(usize) -> Ask,
+) -> (usize, usize) {
+    let end = Instant::now() + PLAY;
+    let mut asked = Vec::new();
+    let mut next = Instant::now();
+    while next < end {
+        tokio::time::sleep_until(next.into()).await;
+        next += gap;
+        let front = fronts[asked.len() % fronts.len()];
+        let request = make(asked.len());
+        asked.push(tokio::spawn(async move { try_ask(front, &request).await }));
+    }
+    let count = asked.len();
+    let mut served = 0;
+    for answer in asked {
+        let answer = answer.await.unwrap();
+        served += usize::from(answer.is_some_and(|answer| answer.status == 200 && answer.is_whole));
+    }
+    (count, served)
+}
+
+/// Plays a request that crashes targets beside others with the same path and customer.
+async fn play(service: &str, crashing: fn(usize) -> Ask, other: fn(usize) -> Ask) {
+    let (deployment, runners) = fleet(service).await;
+    let fronts: Vec<_> = deployment
+        .gateways
+        .iter()
+        .map(|gateway| gateway.front)
+        .collect();
+    let crashing = tokio::spawn(send(fronts.clone(), TRY_GAP, crashing));
+    let (asked, served) = send(fronts.clone(), OTHER_GAP, other).await;
+    crashing.await.unwrap();
+    let (ended, late) = (crashes(&runners).len(), sent_late(&runners));
+    println!("{ended} crashes, sent {late} times late, others served {served} of {asked}");
+    assert!(ended >= 3, "the request crashes targets");
+    assert!(
+        late <= SENT_LATE_MAX,
+        "sent {late} times after all had to know; {ended} targets ended"
+    );
+    assert!(
+        served * 100 >= asked * 95,
+        "{served} of {asked} others are served"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_once() {
+    play(
+        "app",
+        |number| Ask::new(&format!("c{number}"), "/once/x").post(CRASHING),
+        |number| Ask::new(&format!("o{number}"), "/once/x").post("other"),
+    )
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_often() {
+    play(
+        "app",
+        |number| Ask::new(&format!("c{number}"), "/often/crashing"),
+        |number| Ask::new(&format!("o{number}"), "/often/x"),
+    )
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_stream() {
+    play(
+        "engine",
+        |number| Ask::talk(&format!("c{number}"), "/talk/x", 100, 50).post(CRASHING),
+        |number| {
+            Ask::talk(&format!("o{number}"), "/talk/x", 100, 50).post(&format!("other {number}"))
+        },
+    )
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_resumed() {
+    play(
+        "engine",
+        |number| Ask::talk(&format!("c{number}"), "/resume/x", 100, 50).post(CRASHING),
+        |number| {
+            Ask::talk(&format!("o{number}"), "/resume/x", 100, 50).post(&format!("other {number}"))
+        },
+    )
+    .await;
+}
+
+/// A router that starts later, or again, knows as well.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_after_start() {
+    let (mut deployment, runners) = fleet("app").await;
+    let crashing = |number: usize| Ask::new(&format!("c{number}"), "/once/x").post(CRASHING);
+    let mut number = 0;
+    let begun = Instant::now();
+    while crashes(&runners).len() < 3 || begun.elapsed() < 2 * KNOWN_BY {
+        let front = deployment.gateways[number % 3].front;
+        let _ = try_ask(front, &crashing(number)).await;
+        number += 1;
+        tokio::time::sleep(TRY_GAP).await;
+    }
+    for gateway in &mut deployment.gateways {
+        gateway.kill();
+        gateway.start_again();
+    }
+    deployment.add("g3", &[]).await;
+    deployment.wait_ready().await;
+    let before = crashes(&runners).len();
+    for gateway in &deployment.gateways {
+        let answer = ask(gateway.front, &crashing(number)).await;
+        number += 1;
+        assert_eq!(answer.status, 503, "it has not run: {answer:?}");
+        assert!(!answer.header("retry-after").is_empty());
+    }
+    assert_eq!(crashes(&runners).len(), before, "no target ends by it");
+}
--- a/tests/deployment/runner.rs
+++ b/tests/deployment/runner.rs
@@ -4,15 +4,19 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use futures::stream;
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
 
-use super::server::{Body, Gone, Reply, serve};
+use super::server::{Body, Gone, Reply, serve_on};
+use super::store::Store;
 
 /// What a runner does with a request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -114,7 +118,26 @@
 /// Events of a whole stream.
 pub const EVENTS: u32 = 6;
 
+/// What a body or a path has in it that makes a runner crash by which it is run.
+pub const CRASHING: &str = "crashing";
+/// How long a runner runs such a request before it crashes.
+const CRASH_AFTER: Duration = Duration::from_millis(30);
+/// How long after a crash a runner is back.
+const BACK_AFTER: Duration = Duration::from_millis(1_500);
+
+/// A runner's entry in the list of targets, which it writes anew at each start.
+#[derive(Clone)]
+struct Entry {
+    store: Store,
+    service: String,
+}
+
 struct Inner {
+    /// Ends with the process: each start has another.
+    life: Mutex<CancellationToken>,
+    /// When it crashed.
+    crashes: Mutex<Vec<Instant>>,
+    entry: Mutex<Option<Entry>>,
     instance: Mutex<String>,
     mode: Mutex<Mode>,
     arrivals: Mutex<Vec<Arrival>>,
@@ -130,15 +153,38 @@
 impl Runner {
     pub async fn start(instance: &str) -> Self {
         let inner = Arc::new(Inner {
+            life: Mutex::default(),
+            crashes: Mutex::default(),
+            entry: Mutex::default(),
             instance: Mutex::new(instance.to_owned()),
             mode: Mutex::default(),
             arrivals: Mutex::default(),
         });
-        let shared = Arc::clone(&inner);
-        let address = serve(move |_, request| answer(Arc::clone(&shared), request)).await;
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        inner.serve(listener);
         Self { inner, address }
     }
 
+    /// Writes its entry into the list of targets, now and at each start.
+    pub fn list_in(&self, store: &Store, service: &str) {
+        *self.inner.entry.lock().unwrap() = Some(Entry {
+            store: store.clone(),
+            service: service.to_owned(),
+        });
+        self.inner.write_entry(self.address);
+    }
+
+    /// When it crashed.
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.inner.crashes.lock().unwrap().clone()
+    }
+
+    /// Ends at once, and starts again under its id a while later.
+    pub fn crash(&self) {
+        self.inner.crash(self.address);
+    }
+
     pub fn instance(&self) -> String {
         self.inner.instance.lock().unwrap().clone()
     }
@@ -162,7 +208,51 @@
     }
 }
 
-async fn answer(inner: Arc<Inner>, request: hyper::Request<Incoming>) -> Result<Reply, Gone> {
+impl Inner {
+    fn serve(self: &Arc<Self>, listener: TcpListener) {
+        let life = self.life.lock().unwrap().clone();
+        let inner = Arc::clone(self);
+        let handler = move |address, request| answer(Arc::clone(&inner), address, request);
+        serve_on(listener, handler, life);
+    }
+
+    fn write_entry(&self, address: SocketAddr) {
+        let Some(entry) = self.entry.lock().unwrap().clone() else {
+            return;
+        };
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+        let value = json!({
+            "service": entry.service, "address": address, "zone": "hall", "version": "v1",
+            "slots": 64, "state": "ready", "coldLeftMs": 0, "sequence": 1,
+            "born": born.as_millis() as u64,
+        });
+        let instance = self.instance.lock().unwrap().clone();
+        entry.store.put("keyed.servers", &instance, Some(&value));
+    }
+
+    fn crash(self: &Arc<Self>, address: SocketAddr) {
+        let life = self.life.lock().unwrap().clone();
+        if life.is_cancelled() {
+            return;
+        }
+        life.cancel();
+        self.crashes.lock().unwrap().push(Instant::now());
+        let inner = Arc::clone(self);
+        tokio::spawn(async move {
+            tokio::time::sleep(BACK_AFTER).await;
+            let listener = TcpListener::bind(address).await.unwrap();
+            *inner.life.lock().unwrap() = CancellationToken::new();
+            inner.serve(listener);
+            inner.write_entry(address);
+        });
+    }
+}
+
+async fn answer(
+    inner: Arc<Inner>,
+    address: SocketAddr,
+    request: hyper::Request<Incoming>,
+) -> Result<Reply, Gone> {
     let (parts, body) = request.into_parts();
     let body = body.collect().await.map_err(|_| Gone)?.to_bytes();
     let instance = inner.instance.lock().unwrap().clone();
@@ -181,6 +271,16 @@
         handed_out: Arc::clone(&handed_out),
         instance: instance.clone(),
     });
+    let is_crashing =
+        String::from_utf8_lossy(&body).contains(CRASHING) || parts.uri.path().contains(CRASHING);
+    if ran && is_crashing {
+        let inner = Arc::clone(&inner);
+        tokio::spawn(async move {
+            tokio::time::sleep(CRASH_AFTER).await;
+            inner.crash(address);
+        });
+        std::future::pending::<()>().await;
+    }
     let work = Work::read(&parts.headers);
     let id = parts.headers.get("x-attempt-id").cloned();
     let id = id.map_or(String::new(), |id| id.to_str().unwrap().to_owned());
--- a/tests/deployment/server.rs
+++ b/tests/deployment/server.rs
@@ -15,6 +15,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
 
 /// The connection is closed without an answer, or in the middle of one.
 #[derive(Clone, Copy, Debug)]
@@ -67,19 +68,38 @@
     A: Future<Output = Result<Reply, Gone>> + Send + 'static,
 {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    serve_on(listener, handler, CancellationToken::new());
+    address
+}
+
+/// Serves on a listener for as long as a process lives: at its end the port and all connections are closed
+/// at once.
+pub fn serve_on<F, A>(listener: TcpListener, handler: F, life: CancellationToken)
+where
+    F: Fn(SocketAddr, hyper::Request<Incoming>) -> A + Clone + Send + Sync + 'static,
+    A: Future<Output = Result<Reply, Gone>> + Send + 'static,
+{
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = life.cancelled() => return,
+            };
+            let Ok((stream, _)) = accepted else {
                 continue;
             };
             let handler = handler.clone();
+            let life = life.clone();
             tokio::spawn(async move {
                 let service = service_fn(move |request| handler(address, request));
                 let io = TokioIo::new(stream);
-                let _ = http1::Builder::new().serve_connection(io, service).await;
+                tokio::select! {
+                    _ = http1::Builder::new().serve_connection(io, service) => {}
+                    () = life.cancelled() => {}
+                }
             });
         }
     });
-    address
 }
