Hold back a request under which targets crash one after the other

Cause: a router judges targets by what becomes of requests, never a request by what becomes of its targets, and tells no other router of it; a try under a new id is a new request. Ruled out: repeats by the router itself (72 of 76 requests that broke off were not repeated), targets that crash by themselves (in the reproduction one and the same request is present at each of 60 crashes; three are enough for it to stop now). Class: what goes wrong is charged to the place where it shows, not to what brought it there.

Change: requests are known again by a fingerprint. Where a connection breaks off, one connect tells whether the target's port is closed, and then each request that broke off there was beside a crash. Three of them one after the other, at any routers, that no other request explains, and without a good answer anywhere: the request is refused at once (503 quarantined, not run, with the time until it is sent again). Reports only add up, so they may come in any order and twice. They go over links, three routers a round, at most 12 requests a message, and what is held back stands in the store beside the router's own entry, in the same call. The rule is decision::quarantine. The draw of routers moves from the link to the context, which the clock used the link for.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -45,6 +45,11 @@
         /// The load that the target reported.
         load: Option<Load>,
     },
+    /// The connection to a request's target broke off.
+    BrokenOff {
+        /// The request.
+        job: JobKey,
+    },
     /// A request has ended.
     End {
         /// The request.
@@ -186,6 +191,13 @@
         });
     }
 
+    /// Tells that the connection to the target broke off. To be told before the attempt ends.
+    pub fn broke_off(&self) {
+        self.controller.tell(Message::BrokenOff {
+            job: self.placement.job,
+        });
+    }
+
     /// Ends the request; `outcome` is how its last target is judged.
     pub fn end(mut self, outcome: Option<Outcome>) {
         self.finish(outcome);
--- a/src/gateway/control/clock.rs
+++ b/src/gateway/control/clock.rs
@@ -7,7 +7,6 @@
 use tokio::time::sleep;
 
 use super::context::Control;
-use super::link;
 use crate::boot_clock::Reading;
 use crate::gateway::clock::Readings;
 use crate::gateway::members::Router;
@@ -37,7 +36,7 @@
             Some(_) => (FAN_OUT, INTERVAL),
             None => (FIRST_FAN_OUT, FIRST_INTERVAL),
         };
-        for router in link::draw(&control, fan_out) {
+        for router in control.draw(fan_out) {
             let control = Rc::clone(&control);
             tokio::task::spawn_local(async move { ask(&control, &router).await });
         }
--- a/src/gateway/control/context.rs
+++ b/src/gateway/control/context.rs
@@ -1,11 +1,12 @@
 //! What the tasks of the control thread share.
 
 use std::cell::RefCell;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::seq::IndexedRandom;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -14,6 +15,10 @@
 
 use super::waiting::Queue;
 use crate::gateway::dialect::Dialect;
+use crate::gateway::fingerprint::Fingerprint;
+use crate::gateway::key::TargetKey;
+use crate::gateway::members::Router;
+use crate::gateway::quarantine::Hold;
 use crate::gateway::shared::Shared;
 use crate::gateway::state::State;
 use crate::gateway::targets::Outstanding;
@@ -51,6 +56,12 @@
     pub(super) borrowing: RefCell<HashSet<String>>,
     /// When all that were asked had no tokens of a customer.
     pub(super) nothing: RefCell<HashMap<String, Instant>>,
+    /// Targets whose ports are being asked for.
+    pub(super) probed: RefCell<HashSet<TargetKey>>,
+    /// The requests that are held back, as they were last logged and published.
+    pub(super) holds: RefCell<BTreeMap<Fingerprint, Hold>>,
+    /// The requests in this router's row of those that are held back.
+    pub(super) row_held: RefCell<Vec<Fingerprint>>,
     pub(super) started: Instant,
     /// The host's boot, where it tells one.
     pub(super) boot: Option<u64>,
@@ -81,6 +92,17 @@
         self.link.wait().await;
     }
 
+    /// Some of the other routers, drawn at random; also those that count as dead, since only a call shows
+    /// that they are back.
+    pub(super) fn draw(&self, count: usize) -> Vec<Router> {
+        let state = self.state.borrow();
+        let known: Vec<&Router> = state.members.known().collect();
+        known
+            .sample(&mut rand::rng(), count)
+            .map(|router| (*router).clone())
+            .collect()
+    }
+
     /// Publishes where callers may connect.
     pub(super) fn publish_caller_addresses(&self) {
         let addresses = self.state.borrow().members.caller_addresses(self.now());
--- a/src/gateway/control/follow.rs
+++ b/src/gateway/control/follow.rs
@@ -6,8 +6,8 @@
 
 use tokio::time::{Instant, sleep, timeout};
 
-use super::apply;
 use super::context::Control;
+use super::{apply, quarantine};
 use crate::store::{CallError, Page, Partition, Record, Timeout, Topic, hedge};
 use crate::util;
 
@@ -147,7 +147,9 @@
                 let now = control.now();
                 control.state.borrow_mut().members.note_read(now);
                 for record in &page.records {
-                    apply::router(&control, record);
+                    if !quarantine::take_row(&control, record) {
+                        apply::router(&control, record);
+                    }
                 }
             }
             // The next read is of the newest entries.
@@ -162,16 +164,21 @@
     }
 }
 
-/// Writes this router's entry. An append that fails is noted, and repeated with the next heartbeat.
+/// Writes this router's entry, and with it the requests that it holds back where they have changed. An append that fails is noted, and repeated with the next heartbeat.
 async fn write_own(control: &Control, follower: &mut Follower) {
     let partition = follower.partition;
-    let record = own_record(control);
+    let mut records = vec![own_record(control)];
+    let row = quarantine::own_row(control);
+    let held = row.map(|(record, held)| {
+        records.push(record);
+        held
+    });
     let begun = Instant::now();
     let limit = follower.timeout.get();
-    let result = control
-        .store
-        .append(partition, &[record], None, limit)
-        .await;
+    let result = control.store.append(partition, &records, None, limit).await;
+    if let (Ok(_), Some(held)) = (&result, held) {
+        control.row_held.replace(held);
+    }
     follower.timeout.note(&result, begun.elapsed());
     control
         .shared
--- a/src/gateway/control/link.rs
+++ b/src/gateway/control/link.rs
@@ -7,14 +7,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use rand::seq::IndexedRandom;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use super::context::Control;
-use super::{apply, clock, loans};
+use super::{apply, clock, loans, quarantine};
 use crate::gateway::members::{Router, Source};
 use crate::gateway::message::{Heartbeat, Reply, Request};
 use crate::wire::{self, Missing};
@@ -84,6 +83,10 @@
             Reply::Taken
         }
         Request::Clocks => Reply::Clocks(clock::read(control)),
+        Request::Suspects(reports) => {
+            quarantine::merge(control, &reports);
+            Reply::Noted
+        }
     };
     // A peer that has hung up meanwhile asks again.
     let _ = reply.send(answer);
@@ -131,24 +134,13 @@
 pub(super) async fn send_heartbeats(control: Rc<Control>) {
     loop {
         sleep(INTERVAL).await;
-        for router in draw(&control, FAN_OUT) {
+        for router in control.draw(FAN_OUT) {
             let control = Rc::clone(&control);
             tokio::task::spawn_local(async move { exchange(&control, router).await });
         }
     }
 }
 
-/// Some of the other routers, drawn at random; also those that count as dead, since only a call shows
-/// that they are back.
-pub(super) fn draw(control: &Control, count: usize) -> Vec<Router> {
-    let state = control.state.borrow();
-    let known: Vec<&Router> = state.members.known().collect();
-    known
-        .sample(&mut rand::rng(), count)
-        .map(|router| (*router).clone())
-        .collect()
-}
-
 async fn exchange(control: &Rc<Control>, router: Router) {
     let request = Request::Heartbeat(own_heartbeat(control));
     match control.links.ask(router.link, &request).await {
@@ -167,7 +159,13 @@
                 apply::peer_targets(control, targets);
             }
         }
-        Ok(reply @ (Reply::Lent(_) | Reply::Taken | Reply::Declined | Reply::Clocks(_))) => {
+        Ok(
+            reply @ (Reply::Lent(_)
+            | Reply::Taken
+            | Reply::Declined
+            | Reply::Clocks(_)
+            | Reply::Noted),
+        ) => {
             tracing::warn!(event = "peer_answer_unfit", name = %router.name, ?reply);
         }
         Err(missing) => set_unreachable(control, &router, missing),
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -11,6 +11,7 @@
 mod grants;
 mod link;
 mod loans;
+mod quarantine;
 mod rows;
 mod shortage;
 mod waiting;
@@ -90,6 +91,9 @@
         peer_loads: RefCell::default(),
         borrowing: RefCell::default(),
         nothing: RefCell::default(),
+        probed: RefCell::default(),
+        holds: RefCell::default(),
+        row_held: RefCell::default(),
         started: Instant::now(),
         boot: started.map(|started| started.boot),
         clock_start: started.map_or(boot_clock::AT_BOOT, |started| started.at),
@@ -103,6 +107,7 @@
     let link = link::listen(parts.link, parts.fleet_key, asked, closing);
     tasks.spawn_local(control.link.track_future(link));
     tasks.spawn_local(link::send_heartbeats(Rc::clone(&control)));
+    tasks.spawn_local(quarantine::tell(Rc::clone(&control)));
     tasks.spawn_local(clock::compare(Rc::clone(&control)));
     tasks.spawn_local(loans::give_back_excess(Rc::clone(&control)));
     tasks.block_on(&runtime, serve(control, parts.messages, questions));
@@ -150,6 +155,7 @@
             answer(&mut state, now, reply, next);
         }
         Message::Answered { job, load } => control.state.borrow_mut().answered(now, job, load),
+        Message::BrokenOff { job } => quarantine::broken_off(control, job),
         Message::End { job, ending } => control.state.borrow_mut().end(now, job, ending),
         Message::Leave => {
             control.state.borrow_mut().members.me.is_ready = false;
@@ -177,11 +183,14 @@
         wait_for_grant(control, job, wait, reply);
         return;
     }
-    let is_exhausted = result == Err(Refusal::Exhausted);
-    answer(&mut state, now, reply, result);
+    answer(&mut state, now, reply, result.clone());
     drop(state);
-    if is_exhausted {
-        shortage::log(control, &job, Refusal::Exhausted);
+    match result {
+        Err(Refusal::Exhausted) => shortage::log(control, &job, Refusal::Exhausted),
+        Err(Refusal::Quarantined { .. }) => {
+            quarantine::log_refusal(control, &job.id, job.fingerprint);
+        }
+        _ => {}
     }
 }
 
--- a/src/gateway/decision/mod.rs
+++ b/src/gateway/decision/mod.rs
@@ -9,6 +9,7 @@
 pub mod grant;
 pub mod overload;
 pub mod placement;
+pub mod quarantine;
 pub mod refusal;
 pub mod retry;
 pub mod stop;
--- a/src/gateway/decision/refusal.rs
+++ b/src/gateway/decision/refusal.rs
@@ -54,6 +54,11 @@
     Scarce,
     /// This router's part does not cover it, while the store does not answer.
     CutOff,
+    /// Targets crashed under it one after the other, so it is sent to none.
+    Quarantined {
+        /// How long that holds.
+        left: Millis,
+    },
 }
 
 /// What is known when tokens did not come that a request waited for.
@@ -199,6 +204,7 @@
             Self::Refused(Refusal::Short) => Some(GRANT_RETRY),
             Self::Refused(Refusal::Scarce) => Some(SCARCE_RETRY),
             Self::Refused(Refusal::CutOff) => Some(CUT_OFF_RETRY),
+            Self::Refused(Refusal::Quarantined { left }) => Some(left),
             Self::Refused(Refusal::NoTarget) | Self::Unreachable => Some(NO_TARGET_RETRY),
             Self::Refused(Refusal::NoRepeats) | Self::TargetRefused => Some(REFUSED_RETRY),
             Self::BadHeader
@@ -231,6 +237,7 @@
             Self::Refused(Refusal::Short) => "budget_short_here",
             Self::Refused(Refusal::Scarce) => "budget_short_everywhere",
             Self::Refused(Refusal::CutOff) => "budget_short_and_cut_off",
+            Self::Refused(Refusal::Quarantined { .. }) => "quarantined",
             Self::TargetRefused => "target_refused",
             Self::Unreachable => "unreachable",
             Self::Late => "late",
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -103,6 +103,9 @@
 impl Failed {
     /// Ends the request with it.
     pub(super) fn end(self) {
+        if self.failure == Failure::BrokenOff {
+            self.attempt.broke_off();
+        }
         self.attempt.end(self.failure.outcome());
     }
 }
@@ -132,6 +135,7 @@
             id: self.request.id.clone(),
             services: services.collect(),
             prompt: self.request.prompt.clone(),
+            fingerprint: self.fingerprint,
             payer: admission::payer(customer, self.request.prompt.is_some()),
         }
     }
@@ -292,6 +296,9 @@
             unreached = self.unreached,
             ms = self.started.elapsed().as_millis() as u64
         );
+        if failure == Failure::BrokenOff {
+            attempt.broke_off();
+        }
         if let Decision::GiveUp(_) = decision {
             attempt.end(failure.outcome());
             return None;
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use super::dialect::Prompt;
+use super::fingerprint::Fingerprint;
 use super::key::{JobKey, TargetKey};
 use crate::ejection::Outcome;
 use crate::units::Tokens;
@@ -16,6 +17,8 @@
     pub services: Vec<(String, f64)>,
     /// Set for a model request.
     pub prompt: Option<Prompt>,
+    /// The same for each try of the request.
+    pub fingerprint: Fingerprint,
     /// Who pays, and all that it has prepaid.
     pub payer: Option<(String, Tokens)>,
 }
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -14,6 +14,7 @@
 
 use super::body::Body;
 use super::dialect::Dialect;
+use super::quarantine;
 use super::relay::Relay;
 use super::serve;
 use super::shared::Shared;
@@ -61,7 +62,9 @@
                 plain(StatusCode::OK, "application/json", Body::full(body))
             }
             Self::Metrics(shared, dropped) => {
-                let text = shared.metrics.text(dropped());
+                let mut text = shared.metrics.text(dropped());
+                let refused = shared.quarantine_refused.get();
+                text.push_str(&quarantine::text(&shared.quarantine.load(), refused));
                 plain(StatusCode::OK, "text/plain", Body::full(text))
             }
         }
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -6,6 +6,7 @@
 use super::clock::Readings;
 use super::escrow::Loan;
 use super::members::Router;
+use super::quarantine::Report;
 use super::targets::{Outstanding, View};
 use crate::units::Tokens;
 
@@ -43,6 +44,8 @@
     },
     /// What do its host's clocks read?
     Clocks,
+    /// Requests that were beside crashes of targets.
+    Suspects(Vec<Report>),
 }
 
 /// What it is answered.
@@ -65,4 +68,6 @@
     Declined,
     /// What the clocks of the answering router's host read.
     Clocks(Readings),
+    /// What was told has been taken in.
+    Noted,
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 pub mod message;
 pub mod metrics;
 mod process;
+pub mod quarantine;
 mod relay;
 pub mod reply;
 pub mod route;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -12,7 +12,7 @@
 
 use super::body::Body;
 use super::deadline::Deadline;
-use super::decision::refusal::{Outlook, Reason};
+use super::decision::refusal::{Outlook, Reason, Refusal};
 use super::decision::retry::Verdict;
 use super::decision::{admission, overload};
 use super::dialect;
@@ -124,6 +124,9 @@
         Verdict::NotRun => metrics.refused.add(1),
     }
     metrics.refusal.note(elapsed);
+    if matches!(reason, Reason::Refused(Refusal::Quarantined { .. })) {
+        relay.shared.quarantine_refused.add(1);
+    }
     let retry_after = reason.retry_after(&Outlook {
         id,
         store_lost: relay.shared.store_lost(),
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -14,7 +14,8 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use super::metrics::Metrics;
+use super::metrics::{Counter, Metrics};
+use super::quarantine::Held;
 use super::route::Config;
 use super::stop::Progress;
 use crate::store::{CallError, Topic};
@@ -37,6 +38,10 @@
     pub caller_addresses: ArcSwap<Vec<SocketAddr>>,
     /// Where targets listen.
     pub target_addresses: ArcSwap<HashSet<SocketAddr>>,
+    /// Requests that are held back.
+    pub quarantine: ArcSwap<Vec<Held>>,
+    /// Requests that were refused since they are held back.
+    pub quarantine_refused: Counter,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Wakes the task that writes this router's own entry.
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -20,8 +20,10 @@
 use super::job::{Delivery, Ending, Job, Placement};
 use super::key::{JobKey, TargetKey};
 use super::members::{Members, Router};
+use super::quarantine::{Broken, Quarantine};
 use super::targets::Targets;
 use crate::boot_clock::Reading;
+use crate::ejection::Outcome;
 use crate::units::{Millis, Tokens};
 
 /// Settings of the control state.
@@ -49,6 +51,8 @@
     tried: Vec<TargetKey>,
     /// The target of its current attempt.
     target: Option<TargetKey>,
+    /// When that attempt began.
+    sent: Millis,
     /// Prompt tokens of that attempt, until the target has begun to answer.
     backlog: u64,
     /// Reserved until the request has ended, however often it is tried.
@@ -66,6 +70,8 @@
     pub members: Members,
     /// The time of day that the hosts agree on.
     pub clock: Clock,
+    /// Requests that were beside crashes of targets.
+    pub quarantine: Quarantine,
     accounts: HashMap<String, Account>,
     ledgers: HashMap<String, Ledger>,
     prepaid: HashMap<String, Tokens>,
@@ -83,6 +89,7 @@
             random: StdRng::seed_from_u64(settings.seed),
             clock: Clock::new(settings.started.map(|started| started.boot)),
             settings,
+            quarantine: Quarantine::default(),
             targets: Targets::default(),
             accounts: HashMap::new(),
             ledgers: HashMap::new(),
@@ -98,11 +105,13 @@
     /// # Errors
     /// Why it does not run. [`Refusal::Short`] may change with the next grant.
     pub fn begin(&mut self, now: Millis, job: Job) -> Result<Placement, Refusal> {
+        self.check_quarantine(now, &job)?;
         let service = self.draw_service(&job);
         let mut running = Running {
             service,
             tried: Vec::new(),
             target: None,
+            sent: now,
             backlog: 0,
             reserved: Tokens::ZERO,
             delivery: Delivery::Nothing,
@@ -117,7 +126,7 @@
         budget.note_request(now, &self.settings.retries);
         let key = JobKey(self.next_job);
         self.next_job += 1;
-        Ok(self.place(key, running, target))
+        Ok(self.place(now, key, running, target))
     }
 
     /// Starts another attempt of a request whose last one has failed.
@@ -136,7 +145,7 @@
         };
         self.end_attempt(now, &mut running, ending);
         match self.retry_target(now, &running, charge) {
-            Ok(target) => Ok(self.place(key, running, target)),
+            Ok(target) => Ok(self.place(now, key, running, target)),
             Err(refusal) => {
                 self.settle(&running);
                 Err(refusal)
@@ -151,6 +160,7 @@
         running: &Running,
         charge: Charge,
     ) -> Result<TargetKey, Refusal> {
+        self.check_quarantine(now, &running.job)?;
         let target = self.choose(now, running).ok_or(Refusal::NoTarget)?;
         if charge == Charge::Free {
             return Ok(target);
@@ -167,7 +177,14 @@
         }
     }
 
-    fn place(&mut self, key: JobKey, mut running: Running, target: TargetKey) -> Placement {
+    fn place(
+        &mut self,
+        now: Millis,
+        key: JobKey,
+        mut running: Running,
+        target: TargetKey,
+    ) -> Placement {
+        running.sent = now;
         let prompt = running.job.prompt.as_ref();
         running.backlog = prompt.map_or(0, |prompt| prompt.tokens.0);
         running.target = Some(target);
@@ -200,9 +217,56 @@
         }
     }
 
+    /// Whether a request may be sent to targets.
+    fn check_quarantine(&self, now: Millis, job: &Job) -> Result<(), Refusal> {
+        match self.quarantine.hold(now, job.fingerprint) {
+            Some(hold) => Err(Refusal::Quarantined {
+                left: hold.left(now),
+            }),
+            None => Ok(()),
+        }
+    }
+
+    /// Notes that a request's target broke off. The target is returned where it may have crashed and that is
+    /// not known yet.
+    pub fn broke_off(&mut self, now: Millis, key: JobKey) -> Option<TargetKey> {
+        let running = self.running.get(&key)?;
+        let target = running.target?;
+        // One that leaves, or is gone from the list, ends as planned.
+        let listed = self.targets.get(target);
+        if !listed.is_open() {
+            return None;
+        }
+        let broken = Broken {
+            fingerprint: running.job.fingerprint,
+            instance: listed.hash(),
+            sent: running.sent,
+        };
+        let has_crashed = self.quarantine.note_broken(now, broken);
+        if has_crashed {
+            log_crash(now, &broken, &listed.listing.instance);
+        }
+        (!has_crashed).then_some(target)
+    }
+
+    /// Notes that a target has crashed.
+    pub fn crashed(&mut self, now: Millis, target: TargetKey) {
+        let listed = self.targets.get(target);
+        let (hash, instance) = (listed.hash(), listed.listing.instance.clone());
+        let beside = self.quarantine.note_crash(now, hash);
+        tracing::warn!(event = "target_crashed", %instance, beside = beside.len());
+        for broken in &beside {
+            log_crash(now, broken, &instance);
+        }
+    }
+
     /// Notes that a request has ended.
     pub fn end(&mut self, now: Millis, key: JobKey, ending: Ending) {
         if let Some(mut running) = self.running.remove(&key) {
+            if let Some(Outcome::Answered { .. }) = ending.outcome {
+                let fingerprint = running.job.fingerprint;
+                self.quarantine.note_answered(now, fingerprint);
+            }
             self.end_attempt(now, &mut running, ending);
             self.settle(&running);
         }
@@ -259,3 +323,13 @@
         self.settings.me.incarnation
     }
 }
+
+/// Logs that a request was beside a crash: what a request that is held back later was decided by.
+fn log_crash(now: Millis, broken: &Broken, instance: &str) {
+    tracing::info!(
+        event = "crash_noted",
+        fingerprint = %broken.fingerprint,
+        %instance,
+        sent_ago_ms = now.saturating_sub(broken.sent).0
+    );
+}
--- a/src/gateway/targets/registry.rs
+++ b/src/gateway/targets/registry.rs
@@ -282,8 +282,13 @@
 }
 
 impl Target {
+    /// Hash of its instance, by which routers speak of it.
+    pub fn hash(&self) -> u64 {
+        hash(&self.listing.instance)
+    }
+
     /// Whether it takes requests.
-    fn is_open(&self) -> bool {
+    pub fn is_open(&self) -> bool {
         self.is_listed && self.listing.is_ready
     }
 
--- a/tests/crashing_request.rs
+++ b/tests/crashing_request.rs
@@ -189,4 +189,15 @@
         assert!(!answer.header("retry-after").is_empty());
     }
     assert_eq!(crashes(&runners).len(), before, "no target ends by it");
+    for gateway in &deployment.gateways {
+        let text = ask(gateway.metrics, &Ask::get("/metrics")).await.body;
+        assert!(
+            text.contains("lanedeck_quarantine_held 1\n"),
+            "an operator sees it: {text}"
+        );
+        assert!(
+            text.contains("lanedeck_quarantine_refused_total 1\n"),
+            "{text}"
+        );
+    }
 }
--- /dev/null
+++ b/tests/quarantine_rules.rs
@@ -0,0 +1,293 @@
+//! Which requests are held back for crashes of targets, and which are not, whatever happens beside them.
+
+use std::collections::BTreeSet;
+
+use arbtest::arbtest;
+use lanedeck::gateway::fingerprint::Fingerprint;
+use lanedeck::gateway::message::Request;
+use lanedeck::gateway::quarantine::{Broken, Quarantine, REMEMBERED, Report};
+use lanedeck::units::Millis;
+use lanedeck::util;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const START: Millis = Millis(10_000_000);
+
+fn at(ms: u64) -> Millis {
+    START + Millis(ms)
+}
+
+fn request(number: u64) -> Fingerprint {
+    of_customer(1, number)
+}
+
+fn of_customer(customer: u64, request: u64) -> Fingerprint {
+    Fingerprint { customer, request }
+}
+
+/// Requests that were sent to a target 100 ms before it crashed.
+fn crash(quarantine: &mut Quarantine, ms: u64, instance: u64, requests: &[Fingerprint]) {
+    for fingerprint in requests {
+        quarantine.note_broken(
+            at(ms),
+            Broken {
+                fingerprint: *fingerprint,
+                instance,
+                sent: at(ms - 100),
+            },
+        );
+    }
+    quarantine.note_crash(at(ms), instance);
+}
+
+fn is_held(quarantine: &Quarantine, ms: u64, request: Fingerprint) -> bool {
+    quarantine.hold(at(ms), request).is_some()
+}
+
+#[test]
+fn third_in_a_row() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=3 {
+        assert!(!is_held(&quarantine, 5_000, request(7)), "{number}");
+        crash(&mut quarantine, 1_000 * number, number, &[request(7)]);
+    }
+    let hold = quarantine.hold(at(5_000), request(7)).unwrap();
+    assert_eq!((hold.crashes, hold.last), (3, at(3_000)));
+    assert_eq!(hold.left(at(5_000)), Millis(REMEMBERED.0 - 2_000));
+    assert!(!is_held(&quarantine, 5_000, request(8)), "nobody else is");
+    let ended = 3_000 + REMEMBERED.0;
+    assert!(
+        !is_held(&quarantine, ended, request(7)),
+        "it is tried again"
+    );
+}
+
+/// Of what was under way when it was held back, targets still crash; that does not make it forgotten.
+#[test]
+fn under_way_meanwhile() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=3 {
+        crash(&mut quarantine, 1_000 * number, number, &[request(7)]);
+    }
+    for number in 4..=20 {
+        crash(&mut quarantine, 3_000 + number, number, &[request(7)]);
+        assert!(is_held(&quarantine, 3_100, request(7)), "{number}");
+    }
+}
+
+#[test]
+fn connection_alone() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=9 {
+        let broken = Broken {
+            fingerprint: request(7),
+            instance: number,
+            sent: at(1_000 * number),
+        };
+        quarantine.note_broken(at(1_000 * number + 50), broken);
+    }
+    assert!(
+        !is_held(&quarantine, 9_500, request(7)),
+        "no target crashed"
+    );
+    quarantine.note_crash(at(20_000), 9);
+    assert!(
+        quarantine.tell(at(20_000)).is_empty(),
+        "long after, nothing says it was the crash"
+    );
+}
+
+/// A rack, a cut or a reset hits all that is under way, a request that many ask at once as often as it is.
+#[test]
+fn all_at_once() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=20 {
+        crash(&mut quarantine, 1_000 + number, number, &[request(7)]);
+    }
+    assert!(
+        !is_held(&quarantine, 2_000, request(7)),
+        "it was beside one event"
+    );
+}
+
+#[test]
+fn answered_is_cleared() {
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, 1_000, 1, &[request(7)]);
+    crash(&mut quarantine, 2_000, 2, &[request(7)]);
+    quarantine.note_answered(at(2_500), request(7));
+    for number in 3..=9 {
+        crash(&mut quarantine, 1_000 * number, number, &[request(7)]);
+    }
+    assert!(!is_held(&quarantine, 9_500, request(7)));
+    // The same where it was answered before the first of them.
+    quarantine.note_answered(at(10_000), request(8));
+    for number in 11..=19 {
+        crash(&mut quarantine, 1_000 * number, number, &[request(8)]);
+    }
+    assert!(!is_held(&quarantine, 20_000, request(8)));
+}
+
+#[test]
+fn answered_elsewhere() {
+    let (mut here, mut there) = (Quarantine::default(), Quarantine::default());
+    for number in 1..=3 {
+        crash(&mut here, 1_000 * number, number, &[request(7)]);
+    }
+    assert!(is_held(&here, 3_100, request(7)));
+    there.note_answered(at(500), request(7));
+    for report in here.tell(at(3_100)) {
+        there.merge(at(3_100), &report);
+    }
+    assert!(!is_held(&there, 3_100, request(7)));
+    for report in there.tell(at(3_200)) {
+        here.merge(at(3_200), &report);
+    }
+    assert!(
+        !is_held(&here, 3_200, request(7)),
+        "who told of the crashes learns it"
+    );
+    // What a router that was cut off still tells does not bring it back.
+    let mut late = Quarantine::default();
+    for number in 1..=3 {
+        crash(&mut late, 1_000 * number, number, &[request(7)]);
+    }
+    for report in late.tell(at(60_000)) {
+        here.merge(at(60_000), &report);
+    }
+    assert!(!is_held(&here, 60_000, request(7)));
+}
+
+#[test]
+fn beside_the_cause() {
+    let (cause, other) = (request(7), request(8));
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, 1_000, 1, &[cause]);
+    for number in 2..=4 {
+        crash(&mut quarantine, 1_000 * number, number, &[cause, other]);
+    }
+    assert!(is_held(&quarantine, 4_500, cause));
+    assert!(
+        !is_held(&quarantine, 4_500, other),
+        "the other one explains them"
+    );
+    for number in 5..=7 {
+        crash(&mut quarantine, 1_000 * number, number, &[other]);
+    }
+    assert!(
+        is_held(&quarantine, 7_500, other),
+        "it crashes targets by itself"
+    );
+}
+
+#[test]
+fn always_together() {
+    let both = [request(7), request(8)];
+    let mut quarantine = Quarantine::default();
+    for number in 1..=4 {
+        crash(&mut quarantine, 1_000 * number, number, &both);
+        assert!(both.iter().all(|one| !is_held(&quarantine, 4_500, *one)));
+    }
+    crash(&mut quarantine, 5_000, 5, &both);
+    assert!(both.iter().all(|one| is_held(&quarantine, 5_500, *one)));
+}
+
+/// Who invents requests that crash targets neither fills the memory nor has others forgotten.
+#[test]
+fn invented_requests() {
+    let mut quarantine = Quarantine::default();
+    let victim = of_customer(2, 7);
+    crash(&mut quarantine, 1_000, 1, &[victim]);
+    crash(&mut quarantine, 2_000, 2, &[victim]);
+    for number in 3..20_000 {
+        crash(
+            &mut quarantine,
+            2_000 + number,
+            number,
+            &[of_customer(1, number)],
+        );
+    }
+    let told = quarantine.tell(at(30_000));
+    let bytes = util::encode(&Request::Suspects(told)).len();
+    assert!(bytes < 600, "{bytes} bytes are told in a round");
+    crash(&mut quarantine, 40_000, 30_000, &[victim]);
+    assert!(
+        is_held(&quarantine, 40_100, victim),
+        "nothing of it was forgotten"
+    );
+}
+
+/// Whatever order reports come in, and however often, all routers come to the same view.
+#[test]
+fn any_order() {
+    arbtest(|u| {
+        let mut sources = [Quarantine::default(), Quarantine::default()];
+        for number in 1..=u.int_in_range(1..=12)? {
+            let requests: [bool; 3] = u.arbitrary()?;
+            let beside: Vec<Fingerprint> = (0..3)
+                .filter(|one| requests[*one])
+                .map(|one| request(one as u64))
+                .collect();
+            let source = &mut sources[usize::from(u.arbitrary::<bool>()?)];
+            if u.ratio(1, 8)? {
+                source.note_answered(at(1_000 * number), request(0));
+            } else {
+                crash(source, 1_000 * number, number, &beside);
+            }
+        }
+        let now = at(20_000);
+        let mut reports: Vec<Report> = Vec::new();
+        for source in &mut sources {
+            reports.extend(source.tell(now));
+        }
+        let mut views = [Quarantine::default(), Quarantine::default()];
+        for report in &reports {
+            views[0].merge(now, report);
+        }
+        for _ in 0..reports.len() * 4 {
+            if !reports.is_empty() {
+                let one = u.choose_index(reports.len())?;
+                views[1].merge(now, &reports[one]);
+            }
+        }
+        for report in reports.iter().rev() {
+            views[1].merge(now, report);
+        }
+        let held = |view: &Quarantine| view.holds().keys().copied().collect::<BTreeSet<_>>();
+        assert_eq!(held(&views[0]), held(&views[1]));
+        Ok(())
+    });
+}
+
+/// A fleet of 295 knows of a request within two seconds, although each of its crashes was seen by another router.
+#[test]
+fn large_fleet() {
+    const ROUTERS: usize = 295;
+    const ROUND: u64 = 300;
+    let mut random = StdRng::seed_from_u64(1);
+    let mut fleet: Vec<Quarantine> = (0..ROUTERS).map(|_| Quarantine::default()).collect();
+    for number in 1..=3 {
+        crash(
+            &mut fleet[number as usize * 50],
+            1_000 + number * 200,
+            number,
+            &[request(7)],
+        );
+    }
+    let (mut ms, mut bytes) = (1_600, 0);
+    while !fleet.iter().all(|one| is_held(one, ms, request(7))) {
+        ms += ROUND;
+        assert!(ms <= 3_600, "two seconds");
+        for teller in 0..ROUTERS {
+            let reports = fleet[teller].tell(at(ms));
+            for _ in 0..3 {
+                bytes += util::encode(&reports).len();
+                let other = random.random_range(0..ROUTERS);
+                for report in &reports {
+                    fleet[other].merge(at(ms), report);
+                }
+            }
+        }
+    }
+    assert!(bytes / ROUTERS < 2_000, "{bytes} bytes in all");
+}
--- a/tests/untaken_attempt.rs
+++ b/tests/untaken_attempt.rs
@@ -8,6 +8,7 @@
 
 use futures::FutureExt;
 use lanedeck::gateway::attempt::{Controller, Message, Reply};
+use lanedeck::gateway::fingerprint::Fingerprint;
 use lanedeck::gateway::job::{Job, Placement};
 use lanedeck::gateway::key::{JobKey, TargetKey};
 use tokio::sync::mpsc;
@@ -16,6 +17,7 @@
 
 fn job() -> Job {
     Job {
+        fingerprint: Fingerprint::default(),
         id: "r".into(),
         services: vec![("app".into(), 1.0)],
         prompt: None,
