--- a/src/boot_clock.rs
+++ b/src/boot_clock.rs
@@ -17,6 +17,17 @@
 /// What the clock reads at the boot, in milliseconds: differences to times before it are needed.
 pub const AT_BOOT: Millis = Millis(1_000_000);
 
+/// The time by the host's steady clock. Whatever is told to another host, or was told by one, is timed by it: the
+/// clock that timers run by stands still while the host sleeps, and would have a caller wait on that has left.
+///
+/// # Panics
+/// Where the system has no such clock; Linux has had one since 2.6.39.
+pub fn now() -> Millis {
+    let time =
+        clock_gettime(ClockId::CLOCK_BOOTTIME).expect("the system has a clock that counts sleep");
+    AT_BOOT + Millis(Duration::from(time).as_millis() as u64)
+}
+
 /// A time of the host's steady clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reading {
@@ -36,16 +47,6 @@
                 return None;
             }
         };
-        match clock_gettime(ClockId::CLOCK_BOOTTIME) {
-            Ok(time) => {
-                let elapsed = Duration::from(time).as_millis() as u64;
-                let at = AT_BOOT + Millis(elapsed);
-                Some(Self { boot, at })
-            }
-            Err(error) => {
-                tracing::warn!(event = "boot_clock_unreadable", %error);
-                None
-            }
-        }
+        Some(Self { boot, at: now() })
     }
 }
--- a/src/gateway/control/context.rs
+++ b/src/gateway/control/context.rs
@@ -4,7 +4,6 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use rand::seq::IndexedRandom;
 use tokio::sync::Notify;
@@ -15,6 +14,7 @@
 
 use super::bad_entries::BadEntries;
 use super::waiting::Queue;
+use crate::boot_clock;
 use crate::gateway::dialect::Dialect;
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::key::TargetKey;
@@ -29,7 +29,7 @@
 
 /// How long another router's outstanding requests count after it told of them. Not measured: four of
 /// its heartbeats.
-const LOAD_BELIEVED: Duration = Duration::from_millis(1_200);
+const LOAD_BELIEVED: Millis = Millis(1_200);
 
 /// The control thread's state and its means.
 pub(super) struct Control {
@@ -65,11 +65,8 @@
     pub(super) holds: RefCell<BTreeMap<Fingerprint, Hold>>,
     /// The requests in this router's row of those that are held back.
     pub(super) row_held: RefCell<Vec<Fingerprint>>,
-    pub(super) started: Instant,
     /// The host's boot, where it tells one.
     pub(super) boot: Option<u64>,
-    /// What the control state's clock read then.
-    pub(super) clock_start: Millis,
 }
 
 /// How the task that renews a partition's grants is spoken with.
@@ -84,8 +81,7 @@
 impl Control {
     /// The time of the control state's clock.
     pub(super) fn now(&self) -> Millis {
-        let elapsed = u64::try_from(self.started.elapsed().as_millis());
-        self.clock_start + Millis(elapsed.expect("a process runs for less than 2^64 milliseconds"))
+        boot_clock::now()
     }
 
     /// Closes the link, once what other routers have asked is answered.
@@ -166,16 +162,16 @@
     }
 }
 
-/// What other routers have at which target, by router.
+/// What other routers have at which target, by router, and when they told it.
 #[derive(Debug, Default)]
-pub(super) struct PeerLoads(HashMap<String, (Instant, Vec<Outstanding>)>);
+pub(super) struct PeerLoads(HashMap<String, (Millis, Vec<Outstanding>)>);
 
 impl PeerLoads {
     /// Replaces what a router has.
-    pub(super) fn set(&mut self, router: &str, outstanding: Vec<Outstanding>) {
+    pub(super) fn set(&mut self, now: Millis, router: &str, outstanding: Vec<Outstanding>) {
+        self.0.insert(router.to_owned(), (now, outstanding));
         self.0
-            .insert(router.to_owned(), (Instant::now(), outstanding));
-        self.0.retain(|_, (at, _)| at.elapsed() < LOAD_BELIEVED);
+            .retain(|_, (at, _)| now.saturating_sub(*at) < LOAD_BELIEVED);
     }
 
     /// What all of them have.
--- a/src/gateway/control/link.rs
+++ b/src/gateway/control/link.rs
@@ -123,7 +123,7 @@
 /// Takes another router's heartbeat in.
 fn take(control: &Control, heartbeat: Heartbeat) {
     let mut loads = control.peer_loads.borrow_mut();
-    loads.set(&heartbeat.router.name, heartbeat.outstanding);
+    loads.set(control.now(), &heartbeat.router.name, heartbeat.outstanding);
     control.state.borrow_mut().targets.set_others(loads.all());
     if apply::heartbeat(control, heartbeat.router, Source::Link) {
         control.publish_caller_addresses();
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -37,7 +37,6 @@
 use super::job::Job;
 use super::shared::Shared;
 use super::state::{Settings, State};
-use crate::boot_clock;
 use crate::store::Store;
 
 /// What the control thread is started with.
@@ -96,9 +95,7 @@
         probed: RefCell::default(),
         holds: RefCell::default(),
         row_held: RefCell::default(),
-        started: Instant::now(),
         boot: started.map(|started| started.boot),
-        clock_start: started.map_or(boot_clock::AT_BOOT, |started| started.at),
     });
     let (asked, questions) = mpsc::unbounded_channel();
     let tasks = LocalSet::new();
--- a/src/gateway/deadline.rs
+++ b/src/gateway/deadline.rs
@@ -9,17 +9,23 @@
 use tokio::time::{Instant, sleep_until};
 use tokio_util::sync::CancellationToken;
 
+use crate::boot_clock;
+use crate::units::Millis;
+
 /// The end of a request's time.
 #[derive(Clone, Debug)]
-pub(super) struct Deadline {
-    /// Until when its caller waits.
-    pub(super) at: Instant,
+pub struct Deadline {
+    /// Until when its caller waits, by the clock that timers run by.
+    at: Instant,
+    /// The same by the clock that also counts while the host sleeps: a caller elsewhere does not wait longer for it,
+    /// and no target is told that it would.
+    at_boot: Millis,
     cut: CancellationToken,
 }
 
 /// Why a request's time is over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Over {
+pub enum Over {
     /// The caller waits no longer.
     Late,
     /// The process is stopping and waits no longer.
@@ -28,15 +34,17 @@
 
 impl Deadline {
     /// The end of the caller's time; `cut` is cancelled when a stop waits no longer.
-    pub(super) fn new(at: Instant, cut: CancellationToken) -> Self {
-        Self { at, cut }
+    pub fn new(at: Instant, cut: CancellationToken) -> Self {
+        let left = at.saturating_duration_since(Instant::now());
+        let at_boot = boot_clock::now() + Millis(left.as_millis() as u64);
+        Self { at, at_boot, cut }
     }
 
     /// Waits for something within the time.
     ///
     /// # Errors
     /// Why the time is over.
-    pub(super) async fn within<T>(&self, future: impl Future<Output = T>) -> Result<T, Over> {
+    pub async fn within<T>(&self, future: impl Future<Output = T>) -> Result<T, Over> {
         tokio::select! {
             biased;
             output = future => Ok(output),
@@ -46,10 +54,10 @@
     }
 
     /// Whether the time is over, and why.
-    pub(super) fn over(&self) -> Option<Over> {
+    pub fn over(&self) -> Option<Over> {
         if self.cut.is_cancelled() {
             Some(Over::Stop)
-        } else if Instant::now() >= self.at {
+        } else if self.left().is_zero() {
             Some(Over::Late)
         } else {
             None
@@ -57,7 +65,14 @@
     }
 
     /// What is left for the caller.
-    pub(super) fn left(&self) -> Duration {
-        self.at.saturating_duration_since(Instant::now())
+    pub fn left(&self) -> Duration {
+        self.left_at(boot_clock::now())
+    }
+
+    /// What is left for the caller at another time by the host's steady clock.
+    pub fn left_at(&self, now: Millis) -> Duration {
+        let awake = self.at.saturating_duration_since(Instant::now());
+        let left = self.at_boot.saturating_sub(now);
+        awake.min(Duration::from_millis(left.0))
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,7 +10,7 @@
 pub mod body;
 pub mod clock;
 mod control;
-mod deadline;
+pub mod deadline;
 pub mod decision;
 pub mod dialect;
 pub mod escrow;
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -3,7 +3,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -15,6 +15,8 @@
 use tokio::task::AbortHandle;
 
 use super::half_open::{HalfOpen, Writing};
+use crate::boot_clock;
+use crate::units::Millis;
 
 /// A request with its whole body.
 pub type Request = http::Request<Full<Bytes>>;
@@ -42,7 +44,7 @@
     task: AbortHandle,
     writing: Writing,
     /// When the other side may close it, while it is idle.
-    idle_until: Option<Instant>,
+    idle_until: Option<Millis>,
 }
 
 impl Drop for Connection {
@@ -105,13 +107,14 @@
     }
 
     /// Whether it can take a request now.
-    pub fn is_usable(&self, now: Instant) -> bool {
+    pub fn is_usable(&self, now: Millis) -> bool {
         let is_open = self.sender.is_ready() && !self.writing.is_broken();
         is_open && self.idle_until.is_none_or(|until| now < until)
     }
 
-    /// Notes that it is idle from now on, and for how long it may be used again.
+    /// Notes that it is idle from now on, and for how long it may be used again. The other side's clock runs on
+    /// while this host sleeps.
     pub fn set_idle(&mut self, idle: Duration) {
-        self.idle_until = Some(Instant::now() + idle);
+        self.idle_until = Some(boot_clock::now() + Millis(idle.as_millis() as u64));
     }
 }
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -4,9 +4,11 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use super::connection::Connection;
+use crate::boot_clock;
+use crate::units::Millis;
 
 /// Idle connections that are kept for one address.
 const IDLE_MAX: usize = 64;
@@ -20,9 +22,13 @@
 impl Pool {
     /// Takes a connection that can be used at once, and drops those that cannot.
     pub fn take(&self, address: SocketAddr) -> Option<Connection> {
+        self.take_at(boot_clock::now(), address)
+    }
+
+    /// The same at another time by the host's steady clock.
+    pub fn take_at(&self, now: Millis, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
-        let now = Instant::now();
         connections.retain(|connection| connection.is_usable(now));
         connections.pop()
     }
--- a/tests/early_answer.rs
+++ b/tests/early_answer.rs
@@ -8,11 +8,12 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, mpsc};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use deployment::{Ask, Deployment, LONG, config, list_at, try_ask};
 use http_body_util::{BodyExt, Collected, Full};
+use lanedeck::boot_clock;
 use lanedeck::net::Connection;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -220,7 +221,7 @@
     for has_end in [false, true] {
         let (mut line, body) = early_answer(answer, has_end).await;
         assert_eq!(body.as_deref(), Some(&b"whole"[..]));
-        assert!(!line.is_usable(Instant::now()));
+        assert!(!line.is_usable(boot_clock::now()));
         let second = timeout(LONG, line.send(long_request())).await;
         assert!(second.is_ok_and(|sent| sent.is_err_and(|error| error.was_not_sent)));
     }
--- /dev/null
+++ b/tests/host_sleep.rs
@@ -0,0 +1,60 @@
+//! Hosts that sleep for seconds: the clock that timers run by stands still meanwhile, all other hosts go on.
+//!
+//! A process that is stopped by a signal shows none of it, since both clocks run on; here the time is told.
+
+mod deployment;
+
+use std::time::Duration;
+
+use deployment::{Ask, LONG, ask_on};
+use lanedeck::boot_clock;
+use lanedeck::gateway::deadline::Deadline;
+use lanedeck::gateway::decision::retry::{Bound, Budget};
+use lanedeck::net::{self, Pool};
+use lanedeck::units::Millis;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+const SLEEP: Millis = Millis(4_000);
+
+#[tokio::test]
+async fn callers_time_goes_on() {
+    let at = Instant::now() + Duration::from_secs(6);
+    let deadline = Deadline::new(at, CancellationToken::new());
+    assert!(deadline.left() > Duration::from_secs(5));
+    let left = deadline.left_at(boot_clock::now() + SLEEP);
+    assert!(
+        left <= Duration::from_secs(2),
+        "no target is told more than the caller waits: {left:?}"
+    );
+    let left = deadline.left_at(boot_clock::now() + SLEEP + SLEEP);
+    assert!(left.is_zero());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connections_end() {
+    let runner = deployment::runner::Runner::start("i-1").await;
+    let pool = Pool::default();
+    let request = Ask::new("r1", "/x");
+    for (sleep, is_kept) in [(Millis::ZERO, true), (SLEEP, false)] {
+        let mut line = net::open(runner.address, LONG, LONG).await.unwrap();
+        assert_eq!(ask_on(&mut line, &request).await.unwrap().status, 200);
+        pool.put(runner.address, line, Duration::from_millis(3_000));
+        let taken = pool.take_at(boot_clock::now() + sleep, runner.address);
+        assert_eq!(taken.is_some(), is_kept, "after {sleep} ms of sleep");
+    }
+}
+
+#[test]
+fn retry_windows_pass() {
+    let bound = Bound {
+        ratio: 0.0,
+        window: Millis(3_000),
+        extra: 2.0,
+    };
+    let mut budget = Budget::default();
+    let now = boot_clock::now();
+    assert!(budget.take(now, &bound, 1));
+    assert!(!budget.take(now, &bound, 1));
+    assert!(budget.take(now + SLEEP, &bound, 1));
+}
