Break the circles of the control thread's tasks and of the links' two sides, and log an unreadable router once

Cause: loans took from link that a router does not answer, and link calls loans; client and server of the links took a window, a wait and the reading of a frame from each other. A writer that repeats an unreadable entry of a router made a line each time.

Change: what is shared stands below both: the context notes an unreachable router, wire::frame has what both sides keep to. No behaviour changes but the log line, which comes once an entry.

--- a/src/gateway/control/apply.rs
+++ b/src/gateway/control/apply.rs
@@ -149,9 +149,14 @@
     };
     match util::decode(value) {
         Some(router) => {
+            control.bad_routers.borrow_mut().remove(&record.key);
             heartbeat(control, router, Source::Store);
         }
-        None => tracing::warn!(event = "router_unreadable", key = %record.key, bytes = value.len()),
+        None => {
+            if control.bad_routers.borrow_mut().note(&record.key, 0) {
+                tracing::warn!(event = "router_unreadable", key = %record.key, bytes = value.len());
+            }
+        }
     }
 }
 
--- a/src/gateway/control/bad_entries.rs
+++ b/src/gateway/control/bad_entries.rs
@@ -1,4 +1,4 @@
-//! Entries of the list of targets that cannot be used, so that each is logged once and not each time that it is read.
+//! Entries in the store that cannot be used, so that each is logged once and not each time that it is read.
 
 use std::collections::HashMap;
 
--- a/src/gateway/control/context.rs
+++ b/src/gateway/control/context.rs
@@ -25,7 +25,7 @@
 use crate::gateway::targets::Outstanding;
 use crate::store::Store;
 use crate::units::{Millis, Tokens};
-use crate::wire;
+use crate::wire::{self, Missing};
 
 /// How long another router's outstanding requests count after it told of them. Not measured: four of
 /// its heartbeats.
@@ -59,6 +59,8 @@
     pub(super) nothing: RefCell<HashMap<String, Instant>>,
     /// Entries of the list of targets that cannot be used.
     pub(super) bad_entries: RefCell<BadEntries>,
+    /// Entries of routers that cannot be read, likewise.
+    pub(super) bad_routers: RefCell<BadEntries>,
     /// Targets whose ports are being asked for.
     pub(super) probed: RefCell<HashSet<TargetKey>>,
     /// The requests that are held back, as they were last logged and published.
@@ -102,6 +104,19 @@
             .collect()
     }
 
+    /// Notes that a router's link does not answer.
+    pub(super) fn set_unreachable(&self, router: &Router, missing: Missing) {
+        let mut state = self.state.borrow_mut();
+        let is_new = state
+            .members
+            .set_unreachable(&router.name, router.incarnation);
+        drop(state);
+        if is_new {
+            tracing::warn!(event = "peer_unreachable", name = %router.name, reason = %missing);
+            self.publish_caller_addresses();
+        }
+    }
+
     /// Publishes where callers may connect.
     pub(super) fn publish_caller_addresses(&self) {
         let addresses = self.state.borrow().members.caller_addresses(self.now());
--- a/src/gateway/control/link.rs
+++ b/src/gateway/control/link.rs
@@ -16,7 +16,7 @@
 use super::{apply, clock, loans, quarantine};
 use crate::gateway::members::{Router, Source};
 use crate::gateway::message::{Heartbeat, Reply, Request};
-use crate::wire::{self, Missing};
+use crate::wire;
 
 /// Interval of rounds of heartbeats. Not measured.
 const INTERVAL: Duration = Duration::from_millis(300);
@@ -168,18 +168,6 @@
         ) => {
             tracing::warn!(event = "peer_answer_unfit", name = %router.name, ?reply);
         }
-        Err(missing) => set_unreachable(control, &router, missing),
-    }
-}
-
-pub(super) fn set_unreachable(control: &Control, router: &Router, missing: Missing) {
-    let mut state = control.state.borrow_mut();
-    let is_new = state
-        .members
-        .set_unreachable(&router.name, router.incarnation);
-    drop(state);
-    if is_new {
-        tracing::warn!(event = "peer_unreachable", name = %router.name, reason = %missing);
-        control.publish_caller_addresses();
+        Err(missing) => control.set_unreachable(&router, missing),
     }
 }
--- a/src/gateway/control/loans.rs
+++ b/src/gateway/control/loans.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::context::Control;
-use super::{link, shortage};
+use super::shortage;
 use crate::gateway::escrow::Loan;
 use crate::gateway::members::Router;
 use crate::gateway::message::{Reply, Request};
@@ -78,7 +78,7 @@
             // It gives back what it has, and others get that.
             Ok(_) => continue,
             Err(missing) => {
-                link::set_unreachable(&control, &lender, missing);
+                control.set_unreachable(&lender, missing);
                 continue;
             }
         };
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -92,6 +92,7 @@
         borrowing: RefCell::default(),
         nothing: RefCell::default(),
         bad_entries: RefCell::default(),
+        bad_routers: RefCell::default(),
         probed: RefCell::default(),
         holds: RefCell::default(),
         row_held: RefCell::default(),
--- a/src/wire/client.rs
+++ b/src/wire/client.rs
@@ -14,12 +14,9 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::server::{WINDOW, collect};
+use super::frame::{WAIT, WINDOW, collect};
 use crate::util;
 
-/// Longest wait for a connection, and for an answer, where nothing else is said. Not measured.
-pub(super) const WAIT: Duration = Duration::from_millis(1_500);
-
 /// Why a peer gave no answer. Unless it says so, the question may have been taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 pub enum Missing {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,10 +1,8 @@
 //! What routers say to each other: h2 streams that carry one bincode frame each way.
 
 mod client;
+mod frame;
 mod server;
 
 pub use client::{Client, Missing};
 pub use server::serve;
-
-/// Longest frame taken, in bytes.
-const FRAME_MAX: usize = 16 << 20;
--- a/src/wire/server.rs
+++ b/src/wire/server.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use h2::RecvStream;
 use h2::server::SendResponse;
 use http::{Response, StatusCode};
@@ -13,14 +13,11 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::FRAME_MAX;
+use super::frame::{WAIT, WINDOW, collect};
 use crate::{net, util};
 
-/// Flow-control window of a stream and of a connection, in bytes.
-pub(super) const WINDOW: u32 = 1 << 20;
-
 /// Longest time in which connections end once the server closes: an asker waits no longer for an answer.
-const CLOSE_MAX: Duration = super::client::WAIT;
+const CLOSE_MAX: Duration = WAIT;
 
 /// Serves peers until `closing`, and then until the questions that have come are answered and all
 /// connections have ended. A peer must show the fleet's key; `answer` gives the reply to each question, or
@@ -163,17 +160,3 @@
     *response.status_mut() = status;
     response
 }
-
-/// Reads a body whole; `None` where it is longer than a frame may be.
-pub(super) async fn collect(mut body: RecvStream) -> Result<Option<Bytes>, h2::Error> {
-    let mut whole = BytesMut::new();
-    while let Some(part) = body.data().await {
-        let part = part?;
-        body.flow_control().release_capacity(part.len())?;
-        whole.extend_from_slice(&part);
-        if whole.len() > FRAME_MAX {
-            return Ok(None);
-        }
-    }
-    Ok(Some(whole.freeze()))
-}
