Soak: targets crash and start again under their id

Change: each seed with faults that comes after one with lapses has four crashes of targets, whose connections and port close and which are back 1.5 s later under their id with a new start; plans of other seeds are unchanged. The stand-in tells its start in each entry that it writes from then on. A constant stands with the others.

--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -40,6 +40,9 @@
 /// sent.
 const TOLD_MAX: usize = 12;
 
+/// Requests in a router's row: some kilobytes, far below what a record may have.
+const ROW_MAX: usize = 64;
+
 /// A request that broke off at a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Broken {
@@ -337,8 +340,7 @@
         }
     }
 
-    /// The requests that are held back and of whose crashes this router has seen one itself: the most recent, as
-    /// many as one customer's could be.
+    /// The requests that are held back and of whose crashes this router has seen one itself, the most recent first.
     pub fn own_holds(&self, now: Millis) -> Vec<Report> {
         let mut own: Vec<(&Fingerprint, &Suspect)> = self
             .holds
@@ -361,9 +363,6 @@
     }
 }
 
-/// Requests in a router's row: some kilobytes, far below what a record may have.
-const ROW_MAX: usize = 64;
-
 fn push<T>(recent: &mut VecDeque<T>, one: T) {
     recent.push_back(one);
     if recent.len() > UNCONFIRMED_MAX {
--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -254,10 +254,25 @@
 
 /// Writes the entry of an instance that is reached at an address.
 pub fn list_at(store: &Store, service: &str, instance: &str, address: SocketAddr, state: &str) {
-    let entry = json!({
+    list_born(store, service, instance, address, state, None);
+}
+
+/// The same with the time of its start, if it tells one.
+pub fn list_born(
+    store: &Store,
+    service: &str,
+    instance: &str,
+    address: SocketAddr,
+    state: &str,
+    born: Option<u64>,
+) {
+    let mut entry = json!({
         "service": service, "address": address, "zone": "hall", "version": "v1",
         "slots": 64, "state": state, "coldLeftMs": 0, "sequence": 1,
     });
+    if let Some(born) = born {
+        entry["born"] = born.into();
+    }
     store.put("keyed.servers", instance, Some(&entry));
 }
 
--- a/tests/deployment/runner.rs
+++ b/tests/deployment/runner.rs
@@ -11,10 +11,10 @@
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use serde_json::json;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+use super::list_born;
 use super::server::{Body, Gone, Reply, serve_on};
 use super::store::Store;
 
@@ -123,13 +123,15 @@
 /// How long a runner runs such a request before it crashes.
 const CRASH_AFTER: Duration = Duration::from_millis(30);
 /// How long after a crash a runner is back.
-const BACK_AFTER: Duration = Duration::from_millis(1_500);
+pub const BACK_AFTER: Duration = Duration::from_millis(1_500);
 
 /// A runner's entry in the list of targets, which it writes anew at each start.
 #[derive(Clone)]
 struct Entry {
     store: Store,
     service: String,
+    /// Where others reach it.
+    address: SocketAddr,
 }
 
 struct Inner {
@@ -138,6 +140,8 @@
     /// When it crashed.
     crashes: Mutex<Vec<Instant>>,
     entry: Mutex<Option<Entry>>,
+    /// When it started, in milliseconds since 1970, where its entry tells it.
+    born: Mutex<Option<u64>>,
     instance: Mutex<String>,
     mode: Mutex<Mode>,
     arrivals: Mutex<Vec<Arrival>>,
@@ -156,6 +160,7 @@
             life: Mutex::default(),
             crashes: Mutex::default(),
             entry: Mutex::default(),
+            born: Mutex::default(),
             instance: Mutex::new(instance.to_owned()),
             mode: Mutex::default(),
             arrivals: Mutex::default(),
@@ -168,11 +173,22 @@
 
     /// Writes its entry into the list of targets, now and at each start.
     pub fn list_in(&self, store: &Store, service: &str) {
+        self.list_at_start(store, service, self.address);
+        self.inner.write_entry();
+    }
+
+    /// Writes its entry at each start from now on, with the address where others reach it.
+    pub fn list_at_start(&self, store: &Store, service: &str, address: SocketAddr) {
         *self.inner.entry.lock().unwrap() = Some(Entry {
             store: store.clone(),
             service: service.to_owned(),
+            address,
         });
-        self.inner.write_entry(self.address);
+    }
+
+    /// When it started, where its entry tells it.
+    pub fn born(&self) -> Option<u64> {
+        *self.inner.born.lock().unwrap()
     }
 
     /// When it crashed.
@@ -191,6 +207,7 @@
 
     /// Another instance takes the address.
     pub fn replace(&self, instance: &str) {
+        *self.inner.born.lock().unwrap() = None;
         *self.inner.instance.lock().unwrap() = instance.to_owned();
     }
 
@@ -216,18 +233,20 @@
         serve_on(listener, handler, life);
     }
 
-    fn write_entry(&self, address: SocketAddr) {
+    fn write_entry(&self) {
         let Some(entry) = self.entry.lock().unwrap().clone() else {
             return;
         };
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
-        let value = json!({
-            "service": entry.service, "address": address, "zone": "hall", "version": "v1",
-            "slots": 64, "state": "ready", "coldLeftMs": 0, "sequence": 1,
-            "born": born.as_millis() as u64,
-        });
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+        let born = since.as_millis() as u64;
+        *self.born.lock().unwrap() = Some(born);
         let instance = self.instance.lock().unwrap().clone();
-        entry.store.put("keyed.servers", &instance, Some(&value));
+        let Entry {
+            store,
+            service,
+            address,
+        } = entry;
+        list_born(&store, &service, &instance, address, "ready", Some(born));
     }
 
     fn crash(self: &Arc<Self>, address: SocketAddr) {
@@ -243,7 +262,7 @@
             let listener = TcpListener::bind(address).await.unwrap();
             *inner.life.lock().unwrap() = CancellationToken::new();
             inner.serve(listener);
-            inner.write_entry(address);
+            inner.write_entry();
         });
     }
 }
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -7,8 +7,9 @@
 use tokio::time::sleep;
 
 use super::{FOREIGN, RETURN, Run, UNTIL_BACK, UNTIL_FORGOTTEN, start_again};
-use crate::deployment::list_at;
+use crate::deployment::runner::BACK_AFTER;
 use crate::deployment::store::Fault;
+use crate::deployment::{list_at, list_born};
 use crate::place::Place;
 use crate::plan::{BACK_MAX, Return, TARGETS};
 
@@ -119,7 +120,15 @@
                 target.runner.replace(&next);
                 next
             };
-            list_at(&store, target.service, &listed, target.address, "ready");
+            let born = target.runner.born();
+            list_born(
+                &store,
+                target.service,
+                &listed,
+                target.address,
+                "ready",
+                born,
+            );
             journal.note(format!("{listed} has its entry"));
             leaving.lock().unwrap().retain(|other| *other != number);
         });
@@ -136,6 +145,22 @@
         is_free
     }
 
+    /// A target's process ends with its connections, and starts again under its id.
+    pub(super) fn restart(&mut self, number: usize) {
+        if !self.take_target(number) {
+            return;
+        }
+        let instance = self.targets[number].runner.instance();
+        self.journal.note(format!("{instance} crashes"));
+        self.targets[number].runner.crash();
+        let (journal, leaving) = (self.journal.clone(), Arc::clone(&self.leaving));
+        self.tasks.spawn(async move {
+            sleep(2 * BACK_AFTER).await;
+            journal.note(format!("{instance} is back"));
+            leaving.lock().unwrap().retain(|other| *other != number);
+        });
+    }
+
     /// A target vanishes. An instance of another service is at its address until its entry goes, and a
     /// new one of its own after that.
     pub(super) fn crash(&mut self, number: usize) {
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -22,6 +22,8 @@
 const LAPSING: u64 = 3;
 /// Lapsed entries of such a run.
 const LAPSES: usize = 2;
+/// Crashes of targets that start again under their id, in each seed with faults that comes after one with lapses.
+const RESTARTS: usize = 4;
 /// When they lapse at the latest, in milliseconds: callers are there when the bound is over.
 const LAPSE_LAST: u64 = 1_300;
 /// A target that lives is back within about two seconds of the store, in milliseconds.
@@ -121,6 +123,8 @@
     Lapse(usize, Return, u64),
     /// A target vanishes, and at once an instance of a service that no route names has its address.
     Crash(usize),
+    /// A target's process ends, and starts again under its id.
+    Restart(usize),
 }
 
 /// How a target leaves.
@@ -206,6 +210,10 @@
             plan.steps.extend(lapses(seed));
             plan.steps.sort_by_key(|(at, _)| *at);
         }
+        if kind == Kind::Faults && seed % LAPSING == 1 {
+            plan.steps.extend(restarts(seed));
+            plan.steps.sort_by_key(|(at, _)| *at);
+        }
         plan
     }
 }
@@ -274,6 +282,16 @@
     (0..LAPSES).map(lapse).collect()
 }
 
+fn restarts(seed: u64) -> Vec<(u64, Step)> {
+    // Draws of their own, as above.
+    let mut rng = StdRng::seed_from_u64(!seed);
+    let restart = |_| {
+        let step = Step::Restart(rng.random_range(0..TARGETS.len()));
+        (rng.random_range(FIRST..LOAD), step)
+    };
+    (0..RESTARTS).map(restart).collect()
+}
+
 fn caller(rng: &mut StdRng) -> Caller {
     let habit = match rng.random_range(0..10) {
         0..5 => Habit::Kept,
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -11,7 +11,7 @@
 use crate::caller::{Caller, World};
 use crate::deployment::runner::{Arrival, Mode, Runner};
 use crate::deployment::store::{Fault, Store};
-use crate::deployment::{Deployment, LONG, list_at};
+use crate::deployment::{Deployment, LONG, list_at, list_born};
 use crate::operator::Config;
 use crate::place::Place;
 use crate::plan::{Change, Kind, Notice, Plan, Step, TARGETS, TOP_UP};
@@ -124,6 +124,7 @@
             };
             let address = proxy.as_ref().map_or(runner.address, |proxy| proxy.address);
             list_at(&store, service, &runner.instance(), address, "ready");
+            runner.list_at_start(&store, service, address);
             targets.push(Target {
                 service,
                 runner,
@@ -215,6 +216,7 @@
             }
             Step::Lapse(number, back, span) => self.lapse(number, back, span),
             Step::Crash(number) => self.crash(number),
+            Step::Restart(number) => self.restart(number),
         }
     }
 
@@ -284,12 +286,14 @@
         self.tasks.spawn(async move {
             let target = &targets[number];
             if notice == Notice::Draining {
-                list_at(
+                let born = target.runner.born();
+                list_born(
                     &store,
                     target.service,
                     &instance,
                     target.address,
                     "draining",
+                    born,
                 );
                 seen.lock()
                     .unwrap()
