--- a/src/gateway/control/quarantine.rs
+++ b/src/gateway/control/quarantine.rs
@@ -182,7 +182,7 @@
         tracing::warn!(event = "quarantine_unreadable", %name, bytes = value.len());
         return true;
     };
-    // Without a time of day of its own, this host takes the row for as old as it can be told.
+    // A host without a usable time of day takes the row for new: it holds back for too long rather than not at all.
     let age = wall_clock::now().map_or(Millis::ZERO, |now| now.saturating_sub(Millis(row.written)));
     let reports: Vec<Report> = row.reports.iter().map(|report| report.aged(age)).collect();
     merge(control, &reports);
--- a/src/gateway/quarantine/report.rs
+++ b/src/gateway/quarantine/report.rs
@@ -30,17 +30,18 @@
 }
 
 impl Report {
-    /// The same, told so much later.
+    /// The same, told so much later. Ages are anybody's word, so sums of them are bounded.
     pub fn aged(&self, age: Millis) -> Self {
+        let later = |ago: Millis| Millis(ago.0.saturating_add(age.0));
         let crashes = self.crashes.iter().map(|crash| Crash {
             instance: crash.instance,
-            sent_ago: crash.sent_ago + age,
-            ago: crash.ago + age,
+            sent_ago: later(crash.sent_ago),
+            ago: later(crash.ago),
         });
         Self {
             fingerprint: self.fingerprint,
             crashes: crashes.collect(),
-            answered_ago: self.answered_ago.map(|ago| ago + age),
+            answered_ago: self.answered_ago.map(later),
         }
     }
 }
--- a/tests/quarantine_rules.rs
+++ b/tests/quarantine_rules.rs
@@ -217,6 +217,24 @@
     );
 }
 
+/// Ages are anybody's word: what another writer left in the store makes no sum overflow, and holds nothing back.
+#[test]
+fn ages_without_bounds() {
+    let mut here = Quarantine::default();
+    for number in 1..=3 {
+        crash(&mut here, 1_000 * number, number, &[request(7)]);
+    }
+    let mut there = Quarantine::default();
+    for mut report in here.tell(at(3_100)) {
+        for crash in &mut report.crashes {
+            crash.ago = Millis(u64::MAX);
+            crash.sent_ago = Millis(u64::MAX - 1);
+        }
+        there.merge(at(3_100), &report.aged(Millis(10)));
+    }
+    assert!(!is_held(&there, 3_100, request(7)));
+}
+
 /// Whatever order reports come in, and however often, all routers come to the same view.
 #[test]
 fn any_order() {
