--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -102,11 +102,16 @@
 }
 
 impl Failed {
-    /// Ends the request with it.
-    pub(super) fn end(self) {
+    /// Tells the control thread of a connection that broke off, while the attempt still has its target.
+    fn tell_break(&self) {
         if self.failure == Failure::BrokenOff {
             self.attempt.broke_off();
         }
+    }
+
+    /// Ends the request with it.
+    pub(super) fn end(self) {
+        self.tell_break();
         self.attempt.end(self.failure.outcome());
     }
 }
@@ -285,8 +290,7 @@
 
     /// Starts another attempt, if the rules, the targets and the retry budget allow one.
     async fn next(&mut self, failed: Failed, reason: &'static str) -> Option<Attempt> {
-        let Failed { attempt, failure } = failed;
-        let decision = retry::decide(failure, &self.history());
+        let decision = retry::decide(failed.failure, &self.history());
         let limit = match decision {
             Decision::Retry => "none",
             Decision::GiveUp(limit) => limit.word(),
@@ -294,7 +298,7 @@
         tracing::info!(
             event = "attempt_failed",
             id = %self.request.id,
-            instance = %attempt.placement().instance,
+            instance = %failed.attempt.placement().instance,
             fingerprint = %self.fingerprint,
             reason,
             limit,
@@ -302,13 +306,12 @@
             unreached = self.unreached,
             ms = self.started.elapsed().as_millis() as u64
         );
-        if failure == Failure::BrokenOff {
-            attempt.broke_off();
-        }
         if let Decision::GiveUp(_) = decision {
-            attempt.end(failure.outcome());
+            failed.end();
             return None;
         }
+        failed.tell_break();
+        let Failed { attempt, failure } = failed;
         match attempt.retry(failure.outcome(), failure.charge()).await {
             Ok(next) => {
                 self.relay.shared.metrics.repeats.add(1);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -128,6 +128,7 @@
     let mut text = String::new();
     for (cause, counter) in BadEntry::CAUSES.iter().zip(counters) {
         let count = counter.get();
+        // Writing to a string does not fail.
         let _ = writeln!(
             text,
             "lanedeck_bad_entries_total{{cause=\"{cause}\"}} {count}"
