Send nothing to halls that operators have emptied, and little to targets that are cold

Cause: the record by which operators empty a hall was not read at all, and the time for which a target is cold was only checked for its type. A hall that is taken back may be cold, so the two belong together: taking one back marks its targets as cold.

Change: the operators' log gives the halls as of an offset, so of two views the later one holds. Ruled out for cold targets: an equal part for each router (75 routers have less than one request a second each, and whole requests can meet), and keeping away altogether (a service whose targets all start at once would serve nobody).

--- a/src/gateway/control/apply.rs
+++ b/src/gateway/control/apply.rs
@@ -2,20 +2,39 @@
 //! change of what this router believes.
 
 use std::collections::HashSet;
+use std::rc::Rc;
 
 use bytes::Bytes;
+use tokio::time::Instant;
 
 use super::context::Control;
-use super::{grants, rows};
-use crate::gateway::dialect::BadEntry;
+use super::{evacuations, grants, rows};
+use crate::gateway::dialect::{BadEntry, Subject};
+use crate::gateway::evacuation::{self, Order};
 use crate::gateway::incarnation;
 use crate::gateway::members::{Router, Source};
 use crate::gateway::targets::{Change, View};
 use crate::store::{KEY_MAX, Page, Record};
 use crate::util;
 
+/// Takes in a page of the operators' records, with the halls that were emptied before it.
+pub(super) fn operators(control: &Rc<Control>, page: &Page, mut halls: evacuation::View) {
+    for record in &page.records {
+        match (control.dialect.subject(&record.key), &record.value) {
+            (Some(Subject::Config), Some(value)) => config(control, value),
+            (Some(Subject::Evacuation { hall }), Some(_)) => halls.set(hall, Order::Evacuate),
+            (Some(Subject::Evacuation { hall }), None) => halls.set(hall, Order::TakeBack),
+            // The configuration in force stays until there is a newer one.
+            (Some(Subject::Config), None) | (None, _) => {}
+        }
+    }
+    halls.as_of = page.next;
+    control.operators_read.set(Some(Instant::now()));
+    evacuations::set(control, halls, "store");
+}
+
 /// Puts a configuration in force if it is newer than the one that is.
-pub(super) fn config(control: &std::rc::Rc<Control>, bytes: &Bytes) {
+pub(super) fn config(control: &Rc<Control>, bytes: &Bytes) {
     let config = match control.dialect.read_config(bytes) {
         Ok(config) => config,
         Err(error) => {
@@ -42,6 +61,7 @@
         }
         state.set_prepaid(name, prepaid);
     }
+    state.targets.set_cold_starts(config.cold_starts());
     drop(state);
     tracing::info!(
         event = "config_in_force",
@@ -64,11 +84,11 @@
         return;
     };
     match control.dialect.read_listing(&record.key, value) {
-        Ok(listing) => {
+        Ok(entry) => {
             control.bad_entries.borrow_mut().remove(&record.key);
-            let instance = listing.instance.clone();
+            let instance = entry.listing.instance.clone();
             let now = control.now();
-            let change = control.state.borrow_mut().list(now, listing, Source::Store);
+            let change = control.state.borrow_mut().list_entry(now, entry);
             log_change(&instance, change, "store");
         }
         Err(error) => refuse_entry(control, &record.key, &error),
@@ -114,15 +134,22 @@
     true
 }
 
-/// Takes in another router's list of targets, while this one is cut off from the store.
+/// Takes in another router's list of targets, while this one is cut off from the store. Targets that come up meanwhile
+/// have just started; those of the first list may have run for long.
 pub(super) fn peer_targets(control: &Control, view: View) {
+    let knew_some = control.state.borrow().targets.known_count() > 0;
     for instance in view.gone {
         remove_target(control, &instance, "link");
     }
     for listing in view.listed {
         let instance = listing.instance.clone();
         let now = control.now();
-        let change = control.state.borrow_mut().list(now, listing, Source::Link);
+        let mut state = control.state.borrow_mut();
+        let change = state.list(now, listing, Source::Link);
+        if knew_some && matches!(change, Change::Added | Change::Restarted { .. }) {
+            state.targets.note_started(now, &instance);
+        }
+        drop(state);
         log_change(&instance, change, "link");
     }
     control.publish_target_addresses();
--- a/src/gateway/control/context.rs
+++ b/src/gateway/control/context.rs
@@ -1,6 +1,6 @@
 //! What the tasks of the control thread share.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -16,6 +16,7 @@
 use super::waiting::Queue;
 use crate::boot_clock;
 use crate::gateway::dialect::Dialect;
+use crate::gateway::evacuation;
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::key::TargetKey;
 use crate::gateway::members::Router;
@@ -67,6 +68,10 @@
     pub(super) holds: RefCell<BTreeMap<Fingerprint, Hold>>,
     /// The requests in this router's row of those that are held back.
     pub(super) row_held: RefCell<Vec<Fingerprint>>,
+    /// Which halls the operators have emptied, once that is known.
+    pub(super) evacuations: RefCell<Option<evacuation::View>>,
+    /// When the operators' records were last read.
+    pub(super) operators_read: Cell<Option<Instant>>,
     /// The host's boot, where it tells one.
     pub(super) boot: Option<u64>,
 }
--- a/src/gateway/control/follow.rs
+++ b/src/gateway/control/follow.rs
@@ -8,6 +8,7 @@
 
 use super::context::Control;
 use super::{apply, quarantine};
+use crate::gateway::evacuation;
 use crate::store::{CallError, Page, Partition, Record, Timeout, Topic, hedge};
 use crate::util;
 
@@ -81,17 +82,17 @@
     }
 }
 
-/// Follows the configuration.
-pub(super) async fn config(control: Rc<Control>) {
+/// Follows the operators' records: the configuration, and the halls that are emptied.
+pub(super) async fn operators(control: Rc<Control>) {
     let mut follower = Follower::new(Topic::Config);
     loop {
         match follower.step(&control, CONFIG_WAIT).await {
-            Ok(Step::Snapshot(page) | Step::Changes(page)) => {
-                for record in &page.records {
-                    if let Some(value) = &record.value {
-                        apply::config(&control, value);
-                    }
-                }
+            Ok(Step::Snapshot(page)) => {
+                apply::operators(&control, &page, evacuation::View::default())
+            }
+            Ok(Step::Changes(page)) => {
+                let known = control.evacuations.borrow().clone();
+                apply::operators(&control, &page, known.unwrap_or_default());
             }
             Err(CallError::Gone { .. }) => {}
             Err(_) => sleep(FAILED_PAUSE).await,
@@ -177,6 +178,13 @@
     let begun = Instant::now();
     let limit = follower.timeout.get();
     let result = control.store.append(partition, &records, None, limit).await;
+    if result.is_ok() {
+        control
+            .state
+            .borrow_mut()
+            .members
+            .note_written(control.now());
+    }
     if let (Ok(_), Some(held)) = (&result, held) {
         control.row_held.replace(held);
     }
--- a/src/gateway/control/link.rs
+++ b/src/gateway/control/link.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::context::Control;
-use super::{apply, clock, loans, quarantine};
+use super::{apply, clock, evacuations, loans, quarantine};
 use crate::gateway::members::{Router, Source};
 use crate::gateway::message::{Heartbeat, Reply, Request};
 use crate::wire;
@@ -83,6 +83,7 @@
             Reply::Taken
         }
         Request::Clocks => Reply::Clocks(clock::read(control)),
+        Request::Evacuations => Reply::Evacuations(control.evacuations.borrow().clone()),
         Request::Suspects(reports) => {
             quarantine::merge(control, &reports);
             Reply::Noted
@@ -134,7 +135,12 @@
 pub(super) async fn send_heartbeats(control: Rc<Control>) {
     loop {
         sleep(INTERVAL).await;
+        let is_stale = evacuations::is_stale(&control);
         for router in control.draw(FAN_OUT) {
+            if is_stale {
+                let asked = evacuations::ask(Rc::clone(&control), router.clone());
+                tokio::task::spawn_local(asked);
+            }
             let control = Rc::clone(&control);
             tokio::task::spawn_local(async move { exchange(&control, router).await });
         }
@@ -150,7 +156,11 @@
             targets,
         }) => {
             take(control, *heartbeat);
-            if let Some(config) = config {
+            // A router that does not know the emptied halls serves nobody: without a configuration it refuses all.
+            let knows_halls = control.evacuations.borrow().is_some();
+            if let Some(config) = config
+                && knows_halls
+            {
                 apply::config(control, &Bytes::from(config));
             }
             if let Some(targets) = targets
@@ -164,7 +174,8 @@
             | Reply::Taken
             | Reply::Declined
             | Reply::Clocks(_)
-            | Reply::Noted),
+            | Reply::Noted
+            | Reply::Evacuations(_)),
         ) => {
             tracing::warn!(event = "peer_answer_unfit", name = %router.name, ?reply);
         }
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -8,6 +8,7 @@
 mod bad_entries;
 mod clock;
 mod context;
+mod evacuations;
 mod follow;
 mod grants;
 mod link;
@@ -17,7 +18,7 @@
 mod shortage;
 mod waiting;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -94,13 +95,15 @@
         bad_entries: RefCell::default(),
         bad_routers: RefCell::default(),
         probed: RefCell::default(),
+        evacuations: RefCell::default(),
+        operators_read: Cell::default(),
         holds: RefCell::default(),
         row_held: RefCell::default(),
         boot: started.map(|started| started.boot),
     });
     let (asked, questions) = mpsc::unbounded_channel();
     let tasks = LocalSet::new();
-    tasks.spawn_local(follow::config(Rc::clone(&control)));
+    tasks.spawn_local(follow::operators(Rc::clone(&control)));
     tasks.spawn_local(follow::targets(Rc::clone(&control)));
     tasks.spawn_local(follow::routers(Rc::clone(&control)));
     let closing = control.link_closing.clone();
--- a/src/gateway/decision/mod.rs
+++ b/src/gateway/decision/mod.rs
@@ -6,6 +6,7 @@
 //! again. Ejection, which both kinds of router share, is [`crate::ejection`].
 
 pub mod admission;
+pub mod cold;
 pub mod grant;
 pub mod overload;
 pub mod placement;
--- a/src/gateway/decision/refusal.rs
+++ b/src/gateway/decision/refusal.rs
@@ -24,6 +24,9 @@
 const CUT_OFF_RETRY: Millis = Millis(5_000);
 /// Time to come back where no target could be reached: the list is read each half a second.
 const NO_TARGET_RETRY: Millis = Millis(250);
+/// Time to come back where all halls with targets of a service are emptied: operators do that for work of some seconds
+/// at least, and take halls back one by one. Not measured.
+const EVACUATED_RETRY: Millis = Millis(2_000);
 /// Time to come back after a target's refusal, or where the retry budget is used up. Not measured.
 const REFUSED_RETRY: Millis = Millis(100);
 
@@ -44,6 +47,8 @@
 pub enum Refusal {
     /// No target takes requests.
     NoTarget,
+    /// The operators have emptied all halls that have targets.
+    Evacuated,
     /// The retry budget is used up.
     NoRepeats,
     /// What is left of the prepaid budget does not cover it.
@@ -206,6 +211,7 @@
             Self::Refused(Refusal::CutOff) => Some(CUT_OFF_RETRY),
             Self::Refused(Refusal::Quarantined { left }) => Some(left),
             Self::Refused(Refusal::NoTarget) | Self::Unreachable => Some(NO_TARGET_RETRY),
+            Self::Refused(Refusal::Evacuated) => Some(EVACUATED_RETRY),
             Self::Refused(Refusal::NoRepeats) | Self::TargetRefused => Some(REFUSED_RETRY),
             Self::BadHeader
             | Self::BadBody
@@ -232,6 +238,7 @@
             Self::Stopping => "stopping",
             Self::Overloaded => "overloaded",
             Self::Refused(Refusal::NoTarget) => "no_target",
+            Self::Refused(Refusal::Evacuated) => "halls_evacuated",
             Self::Refused(Refusal::NoRepeats) => "no_repeats",
             Self::Refused(Refusal::Exhausted) => "budget_exhausted",
             Self::Refused(Refusal::Short) => "budget_short_here",
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -146,6 +146,27 @@
     pub is_ready: bool,
 }
 
+/// What a target's entry says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// What the target is.
+    pub listing: Listing,
+    /// How much longer it is cold, from when it wrote the entry.
+    pub cold_left: Millis,
+}
+
+/// What an operator's record is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Subject<'a> {
+    /// The configuration, whole.
+    Config,
+    /// A hall that is emptied while the record is there, whatever it holds.
+    Evacuation {
+        /// The hall.
+        hall: &'a str,
+    },
+}
+
 /// A record of the deployment that cannot be read.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub))]
@@ -249,6 +270,9 @@
     /// Decodes the head of a target's answer.
     fn read_reply(&self, status: u16, headers: &HeaderMap) -> Reply;
 
+    /// What an operator's record under this key is about; `None` where it is of no use here.
+    fn subject<'a>(&self, key: &'a str) -> Option<Subject<'a>>;
+
     /// Decodes a configuration.
     ///
     /// # Errors
@@ -259,7 +283,7 @@
     ///
     /// # Errors
     /// What is wrong with it.
-    fn read_listing(&self, key: &str, bytes: &[u8]) -> Result<Listing, BadEntry>;
+    fn read_listing(&self, key: &str, bytes: &[u8]) -> Result<Entry, BadEntry>;
 
     /// Whether a request asks if this router is ready.
     fn is_ready_check(&self, uri: &Uri) -> bool;
--- /dev/null
+++ b/src/gateway/evacuation.rs
@@ -0,0 +1,48 @@
+//! Which halls the operators have emptied: nothing more is sent to the targets there until they are taken back.
+//!
+//! The operators' records are in the store, beside the configuration, one for each hall. A router that reads them
+//! knows them all as of one offset of that log, so of two views the one of the later offset holds. Routers that the
+//! store does not answer take the view of one that it does. A view outlives outages of the store and records that
+//! the log has dropped; a process that starts knows none, and serves nobody until it has one.
+
+use std::collections::BTreeSet;
+
+use serde::{Deserialize, Serialize};
+
+/// The halls that are emptied, as of one offset of the operators' log. It is encoded for other processes, so the
+/// order of fields is part of its form.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct View {
+    /// All records before this offset are taken in.
+    pub as_of: u64,
+    /// The halls.
+    pub halls: BTreeSet<String>,
+}
+
+/// What an operators' record says of a hall.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// It is emptied.
+    Evacuate,
+    /// It is taken back.
+    TakeBack,
+}
+
+impl View {
+    /// Takes in a record of a hall.
+    pub fn set(&mut self, hall: &str, order: Order) {
+        match order {
+            Order::Evacuate => {
+                self.halls.insert(hall.to_owned());
+            }
+            Order::TakeBack => {
+                self.halls.remove(hall);
+            }
+        }
+    }
+
+    /// Whether another router's view is later than this one.
+    pub fn is_older(&self, other: &Self) -> bool {
+        self.as_of < other.as_of
+    }
+}
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -14,6 +14,8 @@
 
 /// Heartbeats that may be missed before a router counts as dead. Not measured: the usual figure.
 const MISSED_MAX: u64 = 3;
+/// Heartbeats after which a new router's entry has been read by the others: each reads at every heartbeat of its own.
+const JOIN_HEARTBEATS: u64 = 2;
 /// Addresses that callers are told at once: more than they try, and within one packet.
 const ADDRESSES_MAX: usize = 64;
 
@@ -72,6 +74,8 @@
     known: BTreeMap<String, Member>,
     largest: usize,
     contact: Contact,
+    /// Since when this router's entry is in the store.
+    written_since: Option<Millis>,
 }
 
 impl Members {
@@ -83,6 +87,7 @@
             known: BTreeMap::new(),
             largest: 1,
             contact: Contact::Lost,
+            written_since: None,
         }
     }
 
@@ -178,6 +183,25 @@
         placed.into_iter().map(|(_, router)| router).collect()
     }
 
+    /// Notes that this router's entry was written.
+    pub fn note_written(&mut self, now: Millis) {
+        self.written_since.get_or_insert(now);
+    }
+
+    /// Whether this router is one of the `count` that come first in an order of all that were ever live, which depends
+    /// on their names and `key` only. Until the others have had the time to read its first entry it is not: they may
+    /// still count one of themselves in its place.
+    pub fn is_drawn(&self, now: Millis, key: &str, count: usize) -> bool {
+        let has_joined = self
+            .written_since
+            .is_some_and(|since| now.saturating_sub(since).0 > self.interval.0 * JOIN_HEARTBEATS);
+        let seed = xxh3_64(key.as_bytes());
+        let place = |router: &Router| xxh3_64_with_seed(router.name.as_bytes(), seed);
+        let own = place(&self.me);
+        let before = self.known().filter(|router| place(router) < own).count();
+        has_joined && before < count
+    }
+
     /// All other routers that were ever live.
     pub fn known(&self) -> impl Iterator<Item = &Router> {
         self.known.values().map(|member| &member.router)
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -5,6 +5,7 @@
 
 use super::clock::Readings;
 use super::escrow::Loan;
+use super::evacuation;
 use super::members::Router;
 use super::quarantine::Report;
 use super::targets::{Outstanding, View};
@@ -46,6 +47,8 @@
     Clocks,
     /// Requests that were beside crashes of targets.
     Suspects(Vec<Report>),
+    /// Which halls are emptied?
+    Evacuations,
 }
 
 /// What it is answered.
@@ -70,4 +73,6 @@
     Clocks(Readings),
     /// What was told has been taken in.
     Noted,
+    /// The halls that are emptied, where the answering router knows them.
+    Evacuations(Option<evacuation::View>),
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod decision;
 pub mod dialect;
 pub mod escrow;
+pub mod evacuation;
 mod exchange;
 pub mod fingerprint;
 mod headers;
--- a/src/gateway/route/config.rs
+++ b/src/gateway/route/config.rs
@@ -94,8 +94,17 @@
     pub event_tokens: u64,
 }
 
+/// How a service's targets are after a start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// How long they stay cold.
+    pub time: Millis,
+    /// Requests a second that a cold one bears from all routers together.
+    pub per_second: f64,
+}
+
 /// Targets that do the same work.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     /// Its name.
     pub name: String,
@@ -103,6 +112,8 @@
     pub connections: u32,
     /// Set where its targets are model engines.
     pub engine: Option<Engine>,
+    /// Set where its targets are cold after a start.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// Who pays.
@@ -219,6 +230,13 @@
         &self.services[key.0]
     }
 
+    /// How targets are after a start, of the services where that matters.
+    pub fn cold_starts(&self) -> HashMap<String, ColdStart> {
+        let services = self.services.iter();
+        let cold = services.filter_map(|service| Some((service.name.clone(), service.cold_start?)));
+        cold.collect()
+    }
+
     /// All customers.
     pub fn customers(&self) -> &[Customer] {
         &self.customers
--- a/src/gateway/route/mod.rs
+++ b/src/gateway/route/mod.rs
@@ -5,6 +5,6 @@
 mod config;
 
 pub use config::{
-    Backend, Config, Customer, CustomerKey, Engine, Kind, Limits, Route, RouteKey, Service,
-    ServiceKey,
+    Backend, ColdStart, Config, Customer, CustomerKey, Engine, Kind, Limits, Route, RouteKey,
+    Service, ServiceKey,
 };
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -12,16 +12,18 @@
 use rand::{RngExt, SeedableRng};
 
 use super::clock::Clock;
+use super::decision::cold;
 use super::decision::grant::Sizing;
 use super::decision::refusal::Refusal;
 use super::decision::retry::{Bound, Budget, Charge};
-use super::dialect::{Listing, Load};
+use super::dialect::{Entry, Listing, Load};
 use super::escrow::{Account, Ledger};
 use super::incarnation;
 use super::job::{Delivery, Ending, Job, Placement};
 use super::key::{JobKey, TargetKey};
 use super::members::{Members, Router, Source};
 use super::quarantine::{Broken, Quarantine};
+use super::route::ColdStart;
 use super::targets::{Change, Targets};
 use crate::boot_clock::Reading;
 use crate::ejection::Outcome;
@@ -118,7 +120,7 @@
             delivery: Delivery::Nothing,
             job,
         };
-        let target = self.choose(now, &running).ok_or(Refusal::NoTarget)?;
+        let target = self.choose(now, &running)?;
         running.reserved = self.reserve(now, &running.job)?;
         let budget = self
             .retry_budgets
@@ -162,7 +164,7 @@
         charge: Charge,
     ) -> Result<TargetKey, Refusal> {
         self.check_quarantine(now, &running.job)?;
-        let target = self.choose(now, running).ok_or(Refusal::NoTarget)?;
+        let target = self.choose(now, running)?;
         if charge == Charge::Free {
             return Ok(target);
         }
@@ -189,7 +191,7 @@
         let prompt = running.job.prompt.as_ref();
         running.backlog = prompt.map_or(0, |prompt| prompt.tokens.0);
         running.target = Some(target);
-        self.targets.begin(target, running.backlog);
+        self.targets.begin(now, target, running.backlog);
         self.running.insert(key, running);
         let listing = &self.targets.get(target).listing;
         Placement {
@@ -251,7 +253,15 @@
         (!has_crashed).then_some(target)
     }
 
-    /// Takes in an entry of the list of targets. One that has started again without leaving before has crashed.
+    /// Takes in an entry that was read from the list of targets.
+    pub fn list_entry(&mut self, now: Millis, entry: Entry) -> Change {
+        let instance = entry.listing.instance.clone();
+        let change = self.list(now, entry.listing, Source::Store);
+        self.targets.note_cold(now, &instance, entry.cold_left);
+        change
+    }
+
+    /// Takes in what is listed of a target. One that has started again without leaving before has crashed.
     pub fn list(&mut self, now: Millis, listing: Listing, source: Source) -> Change {
         let id = incarnation::id(&listing.instance);
         let was_open = self.targets.is_open(id);
@@ -323,18 +333,30 @@
         last.map_or_else(String::new, |(service, _)| service.clone())
     }
 
-    fn choose(&mut self, now: Millis, running: &Running) -> Option<TargetKey> {
+    fn choose(&mut self, now: Millis, running: &Running) -> Result<TargetKey, Refusal> {
         let hall = &self.settings.me.hall;
-        let candidates = self
-            .targets
-            .candidates(now, &running.service, &running.tried);
-        match &running.job.prompt {
+        let service = &running.service;
+        let candidates = self.targets.candidates(now, service, &running.tried);
+        let members = &self.members;
+        let may_send = |instance: &str, cold_start: &ColdStart, sent: usize| {
+            let draw = cold::draw(cold_start, members.count());
+            sent < draw.each && members.is_drawn(now, instance, draw.routers)
+        };
+        let candidates = self.targets.avoid_cold(now, candidates, may_send);
+        let choice = match &running.job.prompt {
             Some(prompt) => self.targets.choose_model(now, &candidates, hall, prompt),
             None => {
                 let seed = self.random.random();
                 self.targets.choose_plain(now, &candidates, hall, seed)
             }
-        }
+        };
+        choice.ok_or_else(|| {
+            if self.targets.is_evacuated(service) {
+                Refusal::Evacuated
+            } else {
+                Refusal::NoTarget
+            }
+        })
     }
 
     /// This process.
--- a/src/gateway/targets/mod.rs
+++ b/src/gateway/targets/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempts;
 mod cache;
+mod cold;
 mod outstanding;
 mod registry;
 
--- a/src/gateway/targets/registry.rs
+++ b/src/gateway/targets/registry.rs
@@ -5,7 +5,7 @@
 //! exactly once each.
 
 use std::borrow::Borrow;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::hash::Hash;
 use std::net::SocketAddr;
 
@@ -14,12 +14,14 @@
 
 use super::attempts::Attempts;
 use super::cache::Cache;
+use super::cold::Warmup;
 use super::outstanding::{Outstanding, View};
 use crate::ejection::{self, Health, Outcome};
 use crate::gateway::decision::placement::{self, Candidate, ModelCandidate};
 use crate::gateway::dialect::{Listing, Load, Prompt};
 use crate::gateway::incarnation;
 use crate::gateway::key::TargetKey;
+use crate::gateway::route::ColdStart;
 use crate::units::Millis;
 
 /// How long a load that a target reported is believed. Not measured.
@@ -48,6 +50,7 @@
     load: Option<(Millis, Load)>,
     health: Health,
     attempts: Attempts,
+    warmup: Warmup,
     is_listed: bool,
     /// Since when it is neither listed nor at work.
     unused_since: Option<Millis>,
@@ -65,6 +68,10 @@
     by_service: HashMap<String, Vec<TargetKey>>,
     cache: Cache,
     removed: HashMap<String, Millis>,
+    /// Halls whose targets get nothing.
+    evacuated: BTreeSet<String>,
+    /// How targets are after a start, by service.
+    cold_starts: HashMap<String, ColdStart>,
 }
 
 /// How an entry differs from what was known of its target.
@@ -145,6 +152,7 @@
             load: None,
             health: Health::default(),
             attempts: Attempts::default(),
+            warmup: Warmup::default(),
             is_listed: true,
             unused_since: None,
         })));
@@ -171,6 +179,44 @@
         std::mem::replace(&mut self.get_mut(key).is_listed, false)
     }
 
+    /// Sets which halls the operators have emptied. The targets of one that is taken back may have turned cold
+    /// shortly before, which their entries tell some seconds later.
+    pub fn set_evacuated(&mut self, now: Millis, halls: &BTreeSet<String>) {
+        let before = std::mem::replace(&mut self.evacuated, halls.clone());
+        let cold_starts = &self.cold_starts;
+        for target in self.all.iter_mut().flatten() {
+            let hall = &target.listing.hall;
+            if before.contains(hall) && !halls.contains(hall) {
+                let cold_start = cold_starts.get(&target.listing.service);
+                let left = cold_start.map_or(Millis::ZERO, |cold| cold.time);
+                target.warmup.note(now, left);
+            }
+        }
+    }
+
+    /// Sets how targets are after a start, by service.
+    pub fn set_cold_starts(&mut self, cold_starts: HashMap<String, ColdStart>) {
+        self.cold_starts = cold_starts;
+    }
+
+    /// Notes that a target is cold for so long.
+    pub fn note_cold(&mut self, now: Millis, instance: &str, left: Millis) {
+        if let Some(key) = self.by_instance.get(instance).copied() {
+            self.get_mut(key).warmup.note(now, left);
+        }
+    }
+
+    /// Notes that a target has just started, as far as this router knows: it is cold for the whole time of its
+    /// service.
+    pub fn note_started(&mut self, now: Millis, instance: &str) {
+        let Some(key) = self.by_instance.get(instance).copied() else {
+            return;
+        };
+        let cold_start = self.cold_starts.get(&self.get(key).listing.service);
+        let left = cold_start.map_or(Millis::ZERO, |cold| cold.time);
+        self.get_mut(key).warmup.note(now, left);
+    }
+
     /// Forgets incarnations that have ended, or have not been listed for long, once no request is there.
     pub fn forget(&mut self, now: Millis) {
         let mut forgotten = Vec::new();
@@ -178,6 +224,7 @@
             let Some(target) = target else {
                 continue;
             };
+            target.warmup.tidy(now);
             if target.is_listed || target.in_flight > 0 {
                 target.unused_since = None;
                 continue;
@@ -249,8 +296,9 @@
     }
 
     /// Counts a request that is sent there, with so many tokens of prompt.
-    pub fn begin(&mut self, key: TargetKey, prompt_tokens: u64) {
+    pub fn begin(&mut self, now: Millis, key: TargetKey, prompt_tokens: u64) {
         let target = self.get_mut(key);
+        target.warmup.note_send(now);
         target.in_flight += 1;
         target.backlog += prompt_tokens;
     }
@@ -319,16 +367,53 @@
         group.iter().copied().filter(|key| self.get(*key).is_open())
     }
 
-    /// Targets of a service that a request may be sent to, without those that were tried. Ejected ones
-    /// are left out unless there are no others.
+    /// Whether a service has targets that take requests, all of them in halls that are emptied.
+    pub fn is_evacuated(&self, service: &str) -> bool {
+        let mut open = self.open(service).peekable();
+        open.peek().is_some() && open.all(|key| self.is_emptied(key))
+    }
+
+    fn is_emptied(&self, key: TargetKey) -> bool {
+        self.evacuated.contains(&self.get(key).listing.hall)
+    }
+
+    /// Targets of a service that a request may be sent to, without those that were tried and those in halls that
+    /// are emptied. Ejected ones are left out unless there are no others.
     pub fn candidates(&self, now: Millis, service: &str, tried: &[TargetKey]) -> Vec<TargetKey> {
         let open = self.open(service).filter(|key| !tried.contains(key));
-        let open: Vec<TargetKey> = open.collect();
+        let open: Vec<TargetKey> = open.filter(|key| !self.is_emptied(*key)).collect();
         let is_well = |key: &TargetKey| !self.get(*key).health.is_ejected(now);
         let well: Vec<TargetKey> = open.iter().copied().filter(is_well).collect();
         if well.is_empty() { open } else { well }
     }
 
+    /// Takes cold targets out of the candidates while a warm one has a free slot; else those stay to which this router
+    /// may send, as `may_send` says by the target's instance and what it has sent there of late.
+    pub fn avoid_cold(
+        &self,
+        now: Millis,
+        mut candidates: Vec<TargetKey>,
+        may_send: impl Fn(&str, &ColdStart, usize) -> bool,
+    ) -> Vec<TargetKey> {
+        let is_cold = |key: &TargetKey| self.get(*key).warmup.is_cold(now);
+        let has_room = |key: &TargetKey| self.get(*key).has_room(now);
+        if !candidates.iter().any(is_cold) {
+            return candidates;
+        }
+        let has_warm_room = candidates.iter().any(|key| !is_cold(key) && has_room(key));
+        candidates.retain(|key| {
+            if !is_cold(key) {
+                return true;
+            }
+            let target = self.get(*key);
+            let cold_start = self.cold_starts.get(&target.listing.service);
+            let sent = target.warmup.recent_sends(now);
+            let may_send = |cold| may_send(&target.listing.instance, cold, sent);
+            !has_warm_room && cold_start.is_none_or(may_send)
+        });
+        candidates
+    }
+
     /// Chooses a target for a plain request; `seed` draws among equals.
     pub fn choose_plain(
         &self,
@@ -417,17 +502,27 @@
         recent.map_or(Load::default(), |(_, load)| load)
     }
 
+    /// Whether it has a free slot, by its own report and by the routers' count.
+    fn has_room(&self, now: Millis) -> bool {
+        self.busy(now) < f64::from(self.listing.slots)
+    }
+
+    /// Requests that it has, by its own report or by the routers' count, whichever is higher.
+    fn busy(&self, now: Millis) -> f64 {
+        let load = self.load(now);
+        let counted = f64::from(self.in_flight + self.others.in_flight);
+        counted.max(f64::from(load.running + load.waiting))
+    }
+
     /// What its choice depends on.
     fn candidate(&self, now: Millis, key: TargetKey, hall: &str) -> Candidate {
         let load = self.load(now);
-        let counted = f64::from(self.in_flight + self.others.in_flight);
-        let reported = f64::from(load.running + load.waiting);
         let attempts = self.attempts.at(now);
         let (failed, answered) = (self.others.failed, self.others.answered);
         Candidate {
             key,
             slots: self.listing.slots,
-            busy: counted.max(reported),
+            busy: self.busy(now),
             waiting: load.waiting,
             backlog: self.backlog + self.others.backlog,
             failing: attempts.failing(f64::from(failed), f64::from(answered)),
--- /dev/null
+++ b/tests/cold_targets.rs
@@ -0,0 +1,157 @@
+//! Targets that are cold after a start: what they get while others have room, and from whom where none has.
+
+mod fleet;
+
+use std::collections::HashMap;
+
+use fleet::router;
+use lanedeck::gateway::decision::cold;
+use lanedeck::gateway::dialect::Listing;
+use lanedeck::gateway::key::TargetKey;
+use lanedeck::gateway::members::{Members, Source};
+use lanedeck::gateway::route::ColdStart;
+use lanedeck::gateway::targets::Targets;
+use lanedeck::units::Millis;
+
+const NOW: Millis = Millis(1_000_000);
+const HEARTBEAT: Millis = Millis(1_200);
+const COLD: ColdStart = ColdStart {
+    time: Millis(3_000),
+    per_second: 7.7,
+};
+/// Requests that users let a cold target have in a second, from all routers together.
+const ALLOWED: usize = (7.7 * 1.5 + 5.0) as usize;
+
+/// As many targets with one slot each, the first of them cold.
+fn targets(count: u16, cold: u16) -> Targets {
+    let mut targets = Targets::default();
+    targets.set_cold_starts(HashMap::from([("s".to_owned(), COLD)]));
+    for number in 0..count {
+        let instance = format!("i-{number}");
+        targets.list(Listing {
+            instance: instance.clone(),
+            service: "s".into(),
+            address: ([127, 0, 0, 1], 1_000 + number).into(),
+            hall: "hall".into(),
+            slots: 1,
+            is_ready: true,
+        });
+        if number < cold {
+            targets.note_cold(NOW, &instance, COLD.time);
+        }
+    }
+    targets
+}
+
+/// A router that has known these others for a while.
+fn members(me: u16, known: impl Iterator<Item = u16>) -> Members {
+    let mut members = Members::new(router(me), HEARTBEAT);
+    members.note_written(Millis::ZERO);
+    for other in known {
+        members.update(NOW, router(other), Source::Store);
+    }
+    members
+}
+
+fn usable(targets: &Targets, members: &Members, now: Millis) -> Vec<TargetKey> {
+    let candidates = targets.candidates(now, "s", &[]);
+    targets.avoid_cold(now, candidates, |instance, cold_start, sent| {
+        let draw = cold::draw(cold_start, members.count());
+        sent < draw.each && members.is_drawn(now, instance, draw.routers)
+    })
+}
+
+#[test]
+fn warm_go_first() {
+    let mut targets = targets(3, 2);
+    let alone = members(0, 0..0);
+    assert_eq!(usable(&targets, &alone, NOW), [TargetKey(2)]);
+    // No warm one has a free slot.
+    targets.begin(NOW, TargetKey(2), 1);
+    assert_eq!(usable(&targets, &alone, NOW).len(), 3);
+    targets.end(TargetKey(2));
+    let warm = NOW + COLD.time;
+    assert_eq!(usable(&targets, &alone, warm).len(), 3);
+}
+
+#[test]
+fn word_of_before() {
+    let mut targets = targets(2, 1);
+    let alone = members(0, 0..0);
+    // An entry that was written before the target turned cold says nothing of it.
+    targets.note_cold(NOW, "i-0", Millis::ZERO);
+    assert_eq!(usable(&targets, &alone, NOW), [TargetKey(1)]);
+}
+
+#[test]
+fn taken_back_cold() {
+    let mut targets = targets(2, 0);
+    let alone = members(0, 0..0);
+    targets.set_evacuated(NOW, &["hall".to_owned()].into());
+    assert!(targets.candidates(NOW, "s", &[]).is_empty());
+    targets.set_evacuated(NOW, &[].into());
+    for key in usable(&targets, &alone, NOW) {
+        for _ in 0..20 {
+            if usable(&targets, &alone, NOW).contains(&key) {
+                targets.begin(NOW, key, 1);
+                targets.end(key);
+            }
+        }
+    }
+    // Alone, this router may send all that the fleet may.
+    let draw = cold::draw(&COLD, 1);
+    assert_eq!((draw.routers, draw.each), (1, 5));
+    assert!(usable(&targets, &alone, NOW).is_empty());
+}
+
+/// All targets of a service come back at once and every router sends what it may, for three seconds.
+fn most_in_a_second(fleet: &[Members]) -> usize {
+    const TARGETS: u16 = 6;
+    let mut views: Vec<Targets> = fleet.iter().map(|_| targets(TARGETS, TARGETS)).collect();
+    let mut sent: HashMap<TargetKey, Vec<Millis>> = HashMap::new();
+    for step in 0..59 {
+        let now = NOW + Millis(step * 50);
+        for (members, targets) in fleet.iter().zip(&mut views) {
+            for key in usable(targets, members, now) {
+                targets.begin(now, key, 1);
+                targets.end(key);
+                sent.entry(key).or_default().push(now);
+            }
+        }
+    }
+    let in_second = |times: &[Millis], at: Millis| {
+        let within = |time: &&Millis| **time >= at && **time < at + Millis(1_000);
+        times.iter().filter(within).count()
+    };
+    let worst = |times: &Vec<Millis>| times.iter().map(|at| in_second(times, *at)).max();
+    sent.values().filter_map(worst).max().unwrap_or(0)
+}
+
+#[test]
+fn bound_over_routers() {
+    for count in [1, 2, 3, 7, 20, 75] {
+        let others = |me: u16| (0..count).filter(move |other| *other != me);
+        let fleet: Vec<Members> = (0..count).map(|me| members(me, others(me))).collect();
+        let most = most_in_a_second(&fleet);
+        assert!((1..=ALLOWED).contains(&most), "{count} routers: {most}");
+    }
+}
+
+/// Half of the fleet has never heard of the other half.
+#[test]
+fn bound_in_a_cut() {
+    let side = |me: u16| (0..40).filter(move |other| *other != me && other % 2 == me % 2);
+    let fleet: Vec<Members> = (0..40).map(|me| members(me, side(me))).collect();
+    let most = most_in_a_second(&fleet);
+    assert!((1..=ALLOWED).contains(&most), "{most}");
+}
+
+/// Routers that start know nobody yet, and would each take themselves for the only one.
+#[test]
+fn newcomers_wait() {
+    let mut newcomer = Members::new(router(1), HEARTBEAT);
+    assert!(!newcomer.is_drawn(NOW, "i-0", 1));
+    newcomer.note_written(NOW);
+    assert!(!newcomer.is_drawn(NOW, "i-0", 1));
+    assert!(newcomer.is_drawn(Millis(NOW.0 + 3 * HEARTBEAT.0), "i-0", 1));
+}
--- a/tests/decision_rules.rs
+++ b/tests/decision_rules.rs
@@ -227,6 +227,7 @@
         name: "app".to_owned(),
         connections: 10,
         engine: None,
+        cold_start: None,
     };
     let customer = |name: &str, rank| Customer {
         name: name.to_owned(),
--- /dev/null
+++ b/tests/evacuated_halls.rs
@@ -0,0 +1,211 @@
+//! Halls that operators empty: nothing more is sent there, whoever knows of it, until they are taken back.
+
+mod deployment;
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use deployment::runner::Runner;
+use deployment::store::{Fault, Store};
+use deployment::{Ask, Deployment, ask, config, try_ask, until};
+use lanedeck::gateway::dialect::Listing;
+use lanedeck::gateway::evacuation::{Order, View};
+use lanedeck::gateway::key::TargetKey;
+use lanedeck::gateway::targets::Targets;
+use lanedeck::units::Millis;
+use serde_json::json;
+
+const NOW: Millis = Millis(1_000_000);
+const PLENTY: u64 = 1_000_000;
+/// Users' bound from an operator's word to its effect, and what an unstable store adds to it.
+const BOUND: Duration = Duration::from_millis(11_000);
+
+fn halls(names: &[&str]) -> BTreeSet<String> {
+    names.iter().map(|name| (*name).to_owned()).collect()
+}
+
+fn targets() -> Targets {
+    let mut targets = Targets::default();
+    for (number, hall) in [(0, "east"), (1, "east"), (2, "west")] {
+        targets.list(Listing {
+            instance: format!("i-{number}"),
+            service: "s".into(),
+            address: ([127, 0, 0, 1], 1_000 + number).into(),
+            hall: hall.into(),
+            slots: 8,
+            is_ready: true,
+        });
+    }
+    targets
+}
+
+#[test]
+fn no_candidates_there() {
+    let mut targets = targets();
+    targets.set_evacuated(NOW, &halls(&["east"]));
+    assert_eq!(targets.candidates(NOW, "s", &[]), [TargetKey(2)]);
+    assert!(!targets.is_evacuated("s"));
+    // One after the other: the first is taken back as the second is emptied.
+    targets.set_evacuated(NOW, &halls(&["west"]));
+    assert_eq!(
+        targets.candidates(NOW, "s", &[]),
+        [TargetKey(0), TargetKey(1)]
+    );
+    targets.set_evacuated(NOW, &halls(&["east", "west", "nowhere"]));
+    assert!(targets.candidates(NOW, "s", &[]).is_empty());
+    assert!(targets.is_evacuated("s"));
+    assert!(
+        !targets.is_evacuated("another"),
+        "without targets it is not the operators"
+    );
+}
+
+#[test]
+fn later_view_holds() {
+    let mut view = View::default();
+    view.set("east", Order::Evacuate);
+    view.set("west", Order::Evacuate);
+    view.set("east", Order::TakeBack);
+    view.as_of = 4;
+    assert_eq!(view.halls, halls(&["west"]));
+    let earlier = View {
+        as_of: 3,
+        halls: halls(&["east"]),
+    };
+    assert!(earlier.is_older(&view));
+    assert!(!view.is_older(&earlier));
+    assert!(!view.is_older(&view), "the same offset tells the same");
+}
+
+/// Lists a runner of the plain service in a hall.
+fn list_in_hall(store: &Store, runner: &Runner, hall: &str) {
+    let entry = json!({
+        "service": "app", "address": runner.address, "zone": hall, "version": "v1",
+        "slots": 64, "state": "ready", "coldLeftMs": 0, "sequence": 1,
+    });
+    store.put("keyed.servers", &runner.instance(), Some(&entry));
+}
+
+/// Two runners, in the halls east and west, and gateways that know both.
+async fn start(gateways: usize) -> (Deployment, Runner, Runner) {
+    let (east, west) = (Runner::start("i-east").await, Runner::start("i-west").await);
+    let deployment = Deployment::start(gateways, &config(1, PLENTY), &[]).await;
+    list_in_hall(&deployment.store, &east, "east");
+    list_in_hall(&deployment.store, &west, "west");
+    deployment.wait_acquainted().await;
+    for gateway in &deployment.gateways {
+        until_reached(gateway.front, &east).await;
+        until_reached(gateway.front, &west).await;
+    }
+    (deployment, east, west)
+}
+
+async fn status(front: SocketAddr) -> Option<u16> {
+    let ask = Ask::new(&format!("r{}", rand::random::<u64>()), "/often/x");
+    try_ask(front, &ask).await.map(|answer| answer.status)
+}
+
+async fn until_reached(front: SocketAddr, runner: &Runner) {
+    let before = runner.arrivals().len();
+    until(|| async {
+        status(front).await;
+        runner.arrivals().len() > before
+    })
+    .await;
+}
+
+/// Asks a gateway until twenty requests in a row do not reach a runner; how many of the last were served.
+async fn until_left_alone(front: SocketAddr, runner: &Runner) -> usize {
+    let begun = tokio::time::Instant::now();
+    loop {
+        let before = runner.arrivals().len();
+        let mut served = 0;
+        for _ in 0..20 {
+            served += usize::from(status(front).await == Some(200));
+        }
+        if runner.arrivals().len() == before {
+            return served;
+        }
+        assert!(begun.elapsed() < BOUND, "the hall is still sent to");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn emptied_and_taken_back() {
+    let (deployment, east, _west) = start(2).await;
+    let store = &deployment.store;
+    store.put("keyed.op", "evacuate/east", Some(&json!({})));
+    for gateway in &deployment.gateways {
+        assert_eq!(
+            until_left_alone(gateway.front, &east).await,
+            20,
+            "no caller notices"
+        );
+    }
+    // A configuration, compacted history and an outage of the store change nothing of it.
+    store.put("keyed.op", "config", Some(&config(2, PLENTY)));
+    store.compact("keyed.op");
+    let front = deployment.gateways[0].front;
+    assert_eq!(until_left_alone(front, &east).await, 20);
+    store.set_fault(deployment.gateways[0].store, Fault::Unavailable);
+    assert_eq!(until_left_alone(front, &east).await, 20);
+    store.set_fault(deployment.gateways[0].store, Fault::None);
+    store.put("keyed.op", "evacuate/east", None);
+    for gateway in &deployment.gateways {
+        until_reached(gateway.front, &east).await;
+    }
+}
+
+/// A router that the store does not answer hears of it from others, whether it ran before or starts then.
+#[tokio::test(flavor = "multi_thread")]
+async fn told_by_peers() {
+    for fault in [Fault::Unavailable, Fault::Silent, Fault::Limited] {
+        let (mut deployment, east, _west) = start(3).await;
+        let cut = &deployment.gateways[0];
+        deployment.store.set_fault(cut.store, fault);
+        let store = &deployment.store;
+        store.put("keyed.op", "evacuate/east", Some(&json!({})));
+        assert_eq!(until_left_alone(cut.front, &east).await, 20);
+        let restarted = &mut deployment.gateways[0];
+        restarted.kill();
+        restarted.start_again();
+        let front = restarted.front;
+        let before = east.arrivals().len();
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        for _ in 0..20 {
+            status(front).await;
+        }
+        assert_eq!(east.arrivals().len(), before, "not even at its start");
+    }
+}
+
+/// The record is the word, whatever another writer left in it; one whose key names no hall is none.
+#[tokio::test(flavor = "multi_thread")]
+async fn spoilt_records() {
+    let (deployment, east, west) = start(1).await;
+    let (store, front) = (&deployment.store, deployment.gateways[0].front);
+    store.put_bytes("keyed.op", b"evacuate/", b"{}");
+    store.put_bytes("keyed.op", b"evacuate", b"{}");
+    store.put_bytes("keyed.op", b"\xff\xfe", b"{}");
+    store.put_bytes("keyed.op", b"evacuate/east", b"\xff not json");
+    assert_eq!(until_left_alone(front, &east).await, 20);
+    until_reached(front, &west).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_halls_emptied() {
+    let (deployment, east, west) = start(1).await;
+    let (store, front) = (&deployment.store, deployment.gateways[0].front);
+    store.put("keyed.op", "evacuate/east", Some(&json!({})));
+    store.put("keyed.op", "evacuate/west", Some(&json!({})));
+    until_left_alone(front, &east).await;
+    until_left_alone(front, &west).await;
+    let answer = ask(front, &Ask::new("last", "/often/x")).await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.body.contains("halls_evacuated"), "{}", answer.body);
+    let wait: f64 = answer.header("retry-after").parse().unwrap();
+    assert!(wait >= 1.0, "it takes the operators a while");
+    store.put("keyed.op", "evacuate/west", None);
+    until_reached(front, &west).await;
+}
--- a/tests/foreign_entries.rs
+++ b/tests/foreign_entries.rs
@@ -22,7 +22,8 @@
 }
 
 fn read(entry: &Value) -> Result<lanedeck::gateway::dialect::Listing, BadEntry> {
-    Platform.read_listing("i-1", entry.to_string().as_bytes())
+    let read = Platform.read_listing("i-1", entry.to_string().as_bytes());
+    read.map(|entry| entry.listing)
 }
 
 #[test]
--- a/tests/pinned_gateway.rs
+++ b/tests/pinned_gateway.rs
@@ -489,9 +489,12 @@
 fn target_entries() {
     let text = br#"{"service":"engine","address":"10.1.2.3:9000","zone":"solna","version":"v1",
         "slots":64,"state":"ready","coldLeftMs":0,"sequence":1}"#;
-    assert_eq!(Platform.read_listing("i-1", text).unwrap(), listing());
+    assert_eq!(
+        Platform.read_listing("i-1", text).unwrap().listing,
+        listing()
+    );
     let text = br#"{"service":"engine","address":"10.1.2.3:9000","state":"draining"}"#;
-    let read = Platform.read_listing("i-1", text).unwrap();
+    let read = Platform.read_listing("i-1", text).unwrap().listing;
     assert_eq!(
         (read.is_ready, read.slots, read.hall.as_str()),
         (false, 1, "")
--- a/tests/route_choice.rs
+++ b/tests/route_choice.rs
@@ -34,6 +34,7 @@
         name: "s".into(),
         connections: 10,
         engine: None,
+        cold_start: None,
     };
     let customer = |name: &str, keys: &[&str]| Customer {
         name: name.into(),
--- a/tests/target_return.rs
+++ b/tests/target_return.rs
@@ -58,7 +58,7 @@
     targets.list(listing(1, 100));
     targets.list(listing(2, 100));
     let former = TargetKey(0);
-    targets.begin(former, 50_000);
+    targets.begin(NOW, former, 50_000);
     targets.note_load(
         NOW,
         former,
@@ -158,7 +158,7 @@
             targets.forget(now);
         }
     }
-    targets.begin(TargetKey(54_749), 1);
+    targets.begin(NOW, TargetKey(54_749), 1);
     targets.forget(now + Millis(70_000));
     targets.forget(now + Millis(140_000));
     assert_eq!(targets.known_count(), 1);
--- a/tests/target_view.rs
+++ b/tests/target_view.rs
@@ -101,10 +101,10 @@
     let first = targets
         .choose_model(NOW, &candidates, "hall-0", &prompt)
         .unwrap();
-    targets.begin(first, 3_000);
+    targets.begin(NOW, first, 3_000);
     let choice = targets.choose_model(NOW, &candidates, "hall-0", &prompt);
     assert_eq!(choice, Some(first), "a little work is waited for");
-    targets.begin(first, 60_000);
+    targets.begin(NOW, first, 60_000);
     let choice = targets.choose_model(NOW, &candidates, "hall-0", &prompt);
     assert_ne!(choice, Some(first), "much is not");
 }
