Let a promise rise late, and by less, where a budget ends soon

What a dead process can have spent is judged by its promise, a mark that rises at 1.25 times its demand from when it was made until the next process starts, two seconds later, beside two requests and half a second of demand at once for each of eight holders.

Change: where the budget lasts for under 30 s at the present demand, the mark does not rise for the first two seconds, rises so that half of what is ahead can be lent in the rest, and no two requests are let through beside a clump. Rows of earlier programs are judged as before: when a promise was made is told by its end.

--- a/src/gateway/decision/grant.rs
+++ b/src/gateway/decision/grant.rs
@@ -18,7 +18,9 @@
 /// borrowers then keep less than one part in a hundred. Not measured beyond that.
 const GIVE_BACK_DIVISOR: u64 = 10_000;
 
-/// Requests that a router may begin at once beyond its demand before it writes to the store again. Not measured.
+/// Requests that a router may begin at once beyond its demand before it writes to the store again, where the budget lasts:
+/// near its end, two requests at each of eight holders are up to a twentieth of a small customer's budget, which a
+/// death of all would lose. Not measured apart.
 const BURST_REQUESTS: u64 = 2;
 /// Seconds of demand that a router may spend at once before it writes to the store again: it writes each second, and
 /// demand comes in clumps. Not measured.
@@ -26,6 +28,20 @@
 /// One part in this many of what a router holds ahead may always be spent or lent at once before it writes again. Not
 /// measured: a quarter of a second at the least rate.
 const BURST_DIVISOR: u64 = 32;
+/// How long the mark of a new promise does not rise where a budget ends soon. A death while the store answers is mostly
+/// judged within it: the row is up to a second old, and a host starts again within another. What is asked for meanwhile
+/// beyond the mark waits for a write.
+const HOLD: Millis = Millis(2_000);
+/// A budget ends soon where it lasts no longer than this at the present demand: what a rising mark loses with a router
+/// is some three seconds of its demand, which is then a tenth of what is left or more. Before that a cut from the store
+/// costs more, in whose first seconds a mark that does not rise pays for little: with it all the time, days of twenty
+/// routers with budgets to spare fell from a mean worth of 0.69 to 0.62 (three seeds of two days).
+const ENDS_SOON: Millis = Millis(30_000);
+/// Part of what a router holds ahead that it may lend within a promise, whatever its demand, where the budget ends soon,
+/// 0 to 1; all that a promise lets be lent counts as spent where its router dies. With the whole, twenty routers over
+/// five days of faults, three times each, came to a mean worth of 0.592, with half to 0.600; where budgets last, the
+/// whole is better (0.690 and 0.671 on the first of two days without a closing fault).
+const LENT_SHARE: f64 = 0.5;
 /// How much faster than its demand a router may spend before it writes again: demand varies from second to second.
 /// Not measured.
 const RATE_FACTOR: f64 = 1.25;
@@ -132,8 +148,12 @@
     pub waiting: Tokens,
     /// Tokens that are granted to it beyond those that it uses.
     pub ahead: Tokens,
-    /// How long it keeps to the pace without a write.
+    /// How long the promise lasts.
     pub span: Millis,
+    /// Tokens of the prepaid budget that nobody is known to have spent.
+    pub left: Tokens,
+    /// Tokens a second that are asked of all routers.
+    pub total_demand: f64,
 }
 
 /// How fast a router may spend before it writes to the store again.
@@ -141,7 +161,9 @@
 pub struct Pace {
     /// Tokens at once.
     pub burst: Tokens,
-    /// Tokens a second beyond those.
+    /// How long it may spend no more than that.
+    pub hold: Millis,
+    /// Tokens a second beyond those after it.
     pub rate: u64,
 }
 
@@ -150,12 +172,20 @@
 /// whose demand it does not know yet. What it could have spent by then is lost with
 /// it, and what is granted beyond is not.
 pub fn pace(spending: &Spending) -> Pace {
-    let requests = spending.last_cost.0 * BURST_REQUESTS;
-    let clump = (spending.demand * BURST_SECONDS) as u64;
-    let lent = Tokens(spending.ahead.0 / BURST_DIVISOR);
-    let lending = spending.ahead.0 as f64 / seconds(spending.span);
+    let ends_soon = (spending.left.0 as f64) < spending.total_demand * seconds(ENDS_SOON);
+    let clump = Tokens((spending.demand * BURST_SECONDS) as u64).max(spending.waiting);
+    let (burst, hold, lent) = if ends_soon {
+        (clump, HOLD, LENT_SHARE)
+    } else {
+        let requests = Tokens(spending.last_cost.0 * BURST_REQUESTS);
+        let ready = Tokens(spending.ahead.0 / BURST_DIVISOR);
+        ((requests + clump).max(ready), Millis::ZERO, 1.0)
+    };
+    let rising = seconds(spending.span.saturating_sub(hold));
+    let lending = spending.ahead.0 as f64 * lent / rising;
     Pace {
-        burst: Tokens(requests + clump).max(spending.waiting).max(lent),
+        burst,
+        hold,
         rate: (spending.demand * RATE_FACTOR).max(lending) as u64,
     }
 }
@@ -180,8 +210,8 @@
 /// What a row promises, as far as its renewal depends on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Promise {
-    /// When it begins.
-    pub begin: Millis,
+    /// When it was made.
+    pub made: Millis,
     /// Tokens that the router may spend then.
     pub mark: Tokens,
 }
@@ -204,7 +234,7 @@
         return false;
     };
     let kept = row.granted.saturating_sub(new.mark);
-    kept.0 > prepaid.0 / CHANGE_DIVISOR && new.begin.saturating_sub(old.begin) >= RENEWAL_AGE
+    kept.0 > prepaid.0 / CHANGE_DIVISOR && new.made.saturating_sub(old.made) >= RENEWAL_AGE
 }
 
 /// Decides a router's role for a customer that it is not among the first holders of: one of which much
--- a/src/gateway/escrow/account.rs
+++ b/src/gateway/escrow/account.rs
@@ -249,15 +249,17 @@
         self.adopt(now, ledger.row(router), holder);
         let used = self.used();
         let spent = ledger.spent_by_others(router) + self.spent_before + used;
+        let left = prepaid.saturating_sub(spent);
+        let total_demand = self.demand + ledger.demand_of_others(router) as f64;
         let granted = grant::size(
             sizing,
             &Need {
                 role,
                 demand: self.demand,
-                total_demand: self.demand + ledger.demand_of_others(router) as f64,
+                total_demand,
                 used,
                 waiting,
-                left: prepaid.saturating_sub(spent),
+                left,
                 free: self.free(ledger, router, prepaid),
                 granted: self.granted(),
             },
@@ -268,8 +270,11 @@
             waiting,
             ahead: granted.saturating_sub(used),
             span: guard::SPAN,
+            left,
+            total_demand,
         });
-        let begin = self.promise_begin(now);
+        let made = self.promise_made(now);
+        let begin = made + pace.hold;
         let rise = Rise {
             begin,
             wall: clock.offset(now).map(|offset| offset.wall(begin)),
@@ -281,7 +286,7 @@
                 .min(granted),
             until: Reading {
                 boot: started.boot,
-                at: begin + guard::SPAN,
+                at: made + guard::SPAN,
             },
             rise: Some(rise),
         });
@@ -299,11 +304,11 @@
         }
     }
 
-    /// When the promise of a row begins that is written now. While an earlier row may be on its way it is not
+    /// When the promise of a row was made that is written now. While an earlier row may be on its way it is not
     /// prolonged: writes are not answered, so what is granted may soon be needed.
-    fn promise_begin(&self, now: Millis) -> Millis {
+    fn promise_made(&self, now: Millis) -> Millis {
         let sent = self.sent.first().and_then(|row| row.guard);
-        sent.map_or(now, |guard| guard.begin())
+        sent.map_or(now, |guard| guard.made())
     }
 
     /// Tokens of the budget that are granted to no other router.
@@ -395,7 +400,7 @@
         spent: row.spent,
         spent_before: row.spent_before,
         promise: row.guard.map(|guard| Promise {
-            begin: guard.begin(),
+            made: guard.made(),
             mark: guard.mark,
         }),
     }
--- a/src/gateway/escrow/guard.rs
+++ b/src/gateway/escrow/guard.rs
@@ -52,7 +52,7 @@
 /// How the mark of a promise rises.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Rise {
-    /// When the promise begins, by the clock of the router's host.
+    /// When it begins to rise, by the clock of the router's host.
     pub begin: Millis,
     /// The same by the time of day that the fleet's hosts agree on, where they do.
     pub wall: Option<Millis>,
@@ -78,10 +78,13 @@
 }
 
 impl Guard {
-    /// When the promise begins, by the clock of the router's host.
-    pub fn begin(&self) -> Millis {
-        let without_rate = self.until.at.saturating_sub(SPAN_WITHOUT_RATE);
-        self.rise.map_or(without_rate, |rise| rise.begin)
+    /// When the promise was made, by the clock of the router's host.
+    pub fn made(&self) -> Millis {
+        let span = match self.rise {
+            Some(_) => SPAN,
+            None => SPAN_WITHOUT_RATE,
+        };
+        self.until.at.saturating_sub(span)
     }
 
     /// The most that is spent by `at` of the router's clock; `None` after the promise.
@@ -95,24 +98,27 @@
     /// that it ended within the promise.
     pub fn proved(&self, start: &Start) -> Option<Tokens> {
         let since = self.since(start)?;
-        self.limit(Millis(self.begin().0.checked_add(since.0)?))
+        self.limit(Millis(self.made().0.checked_add(since.0)?))
     }
 
-    /// How long after the promise began a process has started, at most. A promise that names the fleet's time of day
+    /// How long after the promise was made a process has started, at most. A promise that names the fleet's time of day
     /// is judged by it, and by the boot's clock as well where that is told; a start before the promise is the error of
     /// one of the clocks, and nothing follows from it.
     fn since(&self, start: &Start) -> Option<Millis> {
         let by_boot = match start.boot {
             Some(boot) if boot.boot == self.until.boot => {
-                Some(boot.at.0.checked_sub(self.begin().0)?)
+                Some(boot.at.0.checked_sub(self.made().0)?)
             }
             _ => None,
         };
-        let Some(began) = self.rise.and_then(|rise| rise.wall) else {
+        let rise = self.rise.and_then(|rise| Some((rise.begin, rise.wall?)));
+        let Some((begin, wall)) = rise else {
             return by_boot.map(Millis);
         };
+        let hold = begin.saturating_sub(self.made());
+        let made = wall.saturating_sub(hold);
         let started = start.wall? + WALL_ERROR;
-        let by_wall = started.0.checked_sub(began.0)?;
+        let by_wall = started.0.checked_sub(made.0)?;
         Some(Millis(
             by_boot.map_or(by_wall, |by_boot| by_boot.max(by_wall)),
         ))
