Move targets' incarnations and the choice among them out of the registry

One incarnation is in targets/target.rs, which targets a request may be sent to in targets/choice.rs; nothing but visibility and a constructor differs.

--- a/src/gateway/targets/mod.rs
+++ b/src/gateway/targets/mod.rs
@@ -3,9 +3,12 @@
 
 mod attempts;
 mod cache;
+mod choice;
 mod cold;
 mod outstanding;
 mod registry;
+mod target;
 
 pub use outstanding::{Outstanding, View};
-pub use registry::{Change, Target, Targets};
+pub use registry::{Change, Targets};
+pub use target::Target;
--- a/src/gateway/targets/registry.rs
+++ b/src/gateway/targets/registry.rs
@@ -9,23 +9,16 @@
 use std::hash::Hash;
 use std::net::SocketAddr;
 
-use tokio_util::sync::CancellationToken;
-use xxhash_rust::xxh3::xxh3_64;
-
-use super::attempts::Attempts;
 use super::cache::Cache;
-use super::cold::Warmup;
 use super::outstanding::{Outstanding, View};
-use crate::ejection::{self, Health, Outcome};
-use crate::gateway::decision::placement::{self, Candidate, ModelCandidate};
+use super::target::{Target, hash};
+use crate::ejection::{self, Outcome};
 use crate::gateway::dialect::{Listing, Load, Prompt};
 use crate::gateway::incarnation;
 use crate::gateway::key::TargetKey;
 use crate::gateway::route::ColdStart;
 use crate::units::Millis;
 
-/// How long a load that a target reported is believed. Not measured.
-const LOAD_BELIEVED: Millis = Millis(1_000);
 /// How long other routers are told that a target was removed: longer than a router that was cut off
 /// from the store takes to hear of it over the links.
 const REMOVED_TOLD: Millis = Millis(15_000);
@@ -39,30 +32,6 @@
 /// speak of it.
 const ENDED_REMEMBERED: Millis = Millis(60_000);
 
-/// One incarnation of a target.
-#[derive(Clone, Debug)]
-pub struct Target {
-    /// Its entry, as it was last read.
-    pub listing: Listing,
-    /// Requests of this router that it has.
-    pub in_flight: u32,
-    /// Prompt tokens of those that it has not answered yet.
-    pub backlog: u64,
-    /// The same of the other routers, added up.
-    pub others: Outstanding,
-    /// Cancelled when the incarnation is known to have ended.
-    pub ended: CancellationToken,
-    load: Option<(Millis, Load)>,
-    health: Health,
-    attempts: Attempts,
-    warmup: Warmup,
-    is_listed: bool,
-    /// Whether the list that was last read lacks it, although it is not removed yet.
-    is_missing: bool,
-    /// Since when it is neither listed nor at work.
-    unused_since: Option<Millis>,
-}
-
 /// All targets. What has ended leaves an empty place, so that no key is used twice: eight bytes for each, 440 kB in a
 /// year of 150 restarts a day.
 #[derive(Debug, Default)]
@@ -72,13 +41,13 @@
     /// The newest incarnation of each target, by its id.
     by_id: HashMap<String, TargetKey>,
     by_hash: HashMap<u64, TargetKey>,
-    by_service: HashMap<String, Vec<TargetKey>>,
-    cache: Cache,
+    pub(super) by_service: HashMap<String, Vec<TargetKey>>,
+    pub(super) cache: Cache,
     removed: HashMap<String, Millis>,
     /// Halls whose targets get nothing.
-    evacuated: BTreeSet<String>,
+    pub(super) evacuated: BTreeSet<String>,
     /// How targets are after a start, by service.
-    cold_starts: HashMap<String, ColdStart>,
+    pub(super) cold_starts: HashMap<String, ColdStart>,
 }
 
 /// How an entry differs from what was known of its target.
@@ -151,20 +120,7 @@
         self.by_hash.insert(hash(&listing.instance), key);
         let group = self.by_service.entry(listing.service.clone()).or_default();
         group.push(key);
-        self.all.push(Some(Box::new(Target {
-            listing,
-            in_flight: 0,
-            backlog: 0,
-            others: Outstanding::default(),
-            ended: CancellationToken::new(),
-            load: None,
-            health: Health::default(),
-            attempts: Attempts::default(),
-            warmup: Warmup::default(),
-            is_listed: true,
-            is_missing: false,
-            unused_since: None,
-        })));
+        self.all.push(Some(Box::new(Target::new(listing))));
         former.map_or(Change::Added, |former| Change::Restarted { former })
     }
 
@@ -377,105 +333,6 @@
         }
     }
 
-    /// Targets of a service that take requests.
-    fn open(&self, service: &str) -> impl Iterator<Item = TargetKey> {
-        let group = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
-        group.iter().copied().filter(|key| self.get(*key).is_open())
-    }
-
-    /// Whether a service has targets that take requests, all of them in halls that are emptied.
-    pub fn is_evacuated(&self, service: &str) -> bool {
-        let mut open = self.open(service).peekable();
-        open.peek().is_some() && open.all(|key| self.is_emptied(key))
-    }
-
-    fn is_emptied(&self, key: TargetKey) -> bool {
-        self.evacuated.contains(&self.get(key).listing.hall)
-    }
-
-    /// Targets of a service that a request may be sent to, without those that were tried and those in halls that
-    /// are emptied. Ejected ones are left out unless there are no others.
-    pub fn candidates(&self, now: Millis, service: &str, tried: &[TargetKey]) -> Vec<TargetKey> {
-        let open = self.open(service).filter(|key| !tried.contains(key));
-        let open: Vec<TargetKey> = open.filter(|key| !self.is_emptied(*key)).collect();
-        let open = self.avoid_missing(open);
-        let is_well = |key: &TargetKey| !self.get(*key).health.is_ejected(now);
-        let well: Vec<TargetKey> = open.iter().copied().filter(is_well).collect();
-        if well.is_empty() { open } else { well }
-    }
-
-    /// Takes out the targets that the list lacks, unless those are more than the others: then entries have lapsed while
-    /// the store was away, and those that are back first would get all requests.
-    fn avoid_missing(&self, mut open: Vec<TargetKey>) -> Vec<TargetKey> {
-        let missing = open.iter().filter(|key| self.get(**key).is_missing).count();
-        if missing * 2 <= open.len() {
-            open.retain(|key| !self.get(*key).is_missing);
-        }
-        open
-    }
-
-    /// Takes cold targets out of the candidates while a warm one has a free slot; else those stay to which this router
-    /// may send, as `may_send` says by the target's instance and what it has sent there of late.
-    pub fn avoid_cold(
-        &self,
-        now: Millis,
-        mut candidates: Vec<TargetKey>,
-        may_send: impl Fn(&str, &ColdStart, usize) -> bool,
-    ) -> Vec<TargetKey> {
-        let is_cold = |key: &TargetKey| self.get(*key).warmup.is_cold(now);
-        let has_room = |key: &TargetKey| self.get(*key).has_room(now);
-        if !candidates.iter().any(is_cold) {
-            return candidates;
-        }
-        let has_warm_room = candidates.iter().any(|key| !is_cold(key) && has_room(key));
-        candidates.retain(|key| {
-            if !is_cold(key) {
-                return true;
-            }
-            let target = self.get(*key);
-            let cold_start = self.cold_starts.get(&target.listing.service);
-            let sent = target.warmup.recent_sends(now);
-            let may_send = |cold| may_send(&target.listing.instance, cold, sent);
-            !has_warm_room && cold_start.is_none_or(may_send)
-        });
-        candidates
-    }
-
-    /// Chooses a target for a plain request; `seed` draws among equals.
-    pub fn choose_plain(
-        &self,
-        now: Millis,
-        candidates: &[TargetKey],
-        hall: &str,
-        seed: u64,
-    ) -> Option<TargetKey> {
-        let candidate = |key: &TargetKey| self.get(*key).candidate(now, *key, hall);
-        let candidates: Vec<Candidate> = candidates.iter().map(candidate).collect();
-        placement::choose_plain(&candidates, seed)
-    }
-
-    /// Chooses a target for a model request.
-    pub fn choose_model(
-        &self,
-        now: Millis,
-        candidates: &[TargetKey],
-        hall: &str,
-        prompt: &Prompt,
-    ) -> Option<TargetKey> {
-        let shared = prompt.shared_blocks();
-        let last = shared.last().map_or(0, |block| block.id);
-        let candidate = |key: &TargetKey| {
-            let target = self.get(*key);
-            ModelCandidate {
-                target: target.candidate(now, *key, hall),
-                affinity: placement::affinity(&target.listing.instance, last),
-                uncached: self.cache.uncached(now, *key, shared),
-            }
-        };
-        let candidates: Vec<ModelCandidate> = candidates.iter().map(candidate).collect();
-        placement::choose_model(&candidates)
-    }
-
     /// Replaces what other routers have at the targets.
     pub fn set_others<'a>(&mut self, others: impl Iterator<Item = &'a Outstanding>) {
         for target in self.all.iter_mut().flatten() {
@@ -516,54 +373,6 @@
     }
 }
 
-impl Target {
-    /// Hash of its instance, by which routers speak of it.
-    pub fn hash(&self) -> u64 {
-        hash(&self.listing.instance)
-    }
-
-    /// Whether it takes requests.
-    pub fn is_open(&self) -> bool {
-        self.is_listed && self.listing.is_ready
-    }
-
-    /// Its load by its own report, while that is believed.
-    fn load(&self, now: Millis) -> Load {
-        let recent = self
-            .load
-            .filter(|(at, _)| now.saturating_sub(*at) < LOAD_BELIEVED);
-        recent.map_or(Load::default(), |(_, load)| load)
-    }
-
-    /// Whether it has a free slot, by its own report and by the routers' count.
-    fn has_room(&self, now: Millis) -> bool {
-        self.busy(now) < f64::from(self.listing.slots)
-    }
-
-    /// Requests that it has, by its own report or by the routers' count, whichever is higher.
-    fn busy(&self, now: Millis) -> f64 {
-        let load = self.load(now);
-        let counted = f64::from(self.in_flight + self.others.in_flight);
-        counted.max(f64::from(load.running + load.waiting))
-    }
-
-    /// What its choice depends on.
-    fn candidate(&self, now: Millis, key: TargetKey, hall: &str) -> Candidate {
-        let load = self.load(now);
-        let attempts = self.attempts.at(now);
-        let (failed, answered) = (self.others.failed, self.others.answered);
-        Candidate {
-            key,
-            slots: self.listing.slots,
-            busy: self.busy(now),
-            waiting: load.waiting,
-            backlog: self.backlog + self.others.backlog,
-            failing: attempts.failing(f64::from(failed), f64::from(answered)),
-            is_local: self.listing.hall == hall,
-        }
-    }
-}
-
 /// Takes a name off its target, unless a later one has it.
 fn remove_if<K, Q>(names: &mut HashMap<K, TargetKey>, name: &Q, key: TargetKey)
 where
@@ -574,7 +383,3 @@
         names.remove(name);
     }
 }
-
-fn hash(instance: &str) -> u64 {
-    xxh3_64(instance.as_bytes())
-}
