--- a/src/gateway/control/apply.rs
+++ b/src/gateway/control/apply.rs
@@ -88,7 +88,10 @@
             control.bad_entries.borrow_mut().remove(&record.key);
             let instance = entry.listing.instance.clone();
             let now = control.now();
-            let change = control.state.borrow_mut().list_entry(now, entry);
+            let mut state = control.state.borrow_mut();
+            let change = state.list(now, entry.listing, Source::Store);
+            state.targets.note_cold(now, &instance, entry.cold_left);
+            drop(state);
             log_change(&instance, change, "store");
         }
         Err(error) => refuse_entry(control, &record.key, &error),
--- a/src/gateway/decision/grant.rs
+++ b/src/gateway/decision/grant.rs
@@ -139,21 +139,15 @@
 
 /// What bears on how fast a router may spend before it writes to the store again.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Spending {
-    /// Tokens a second that are asked of it.
-    pub demand: f64,
+pub struct Spending<'a> {
+    /// Its need, by which the grant was sized.
+    pub need: &'a Need,
     /// Cost of the last request that it paid for.
     pub last_cost: Tokens,
-    /// Tokens that requests wait for.
-    pub waiting: Tokens,
     /// Tokens that are granted to it beyond those that it uses.
     pub ahead: Tokens,
     /// How long the promise lasts.
     pub span: Millis,
-    /// Tokens of the prepaid budget that nobody is known to have spent.
-    pub left: Tokens,
-    /// Tokens a second that are asked of all routers.
-    pub total_demand: f64,
 }
 
 /// How fast a router may spend before it writes to the store again.
@@ -167,13 +161,14 @@
     pub rate: u64,
 }
 
-/// Decides how fast a router may spend before it writes to the store again: near its demand, which is what it asks
-/// for anyway, and fast enough to use up in the span what it holds ahead, whatever its demand, since it lends to others
-/// whose demand it does not know yet. What it could have spent by then is lost with
-/// it, and what is granted beyond is not.
-pub fn pace(spending: &Spending) -> Pace {
-    let ends_soon = (spending.left.0 as f64) < spending.total_demand * seconds(ENDS_SOON);
-    let clump = Tokens((spending.demand * BURST_SECONDS) as u64).max(spending.waiting);
+/// Decides how fast a router may spend before it writes to the store again: near its demand, which is what it asks for
+/// anyway, and fast enough to use up in the span what it holds ahead, whatever its demand, since it lends to others whose
+/// demand it does not know yet. What it could have spent by then is lost with it, and what is granted beyond is not, so
+/// where the budget ends soon it is less: nothing beyond a clump at first, and then half of what it holds ahead.
+pub fn pace(spending: &Spending<'_>) -> Pace {
+    let need = spending.need;
+    let ends_soon = (need.left.0 as f64) < need.total_demand * seconds(ENDS_SOON);
+    let clump = Tokens((need.demand * BURST_SECONDS) as u64).max(need.waiting);
     let (burst, hold, lent) = if ends_soon {
         (clump, HOLD, LENT_SHARE)
     } else {
@@ -186,7 +181,7 @@
     Pace {
         burst,
         hold,
-        rate: (spending.demand * RATE_FACTOR).max(lending) as u64,
+        rate: (need.demand * RATE_FACTOR).max(lending) as u64,
     }
 }
 
--- a/src/gateway/escrow/account.rs
+++ b/src/gateway/escrow/account.rs
@@ -249,29 +249,22 @@
         self.adopt(now, ledger.row(router), holder);
         let used = self.used();
         let spent = ledger.spent_by_others(router) + self.spent_before + used;
-        let left = prepaid.saturating_sub(spent);
-        let total_demand = self.demand + ledger.demand_of_others(router) as f64;
-        let granted = grant::size(
-            sizing,
-            &Need {
-                role,
-                demand: self.demand,
-                total_demand,
-                used,
-                waiting,
-                left,
-                free: self.free(ledger, router, prepaid),
-                granted: self.granted(),
-            },
-        );
-        let pace = grant::pace(&Spending {
+        let need = Need {
+            role,
             demand: self.demand,
-            last_cost: self.last_cost,
+            total_demand: self.demand + ledger.demand_of_others(router) as f64,
+            used,
             waiting,
+            left: prepaid.saturating_sub(spent),
+            free: self.free(ledger, router, prepaid),
+            granted: self.granted(),
+        };
+        let granted = grant::size(sizing, &need);
+        let pace = grant::pace(&Spending {
+            need: &need,
+            last_cost: self.last_cost,
             ahead: granted.saturating_sub(used),
             span: guard::SPAN,
-            left,
-            total_demand,
         });
         let made = self.promise_made(now);
         let begin = made + pace.hold;
--- a/src/gateway/escrow/row.rs
+++ b/src/gateway/escrow/row.rs
@@ -69,6 +69,11 @@
         self.at_most(self.guard.and_then(|guard| guard.limit(at)))
     }
 
+    /// Tokens that its process held beyond those that it had spent.
+    pub fn unspent(&self) -> Tokens {
+        self.granted.saturating_sub(self.spent)
+    }
+
     /// The most that its process may have spent, where that is gone and the next one on its host has started.
     pub fn spent_at_most(&self, start: &Start) -> Tokens {
         self.at_most(self.guard.and_then(|guard| guard.proved(start)))
@@ -126,12 +131,6 @@
         others.map(|(_, row)| row.spent_before + row.spent).sum()
     }
 
-    /// What each router holds beyond what it has spent, as far as the rows tell.
-    pub fn unspent(&self) -> impl Iterator<Item = (&str, Tokens)> {
-        let rows = self.rows.iter();
-        rows.map(|(name, row)| (name.as_str(), row.granted.saturating_sub(row.spent)))
-    }
-
     /// Tokens a second that are asked of other routers than this.
     pub fn demand_of_others(&self, router: &str) -> u64 {
         let others = self.rows.iter().filter(|(name, _)| *name != router);
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -170,10 +170,9 @@
         let seed = xxh3_64(customer.as_bytes());
         let ready = self.live(now).filter(|router| router.is_ready);
         let me = self.me.is_ready.then_some(&self.me);
-        let place = |router: &Router| xxh3_64_with_seed(router.name.as_bytes(), seed);
         let mut placed: Vec<(u64, &Router)> = ready
             .chain(me)
-            .map(|router| (place(router), router))
+            .map(|router| (place(router, seed), router))
             .collect();
         if (1..placed.len()).contains(&count) {
             placed.select_nth_unstable_by_key(count - 1, |(place, _)| *place);
@@ -196,10 +195,9 @@
             .written_since
             .is_some_and(|since| now.saturating_sub(since).0 > self.interval.0 * JOIN_HEARTBEATS);
         let seed = xxh3_64(key.as_bytes());
-        let place = |router: &Router| xxh3_64_with_seed(router.name.as_bytes(), seed);
-        let own = place(&self.me);
-        let before = self.known().filter(|router| place(router) < own).count();
-        has_joined && before < count
+        let own = place(&self.me, seed);
+        let before = self.known().filter(|router| place(router, seed) < own);
+        has_joined && before.count() < count
     }
 
     /// All other routers that were ever live.
@@ -245,6 +243,11 @@
     }
 }
 
+/// A router's place in an order that depends on the seed.
+fn place(router: &Router, seed: u64) -> u64 {
+    xxh3_64_with_seed(router.name.as_bytes(), seed)
+}
+
 /// An address's place in an order that depends on the seed.
 fn place_of(address: &SocketAddr, seed: u64) -> u64 {
     let ip = match address.ip() {
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -12,18 +12,16 @@
 use rand::{RngExt, SeedableRng};
 
 use super::clock::Clock;
-use super::decision::cold;
 use super::decision::grant::Sizing;
 use super::decision::refusal::Refusal;
 use super::decision::retry::{Bound, Budget, Charge};
-use super::dialect::{Entry, Listing, Load};
+use super::dialect::{Listing, Load};
 use super::escrow::{Account, Ledger};
 use super::incarnation;
 use super::job::{Delivery, Ending, Job, Placement};
 use super::key::{JobKey, TargetKey};
 use super::members::{Members, Router, Source};
 use super::quarantine::{Broken, Quarantine};
-use super::route::ColdStart;
 use super::targets::{Change, Targets};
 use crate::boot_clock::Reading;
 use crate::ejection::Outcome;
@@ -253,14 +251,6 @@
         (!has_crashed).then_some(target)
     }
 
-    /// Takes in an entry that was read from the list of targets.
-    pub fn list_entry(&mut self, now: Millis, entry: Entry) -> Change {
-        let instance = entry.listing.instance.clone();
-        let change = self.list(now, entry.listing, Source::Store);
-        self.targets.note_cold(now, &instance, entry.cold_left);
-        change
-    }
-
     /// Takes in what is listed of a target. One that has started again without leaving before has crashed.
     pub fn list(&mut self, now: Millis, listing: Listing, source: Source) -> Change {
         let id = incarnation::id(&listing.instance);
@@ -337,12 +327,7 @@
         let hall = &self.settings.me.hall;
         let service = &running.service;
         let candidates = self.targets.candidates(now, service, &running.tried);
-        let members = &self.members;
-        let may_send = |instance: &str, cold_start: &ColdStart, sent: usize| {
-            let draw = cold::draw(cold_start, members.count());
-            sent < draw.each && members.is_drawn(now, instance, draw.routers)
-        };
-        let candidates = self.targets.avoid_cold(now, candidates, may_send);
+        let candidates = self.targets.avoid_cold(now, &self.members, candidates);
         let choice = match &running.job.prompt {
             Some(prompt) => self.targets.choose_model(now, &candidates, hall, prompt),
             None => {
--- a/src/gateway/state/money.rs
+++ b/src/gateway/state/money.rs
@@ -201,13 +201,10 @@
         let Some(ledger) = self.ledgers.get(customer) else {
             return Vec::new();
         };
-        let unspent: HashMap<&str, Tokens> = ledger.unspent().collect();
-        let held = |router: &Router| unspent.get(router.name.as_str()).copied();
         let live = self.members.live(now);
-        let with_held = live.filter_map(|router| Some((held(router)?, router)));
-        let mut rich: Vec<(Tokens, &Router)> = with_held
-            .filter(|(tokens, _)| *tokens > Tokens::ZERO)
-            .collect();
+        let held = live.filter_map(|router| Some((ledger.row(&router.name)?.unspent(), router)));
+        let mut rich: Vec<(Tokens, &Router)> =
+            held.filter(|(tokens, _)| *tokens > Tokens::ZERO).collect();
         rich.sort_unstable_by_key(|(tokens, router)| (Reverse(*tokens), &router.name));
         rich.truncate(count);
         rich.into_iter().map(|(_, router)| router).collect()
--- a/src/gateway/targets/choice.rs
+++ b/src/gateway/targets/choice.rs
@@ -4,10 +4,11 @@
 //! that are ejected and those that are cold; what is left goes to [`placement`]. Each step says when it leaves all in.
 
 use super::registry::Targets;
+use crate::gateway::decision::cold;
 use crate::gateway::decision::placement::{self, Candidate, ModelCandidate};
 use crate::gateway::dialect::Prompt;
 use crate::gateway::key::TargetKey;
-use crate::gateway::route::ColdStart;
+use crate::gateway::members::Members;
 use crate::units::Millis;
 
 impl Targets {
@@ -48,33 +49,37 @@
         open
     }
 
-    /// Takes cold targets out of the candidates while a warm one has a free slot; else those stay to which this router
-    /// may send, as `may_send` says by the target's instance and what it has sent there of late.
+    /// Takes cold targets out of the candidates while a warm one has a free slot; else those stay to which this one of
+    /// the routers may send.
     pub fn avoid_cold(
         &self,
         now: Millis,
+        routers: &Members,
         mut candidates: Vec<TargetKey>,
-        may_send: impl Fn(&str, &ColdStart, usize) -> bool,
     ) -> Vec<TargetKey> {
         let is_cold = |key: &TargetKey| self.get(*key).warmup.is_cold(now);
-        let has_room = |key: &TargetKey| self.get(*key).has_room(now);
         if !candidates.iter().any(is_cold) {
             return candidates;
         }
-        let has_warm_room = candidates.iter().any(|key| !is_cold(key) && has_room(key));
+        let has_room = |key: &TargetKey| !is_cold(key) && self.get(*key).has_room(now);
+        let has_warm_room = candidates.iter().any(has_room);
         candidates.retain(|key| {
-            if !is_cold(key) {
-                return true;
-            }
-            let target = self.get(*key);
-            let cold_start = self.cold_starts.get(&target.listing.service);
-            let sent = target.warmup.recent_sends(now);
-            let may_send = |cold| may_send(&target.listing.instance, cold, sent);
-            !has_warm_room && cold_start.is_none_or(may_send)
+            !is_cold(key) || (!has_warm_room && self.may_send_cold(now, routers, *key))
         });
         candidates
     }
 
+    /// Whether this one of the routers may send one more request to a cold target.
+    fn may_send_cold(&self, now: Millis, routers: &Members, key: TargetKey) -> bool {
+        let target = self.get(key);
+        let Some(cold_start) = self.cold_starts.get(&target.listing.service) else {
+            return true;
+        };
+        let draw = cold::draw(cold_start, routers.count());
+        let instance = &target.listing.instance;
+        target.warmup.recent_sends(now) < draw.each && routers.is_drawn(now, instance, draw.routers)
+    }
+
     /// Chooses a target for a plain request; `seed` draws among equals.
     pub fn choose_plain(
         &self,
--- a/src/gateway/targets/cold.rs
+++ b/src/gateway/targets/cold.rs
@@ -1,7 +1,5 @@
 //! Whether a target is cold, and what this router has sent it meanwhile.
 
-use std::collections::VecDeque;
-
 use crate::gateway::decision::cold::WINDOW;
 use crate::units::Millis;
 
@@ -9,7 +7,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Warmup {
     until: Millis,
-    sends: VecDeque<Millis>,
+    sends: Vec<Millis>,
 }
 
 impl Warmup {
@@ -26,23 +24,21 @@
         now < self.until
     }
 
-    /// Counts a request that is sent there.
+    /// Counts a request that is sent there, and forgets those that count no more.
     pub(super) fn note_send(&mut self, now: Millis) {
         if self.is_cold(now) {
-            self.sends.push_back(now);
+            self.sends.retain(|at| is_recent(now, *at));
+            self.sends.push(now);
         }
     }
 
     /// Requests that were sent there of late, while it was cold.
     pub(super) fn recent_sends(&self, now: Millis) -> usize {
-        let is_recent = |at: &&Millis| now.saturating_sub(**at) < WINDOW;
-        self.sends.iter().rev().take_while(is_recent).count()
+        self.sends.iter().filter(|at| is_recent(now, **at)).count()
     }
+}
 
-    /// Forgets the sends once the target is warm.
-    pub(super) fn tidy(&mut self, now: Millis) {
-        if !self.is_cold(now) {
-            self.sends.clear();
-        }
-    }
+/// Whether a request that was sent at `at` counts towards what a cold target bears.
+fn is_recent(now: Millis, at: Millis) -> bool {
+    now.saturating_sub(at) < WINDOW
 }
--- a/src/gateway/targets/mod.rs
+++ b/src/gateway/targets/mod.rs
@@ -1,5 +1,6 @@
 //! The targets as a gateway knows them: which there are, how busy each is, and how attempts there
-//! ended. Which of them a request is sent to is [`placement`](super::decision::placement)'s decision.
+//! ended. Which of them a request may be sent to is in `choice`; which of those it is sent to is
+//! [`placement`](super::decision::placement)'s decision.
 
 mod attempts;
 mod cache;
--- a/src/gateway/targets/registry.rs
+++ b/src/gateway/targets/registry.rs
@@ -148,12 +148,10 @@
     /// shortly before, which their entries tell some seconds later.
     pub fn set_evacuated(&mut self, now: Millis, halls: &BTreeSet<String>) {
         let before = std::mem::replace(&mut self.evacuated, halls.clone());
-        let cold_starts = &self.cold_starts;
         for target in self.all.iter_mut().flatten() {
             let hall = &target.listing.hall;
             if before.contains(hall) && !halls.contains(hall) {
-                let cold_start = cold_starts.get(&target.listing.service);
-                let left = cold_start.map_or(Millis::ZERO, |cold| cold.time);
+                let left = cold_time(&self.cold_starts, &target.listing.service);
                 target.warmup.note(now, left);
             }
         }
@@ -177,8 +175,7 @@
         let Some(key) = self.by_instance.get(instance).copied() else {
             return;
         };
-        let cold_start = self.cold_starts.get(&self.get(key).listing.service);
-        let left = cold_start.map_or(Millis::ZERO, |cold| cold.time);
+        let left = cold_time(&self.cold_starts, &self.get(key).listing.service);
         self.get_mut(key).warmup.note(now, left);
     }
 
@@ -189,7 +186,6 @@
             let Some(target) = target else {
                 continue;
             };
-            target.warmup.tidy(now);
             if target.is_listed || target.in_flight > 0 {
                 target.unused_since = None;
                 continue;
@@ -212,7 +208,7 @@
         let id = incarnation::id(&listing.instance);
         remove_if(&mut self.by_instance, &listing.instance, key);
         remove_if(&mut self.by_id, id, key);
-        remove_if(&mut self.by_hash, &hash(&listing.instance), key);
+        remove_if(&mut self.by_hash, &target.hash(), key);
         if let Some(group) = self.by_service.get_mut(&listing.service) {
             group.retain(|other| *other != key);
         }
@@ -356,7 +352,7 @@
             let attempts = target.attempts.at(now);
             let is_worth_telling = target.in_flight > 0 || !attempts.is_quiet();
             is_worth_telling.then(|| Outstanding {
-                instance: hash(&target.listing.instance),
+                instance: target.hash(),
                 in_flight: target.in_flight,
                 backlog: target.backlog,
                 failed: attempts.failed as f32,
@@ -373,6 +369,12 @@
     }
 }
 
+/// How long the targets of a service are cold after a start.
+fn cold_time(cold_starts: &HashMap<String, ColdStart>, service: &str) -> Millis {
+    let cold_start = cold_starts.get(service);
+    cold_start.map_or(Millis::ZERO, |cold| cold.time)
+}
+
 /// Takes a name off its target, unless a later one has it.
 fn remove_if<K, Q>(names: &mut HashMap<K, TargetKey>, name: &Q, key: TargetKey)
 where
--- a/src/gateway/targets/target.rs
+++ b/src/gateway/targets/target.rs
@@ -14,6 +14,7 @@
 
 /// How long a load that a target reported is believed. Not measured.
 const LOAD_BELIEVED: Millis = Millis(1_000);
+
 /// One incarnation of a target.
 #[derive(Clone, Debug)]
 pub struct Target {
--- a/tests/cold_targets.rs
+++ b/tests/cold_targets.rs
@@ -1,6 +1,7 @@
 //! Targets that are cold after a start: what they get while others have room, and from whom where none has.
 
 mod fleet;
+mod listed;
 
 use std::collections::HashMap;
 
@@ -27,17 +28,12 @@
     let mut targets = Targets::default();
     targets.set_cold_starts(HashMap::from([("s".to_owned(), COLD)]));
     for number in 0..count {
-        let instance = format!("i-{number}");
         targets.list(Listing {
-            instance: instance.clone(),
-            service: "s".into(),
-            address: ([127, 0, 0, 1], 1_000 + number).into(),
-            hall: "hall".into(),
             slots: 1,
-            is_ready: true,
+            ..listed::listing(number)
         });
         if number < cold {
-            targets.note_cold(NOW, &instance, COLD.time);
+            targets.note_cold(NOW, &format!("i-{number}"), COLD.time);
         }
     }
     targets
@@ -55,10 +51,7 @@
 
 fn usable(targets: &Targets, members: &Members, now: Millis) -> Vec<TargetKey> {
     let candidates = targets.candidates(now, "s", &[]);
-    targets.avoid_cold(now, candidates, |instance, cold_start, sent| {
-        let draw = cold::draw(cold_start, members.count());
-        sent < draw.each && members.is_drawn(now, instance, draw.routers)
-    })
+    targets.avoid_cold(now, members, candidates)
 }
 
 #[test]
--- a/tests/evacuated_halls.rs
+++ b/tests/evacuated_halls.rs
@@ -1,6 +1,7 @@
 //! Halls that operators empty: nothing more is sent there, whoever knows of it, until they are taken back.
 
 mod deployment;
+mod listed;
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -29,12 +30,8 @@
     let mut targets = Targets::default();
     for (number, hall) in [(0, "east"), (1, "east"), (2, "west")] {
         targets.list(Listing {
-            instance: format!("i-{number}"),
-            service: "s".into(),
-            address: ([127, 0, 0, 1], 1_000 + number).into(),
             hall: hall.into(),
-            slots: 8,
-            is_ready: true,
+            ..listed::listing(number)
         });
     }
     targets
--- a/tests/fleet_clock.rs
+++ b/tests/fleet_clock.rs
@@ -15,6 +15,15 @@
     }
 }
 
+/// A clock that these hosts have told the same time of day.
+fn told_by(hosts: &[&str]) -> Clock {
+    let mut clock = Clock::new(None);
+    for host in hosts {
+        clock.note(host, NOW, &told(WALL));
+    }
+    clock
+}
+
 /// What is agreed on where hosts are so many milliseconds off.
 fn agreed(off: &[i64]) -> Option<u64> {
     let mut clock = Clock::new(None);
@@ -58,10 +67,7 @@
 
 #[test]
 fn old_news() {
-    let mut clock = Clock::new(None);
-    for host in ["h1", "h2", "h3"] {
-        clock.note(host, NOW, &told(WALL));
-    }
+    let clock = told_by(&["h1", "h2", "h3"]);
     let later = NOW + Millis(5_000);
     let offset = clock.agreed(later).unwrap();
     assert_eq!(offset.wall(later).0, WALL + 5_000);
@@ -71,10 +77,7 @@
 /// A router that hears of nobody any more, or of hosts that differ, knows what they agreed on by its steady clock.
 #[test]
 fn last_agreement() {
-    let mut clock = Clock::new(None);
-    for host in ["h1", "h2", "h3"] {
-        clock.note(host, NOW, &told(WALL));
-    }
+    let mut clock = told_by(&["h1", "h2", "h3"]);
     let later = NOW + Millis(59_000);
     assert_eq!(clock.offset(later).unwrap().wall(later).0, WALL + 59_000);
     assert_eq!(clock.offset(NOW + Millis(60_000)), None);
@@ -94,10 +97,7 @@
 /// A host whose time of day is set counts with what it told last.
 #[test]
 fn told_again() {
-    let mut clock = Clock::new(None);
-    for host in ["h1", "h2", "h3", "h4"] {
-        clock.note(host, NOW, &told(WALL));
-    }
+    let mut clock = told_by(&["h1", "h2", "h3", "h4"]);
     clock.note("h1", NOW, &told(WALL + 5_000));
     assert_eq!(clock.offset(NOW).unwrap().wall(NOW).0, WALL);
     clock.note("h2", NOW, &told(WALL + 9_000));
--- a/tests/target_return.rs
+++ b/tests/target_return.rs
@@ -1,34 +1,28 @@
 //! Targets that start again under the id that they had: what was known of the former incarnation ends with it.
 
 mod deployment;
+mod listed;
 
 use deployment::runner::{Mode, Runner};
 use deployment::{Ask, Deployment, ask, config, until};
 use lanedeck::ejection::Outcome;
-use lanedeck::gateway::dialect::{Block, Listing, Load, Prompt};
+use lanedeck::gateway::dialect::{Listing, Load, Prompt};
 use lanedeck::gateway::incarnation;
 use lanedeck::gateway::key::TargetKey;
 use lanedeck::gateway::targets::{Change, Outstanding, Targets};
 use lanedeck::units::{Millis, Tokens};
+use listed::block;
 
 const NOW: Millis = Millis(1_000_000);
 
 fn listing(number: u16, born: u64) -> Listing {
     Listing {
         instance: incarnation::name(&format!("i-{number}"), Some(Millis(born))),
-        service: "s".into(),
-        address: ([127, 0, 0, 1], 1_000 + number).into(),
-        hall: "hall".into(),
-        slots: 8,
-        is_ready: true,
+        ..listed::listing(number)
     }
 }
 
 fn prompt() -> Prompt {
-    let block = |id: u64, tokens: u64| Block {
-        id,
-        tokens: Tokens(tokens),
-    };
     Prompt {
         model: "m".into(),
         tokens: Tokens(9_000),
--- a/tests/target_view.rs
+++ b/tests/target_view.rs
@@ -1,21 +1,21 @@
 //! The targets as a gateway sees them: who may get work, and where it goes.
 
+mod listed;
+
 use lanedeck::ejection::Outcome;
-use lanedeck::gateway::dialect::{Block, Listing, Prompt};
+use lanedeck::gateway::dialect::{Listing, Prompt};
 use lanedeck::gateway::key::TargetKey;
 use lanedeck::gateway::targets::Targets;
 use lanedeck::units::{Millis, Tokens};
+use listed::block;
 
 const NOW: Millis = Millis(1_000_000);
 
 fn listing(number: u16, is_ready: bool) -> Listing {
     Listing {
-        instance: format!("i-{number}"),
-        service: "s".into(),
-        address: ([127, 0, 0, 1], 1_000 + number).into(),
         hall: format!("hall-{}", number % 2),
-        slots: 8,
         is_ready,
+        ..listed::listing(number)
     }
 }
 
@@ -28,10 +28,6 @@
 }
 
 fn prompt(subject: u64) -> Prompt {
-    let block = |id: u64, tokens: u64| Block {
-        id,
-        tokens: Tokens(tokens),
-    };
     Prompt {
         model: "m".into(),
         tokens: Tokens(9_000),
