Log the rate limit that a target names in an answer

The adapter decodes the header into a typed rate, or a typed error where it is no rate; the control thread logs it. Nothing is decided by it yet.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -9,6 +9,7 @@
 use super::dialect::Load;
 use super::job::{Delivery, Ending, Job, Placement};
 use super::key::JobKey;
+use super::notice::Notice;
 use crate::ejection::Outcome;
 use crate::units::Tokens;
 
@@ -38,6 +39,13 @@
         /// Takes the answer.
         reply: Reply,
     },
+    /// The head of a target's answer has arrived, whatever its status.
+    Heard {
+        /// The request.
+        job: JobKey,
+        /// What the target says of itself.
+        notice: Notice,
+    },
     /// A target has begun to answer.
     Answered {
         /// The request.
@@ -193,6 +201,14 @@
         }
     }
 
+    /// Tells what the target says of itself in the head of its answer.
+    pub fn heard(&self, notice: Notice) {
+        self.controller.tell(Message::Heard {
+            job: self.placement.job,
+            notice,
+        });
+    }
+
     /// Tells that the target has begun to answer.
     pub fn answered(&self, load: Option<Load>) {
         self.controller.tell(Message::Answered {
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
+use super::notice::Notice;
 use super::route::Config;
 use crate::units::{Millis, Tokens};
 
@@ -113,7 +114,7 @@
 }
 
 /// What the head of a target's answer says.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Reply {
     /// Id of the request that it answers.
     pub id: Option<String>,
@@ -127,6 +128,8 @@
     pub load: Option<Load>,
     /// How long the target keeps an idle connection.
     pub idle_timeout: Option<Millis>,
+    /// What else the target says of itself.
+    pub notice: Notice,
 }
 
 /// A target's entry in the list of targets.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -221,6 +221,13 @@
             .relay
             .dialect
             .read_reply(status.as_u16(), &parts.headers);
+        let is_ours = reply.id.as_deref() == Some(self.request.id.as_str());
+        // A surplus answer to another request may be of long before, and one of another instance says nothing of the
+        // one that was meant. Some refusals do not name the request.
+        let is_refusal = reply.not_run && reply.id.is_none();
+        if !reply.wrong_instance && (is_ours || is_refusal) {
+            attempt.heard(reply.notice);
+        }
         if reply.not_run {
             if reply.load.is_some() {
                 attempt.answered(reply.load);
@@ -231,7 +238,6 @@
                 Failure::Refused
             });
         }
-        let is_ours = reply.id.as_deref() == Some(self.request.id.as_str());
         if !is_ours || (status.is_success() && !reply.is_signed) {
             tracing::warn!(event = "foreign_answer", id = %self.request.id, answers = ?reply.id);
             return Err(Failure::BrokenOff);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 pub mod members;
 pub mod message;
 pub mod metrics;
+pub mod notice;
 mod process;
 pub mod quarantine;
 mod relay;
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -21,6 +21,7 @@
 use super::job::{Delivery, Ending, Job, Placement};
 use super::key::{JobKey, TargetKey};
 use super::members::{Members, Router, Source};
+use super::notice::Notice;
 use super::quarantine::{Broken, Quarantine};
 use super::targets::{Change, Targets};
 use crate::boot_clock::Reading;
@@ -201,6 +202,27 @@
         }
     }
 
+    /// Takes in what a request's target says of itself in the head of its answer.
+    pub fn heard(&mut self, now: Millis, key: JobKey, notice: Notice) {
+        let Some(running) = self.running.get(&key) else {
+            return;
+        };
+        let Some(target) = running.target else {
+            return;
+        };
+        let sent_ago_ms = now.saturating_sub(running.sent).0;
+        let instance = &self.targets.get(target).listing.instance;
+        match notice.rate_limit {
+            Ok(Some(limit)) => {
+                let id = &running.job.id;
+                let limit = limit.per_second();
+                tracing::info!(event = "rate_limit_heard", %id, %instance, limit, sent_ago_ms);
+            }
+            Ok(None) => {}
+            Err(error) => tracing::warn!(event = "notice_refused", %instance, %error),
+        }
+    }
+
     /// Notes that a target has begun to answer, and the load that it reported.
     pub fn answered(&mut self, now: Millis, key: JobKey, load: Option<Load>) {
         let Some(running) = self.running.get_mut(&key) else {
