--- a/tests/deployment/runner.rs
+++ b/tests/deployment/runner.rs
@@ -144,6 +144,8 @@
     born: Mutex<Option<u64>>,
     instance: Mutex<String>,
     mode: Mutex<Mode>,
+    /// Headers that each of its answers has.
+    said: Mutex<Vec<(&'static str, String)>>,
     arrivals: Mutex<Vec<Arrival>>,
 }
 
@@ -163,6 +165,7 @@
             born: Mutex::default(),
             instance: Mutex::new(instance.to_owned()),
             mode: Mutex::default(),
+            said: Mutex::default(),
             arrivals: Mutex::default(),
         });
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -215,6 +218,14 @@
         *self.inner.mode.lock().unwrap() = mode;
     }
 
+    /// Says this of itself in the heads of all answers from now on.
+    pub fn say(&self, headers: &[(&'static str, &str)]) {
+        let headers = headers
+            .iter()
+            .map(|(name, value)| (*name, (*value).to_owned()));
+        *self.inner.said.lock().unwrap() = headers.collect();
+    }
+
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.inner.arrivals.lock().unwrap().clone()
     }
@@ -229,7 +240,7 @@
     fn serve(self: &Arc<Self>, listener: TcpListener) {
         let life = self.life.lock().unwrap().clone();
         let inner = Arc::clone(self);
-        let handler = move |address, request| answer(Arc::clone(&inner), address, request);
+        let handler = move |address, request| answer_and_say(Arc::clone(&inner), address, request);
         serve_on(listener, handler, life);
     }
 
@@ -267,6 +278,18 @@
     }
 }
 
+async fn answer_and_say(
+    inner: Arc<Inner>,
+    address: SocketAddr,
+    request: hyper::Request<Incoming>,
+) -> Result<Reply, Gone> {
+    let mut reply = answer(Arc::clone(&inner), address, request).await?;
+    for (name, value) in inner.said.lock().unwrap().iter() {
+        reply.headers_mut().append(*name, value.parse().unwrap());
+    }
+    Ok(reply)
+}
+
 async fn answer(
     inner: Arc<Inner>,
     address: SocketAddr,
--- /dev/null
+++ b/tests/target_limits.rs
@@ -0,0 +1,129 @@
+//! A target that takes only so many requests a second from all routers together.
+//!
+//! What callers saw: a target in need named in its answers how many requests a second it takes from all routers
+//! together, 1.4 to 1.8, and went on getting its usual share, 15 to 19 in four seconds where 13 to 16 were allowed.
+//! The order of events: the first answers with a limit reached one router, then others; each sent on as before, as often
+//! to this target as to those that named none, until the end of what was looked at.
+//!
+//! The cause is that no router read it: an answer's head was decoded into its id, its load and its keep-alive time, and
+//! what else a target says of itself was passed on to callers. The evidence: `rate_limit_heard` lines of each router,
+//! followed by as many `attempt_sent` lines to that target as to the others.
+
+mod deployment;
+
+use std::time::{Duration, Instant};
+
+use deployment::runner::Runner;
+use deployment::{Ask, Deployment, config, try_ask};
+
+const PLENTY: u64 = 1_000_000_000;
+/// Time between two requests, which go to the routers in turn.
+const GAP: Duration = Duration::from_millis(8);
+/// When the target begins to name its limit, after the first request.
+const NAMED_AFTER: Duration = Duration::from_secs(2);
+/// How long it names it.
+const NAMED_FOR: Duration = Duration::from_secs(14);
+/// From then on after it first named it, the limit has to hold.
+const KNOWN_BY: Duration = Duration::from_secs(3);
+/// The span in which arrivals are counted.
+const SPAN: Duration = Duration::from_secs(4);
+
+/// Requests that a target may get in a [`SPAN`], by what users allow: half as many again as it named, and five.
+fn allowed(limit: f64) -> usize {
+    (limit * SPAN.as_secs_f64() * 1.5 + 5.0) as usize
+}
+
+async fn fleet(routers: usize) -> (Deployment, Vec<Runner>) {
+    let mut runners = Vec::new();
+    for number in 0..3 {
+        runners.push(Runner::start(&format!("i-{number}")).await);
+    }
+    let mut deployment = Deployment::start(0, &config(1, PLENTY), &[]).await;
+    for runner in &runners {
+        runner.list_in(&deployment.store, "app");
+    }
+    for number in 0..routers {
+        deployment.add(&format!("g{number}"), &[]).await;
+    }
+    deployment.wait_ready().await;
+    deployment.wait_acquainted().await;
+    (deployment, runners)
+}
+
+/// When requests reached a target, in order.
+fn arrivals(runner: &Runner) -> Vec<Instant> {
+    runner.arrivals().iter().map(|one| one.at).collect()
+}
+
+/// Most arrivals in any [`SPAN`] that begins within these times.
+fn most(arrivals: &[Instant], from: Instant, until: Instant) -> usize {
+    let begins = arrivals.iter().copied();
+    let begins = begins.filter(|at| (from..until).contains(at));
+    let count = |begin: Instant| {
+        let span = begin..begin + SPAN;
+        arrivals.iter().filter(|at| span.contains(*at)).count()
+    };
+    begins.map(count).max().unwrap_or(0)
+}
+
+/// Callers that ask all routers in turn until some time; the numbers of requests and of those that were answered.
+async fn ask_in_turn(fronts: Vec<std::net::SocketAddr>, until: Instant) -> (usize, usize) {
+    let mut asked = Vec::new();
+    let mut next = Instant::now();
+    while next < until {
+        tokio::time::sleep_until(next.into()).await;
+        next += GAP;
+        let front = fronts[asked.len() % fronts.len()];
+        let request = Ask::new(&format!("r{}", asked.len()), "/often/x");
+        asked.push(tokio::spawn(async move { try_ask(front, &request).await }));
+    }
+    let count = asked.len();
+    let mut served = 0;
+    for answer in asked {
+        let answer = answer.await.unwrap();
+        served += usize::from(answer.is_some_and(|answer| answer.status == 200 && answer.is_whole));
+    }
+    (count, served)
+}
+
+/// One of three targets names a limit for a while.
+async fn play(limit: f64, routers: usize) {
+    let (deployment, runners) = fleet(routers).await;
+    let fronts = deployment.gateways.iter().map(|gateway| gateway.front);
+    let begun = Instant::now();
+    let named = begun + NAMED_AFTER;
+    let ended = named + NAMED_FOR;
+    let after = ended + KNOWN_BY;
+    let callers = tokio::spawn(ask_in_turn(fronts.collect(), after));
+    tokio::time::sleep_until(named.into()).await;
+    runners[0].say(&[("server-limit", &limit.to_string())]);
+    tokio::time::sleep_until(ended.into()).await;
+    runners[0].say(&[]);
+    let (asked, served) = callers.await.unwrap();
+    let arrivals = arrivals(&runners[0]);
+    let got = most(&arrivals, named + KNOWN_BY, ended - SPAN);
+    let meanwhile = (named + KNOWN_BY)..ended;
+    let used = arrivals.iter().filter(|at| meanwhile.contains(*at)).count();
+    let since = arrivals.iter().filter(|at| **at >= ended).count();
+    println!(
+        "limit {limit}: {got} in a span, {} allowed; {used} in {:?}; {since} after; served {served} of {asked}",
+        allowed(limit),
+        NAMED_FOR - KNOWN_BY
+    );
+    assert!(got <= allowed(limit), "{got} requests in four seconds");
+    assert!(
+        served * 100 >= asked * 99,
+        "{served} of {asked} are served, though others have room"
+    );
+    assert!(since >= 30, "it is used again: {since} requests");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn low_limit_kept() {
+    play(1.8, 3).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn high_limit_kept() {
+    play(12.5, 3).await;
+}
