Keep a target's own rate limit over all routers

What callers saw: a target in need that named 1.4 to 1.8 requests a second in its answers went on getting its usual share, up to 19 in four seconds where 15 were allowed, and so stayed in need.

Ruled out: that each router keeps it by itself and only the sum is too much (five requests within half a second from one router; in the reproduction no router slowed down), and that what was counted was on its way or came by retries (nothing was sent twice, the excess lasts).

Change: the head of each answer is decoded into a typed notice; the limit is dealt out over routers in whole requests of a span, in an order that all agree on, each part at even distances (decision::limit, decision::share, which cold targets use as well); a target with nothing left for a router is no candidate; routers tell each other at once, with numbered changes; it ends by a later answer without it. Why it holds: one place chooses targets for first attempts, retries and resumed streams; what is dealt out leaves room for two disjoint views of the fleet, and a router that has just started sends nothing until the others know it.

cold_targets' draw checked is_drawn, which is gone with its code: place says more, and the test checks the place.

--- a/src/gateway/control/context.rs
+++ b/src/gateway/control/context.rs
@@ -68,6 +68,8 @@
     pub(super) holds: RefCell<BTreeMap<Fingerprint, Hold>>,
     /// The requests in this router's row of those that are held back.
     pub(super) row_held: RefCell<Vec<Fingerprint>>,
+    /// Wakes the task that tells other routers what targets say of themselves.
+    pub(super) notice_changed: Notify,
     /// Which halls the operators have emptied, once that is known.
     pub(super) evacuations: RefCell<Option<evacuation::View>>,
     /// When the operators' records were last read.
--- a/src/gateway/control/link.rs
+++ b/src/gateway/control/link.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::context::Control;
-use super::{apply, clock, evacuations, loans, quarantine};
+use super::{apply, clock, evacuations, loans, notices, quarantine};
 use crate::gateway::members::{Router, Source};
 use crate::gateway::message::{Heartbeat, Reply, Request};
 use crate::wire;
@@ -83,6 +83,7 @@
             Reply::Taken
         }
         Request::Clocks => Reply::Clocks(clock::read(control)),
+        Request::Notices(reports) => Reply::Notices(notices::answer(control, &reports)),
         Request::Evacuations => Reply::Evacuations(control.evacuations.borrow().clone()),
         Request::Suspects(reports) => {
             quarantine::merge(control, &reports);
@@ -177,6 +178,7 @@
             | Reply::Declined
             | Reply::Clocks(_)
             | Reply::Noted
+            | Reply::Notices(_)
             | Reply::Evacuations(_)),
         ) => {
             tracing::warn!(event = "peer_answer_unfit", name = %router.name, ?reply);
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -13,6 +13,7 @@
 mod grants;
 mod link;
 mod loans;
+mod notices;
 mod quarantine;
 mod rows;
 mod shortage;
@@ -23,7 +24,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -95,6 +96,7 @@
         bad_entries: RefCell::default(),
         bad_routers: RefCell::default(),
         probed: RefCell::default(),
+        notice_changed: Notify::new(),
         evacuations: RefCell::default(),
         operators_read: Cell::default(),
         holds: RefCell::default(),
@@ -111,6 +113,7 @@
     tasks.spawn_local(control.link.track_future(link));
     tasks.spawn_local(link::send_heartbeats(Rc::clone(&control)));
     tasks.spawn_local(quarantine::tell(Rc::clone(&control)));
+    tasks.spawn_local(notices::tell(Rc::clone(&control)));
     tasks.spawn_local(clock::compare(Rc::clone(&control)));
     tasks.spawn_local(loans::give_back_excess(Rc::clone(&control)));
     tasks.block_on(&runtime, serve(control, parts.messages, questions));
@@ -157,7 +160,11 @@
             let next = state.retry(now, job, ending, charge);
             answer(&mut state, now, reply, next);
         }
-        Message::Heard { job, notice } => control.state.borrow_mut().heard(now, job, notice),
+        Message::Heard { job, notice } => {
+            if control.state.borrow_mut().heard(now, job, notice) {
+                control.notice_changed.notify_one();
+            }
+        }
         Message::Answered { job, load } => control.state.borrow_mut().answered(now, job, load),
         Message::BrokenOff { job } => quarantine::broken_off(control, job),
         Message::End { job, ending } => control.state.borrow_mut().end(now, job, ending),
--- a/src/gateway/decision/mod.rs
+++ b/src/gateway/decision/mod.rs
@@ -8,9 +8,11 @@
 pub mod admission;
 pub mod cold;
 pub mod grant;
+pub mod limit;
 pub mod overload;
 pub mod placement;
 pub mod quarantine;
 pub mod refusal;
 pub mod retry;
+pub mod share;
 pub mod stop;
--- a/src/gateway/decision/refusal.rs
+++ b/src/gateway/decision/refusal.rs
@@ -27,6 +27,10 @@
 /// Time to come back where all halls with targets of a service are emptied: operators do that for work of some seconds
 /// at least, and take halls back one by one. Not measured.
 const EVACUATED_RETRY: Millis = Millis(2_000);
+/// Time to come back where targets have no room left for this router by their own word: another router may have some.
+const BARRED_RETRY: Millis = Millis(250);
+/// Shortest time to come back after that, where it is known when a target takes a request again.
+const BARRED_RETRY_MIN: Millis = Millis(50);
 /// Time to come back after a target's refusal, or where the retry budget is used up. Not measured.
 const REFUSED_RETRY: Millis = Millis(100);
 
@@ -59,6 +63,11 @@
     Scarce,
     /// This router's part does not cover it, while the store does not answer.
     CutOff,
+    /// No target takes a request of this router now by the targets' own word.
+    Barred {
+        /// When one does again, where that is known.
+        left: Option<Millis>,
+    },
     /// Targets crashed under it one after the other, so it is sent to none.
     Quarantined {
         /// How long that holds.
@@ -210,6 +219,7 @@
             Self::Refused(Refusal::Scarce) => Some(SCARCE_RETRY),
             Self::Refused(Refusal::CutOff) => Some(CUT_OFF_RETRY),
             Self::Refused(Refusal::Quarantined { left }) => Some(left),
+            Self::Refused(Refusal::Barred { left }) => Some(left.map_or(BARRED_RETRY, at_least)),
             Self::Refused(Refusal::NoTarget) | Self::Unreachable => Some(NO_TARGET_RETRY),
             Self::Refused(Refusal::Evacuated) => Some(EVACUATED_RETRY),
             Self::Refused(Refusal::NoRepeats) | Self::TargetRefused => Some(REFUSED_RETRY),
@@ -244,6 +254,7 @@
             Self::Refused(Refusal::Short) => "budget_short_here",
             Self::Refused(Refusal::Scarce) => "budget_short_everywhere",
             Self::Refused(Refusal::CutOff) => "budget_short_and_cut_off",
+            Self::Refused(Refusal::Barred { .. }) => "targets_barred",
             Self::Refused(Refusal::Quarantined { .. }) => "quarantined",
             Self::TargetRefused => "target_refused",
             Self::Unreachable => "unreachable",
@@ -255,6 +266,11 @@
     }
 }
 
+/// The time until a target takes a request again, as a time to come back.
+fn at_least(left: Millis) -> Millis {
+    left.max(BARRED_RETRY_MIN)
+}
+
 /// A time from `shortest` to twice that, the same for an id each time.
 fn spread(shortest: Millis, id: &str) -> Millis {
     shortest + Millis(xxh3_64(id.as_bytes()) % (shortest.0 + 1))
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -187,17 +187,18 @@
         self.written_since.get_or_insert(now);
     }
 
-    /// Whether this router is one of the `count` that come first in an order of all that were ever live, which depends
-    /// on their names and `key` only. Until the others have had the time to read its first entry it is not: they may
-    /// still count one of themselves in its place.
-    pub fn is_drawn(&self, now: Millis, key: &str, count: usize) -> bool {
-        let has_joined = self
-            .written_since
-            .is_some_and(|since| now.saturating_sub(since).0 > self.interval.0 * JOIN_HEARTBEATS);
+    /// This router's place in an order of all that were ever live, which depends on their names and `key` only. It has
+    /// none until the others have had the time to read its first entry: they may still count one of themselves in its
+    /// place.
+    pub fn place(&self, now: Millis, key: &str) -> Option<usize> {
+        let written = self.written_since?;
+        if now.saturating_sub(written).0 <= self.interval.0 * JOIN_HEARTBEATS {
+            return None;
+        }
         let seed = xxh3_64(key.as_bytes());
         let own = place(&self.me, seed);
         let before = self.known().filter(|router| place(router, seed) < own);
-        has_joined && before.count() < count
+        Some(before.count())
     }
 
     /// All other routers that were ever live.
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -7,8 +7,8 @@
 use super::escrow::Loan;
 use super::evacuation;
 use super::members::Router;
-use super::quarantine::Report;
 use super::targets::{Outstanding, View};
+use super::{notice, quarantine};
 use crate::units::Tokens;
 
 /// A router's heartbeat.
@@ -46,9 +46,11 @@
     /// What do its host's clocks read?
     Clocks,
     /// Requests that were beside crashes of targets.
-    Suspects(Vec<Report>),
+    Suspects(Vec<quarantine::Report>),
     /// Which halls are emptied?
     Evacuations,
+    /// What targets said of themselves; none of it is a question only.
+    Notices(Vec<notice::Report>),
 }
 
 /// What it is answered.
@@ -75,4 +77,6 @@
     Noted,
     /// The halls that are emptied, where the answering router knows them.
     Evacuations(Option<evacuation::View>),
+    /// What the answering router knows of what targets said.
+    Notices(Vec<notice::Report>),
 }
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -3,13 +3,32 @@
 //! The dialect decodes it once into these types. A value that cannot be read says nothing: it neither begins nor ends
 //! anything, and is counted and logged.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
 /// Requests a second that a target takes from all routers together: finite and not negative.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(try_from = "f64")]
 pub struct Rate(f64);
 
+/// A number that is no rate.
+#[derive(Clone, Copy, Debug, PartialEq, Snafu)]
+#[snafu(display("{per_second} is no rate"))]
+pub struct BadRate {
+    /// The number.
+    pub per_second: f64,
+}
+
+impl TryFrom<f64> for Rate {
+    type Error = BadRate;
+
+    fn try_from(per_second: f64) -> Result<Self, BadRate> {
+        Self::new(per_second).ok_or(BadRate { per_second })
+    }
+}
+
 impl Rate {
     /// So many requests a second, where that is a rate.
     pub fn new(per_second: f64) -> Option<Self> {
@@ -62,3 +81,36 @@
         wanted: &'static str,
     },
 }
+
+/// What routers tell each other of what a target said. It is encoded for other processes, so the order of fields and
+/// variants is part of its form.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Hash of the target's instance.
+    pub instance: u64,
+    /// What it said.
+    pub word: Word,
+}
+
+/// One thing that a target said of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Word {
+    /// Its rate limit, or that it has none any more.
+    RateLimit {
+        /// Number of the change, over all routers.
+        revision: u32,
+        /// The limit.
+        limit: Option<Rate>,
+    },
+}
+
+impl fmt::Display for Word {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::RateLimit {
+                limit: Some(limit), ..
+            } => write!(f, "limit={}/s", limit.per_second()),
+            Self::RateLimit { limit: None, .. } => write!(f, "limit=none"),
+        }
+    }
+}
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -21,7 +21,7 @@
 use super::job::{Delivery, Ending, Job, Placement};
 use super::key::{JobKey, TargetKey};
 use super::members::{Members, Router, Source};
-use super::notice::Notice;
+use super::notice::{Notice, Report};
 use super::quarantine::{Broken, Quarantine};
 use super::targets::{Change, Targets};
 use crate::boot_clock::Reading;
@@ -191,6 +191,7 @@
         running.backlog = prompt.map_or(0, |prompt| prompt.tokens.0);
         running.target = Some(target);
         self.targets.begin(now, target, running.backlog);
+        self.targets.note_send(now, &self.members, target);
         self.running.insert(key, running);
         let listing = &self.targets.get(target).listing;
         Placement {
@@ -202,25 +203,40 @@
         }
     }
 
-    /// Takes in what a request's target says of itself in the head of its answer.
-    pub fn heard(&mut self, now: Millis, key: JobKey, notice: Notice) {
+    /// Takes in what a request's target says of itself in the head of its answer; whether that is news.
+    pub fn heard(&mut self, now: Millis, key: JobKey, notice: Notice) -> bool {
         let Some(running) = self.running.get(&key) else {
-            return;
+            return false;
         };
         let Some(target) = running.target else {
-            return;
+            return false;
         };
-        let sent_ago_ms = now.saturating_sub(running.sent).0;
+        let sent = running.sent;
+        let changed = self.targets.hear(now, target, sent, &notice);
         let instance = &self.targets.get(target).listing.instance;
-        match notice.rate_limit {
-            Ok(Some(limit)) => {
-                let id = &running.job.id;
-                let limit = limit.per_second();
-                tracing::info!(event = "rate_limit_heard", %id, %instance, limit, sent_ago_ms);
+        if let Err(error) = notice.rate_limit {
+            tracing::warn!(event = "notice_refused", %instance, %error);
+        }
+        if let Some(word) = changed {
+            let id = &running.job.id;
+            let sent_ago_ms = now.saturating_sub(sent).0;
+            tracing::info!(event = "target_says", %instance, %word, source = "answer", %id, sent_ago_ms);
+        }
+        changed.is_some()
+    }
+
+    /// Takes in what another router tells of what targets said; whether some of it is news.
+    pub fn merge(&mut self, now: Millis, reports: &[Report], router: Option<&str>) -> bool {
+        let mut is_news = false;
+        for report in reports {
+            if let Some(target) = self.targets.merge(now, report) {
+                is_news = true;
+                let instance = &self.targets.get(target).listing.instance;
+                let word = report.word;
+                tracing::info!(event = "target_says", %instance, %word, source = "link", router);
             }
-            Ok(None) => {}
-            Err(error) => tracing::warn!(event = "notice_refused", %instance, %error),
         }
+        is_news
     }
 
     /// Notes that a target has begun to answer, and the load that it reported.
@@ -348,7 +364,11 @@
     fn choose(&mut self, now: Millis, running: &Running) -> Result<TargetKey, Refusal> {
         let hall = &self.settings.me.hall;
         let service = &running.service;
-        let candidates = self.targets.candidates(now, service, &running.tried);
+        let (barred, first) = self.targets.barred(now, &self.members, service);
+        let is_barred = !barred.is_empty();
+        let mut excluded = barred;
+        excluded.extend(&running.tried);
+        let candidates = self.targets.candidates(now, service, &excluded);
         let candidates = self.targets.avoid_cold(now, &self.members, candidates);
         let choice = match &running.job.prompt {
             Some(prompt) => self.targets.choose_model(now, &candidates, hall, prompt),
@@ -360,6 +380,9 @@
         choice.ok_or_else(|| {
             if self.targets.is_evacuated(service) {
                 Refusal::Evacuated
+            } else if is_barred {
+                let left = first.map(|first| first.saturating_sub(now));
+                Refusal::Barred { left }
             } else {
                 Refusal::NoTarget
             }
--- a/src/gateway/targets/choice.rs
+++ b/src/gateway/targets/choice.rs
@@ -1,6 +1,6 @@
 //! Which of the listed targets a request may be sent to, and the choice among them.
 //!
-//! Left out are, in this order, those that were tried, those in halls that are emptied, those that the list lacks, those
+//! Left out are, in this order, those that were tried or are barred by their own word, those in halls that are emptied, those that the list lacks, those
 //! that are ejected and those that are cold; what is left goes to [`placement`]. Each step says when it leaves all in.
 
 use super::registry::Targets;
@@ -28,10 +28,10 @@
         self.evacuated.contains(&self.get(key).listing.hall)
     }
 
-    /// Targets of a service that a request may be sent to, without those that were tried and those in halls that
-    /// are emptied. Ejected ones are left out unless there are no others.
-    pub fn candidates(&self, now: Millis, service: &str, tried: &[TargetKey]) -> Vec<TargetKey> {
-        let open = self.open(service).filter(|key| !tried.contains(key));
+    /// Targets of a service that a request may be sent to, without those to be left out, which were tried or are barred
+    /// by their own word, and those in halls that are emptied. Ejected ones are left out unless there are no others.
+    pub fn candidates(&self, now: Millis, service: &str, left_out: &[TargetKey]) -> Vec<TargetKey> {
+        let open = self.open(service).filter(|key| !left_out.contains(key));
         let open: Vec<TargetKey> = open.filter(|key| !self.is_emptied(*key)).collect();
         let open = self.avoid_missing(open);
         let is_well = |key: &TargetKey| !self.get(*key).health.is_ejected(now);
@@ -76,8 +76,8 @@
             return true;
         };
         let draw = cold::draw(cold_start, routers.count());
-        let instance = &target.listing.instance;
-        target.warmup.recent_sends(now) < draw.each && routers.is_drawn(now, instance, draw.routers)
+        let place = routers.place(now, &target.listing.instance);
+        place.is_some_and(|place| target.warmup.recent_sends(now) < draw.part(place))
     }
 
     /// Chooses a target for a plain request; `seed` draws among equals.
--- a/src/gateway/targets/mod.rs
+++ b/src/gateway/targets/mod.rs
@@ -6,6 +6,8 @@
 mod cache;
 mod choice;
 mod cold;
+mod limit;
+mod notices;
 mod outstanding;
 mod registry;
 mod target;
--- /dev/null
+++ b/src/gateway/targets/notices.rs
@@ -0,0 +1,113 @@
+//! What targets say of themselves, and which of them a request may not be sent to for it.
+//!
+//! A target's own word binds: unlike an ejection, which this router infers, it holds also where it leaves a service
+//! without a target. What it says ends with its incarnation.
+
+use super::registry::Targets;
+use crate::gateway::decision::limit::{self, Use};
+use crate::gateway::key::TargetKey;
+use crate::gateway::members::Members;
+use crate::gateway::notice::{Notice, Report, Word};
+use crate::units::Millis;
+
+/// Reports in a message to another router, at most: a kilobyte and a half.
+const REPORTS_MAX: usize = 64;
+
+impl Targets {
+    /// Takes in what the answer to a request says that was sent at `sent`; the words that have changed by it.
+    pub fn hear(
+        &mut self,
+        now: Millis,
+        key: TargetKey,
+        sent: Millis,
+        notice: &Notice,
+    ) -> Option<Word> {
+        let limit = &mut self.get_mut(key).limit;
+        let is_change = notice
+            .rate_limit
+            .as_ref()
+            .is_ok_and(|rate| limit.hear(now, sent, *rate));
+        if is_change { limit.word(now) } else { None }
+    }
+
+    /// Takes in what another router tells; the target, where that is news.
+    pub fn merge(&mut self, now: Millis, report: &Report) -> Option<TargetKey> {
+        let key = *self.by_hash.get(&report.instance)?;
+        let is_change = match report.word {
+            Word::RateLimit { revision, limit } => {
+                self.get_mut(key).limit.merge(now, revision, limit)
+            }
+        };
+        is_change.then_some(key)
+    }
+
+    /// What other routers are told of what targets said.
+    pub fn reports(&self, now: Millis) -> Vec<Report> {
+        let reports = self.known().filter_map(|target| {
+            let word = target.limit.word(now)?;
+            let instance = target.hash();
+            Some(Report { instance, word })
+        });
+        reports.take(REPORTS_MAX).collect()
+    }
+
+    /// Targets of a service that take requests, but none of this router's now by their own word; and when the first
+    /// of them takes one again, where that is known.
+    pub fn barred(
+        &self,
+        now: Millis,
+        routers: &Members,
+        service: &str,
+    ) -> (Vec<TargetKey>, Option<Millis>) {
+        let mut barred = Vec::new();
+        let mut first = None;
+        for key in self.open(service) {
+            match self.next_send(routers, now, key) {
+                Next::Now => {}
+                Next::At(at) if at <= now => {}
+                Next::At(at) => {
+                    barred.push(key);
+                    first = Some(first.map_or(at, |first: Millis| first.min(at)));
+                }
+                Next::Unknown => barred.push(key),
+            }
+        }
+        (barred, first)
+    }
+
+    /// Notes that a request is sent to a target, which counts towards what it takes by its own word.
+    pub fn note_send(&mut self, now: Millis, routers: &Members, key: TargetKey) {
+        if let Some(usage) = self.limit_use(now, routers, key) {
+            let sent = limit::sent(now, &usage);
+            self.get_mut(key).limit.note_send(sent);
+        }
+    }
+
+    fn next_send(&self, routers: &Members, now: Millis, key: TargetKey) -> Next {
+        match self.limit_use(now, routers, key) {
+            Some(usage) => limit::next(&usage).map_or(Next::Unknown, Next::At),
+            None => Next::Now,
+        }
+    }
+
+    /// What decides how much of a target's limit this router may use, where it has one.
+    fn limit_use(&self, now: Millis, routers: &Members, key: TargetKey) -> Option<Use> {
+        let target = self.get(key);
+        let (limit, since) = target.limit.in_force()?;
+        Some(Use {
+            limit,
+            since,
+            last: target.limit.last(),
+            routers: routers.count(),
+            place: routers.place(now, &target.listing.instance),
+        })
+    }
+}
+
+/// When this router may send a request to a target by the target's own word.
+enum Next {
+    Now,
+    At(Millis),
+    /// Others use what it takes.
+    Unknown,
+}
--- a/src/gateway/targets/registry.rs
+++ b/src/gateway/targets/registry.rs
@@ -40,7 +40,7 @@
     by_instance: HashMap<String, TargetKey>,
     /// The newest incarnation of each target, by its id.
     by_id: HashMap<String, TargetKey>,
-    by_hash: HashMap<u64, TargetKey>,
+    pub(super) by_hash: HashMap<u64, TargetKey>,
     pub(super) by_service: HashMap<String, Vec<TargetKey>>,
     pub(super) cache: Cache,
     removed: HashMap<String, Millis>,
@@ -245,7 +245,7 @@
         self.known().count()
     }
 
-    fn known(&self) -> impl Iterator<Item = &Target> {
+    pub(super) fn known(&self) -> impl Iterator<Item = &Target> {
         self.all.iter().flatten().map(Box::as_ref)
     }
 
@@ -258,7 +258,7 @@
         target.expect("a target is known for as long as a request is there")
     }
 
-    fn get_mut(&mut self, key: TargetKey) -> &mut Target {
+    pub(super) fn get_mut(&mut self, key: TargetKey) -> &mut Target {
         let target = self.all[key.0].as_mut();
         target.expect("a target is known for as long as a request is there")
     }
--- a/src/gateway/targets/target.rs
+++ b/src/gateway/targets/target.rs
@@ -5,6 +5,7 @@
 
 use super::attempts::Attempts;
 use super::cold::Warmup;
+use super::limit::Limit;
 use super::outstanding::Outstanding;
 use crate::ejection::Health;
 use crate::gateway::decision::placement::Candidate;
@@ -32,6 +33,8 @@
     pub(super) health: Health,
     pub(super) attempts: Attempts,
     pub(super) warmup: Warmup,
+    /// Its own rate limit.
+    pub(super) limit: Limit,
     pub(super) is_listed: bool,
     /// Whether the list that was last read lacks it, although it is not removed yet.
     pub(super) is_missing: bool,
@@ -52,6 +55,7 @@
             health: Health::default(),
             attempts: Attempts::default(),
             warmup: Warmup::default(),
+            limit: Limit::default(),
             is_listed: true,
             is_missing: false,
             unused_since: None,
--- /dev/null
+++ b/tests/limit_shares.rs
@@ -0,0 +1,248 @@
+//! A target's own rate limit over all routers: what they send together, how much of it they use, and what ends it.
+
+mod fleet;
+mod listed;
+
+use fleet::router;
+use lanedeck::gateway::key::TargetKey;
+use lanedeck::gateway::members::{Members, Source};
+use lanedeck::gateway::notice::{Notice, Rate, Report, Word};
+use lanedeck::gateway::targets::Targets;
+use lanedeck::units::Millis;
+
+const NOW: Millis = Millis(1_000_000);
+const HEARTBEAT: Millis = Millis(1_200);
+const KEY: TargetKey = TargetKey(0);
+/// Time between two looks of a router that has more requests than its targets take.
+const STEP: Millis = Millis(25);
+/// How long the routers send.
+const PLAY: Millis = Millis(16_000);
+/// The span in which arrivals are counted.
+const SPAN: Millis = Millis(4_000);
+const LIMITS: [f64; 6] = [0.5, 1.4, 1.8, 7.0, 12.5, 50.0];
+
+fn limited(per_second: f64) -> Notice {
+    Notice {
+        rate_limit: Ok(Rate::new(per_second)),
+    }
+}
+
+/// Requests that users let a target have in a span: half as many again as it takes, and five.
+fn allowed(limit: f64) -> usize {
+    (limit * SPAN.0 as f64 / 1_000.0 * 1.5 + 5.0) as usize
+}
+
+/// A router with one target, that has known these others for a while.
+struct View {
+    members: Members,
+    targets: Targets,
+}
+
+impl View {
+    fn new(me: u16, known: impl Iterator<Item = u16>) -> Self {
+        let mut members = Members::new(router(me), HEARTBEAT);
+        members.note_written(Millis::ZERO);
+        for other in known {
+            members.update(NOW, router(other), Source::Store);
+        }
+        let mut targets = Targets::default();
+        targets.list(listed::listing(0));
+        Self { members, targets }
+    }
+
+    fn may_send(&self, now: Millis) -> bool {
+        let (barred, _) = self.targets.barred(now, &self.members, "s");
+        barred.is_empty()
+    }
+
+    fn send(&mut self, now: Millis) {
+        self.targets.note_send(now, &self.members, KEY);
+    }
+
+    fn hear(&mut self, now: Millis, sent: Millis, notice: &Notice) -> Option<Word> {
+        self.targets.hear(now, KEY, sent, notice)
+    }
+
+    fn merge(&mut self, now: Millis, reports: &[Report]) {
+        for report in reports {
+            self.targets.merge(now, report);
+        }
+    }
+}
+
+/// All routers send to one target whatever they may, and hear of its limit within a tenth of a second; when they sent.
+fn play(fleet: &mut [View], limit: f64) -> Vec<Millis> {
+    let mut sent = Vec::new();
+    let count = fleet.len() as u64;
+    for (place, view) in fleet.iter_mut().enumerate() {
+        let heard = NOW + Millis(place as u64 * 100 / count);
+        view.hear(heard, NOW, &limited(limit));
+    }
+    let mut now = NOW + Millis(100);
+    while now < NOW + PLAY {
+        for view in fleet.iter_mut() {
+            if view.may_send(now) {
+                view.send(now);
+                sent.push(now);
+            }
+        }
+        now += STEP;
+    }
+    sent
+}
+
+fn most_in_a_span(sent: &[Millis]) -> usize {
+    let count = |begin: Millis| {
+        let within = sent
+            .iter()
+            .filter(|at| **at >= begin && **at < begin + SPAN);
+        within.count()
+    };
+    sent.iter().map(|begin| count(*begin)).max().unwrap_or(0)
+}
+
+#[test]
+fn kept_and_used() {
+    for routers in [1, 3, 8, 75, 350] {
+        for limit in LIMITS {
+            let others = |me: u16| (0..routers).filter(move |other| *other != me);
+            let mut fleet: Vec<View> = (0..routers).map(|me| View::new(me, others(me))).collect();
+            let sent = play(&mut fleet, limit);
+            let (most, allowed) = (most_in_a_span(&sent), allowed(limit));
+            assert!(
+                most <= allowed,
+                "{routers} routers, {limit}/s: {most} of {allowed}"
+            );
+            let per_second = sent.len() as f64 * 1_000.0 / PLAY.0 as f64;
+            assert!(
+                per_second >= 0.6 * limit,
+                "{routers} routers, {limit}/s: {per_second} used"
+            );
+        }
+    }
+}
+
+/// Half of the fleet has never heard of the other half.
+#[test]
+fn kept_in_a_cut() {
+    for limit in LIMITS {
+        let side = |me: u16| (0..40).filter(move |other| *other != me && other % 2 == me % 2);
+        let mut fleet: Vec<View> = (0..40).map(|me| View::new(me, side(me))).collect();
+        let most = most_in_a_span(&play(&mut fleet, limit));
+        assert!(most <= allowed(limit), "{limit}/s: {most}");
+    }
+}
+
+/// Routers that start send nothing there until the others know them.
+#[test]
+fn newcomers_wait() {
+    let mut view = View::new(0, 0..0);
+    view.members = Members::new(router(0), HEARTBEAT);
+    view.hear(NOW, NOW, &limited(50.0));
+    assert!(!view.may_send(NOW + SPAN));
+    view.members.note_written(NOW);
+    assert!(!view.may_send(NOW + HEARTBEAT));
+    assert!(view.may_send(NOW + SPAN));
+}
+
+/// A target that takes nothing gets a request now and then, since only its answer can tell that it does again.
+#[test]
+fn nothing_taken() {
+    let mut view = View::new(0, 0..0);
+    let sent = play(std::slice::from_mut(&mut view), 0.0);
+    assert_eq!(sent.len(), 2, "{sent:?}");
+}
+
+#[test]
+fn ends_with_answers() {
+    let mut view = View::new(0, 0..0);
+    let at = |millis: u64| NOW + Millis(millis);
+    assert!(view.hear(at(10), at(0), &limited(0.5)).is_some());
+    view.send(at(10));
+    assert!(
+        view.hear(at(20), at(15), &limited(0.5)).is_none(),
+        "no news"
+    );
+    // Sent before the limit was last heard: it may have been answered before it began.
+    assert!(view.hear(at(30), at(5), &Notice::default()).is_none());
+    assert!(!view.may_send(at(40)));
+    assert!(view.hear(at(60), at(50), &Notice::default()).is_some());
+    assert!(view.may_send(at(60)));
+    // An older answer that comes late.
+    assert!(view.hear(at(70), at(40), &limited(0.5)).is_none());
+    assert!(view.may_send(at(70)));
+    assert!(view.hear(at(90), at(80), &limited(0.5)).is_some());
+    view.send(at(90));
+    assert!(!view.may_send(at(90)));
+}
+
+#[test]
+fn unreadable_says_nothing() {
+    let mut view = View::new(0, 0..0);
+    view.hear(NOW, NOW, &limited(0.5));
+    view.send(NOW);
+    let unreadable = Notice {
+        rate_limit: Err(lanedeck::gateway::notice::BadNotice::Long { header: "x" }),
+    };
+    let later = NOW + Millis(10);
+    assert!(view.hear(later, later, &unreadable).is_none());
+    assert!(!view.may_send(later));
+}
+
+/// What links tell is taken in once, and never brings back what has ended.
+#[test]
+fn told_over_links() {
+    let mut teller = View::new(0, [1].into_iter());
+    let mut other = View::new(1, [0].into_iter());
+    teller.hear(NOW, NOW, &limited(0.5));
+    let limited_then = teller.targets.reports(NOW);
+    other.merge(NOW, &limited_then);
+    assert_eq!(other.targets.reports(NOW), limited_then);
+    let later = NOW + Millis(10);
+    teller.hear(later, later, &Notice::default());
+    let ended_then = teller.targets.reports(later);
+    other.merge(later, &ended_then);
+    assert!(other.may_send(later));
+    other.merge(later, &limited_then);
+    assert!(other.may_send(later), "an older report changes nothing");
+    // An answer to a request that was sent before the end was told is older, too.
+    assert!(other.hear(later, NOW, &limited(0.5)).is_none());
+    assert!(other.may_send(later));
+}
+
+/// Whatever routers hear and tell in whatever order, they agree once all have told all.
+#[test]
+fn routers_agree() {
+    arbtest::arbtest(|input| {
+        let mut views: Vec<View> = (0..3).map(|me| View::new(me, 0..0)).collect();
+        let mut now = NOW;
+        let mut old = Vec::new();
+        for _ in 0..input.int_in_range(1..=30)? {
+            now += Millis(input.int_in_range(0..=50)?);
+            let at = input.choose_index(views.len())?;
+            if input.ratio(1, 2)? {
+                let ago = Millis(input.int_in_range(0..=100)?);
+                let notice = *input.choose(&[Notice::default(), limited(0.5), limited(2.0)])?;
+                views[at].hear(now, now.saturating_sub(ago), &notice);
+            } else {
+                let from = input.choose_index(views.len())?;
+                old.extend(views[from].targets.reports(now));
+                let report = *input.choose(&old).unwrap_or(&Report {
+                    instance: 0,
+                    word: Word::RateLimit {
+                        revision: 0,
+                        limit: None,
+                    },
+                });
+                views[at].merge(now, &[report]);
+            }
+        }
+        for from in [0, 1, 2, 0, 1, 2] {
+            let reports = views[from].targets.reports(now);
+            views.iter_mut().for_each(|view| view.merge(now, &reports));
+        }
+        let told: Vec<Vec<Report>> = views.iter().map(|view| view.targets.reports(now)).collect();
+        assert!(told.iter().all(|one| *one == told[0]), "{told:?}");
+        Ok(())
+    });
+}
