--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -8,6 +8,8 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
+use crate::units::Millis;
+
 /// Requests a second that a target takes from all routers together: finite and not negative.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
 #[serde(try_from = "f64")]
@@ -46,12 +48,30 @@
 pub struct Notice {
     /// Its rate limit; an answer without one ends the limit of before.
     pub rate_limit: Result<Option<Rate>, BadNotice>,
+    /// Whether it leaves: it serves what it has and ends.
+    pub is_leaving: Result<bool, BadNotice>,
+    /// How long it wants nothing from the router that it refuses, where it says so.
+    pub rest: Result<Option<Millis>, BadNotice>,
+}
+
+impl Notice {
+    /// What of it cannot be used.
+    pub fn errors(&self) -> impl Iterator<Item = BadNotice> {
+        let errors = [
+            self.rate_limit.err(),
+            self.is_leaving.err(),
+            self.rest.err(),
+        ];
+        errors.into_iter().flatten()
+    }
 }
 
 impl Default for Notice {
     fn default() -> Self {
         Self {
             rate_limit: Ok(None),
+            is_leaving: Ok(false),
+            rest: Ok(None),
         }
     }
 }
--- a/tests/limit_shares.rs
+++ b/tests/limit_shares.rs
@@ -24,6 +24,7 @@
 fn limited(per_second: f64) -> Notice {
     Notice {
         rate_limit: Ok(Rate::new(per_second)),
+        ..Notice::default()
     }
 }
 
@@ -183,6 +184,7 @@
     view.send(NOW);
     let unreadable = Notice {
         rate_limit: Err(lanedeck::gateway::notice::BadNotice::Long { header: "x" }),
+        ..Notice::default()
     };
     let later = NOW + Millis(10);
     assert!(view.hear(later, later, &unreadable).is_none());
