Reproduce requests to a target that says it leaves, as a test that fails

The callers that ask all routers in turn, which two test files had each for themselves, stand in tests/deployment/turns.rs now; they check what they checked.

--- a/tests/crashing_request.rs
+++ b/tests/crashing_request.rs
@@ -15,9 +15,9 @@
 use std::time::{Duration, Instant};
 
 use deployment::runner::{CRASHING, Runner};
+use deployment::turns::{self, PLENTY, ask_in_turn};
 use deployment::{Ask, Deployment, ask, config, try_ask};
 
-const PLENTY: u64 = 1_000_000_000;
 /// Time between two tries of the request that crashes targets.
 const TRY_GAP: Duration = Duration::from_millis(250);
 /// Time between two requests of others.
@@ -68,42 +68,13 @@
         .count()
 }
 
-/// Sends what `make` makes of a number at all routers in turn, for as long as the play lasts; the numbers of
-/// requests and of those that were answered whole are returned.
-async fn send(
-    fronts: Vec<std::net::SocketAddr>,
-    gap: Duration,
-    make: fn(usize) -> Ask,
-) -> (usize, usize) {
-    let end = Instant::now() + PLAY;
-    let mut asked = Vec::new();
-    let mut next = Instant::now();
-    while next < end {
-        tokio::time::sleep_until(next.into()).await;
-        next += gap;
-        let front = fronts[asked.len() % fronts.len()];
-        let request = make(asked.len());
-        asked.push(tokio::spawn(async move { try_ask(front, &request).await }));
-    }
-    let count = asked.len();
-    let mut served = 0;
-    for answer in asked {
-        let answer = answer.await.unwrap();
-        served += usize::from(answer.is_some_and(|answer| answer.status == 200 && answer.is_whole));
-    }
-    (count, served)
-}
-
 /// Plays a request that crashes targets beside others with the same path and customer.
 async fn play(service: &str, crashing: fn(usize) -> Ask, other: fn(usize) -> Ask) {
     let (deployment, runners) = fleet(service).await;
-    let fronts: Vec<_> = deployment
-        .gateways
-        .iter()
-        .map(|gateway| gateway.front)
-        .collect();
-    let crashing = tokio::spawn(send(fronts.clone(), TRY_GAP, crashing));
-    let (asked, served) = send(fronts.clone(), OTHER_GAP, other).await;
+    let fronts = turns::fronts(&deployment);
+    let end = Instant::now() + PLAY;
+    let crashing = tokio::spawn(ask_in_turn(fronts.clone(), TRY_GAP, end, crashing));
+    let (asked, served) = ask_in_turn(fronts, OTHER_GAP, end, other).await;
     crashing.await.unwrap();
     let (ended, late) = (crashes(&runners).len(), sent_late(&runners));
     println!("{ended} crashes, sent {late} times late, others served {served} of {asked}");
--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -4,6 +4,7 @@
 pub mod runner;
 pub mod server;
 pub mod store;
+pub mod turns;
 
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
--- a/tests/deployment/runner.rs
+++ b/tests/deployment/runner.rs
@@ -26,6 +26,8 @@
     Well,
     /// Refuses, and does not run it.
     Shed,
+    /// Refuses one in so many, does not run it, and asks its router for so many milliseconds of rest.
+    Rest(u32, u64),
     /// Runs it and answers 500.
     Fail,
     /// Runs it and closes the connection without an answer.
@@ -146,6 +148,8 @@
     mode: Mutex<Mode>,
     /// Headers that each of its answers has.
     said: Mutex<Vec<(&'static str, String)>>,
+    /// Requests that were counted to refuse one in some.
+    counted: AtomicU32,
     arrivals: Mutex<Vec<Arrival>>,
 }
 
@@ -166,6 +170,7 @@
             instance: Mutex::new(instance.to_owned()),
             mode: Mutex::default(),
             said: Mutex::default(),
+            counted: AtomicU32::default(),
             arrivals: Mutex::default(),
         });
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -244,6 +249,12 @@
         serve_on(listener, handler, life);
     }
 
+    /// Whether a request is the last of so many.
+    fn is_one_in(&self, count: u32) -> bool {
+        let number = self.counted.fetch_add(1, Ordering::Relaxed) + 1;
+        number.is_multiple_of(count)
+    }
+
     fn write_entry(&self) {
         let Some(entry) = self.entry.lock().unwrap().clone() else {
             return;
@@ -301,7 +312,11 @@
     let mode = *inner.mode.lock().unwrap();
     let expected = parts.headers.get("x-expect-instance");
     let is_meant = expected.is_none_or(|expected| expected.as_bytes() == instance.as_bytes());
-    let ran = is_meant && mode != Mode::Shed;
+    let rests = match mode {
+        Mode::Rest(one_in, millis) => inner.is_one_in(one_in).then_some(millis),
+        _ => None,
+    };
+    let ran = is_meant && mode != Mode::Shed && rests.is_none();
     let handed_out = Arc::new(AtomicU32::new(0));
     inner.arrivals.lock().unwrap().push(Arrival {
         method: parts.method.to_string(),
@@ -343,6 +358,16 @@
             let head = Response::builder().status(StatusCode::SERVICE_UNAVAILABLE);
             return Ok(head.header("x-not-executed", "1").body(whole("")).unwrap());
         }
+        Mode::Rest(_, _) => {
+            if let Some(millis) = rests {
+                let head = Response::builder().status(StatusCode::SERVICE_UNAVAILABLE);
+                let head = head
+                    .header("x-attempt-id", id)
+                    .header("x-not-executed", "1");
+                let seconds = (millis as f64 / 1_000.0).to_string();
+                return Ok(head.header("retry-after", seconds).body(whole("")).unwrap());
+            }
+        }
         Mode::Fail => {
             let head = head.status(StatusCode::INTERNAL_SERVER_ERROR);
             return Ok(head.body(whole("failed")).unwrap());
--- /dev/null
+++ b/tests/deployment/turns.rs
@@ -0,0 +1,63 @@
+//! Callers that ask all gateways in turn, and what of it arrived.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use super::runner::Runner;
+use super::{Ask, Deployment, config, try_ask};
+
+/// A customer's budget that no test uses up.
+pub const PLENTY: u64 = 1_000_000_000;
+/// The header in which a request has the number of the gateway that it was sent to.
+pub const GATEWAY: &str = "x-gateway";
+
+/// Three runners of one service behind some gateways that all know each other.
+pub async fn fleet(gateways: usize, service: &str) -> (Deployment, Vec<Runner>) {
+    let mut runners = Vec::new();
+    for number in 0..3 {
+        runners.push(Runner::start(&format!("i-{number}")).await);
+    }
+    let mut deployment = Deployment::start(0, &config(1, PLENTY), &[]).await;
+    for runner in &runners {
+        runner.list_in(&deployment.store, service);
+    }
+    for number in 0..gateways {
+        deployment.add(&format!("g{number}"), &[]).await;
+    }
+    deployment.wait_ready().await;
+    deployment.wait_acquainted().await;
+    (deployment, runners)
+}
+
+/// Where the gateways take callers.
+pub fn fronts(deployment: &Deployment) -> Vec<SocketAddr> {
+    let gateways = deployment.gateways.iter();
+    gateways.map(|gateway| gateway.front).collect()
+}
+
+/// Sends what `make` makes of a number to all gateways in turn, one each `gap`; the numbers of requests and of those
+/// that were answered whole are returned.
+pub async fn ask_in_turn(
+    fronts: Vec<SocketAddr>,
+    gap: Duration,
+    until: Instant,
+    make: fn(usize) -> Ask,
+) -> (usize, usize) {
+    let mut asked = Vec::new();
+    let mut next = Instant::now();
+    while next < until {
+        tokio::time::sleep_until(next.into()).await;
+        next += gap;
+        let at = asked.len() % fronts.len();
+        let front = fronts[at];
+        let request = make(asked.len()).with(GATEWAY, &at.to_string());
+        asked.push(tokio::spawn(async move { try_ask(front, &request).await }));
+    }
+    let count = asked.len();
+    let mut served = 0;
+    for answer in asked {
+        let answer = answer.await.unwrap();
+        served += usize::from(answer.is_some_and(|answer| answer.status == 200 && answer.is_whole));
+    }
+    (count, served)
+}
--- /dev/null
+++ b/tests/target_leaving.rs
@@ -0,0 +1,59 @@
+//! A target that says in its answers that it leaves, while its entry in the list cannot be written.
+//!
+//! What callers saw: a target that was to end got requests until it did, 2.5 and 2.9 s after answers that said so had gone
+//! through the very routers that sent them. The order of events: all routers lose the store; a target begins to leave and
+//! says so in each answer, while its entry stays as it was; routers pass such answers on, and go on sending.
+//!
+//! The cause is that a router learned only from the list that a target leaves. The evidence: `leaving_heard` lines of a
+//! router, followed by as many `attempt_sent` lines to that target as before.
+
+mod deployment;
+
+use std::time::{Duration, Instant};
+
+use deployment::runner::Runner;
+use deployment::{Ask, turns};
+
+/// Time between two requests, which go to the routers in turn.
+const GAP: Duration = Duration::from_millis(8);
+/// When the target begins to leave, after the first request.
+const LEAVES_AFTER: Duration = Duration::from_secs(2);
+/// How long it serves on.
+const SERVES_FOR: Duration = Duration::from_secs(6);
+/// Time after an answer that says so from which on no request may come.
+const KNOWN_BY: Duration = Duration::from_secs(2);
+
+/// Requests that reach a target of a service later than allowed, at all routers, where its entry stays as it was.
+async fn play(service: &str, request: fn(usize) -> Ask) {
+    let (deployment, runners) = turns::fleet(3, service).await;
+    let begun = Instant::now();
+    let leaves = begun + LEAVES_AFTER;
+    let end = leaves + SERVES_FOR;
+    let fronts = turns::fronts(&deployment);
+    let callers = tokio::spawn(turns::ask_in_turn(fronts, GAP, end, request));
+    tokio::time::sleep_until(leaves.into()).await;
+    runners[0].say(&[("server-leaving", "1")]);
+    let (asked, served) = callers.await.unwrap();
+    let late = late(&runners[0], leaves + KNOWN_BY);
+    println!("{late} late; served {served} of {asked}");
+    assert_eq!(late, 0, "requests to a target that leaves");
+    assert_eq!(served, asked, "others have room");
+}
+
+fn late(runner: &Runner, since: Instant) -> usize {
+    let arrivals = runner.arrivals();
+    arrivals.iter().filter(|one| one.at >= since).count()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_plain() {
+    play("app", |number| Ask::new(&format!("r{number}"), "/often/x")).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_stream() {
+    play("engine", |number| {
+        Ask::talk(&format!("r{number}"), "/talk/x", 100, 50).post(&format!("prompt {number}"))
+    })
+    .await;
+}
--- a/tests/target_limits.rs
+++ b/tests/target_limits.rs
@@ -14,9 +14,8 @@
 use std::time::{Duration, Instant};
 
 use deployment::runner::Runner;
-use deployment::{Ask, Deployment, config, try_ask};
+use deployment::{Ask, Deployment, turns};
 
-const PLENTY: u64 = 1_000_000_000;
 /// Time between two requests, which go to the routers in turn.
 const GAP: Duration = Duration::from_millis(8);
 /// When the target begins to name its limit, after the first request.
@@ -33,21 +32,8 @@
     (limit * SPAN.as_secs_f64() * 1.5 + 5.0) as usize
 }
 
-async fn fleet(routers: usize) -> (Deployment, Vec<Runner>) {
-    let mut runners = Vec::new();
-    for number in 0..3 {
-        runners.push(Runner::start(&format!("i-{number}")).await);
-    }
-    let mut deployment = Deployment::start(0, &config(1, PLENTY), &[]).await;
-    for runner in &runners {
-        runner.list_in(&deployment.store, "app");
-    }
-    for number in 0..routers {
-        deployment.add(&format!("g{number}"), &[]).await;
-    }
-    deployment.wait_ready().await;
-    deployment.wait_acquainted().await;
-    (deployment, runners)
+fn request(number: usize) -> Ask {
+    Ask::new(&format!("r{number}"), "/often/x")
 }
 
 /// When requests reached a target, in order.
@@ -66,26 +52,6 @@
     begins.map(count).max().unwrap_or(0)
 }
 
-/// Callers that ask all routers in turn until some time; the numbers of requests and of those that were answered.
-async fn ask_in_turn(fronts: Vec<std::net::SocketAddr>, until: Instant) -> (usize, usize) {
-    let mut asked = Vec::new();
-    let mut next = Instant::now();
-    while next < until {
-        tokio::time::sleep_until(next.into()).await;
-        next += GAP;
-        let front = fronts[asked.len() % fronts.len()];
-        let request = Ask::new(&format!("r{}", asked.len()), "/often/x");
-        asked.push(tokio::spawn(async move { try_ask(front, &request).await }));
-    }
-    let count = asked.len();
-    let mut served = 0;
-    for answer in asked {
-        let answer = answer.await.unwrap();
-        served += usize::from(answer.is_some_and(|answer| answer.status == 200 && answer.is_whole));
-    }
-    (count, served)
-}
-
 /// What happens to the routers while a target names its limit.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Trouble {
@@ -115,13 +81,13 @@
 
 /// One of three targets names a limit for a while.
 async fn play(limit: f64, routers: usize, kind: Trouble) {
-    let (mut deployment, runners) = fleet(routers).await;
-    let fronts = deployment.gateways.iter().map(|gateway| gateway.front);
+    let (mut deployment, runners) = turns::fleet(routers, "app").await;
+    let fronts = turns::fronts(&deployment);
     let begun = Instant::now();
     let named = begun + NAMED_AFTER;
     let ended = named + NAMED_FOR;
     let after = ended + KNOWN_BY;
-    let callers = tokio::spawn(ask_in_turn(fronts.collect(), after));
+    let callers = tokio::spawn(turns::ask_in_turn(fronts, GAP, after, request));
     tokio::time::sleep_until(named.into()).await;
     runners[0].say(&[("server-limit", &limit.to_string())]);
     tokio::time::sleep_until((named + KNOWN_BY * 2).into()).await;
