Send nothing more to a target that says it leaves

What callers saw: a target that was about to end got requests 2.5 and 2.9 s after answers which said so had gone through the routers that sent them; 2 s are allowed.

Cause: a router learned only from the list that a target leaves, and the list could not be read or written for 13 s. Ruled out: that answers were read too late (no router paused at all), and that the store's absence is needed (the reproduction has it there and answering).

Change: the word in an answer's head ends the target's taking requests here and, told over links, at every router, until its next incarnation; its entry does not bring it back. A target that ends after it counts as one that left, not as a crash. Why it holds: one place says whether a target takes requests, and first attempts, retries, resumed streams, crash judgements and links all ask it.

--- a/src/gateway/control/context.rs
+++ b/src/gateway/control/context.rs
@@ -70,6 +70,8 @@
     pub(super) row_held: RefCell<Vec<Fingerprint>>,
     /// Wakes the task that tells other routers what targets say of themselves.
     pub(super) notice_changed: Notify,
+    /// Messages to other routers with what targets say.
+    pub(super) notices_told: Cell<usize>,
     /// Which halls the operators have emptied, once that is known.
     pub(super) evacuations: RefCell<Option<evacuation::View>>,
     /// When the operators' records were last read.
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -97,6 +97,7 @@
         bad_routers: RefCell::default(),
         probed: RefCell::default(),
         notice_changed: Notify::new(),
+        notices_told: Cell::default(),
         evacuations: RefCell::default(),
         operators_read: Cell::default(),
         holds: RefCell::default(),
--- a/src/gateway/control/notices.rs
+++ b/src/gateway/control/notices.rs
@@ -27,9 +27,15 @@
 const QUESTIONS_MAX: u32 = 50;
 
 /// Takes in what another router tells, and answers with what is known here.
-pub(super) fn answer(control: &Control, reports: &[Report]) -> Vec<Report> {
-    merge(control, reports, None);
-    control.state.borrow().targets.reports(control.now())
+pub(super) fn answer(control: &Control, told: &[Report]) -> Vec<Report> {
+    merge(control, told, None);
+    reports(control)
+}
+
+fn reports(control: &Control) -> Vec<Report> {
+    let turn = control.notices_told.get();
+    control.notices_told.set(turn.wrapping_add(1));
+    control.state.borrow().targets.reports(control.now(), turn)
 }
 
 fn merge(control: &Control, reports: &[Report], router: Option<&str>) {
@@ -48,7 +54,7 @@
         let interval = if asks { GAP } else { AGAIN };
         // Both ends of the wait mean the same.
         let _ = timeout(interval, control.notice_changed.notified()).await;
-        let reports = control.state.borrow().targets.reports(control.now());
+        let reports = reports(&control);
         questions += u32::from(asks);
         if asks || !reports.is_empty() {
             let request = Rc::new(Request::Notices(reports));
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -122,6 +122,8 @@
         /// The limit.
         limit: Option<Rate>,
     },
+    /// It leaves, which no incarnation takes back.
+    Leaving,
 }
 
 impl fmt::Display for Word {
@@ -131,6 +133,7 @@
                 limit: Some(limit), ..
             } => write!(f, "limit={}/s", limit.per_second()),
             Self::RateLimit { limit: None, .. } => write!(f, "limit=none"),
+            Self::Leaving => write!(f, "leaving"),
         }
     }
 }
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -212,23 +212,20 @@
             return false;
         };
         let sent = running.sent;
-        let changed = self.targets.hear(now, target, sent, &notice);
+        let news = self.targets.hear(now, target, sent, &notice);
         let instance = &self.targets.get(target).listing.instance;
         for error in notice.errors() {
             tracing::warn!(event = "notice_refused", %instance, %error);
         }
         let id = &running.job.id;
         let sent_ago_ms = now.saturating_sub(sent).0;
-        if notice.is_leaving == Ok(true) {
-            tracing::info!(event = "leaving_heard", %instance, %id, sent_ago_ms);
-        }
         if let Ok(Some(rest)) = notice.rest {
             tracing::info!(event = "rest_heard", %instance, %id, rest_ms = rest.0);
         }
-        if let Some(word) = changed {
+        for word in &news {
             tracing::info!(event = "target_says", %instance, %word, source = "answer", %id, sent_ago_ms);
         }
-        changed.is_some()
+        !news.is_empty()
     }
 
     /// Takes in what another router tells of what targets said; whether some of it is news.
--- a/src/gateway/targets/notices.rs
+++ b/src/gateway/targets/notices.rs
@@ -14,41 +14,54 @@
 const REPORTS_MAX: usize = 64;
 
 impl Targets {
-    /// Takes in what the answer to a request says that was sent at `sent`; the words that have changed by it.
+    /// Takes in what the answer to a request says that was sent at `sent`; the words that are news.
     pub fn hear(
         &mut self,
         now: Millis,
         key: TargetKey,
         sent: Millis,
         notice: &Notice,
-    ) -> Option<Word> {
-        let limit = &mut self.get_mut(key).limit;
-        let is_change = notice
-            .rate_limit
-            .as_ref()
-            .is_ok_and(|rate| limit.hear(now, sent, *rate));
-        if is_change { limit.word(now) } else { None }
+    ) -> Vec<Word> {
+        let target = self.get_mut(key);
+        let mut news = Vec::new();
+        if let Ok(rate) = notice.rate_limit
+            && target.limit.hear(now, sent, rate)
+        {
+            news.extend(target.limit.word(now));
+        }
+        if notice.is_leaving == Ok(true) && !std::mem::replace(&mut target.is_leaving, true) {
+            news.push(Word::Leaving);
+        }
+        news
     }
 
     /// Takes in what another router tells; the target, where that is news.
     pub fn merge(&mut self, now: Millis, report: &Report) -> Option<TargetKey> {
         let key = *self.by_hash.get(&report.instance)?;
-        let is_change = match report.word {
-            Word::RateLimit { revision, limit } => {
-                self.get_mut(key).limit.merge(now, revision, limit)
-            }
+        let target = self.get_mut(key);
+        let is_news = match report.word {
+            Word::RateLimit { revision, limit } => target.limit.merge(now, revision, limit),
+            Word::Leaving => !std::mem::replace(&mut target.is_leaving, true),
         };
-        is_change.then_some(key)
+        is_news.then_some(key)
     }
 
-    /// What other routers are told of what targets said.
-    pub fn reports(&self, now: Millis) -> Vec<Report> {
-        let reports = self.known().filter_map(|target| {
-            let word = target.limit.word(now)?;
+    /// What other routers are told of what targets said; where that is too much for one message, each `turn` another
+    /// part.
+    pub fn reports(&self, now: Millis, turn: usize) -> Vec<Report> {
+        let reports = self.known().flat_map(|target| {
             let instance = target.hash();
-            Some(Report { instance, word })
+            let leaving = target.is_leaving.then_some(Word::Leaving);
+            let words = target.limit.word(now).into_iter().chain(leaving);
+            words.map(move |word| Report { instance, word })
         });
-        reports.take(REPORTS_MAX).collect()
+        let mut reports: Vec<Report> = reports.collect();
+        if reports.len() > REPORTS_MAX {
+            let from = turn.wrapping_mul(REPORTS_MAX) % reports.len();
+            reports.rotate_left(from);
+            reports.truncate(REPORTS_MAX);
+        }
+        reports
     }
 
     /// Targets of a service that take requests, but none of this router's now by their own word; and when the first
--- a/src/gateway/targets/registry.rs
+++ b/src/gateway/targets/registry.rs
@@ -78,7 +78,7 @@
         };
         self.removed.remove(&listing.instance);
         let target = self.get_mut(key);
-        let was_open = target.is_open();
+        let was_open = target.is_listed_open();
         let is_ready = listing.is_ready;
         target.listing = listing;
         target.is_listed = true;
--- a/src/gateway/targets/target.rs
+++ b/src/gateway/targets/target.rs
@@ -35,6 +35,8 @@
     pub(super) warmup: Warmup,
     /// Its own rate limit.
     pub(super) limit: Limit,
+    /// Whether it has said that it leaves, which its entry may tell much later.
+    pub(super) is_leaving: bool,
     pub(super) is_listed: bool,
     /// Whether the list that was last read lacks it, although it is not removed yet.
     pub(super) is_missing: bool,
@@ -56,6 +58,7 @@
             attempts: Attempts::default(),
             warmup: Warmup::default(),
             limit: Limit::default(),
+            is_leaving: false,
             is_listed: true,
             is_missing: false,
             unused_since: None,
@@ -69,6 +72,11 @@
 
     /// Whether it takes requests.
     pub fn is_open(&self) -> bool {
+        self.is_listed_open() && !self.is_leaving
+    }
+
+    /// Whether it takes requests by its entry.
+    pub(super) fn is_listed_open(&self) -> bool {
         self.is_listed && self.listing.is_ready
     }
 
--- a/tests/deployment/runner.rs
+++ b/tests/deployment/runner.rs
@@ -252,7 +252,7 @@
     /// Whether a request is the last of so many.
     fn is_one_in(&self, count: u32) -> bool {
         let number = self.counted.fetch_add(1, Ordering::Relaxed) + 1;
-        number.is_multiple_of(count)
+        number % count == 0
     }
 
     fn write_entry(&self) {
--- a/tests/limit_shares.rs
+++ b/tests/limit_shares.rs
@@ -61,7 +61,8 @@
     }
 
     fn hear(&mut self, now: Millis, sent: Millis, notice: &Notice) -> Option<Word> {
-        self.targets.hear(now, KEY, sent, notice)
+        let news = self.targets.hear(now, KEY, sent, notice);
+        news.first().copied()
     }
 
     fn merge(&mut self, now: Millis, reports: &[Report]) {
@@ -197,12 +198,12 @@
     let mut teller = View::new(0, [1].into_iter());
     let mut other = View::new(1, [0].into_iter());
     teller.hear(NOW, NOW, &limited(0.5));
-    let limited_then = teller.targets.reports(NOW);
+    let limited_then = teller.targets.reports(NOW, 0);
     other.merge(NOW, &limited_then);
-    assert_eq!(other.targets.reports(NOW), limited_then);
+    assert_eq!(other.targets.reports(NOW, 0), limited_then);
     let later = NOW + Millis(10);
     teller.hear(later, later, &Notice::default());
-    let ended_then = teller.targets.reports(later);
+    let ended_then = teller.targets.reports(later, 0);
     other.merge(later, &ended_then);
     assert!(other.may_send(later));
     other.merge(later, &limited_then);
@@ -228,7 +229,7 @@
                 views[at].hear(now, now.saturating_sub(ago), &notice);
             } else {
                 let from = input.choose_index(views.len())?;
-                old.extend(views[from].targets.reports(now));
+                old.extend(views[from].targets.reports(now, 0));
                 let report = *input.choose(&old).unwrap_or(&Report {
                     instance: 0,
                     word: Word::RateLimit {
@@ -240,10 +241,13 @@
             }
         }
         for from in [0, 1, 2, 0, 1, 2] {
-            let reports = views[from].targets.reports(now);
+            let reports = views[from].targets.reports(now, 0);
             views.iter_mut().for_each(|view| view.merge(now, &reports));
         }
-        let told: Vec<Vec<Report>> = views.iter().map(|view| view.targets.reports(now)).collect();
+        let told: Vec<Vec<Report>> = views
+            .iter()
+            .map(|view| view.targets.reports(now, 0))
+            .collect();
         assert!(told.iter().all(|one| *one == told[0]), "{told:?}");
         Ok(())
     });
