Leave a target alone for the rest that it asks for

What callers saw: a target that turned requests away with 3 s in which it wanted nothing from that router got five to seven more of them from it within the time; their callers were refused.

Cause: the time was not read. A refusal counted as a failure, and what kept requests away was the ejection after three of them: 2 s at first, then doubled, and none where it would leave less than half of a group. Ruled out: a rest that is kept but ended too early (no pause follows the first refusal).

Change: what a target asked for is kept beside its incarnation, apart from what the router infers of it; the refusal is no failure of the target. Why it holds: the one place that chooses targets leaves it out until the time is over by the clock that counts sleep, also where that leaves none, and no answer or shorter rest ends it earlier.

--- a/src/gateway/decision/refusal.rs
+++ b/src/gateway/decision/refusal.rs
@@ -158,7 +158,9 @@
             (Failure::BrokenOff | Failure::ServerError, _) | (_, Verdict::MayHaveRun) => {
                 Self::BrokenOff
             }
-            (Failure::Refused | Failure::WrongInstance, _) => Self::TargetRefused,
+            (Failure::Refused | Failure::AskedRest | Failure::WrongInstance, _) => {
+                Self::TargetRefused
+            }
             (Failure::Unreachable | Failure::IdleClosed | Failure::Unwritable, _) => {
                 Self::Unreachable
             }
--- a/src/gateway/decision/retry.rs
+++ b/src/gateway/decision/retry.rs
@@ -36,6 +36,8 @@
     Unwritable,
     /// The target says that it has not run the request.
     Refused,
+    /// The same, and it wants nothing from this router for some time.
+    AskedRest,
     /// Another instance has the target's address, and has not run the request.
     WrongInstance,
     /// The connection or the answer broke off.
@@ -92,6 +94,7 @@
             | Self::Stopping
             | Self::Unwritable
             | Self::Refused
+            | Self::AskedRest
             | Self::WrongInstance => Verdict::NotRun,
             Self::BrokenOff | Self::TimedOut | Self::Cut | Self::ServerError => Verdict::MayHaveRun,
         }
@@ -110,6 +113,8 @@
             | Self::Stopping
             | Self::Unwritable
             | Self::WrongInstance
+            // What it asked for is kept; it has not failed.
+            | Self::AskedRest
             | Self::Cut => None,
         }
     }
@@ -123,6 +128,7 @@
             | Self::Stopping
             | Self::Unwritable => Charge::Free,
             Self::Refused
+            | Self::AskedRest
             | Self::WrongInstance
             | Self::BrokenOff
             | Self::TimedOut
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -234,6 +234,8 @@
             }
             return Err(if reply.wrong_instance {
                 Failure::WrongInstance
+            } else if matches!(reply.notice.rest, Ok(Some(_))) {
+                Failure::AskedRest
             } else {
                 Failure::Refused
             });
--- a/src/gateway/targets/notices.rs
+++ b/src/gateway/targets/notices.rs
@@ -10,6 +10,8 @@
 use crate::gateway::notice::{Notice, Report, Word};
 use crate::units::Millis;
 
+/// Longest rest that is kept: a target that wants nothing for longer has to leave.
+const REST_MAX: Millis = Millis(3_600_000);
 /// Reports in a message to another router, at most: a kilobyte and a half.
 const REPORTS_MAX: usize = 64;
 
@@ -29,6 +31,9 @@
         {
             news.extend(target.limit.word(now));
         }
+        if let Ok(Some(rest)) = notice.rest {
+            target.rests_until = target.rests_until.max(now + rest.min(REST_MAX));
+        }
         if notice.is_leaving == Ok(true) && !std::mem::replace(&mut target.is_leaving, true) {
             news.push(Word::Leaving);
         }
@@ -76,7 +81,6 @@
         let mut first = None;
         for key in self.open(service) {
             match self.next_send(routers, now, key) {
-                Next::Now => {}
                 Next::At(at) if at <= now => {}
                 Next::At(at) => {
                     barred.push(key);
@@ -97,9 +101,10 @@
     }
 
     fn next_send(&self, routers: &Members, now: Millis, key: TargetKey) -> Next {
+        let rested = self.get(key).rests_until;
         match self.limit_use(now, routers, key) {
-            Some(usage) => limit::next(&usage).map_or(Next::Unknown, Next::At),
-            None => Next::Now,
+            Some(usage) => limit::next(&usage).map_or(Next::Unknown, |at| Next::At(at.max(rested))),
+            None => Next::At(rested),
         }
     }
 
@@ -117,9 +122,8 @@
     }
 }
 
-/// When this router may send a request to a target by the target's own word.
+/// When this router may send a request to a target by the target's own word; a time that is over is now.
 enum Next {
-    Now,
     At(Millis),
     /// Others use what it takes.
     Unknown,
--- a/src/gateway/targets/target.rs
+++ b/src/gateway/targets/target.rs
@@ -35,6 +35,8 @@
     pub(super) warmup: Warmup,
     /// Its own rate limit.
     pub(super) limit: Limit,
+    /// Until when it wants nothing from this router.
+    pub(super) rests_until: Millis,
     /// Whether it has said that it leaves, which its entry may tell much later.
     pub(super) is_leaving: bool,
     pub(super) is_listed: bool,
@@ -58,6 +60,7 @@
             attempts: Attempts::default(),
             warmup: Warmup::default(),
             limit: Limit::default(),
+            rests_until: Millis::ZERO,
             is_leaving: false,
             is_listed: true,
             is_missing: false,
--- a/tests/decision_rules.rs
+++ b/tests/decision_rules.rs
@@ -33,6 +33,7 @@
         Failure::Late,
         Failure::Unwritable,
         Failure::Refused,
+        Failure::AskedRest,
         Failure::WrongInstance,
     ];
     for failure in not_run {
