--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -162,9 +162,7 @@
             answer(&mut state, now, reply, next);
         }
         Message::Heard { job, notice } => {
-            if control.state.borrow_mut().heard(now, job, notice) {
-                control.notice_changed.notify_one();
-            }
+            notices::heard(control, job, &notice);
         }
         Message::Answered { job, load } => control.state.borrow_mut().answered(now, job, load),
         Message::BrokenOff { job } => quarantine::broken_off(control, job),
--- a/src/gateway/control/notices.rs
+++ b/src/gateway/control/notices.rs
@@ -6,14 +6,16 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::{sleep, timeout};
 
 use super::context::Control;
+use crate::gateway::key::JobKey;
 use crate::gateway::members::Router;
 use crate::gateway::message::{Reply, Request};
-use crate::gateway::notice::Report;
+use crate::gateway::notice::{Notice, Report};
 
 /// Routers that are told at once, whatever the size of the fleet.
 const FAN_OUT: usize = 3;
@@ -26,6 +28,27 @@
 /// Tellings after a start in which others are asked, however few there are.
 const QUESTIONS_MAX: u32 = 50;
 
+/// Takes in what a request's target says of itself in the head of its answer.
+pub(super) fn heard(control: &Control, job: JobKey, notice: &Notice) {
+    let now = control.now();
+    let news = control.state.borrow_mut().heard(now, job, notice);
+    control.shared.notices.note(notice, &news);
+    if !news.is_empty() {
+        control.notice_changed.notify_one();
+    }
+    if !news.is_empty() || matches!(notice.rest, Ok(Some(_))) {
+        publish(control);
+    }
+}
+
+/// Publishes what targets say, for operators.
+fn publish(control: &Control) {
+    let said = control.state.borrow().targets.said(control.now());
+    if !(said.is_empty() && control.shared.said.load().is_empty()) {
+        control.shared.said.store(Arc::new(said));
+    }
+}
+
 /// Takes in what another router tells, and answers with what is known here.
 pub(super) fn answer(control: &Control, told: &[Report]) -> Vec<Report> {
     merge(control, told, None);
@@ -42,6 +65,7 @@
     let now = control.now();
     if control.state.borrow_mut().merge(now, reports, router) {
         control.notice_changed.notify_one();
+        publish(control);
     }
 }
 
@@ -54,6 +78,8 @@
         let interval = if asks { GAP } else { AGAIN };
         // Both ends of the wait mean the same.
         let _ = timeout(interval, control.notice_changed.notified()).await;
+        // What has ended by time, or with its incarnation, goes from the operators' view as well.
+        publish(&control);
         let reports = reports(&control);
         questions += u32::from(asks);
         if asks || !reports.is_empty() {
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -15,6 +15,7 @@
 use super::body::Body;
 use super::dialect::Dialect;
 use super::metrics;
+use super::notice;
 use super::quarantine;
 use super::relay::Relay;
 use super::serve;
@@ -65,6 +66,7 @@
             Self::Metrics(shared, dropped) => {
                 let mut text = shared.metrics.text(dropped());
                 text.push_str(&metrics::bad_entries(&shared.bad_entries));
+                text.push_str(&notice::text(&shared.said.load(), &shared.notices));
                 let refused = shared.quarantine_refused.get();
                 text.push_str(&quarantine::text(&shared.quarantine.load(), refused));
                 plain(StatusCode::OK, "text/plain", Body::full(text))
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice/mod.rs
@@ -3,11 +3,14 @@
 //! The dialect decodes it once into these types. A value that cannot be read says nothing: it neither begins nor ends
 //! anything, and is counted and logged.
 
+mod said;
+
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
+pub use self::said::{Counts, Said, text};
 use crate::units::Millis;
 
 /// Requests a second that a target takes from all routers together: finite and not negative.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -16,6 +16,7 @@
 
 use super::dialect::BadEntry;
 use super::metrics::{Counter, Metrics};
+use super::notice::{Counts, Said};
 use super::quarantine::Held;
 use super::route::Config;
 use super::stop::Progress;
@@ -41,6 +42,10 @@
     pub target_addresses: ArcSwap<HashSet<SocketAddr>>,
     /// Entries of the list of targets that could not be used, by cause.
     pub bad_entries: [Counter; BadEntry::CAUSES.len()],
+    /// What targets say of themselves.
+    pub said: ArcSwap<Vec<Said>>,
+    /// How often they said something new.
+    pub notices: Counts,
     /// Requests that are held back.
     pub quarantine: ArcSwap<Vec<Held>>,
     /// Requests that were refused since they are held back.
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -21,7 +21,7 @@
 use super::job::{Delivery, Ending, Job, Placement};
 use super::key::{JobKey, TargetKey};
 use super::members::{Members, Router, Source};
-use super::notice::{Notice, Report};
+use super::notice::{Notice, Report, Word};
 use super::quarantine::{Broken, Quarantine};
 use super::targets::{Change, Targets};
 use crate::boot_clock::Reading;
@@ -203,16 +203,17 @@
         }
     }
 
-    /// Takes in what a request's target says of itself in the head of its answer; whether that is news.
-    pub fn heard(&mut self, now: Millis, key: JobKey, notice: Notice) -> bool {
+    /// Takes in what a request's target says of itself in the head of its answer; what of it other routers are to be
+    /// told.
+    pub fn heard(&mut self, now: Millis, key: JobKey, notice: &Notice) -> Vec<Word> {
         let Some(running) = self.running.get(&key) else {
-            return false;
+            return Vec::new();
         };
         let Some(target) = running.target else {
-            return false;
+            return Vec::new();
         };
         let sent = running.sent;
-        let news = self.targets.hear(now, target, sent, &notice);
+        let news = self.targets.hear(now, target, sent, notice);
         let instance = &self.targets.get(target).listing.instance;
         for error in notice.errors() {
             tracing::warn!(event = "notice_refused", %instance, %error);
@@ -225,7 +226,7 @@
         for word in &news {
             tracing::info!(event = "target_says", %instance, %word, source = "answer", %id, sent_ago_ms);
         }
-        !news.is_empty()
+        news
     }
 
     /// Takes in what another router tells of what targets said; whether some of it is news.
--- a/src/gateway/targets/notices.rs
+++ b/src/gateway/targets/notices.rs
@@ -7,7 +7,7 @@
 use crate::gateway::decision::limit::{self, Use};
 use crate::gateway::key::TargetKey;
 use crate::gateway::members::Members;
-use crate::gateway::notice::{Notice, Report, Word};
+use crate::gateway::notice::{Notice, Report, Said, Word};
 use crate::units::Millis;
 
 /// Longest rest that is kept: a target that wants nothing for longer has to leave.
@@ -69,6 +69,21 @@
         reports
     }
 
+    /// What targets say that are listed, for operators.
+    pub fn said(&self, now: Millis) -> Vec<Said> {
+        let said = self.listed().filter_map(|target| {
+            let said = Said {
+                instance: target.listing.instance.clone(),
+                rate_limit: target.limit.in_force().map(|(rate, _)| rate),
+                is_leaving: target.is_leaving,
+                rest_left: target.rests_until.saturating_sub(now),
+            };
+            let is_resting = said.rest_left > Millis::ZERO;
+            (said.rate_limit.is_some() || said.is_leaving || is_resting).then_some(said)
+        });
+        said.collect()
+    }
+
     /// Targets of a service that take requests, but none of this router's now by their own word; and when the first
     /// of them takes one again, where that is known.
     pub fn barred(
--- a/tests/pinned_gateway.rs
+++ b/tests/pinned_gateway.rs
@@ -20,6 +20,7 @@
 use lanedeck::gateway::members::Router;
 use lanedeck::gateway::message::{Heartbeat, Reply, Request};
 use lanedeck::gateway::metrics::Metrics;
+use lanedeck::gateway::notice::{Rate, Report, Word};
 use lanedeck::gateway::reply;
 use lanedeck::gateway::route::Kind;
 use lanedeck::gateway::targets::{Outstanding, View};
@@ -148,6 +149,24 @@
     };
     pin("0204616e6e61fbe110", &give);
     pin("03", &Request::Clocks);
+    pin("0603fd0807060504030201000301000000000000fc3ffd0807060504030201000400fd080706050403020101", &Request::Notices(reports()));
+}
+
+fn reports() -> Vec<Report> {
+    let limit = Word::RateLimit {
+        revision: 3,
+        limit: Rate::new(1.75),
+    };
+    let ended = Word::RateLimit {
+        revision: 4,
+        limit: None,
+    };
+    let words = [limit, ended, Word::Leaving].into_iter();
+    let report = |word| Report {
+        instance: 0x0102_0304_0506_0708,
+        word,
+    };
+    words.map(report).collect()
 }
 
 #[test]
@@ -184,6 +203,7 @@
         wall: Some(Millis(1_800_000_000_000)),
     };
     pin("040107fbe80301fd00505c18a3010000", &Reply::Clocks(readings));
+    pin("0703fd0807060504030201000301000000000000fc3ffd0807060504030201000400fd080706050403020101", &Reply::Notices(reports()));
 }
 
 /// Answers one request of a store's client, and returns the request with its host replaced.
--- a/tests/target_leaving.rs
+++ b/tests/target_leaving.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use deployment::runner::Runner;
-use deployment::{Ask, turns};
+use deployment::{Ask, Gateway, ask, turns, until};
 
 /// Time between two requests, which go to the routers in turn.
 const GAP: Duration = Duration::from_millis(8);
@@ -57,3 +57,54 @@
     })
     .await;
 }
+
+async fn metrics(gateway: &Gateway) -> String {
+    ask(gateway.metrics, &Ask::get("/metrics")).await.body
+}
+
+/// One router hears it, and all show it to operators.
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_see() {
+    let (deployment, runners) = turns::fleet(3, "app").await;
+    for runner in &runners {
+        runner.say(&[("server-leaving", "1"), ("server-limit", "1.8")]);
+    }
+    let answer = ask(deployment.gateways[0].front, &Ask::new("r1", "/often/x")).await;
+    assert_eq!(answer.status, 200);
+    let first = metrics(&deployment.gateways[0]).await;
+    for kind in ["leaving", "rate_limit"] {
+        let line = format!("lanedeck_target_notices_total{{kind=\"{kind}\"}} 1\n");
+        assert!(first.contains(&line), "{first}");
+    }
+    for gateway in &deployment.gateways {
+        until(|| async {
+            let text = metrics(gateway).await;
+            text.contains("lanedeck_target_leaving{instance=\"i-")
+                && text.contains("lanedeck_target_rate_limit{instance=\"i-")
+        })
+        .await;
+    }
+}
+
+/// All leave: a request that no target takes is refused at once, and has not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_leave() {
+    let (deployment, runners) = turns::fleet(1, "app").await;
+    for runner in &runners {
+        runner.say(&[("server-leaving", "1")]);
+    }
+    let front = deployment.gateways[0].front;
+    for number in 0..3 {
+        assert_eq!(
+            ask(front, &Ask::new(&format!("r{number}"), "/often/x"))
+                .await
+                .status,
+            200
+        );
+    }
+    let answer = ask(front, &Ask::new("r3", "/often/x")).await;
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert!(!answer.header("retry-after").is_empty());
+    let runs: usize = runners.iter().map(Runner::runs).sum();
+    assert_eq!(runs, 3);
+}
