Reproduce crashes whose port stays open, as a test that fails

A supervisor may hold a crashed target's port, so that a connect is not refused. A first form of the stand-in closed the port for a moment, and passed: the listener is handed over now.

--- a/tests/crashing_request.rs
+++ b/tests/crashing_request.rs
@@ -14,7 +14,7 @@
 
 use std::time::{Duration, Instant};
 
-use deployment::runner::{CRASHING, Runner};
+use deployment::runner::{CRASHING, Down, Runner};
 use deployment::turns::{self, PLENTY, ask_in_turn};
 use deployment::{Ask, Deployment, ask, config, try_ask};
 
@@ -70,7 +70,13 @@
 
 /// Plays a request that crashes targets beside others with the same path and customer.
 async fn play(service: &str, crashing: fn(usize) -> Ask, other: fn(usize) -> Ask) {
+    play_with(service, Down::Closed, crashing, other).await;
+}
+
+/// The same with targets that look so while they are down.
+async fn play_with(service: &str, down: Down, crashing: fn(usize) -> Ask, other: fn(usize) -> Ask) {
     let (deployment, runners) = fleet(service).await;
+    runners.iter().for_each(|runner| runner.looks_down(down));
     let fronts = turns::fronts(&deployment);
     let end = Instant::now() + PLAY;
     let crashing = tokio::spawn(ask_in_turn(fronts.clone(), TRY_GAP, end, crashing));
@@ -133,6 +139,30 @@
     .await;
 }
 
+/// Nothing but its next start tells that a target has crashed whose port a supervisor holds.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_held_port() {
+    play_with(
+        "app",
+        Down::Open,
+        |number| Ask::new(&format!("c{number}"), "/once/x").post(CRASHING),
+        |number| Ask::new(&format!("o{number}"), "/once/x").post("other"),
+    )
+    .await;
+}
+
+/// The same where its entry goes meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_unlisted() {
+    play_with(
+        "app",
+        Down::OpenUnlisted,
+        |number| Ask::new(&format!("c{number}"), "/once/x").post(CRASHING),
+        |number| Ask::new(&format!("o{number}"), "/once/x").post("other"),
+    )
+    .await;
+}
+
 /// A router that starts later, or again, knows as well.
 #[tokio::test(flavor = "multi_thread")]
 async fn crashing_after_start() {
--- a/tests/deployment/runner.rs
+++ b/tests/deployment/runner.rs
@@ -12,6 +12,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
 use super::list_born;
@@ -127,6 +128,18 @@
 /// How long after a crash a runner is back.
 pub const BACK_AFTER: Duration = Duration::from_millis(1_500);
 
+/// What others see of a runner that has crashed, until it is back.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Down {
+    /// Nobody listens at its port, and its entry stays.
+    #[default]
+    Closed,
+    /// A supervisor holds its port and closes what it accepts; its entry stays.
+    Open,
+    /// The same, and its entry goes.
+    OpenUnlisted,
+}
+
 /// A runner's entry in the list of targets, which it writes anew at each start.
 #[derive(Clone)]
 struct Entry {
@@ -139,6 +152,10 @@
 struct Inner {
     /// Ends with the process: each start has another.
     life: Mutex<CancellationToken>,
+    /// What others see of it while it is down.
+    down: Mutex<Down>,
+    /// The task that has its listener.
+    serving: Mutex<Option<JoinHandle<TcpListener>>>,
     /// When it crashed.
     crashes: Mutex<Vec<Instant>>,
     entry: Mutex<Option<Entry>>,
@@ -164,6 +181,8 @@
     pub async fn start(instance: &str) -> Self {
         let inner = Arc::new(Inner {
             life: Mutex::default(),
+            down: Mutex::default(),
+            serving: Mutex::default(),
             crashes: Mutex::default(),
             entry: Mutex::default(),
             born: Mutex::default(),
@@ -204,6 +223,11 @@
         self.inner.crashes.lock().unwrap().clone()
     }
 
+    /// Has it look so when it has crashed.
+    pub fn looks_down(&self, down: Down) {
+        *self.inner.down.lock().unwrap() = down;
+    }
+
     /// Ends at once, and starts again under its id a while later.
     pub fn crash(&self) {
         self.inner.crash(self.address);
@@ -246,7 +270,7 @@
         let life = self.life.lock().unwrap().clone();
         let inner = Arc::clone(self);
         let handler = move |address, request| answer_and_say(Arc::clone(&inner), address, request);
-        serve_on(listener, handler, life);
+        *self.serving.lock().unwrap() = Some(serve_on(listener, handler, life));
     }
 
     /// Whether a request is the last of so many.
@@ -278,10 +302,24 @@
         }
         life.cancel();
         self.crashes.lock().unwrap().push(Instant::now());
+        let down = *self.down.lock().unwrap();
+        let serving = self.serving.lock().unwrap().take().unwrap();
+        if let (Down::OpenUnlisted, Some(entry)) = (down, &*self.entry.lock().unwrap()) {
+            let instance = self.instance.lock().unwrap().clone();
+            entry.store.put("keyed.servers", &instance, None);
+        }
         let inner = Arc::clone(self);
         tokio::spawn(async move {
-            tokio::time::sleep(BACK_AFTER).await;
-            let listener = TcpListener::bind(address).await.unwrap();
+            let listener = if down == Down::Closed {
+                drop(serving);
+                tokio::time::sleep(BACK_AFTER).await;
+                TcpListener::bind(address).await.unwrap()
+            } else {
+                let listener = serving.await.unwrap();
+                // It ends with the time.
+                let _ = tokio::time::timeout(BACK_AFTER, turn_away(&listener)).await;
+                listener
+            };
             *inner.life.lock().unwrap() = CancellationToken::new();
             inner.serve(listener);
             inner.write_entry();
@@ -289,6 +327,13 @@
     }
 }
 
+/// Accepts connections and closes them.
+async fn turn_away(listener: &TcpListener) {
+    loop {
+        drop(listener.accept().await);
+    }
+}
+
 async fn answer_and_say(
     inner: Arc<Inner>,
     address: SocketAddr,
--- a/tests/deployment/server.rs
+++ b/tests/deployment/server.rs
@@ -15,6 +15,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
 /// The connection is closed without an answer, or in the middle of one.
@@ -73,9 +74,13 @@
     address
 }
 
-/// Serves on a listener for as long as a process lives: at its end the port and all connections are closed
-/// at once.
-pub fn serve_on<F, A>(listener: TcpListener, handler: F, life: CancellationToken)
+/// Serves on a listener for as long as a process lives: at its end all connections are closed at once, and the port
+/// unless somebody waits for the listener.
+pub fn serve_on<F, A>(
+    listener: TcpListener,
+    handler: F,
+    life: CancellationToken,
+) -> JoinHandle<TcpListener>
 where
     F: Fn(SocketAddr, hyper::Request<Incoming>) -> A + Clone + Send + Sync + 'static,
     A: Future<Output = Result<Reply, Gone>> + Send + 'static,
@@ -85,7 +90,7 @@
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                () = life.cancelled() => return,
+                () = life.cancelled() => return listener,
             };
             let Ok((stream, _)) = accepted else {
                 continue;
@@ -101,5 +106,5 @@
                 }
             });
         }
-    });
+    })
 }
--- a/tests/pinned_gateway.rs
+++ b/tests/pinned_gateway.rs
@@ -149,7 +149,10 @@
     };
     pin("0204616e6e61fbe110", &give);
     pin("03", &Request::Clocks);
-    pin("0603fd0807060504030201000301000000000000fc3ffd0807060504030201000400fd080706050403020101", &Request::Notices(reports()));
+    pin(
+        "0603fd0807060504030201000301000000000000fc3ffd0807060504030201000400fd080706050403020101",
+        &Request::Notices(reports()),
+    );
 }
 
 fn reports() -> Vec<Report> {
@@ -203,7 +206,10 @@
         wall: Some(Millis(1_800_000_000_000)),
     };
     pin("040107fbe80301fd00505c18a3010000", &Reply::Clocks(readings));
-    pin("0703fd0807060504030201000301000000000000fc3ffd0807060504030201000400fd080706050403020101", &Reply::Notices(reports()));
+    pin(
+        "0703fd0807060504030201000301000000000000fc3ffd0807060504030201000400fd080706050403020101",
+        &Reply::Notices(reports()),
+    );
 }
 
 /// Answers one request of a store's client, and returns the request with its host replaced.
