Take a target's later start for a crash although its entry had gone

Cause: a restart counted as a crash only if the former incarnation was listed as ready at that moment, and a broken connection was remembered only then. An entry that is gone was taken for a planned end; it goes after a crash as well.

Change: only a target that has said that it leaves, in its entry or in an answer, ends as planned. Why it holds: the next start under the id proves that the former one has ended, whatever became of its entry; a target that goes without a word and returns is one crash beside a request, and three in a row that nothing else explains are needed.

--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -276,9 +276,8 @@
     pub fn broke_off(&mut self, now: Millis, key: JobKey) -> Option<TargetKey> {
         let running = self.running.get(&key)?;
         let target = running.target?;
-        // One that leaves, or is gone from the list, ends as planned.
         let listed = self.targets.get(target);
-        if !listed.is_open() {
+        if listed.has_said_leaving() {
             return None;
         }
         let broken = Broken {
@@ -293,16 +292,16 @@
         (!has_crashed).then_some(target)
     }
 
-    /// Takes in what is listed of a target. One that has started again without leaving before has crashed.
+    /// Takes in what is listed of a target. One that has started again without a word that it leaves has crashed.
     pub fn list(&mut self, now: Millis, listing: Listing, source: Source) -> Change {
         let id = incarnation::id(&listing.instance);
-        let was_open = self.targets.is_open(id);
+        let had_left = self.targets.has_said_leaving(id);
         let change = match source {
             Source::Store => self.targets.list(listing),
             Source::Link => self.targets.list_from_peer(listing),
         };
         if let Change::Restarted { former } = change
-            && was_open
+            && !had_left
         {
             self.crashed(now, former);
         }
--- a/src/gateway/targets/target.rs
+++ b/src/gateway/targets/target.rs
@@ -78,6 +78,12 @@
         self.is_listed_open() && !self.is_leaving
     }
 
+    /// Whether it has said, in its entry or in an answer, that it leaves: it ends as planned. An entry that is gone says
+    /// nothing: it also goes some time after a crash.
+    pub fn has_said_leaving(&self) -> bool {
+        self.is_leaving || !self.listing.is_ready
+    }
+
     /// Whether it takes requests by its entry.
     pub(super) fn is_listed_open(&self) -> bool {
         self.is_listed && self.listing.is_ready
