--- a/src/ejection.rs
+++ b/src/ejection.rs
@@ -7,21 +7,21 @@
 
 use crate::units::Millis;
 
-/// Weight of the newest outcome in the running averages, 0 to 1. Not measured.
+/// Weight of the newest outcome in the running averages, 0 to 1.
 const NEWEST: f64 = 0.2;
-/// Share of failures above which a target is ejected, once there are enough outcomes. Not measured.
+/// Share of failures above which a target is ejected, once there are enough outcomes.
 const FAILURES_MAX: f64 = 0.4;
-/// Fewest outcomes before the share is judged. Not measured.
+/// Fewest outcomes before the share is judged.
 const OUTCOMES_MIN: u32 = 8;
-/// Failures in a row that eject a target. Not measured: fewer eject on chance.
+/// Failures in a row that eject a target. Fewer eject on chance.
 const FAILED_IN_A_ROW: u32 = 3;
-/// First ejection; it doubles with each that follows. Not measured.
+/// First ejection; it doubles with each that follows.
 const EJECTION_FIRST: Millis = Millis(2_000);
-/// Longest ejection. Not measured.
+/// Longest ejection.
 const EJECTION_MAX: Millis = Millis(60_000);
 /// Doublings after which an ejection has its longest time.
 const DOUBLINGS_MAX: u32 = 5;
-/// Part of a group that may be ejected at most, one in this many. Not measured.
+/// Part of a group that may be ejected at most, one in this many.
 const GROUP_DIVISOR: usize = 2;
 
 /// How an attempt at a target ended, as far as the target is to be judged by it.
--- a/src/gateway/clock.rs
+++ b/src/gateway/clock.rs
@@ -16,21 +16,21 @@
 
 /// Hosts whose time of day must be known, this one among them: two that differ say nothing of who is right.
 const HOSTS_MIN: usize = 3;
-/// The same in a fleet of sixteen or more; in a smaller one three of four routers must have told theirs. Where 28 in 100
-/// hosts are set alike, nine or more of twelve that are drawn are among them once in a thousand draws, and two of three
-/// once in five.
+/// The same in a fleet of sixteen or more; in a smaller one three of four routers must have told theirs. Where 28 in
+/// 100 hosts are set alike, nine or more of twelve that are drawn are among them once in a thousand draws, and two of
+/// three once in five.
 const HOSTS_ENOUGH: usize = 12;
-/// How far from the median a time of day counts as the same, in milliseconds. Not measured: hosts whose time of day
+/// How far from the median a time of day counts as the same, in milliseconds. Hosts whose time of day
 /// is kept by the usual means differ by far less, and a step that matters is longer.
 const SAME: u64 = 250;
-/// How long a comparison is believed. Not measured: a few rounds of them.
+/// How long a comparison is believed. A few rounds of them.
 const BELIEVED: Millis = Millis(8_000);
 
 /// How long an offset stands that hosts agreed on and no longer do, or no longer answer. This host's steady clock runs
 /// on meanwhile, whatever becomes of the others' time of day; what it drifts in a minute is some milliseconds.
 const AGREED_BELIEVED: Millis = Millis(60_000);
 
-/// How far two readings of one steady clock may differ, each told over a link, in milliseconds. Not measured.
+/// How far two readings of one steady clock may differ, each told over a link, in milliseconds.
 const SAME_BOOT: u64 = 1_000;
 
 /// What a host's clocks read. It is encoded for other processes, so the order of fields is part of its form.
@@ -120,8 +120,7 @@
     }
 
     /// The offset that three quarters of the hosts agree on, or have agreed on last: a router that is busy or cut off
-    /// hears of too few in time, and the promises that it makes then would prove nothing. In a play of twenty routers
-    /// one such router's death counted 2.7 of 10.9 million prepaid tokens as spent that were not.
+    /// hears of too few in time, and the promises that it makes then would prove nothing.
     pub fn offset(&self, now: Millis) -> Option<Offset> {
         let last = self.last.filter(|last| {
             let is_young = now.saturating_sub(last.at) < AGREED_BELIEVED;
--- a/src/gateway/control/clock.rs
+++ b/src/gateway/control/clock.rs
@@ -14,11 +14,11 @@
 use crate::units::Millis;
 use crate::wall_clock;
 
-/// Interval of rounds while hosts agree. Not measured: an offset hardly drifts in it.
+/// Interval of rounds while hosts agree. An offset hardly drifts in it.
 const INTERVAL: Duration = Duration::from_millis(1_500);
 /// Interval of rounds until they do: a process that starts soon wants to know what its predecessor may have spent.
 const FIRST_INTERVAL: Duration = Duration::from_millis(200);
-/// Routers that are asked in a round while hosts agree, whatever the size of the fleet. Not measured: with this host, a
+/// Routers that are asked in a round while hosts agree, whatever the size of the fleet. With this host, a
 /// dozen are known at any time.
 const FAN_OUT: usize = 3;
 /// The same until they do: two rounds tell of as many as are needed.
--- a/src/gateway/control/context.rs
+++ b/src/gateway/control/context.rs
@@ -28,7 +28,7 @@
 use crate::units::{Millis, Tokens};
 use crate::wire::{self, Missing};
 
-/// How long another router's outstanding requests count after it told of them. Not measured: four of
+/// How long another router's outstanding requests count after it told of them. Four of
 /// its heartbeats.
 const LOAD_BELIEVED: Millis = Millis(1_200);
 
--- a/src/gateway/control/follow.rs
+++ b/src/gateway/control/follow.rs
@@ -12,12 +12,12 @@
 use crate::store::{CallError, Page, Partition, Record, Timeout, Topic, hedge};
 use crate::util;
 
-/// How long the store holds a read of the configuration until there is a change. Not measured; a change
+/// How long the store holds a read of the configuration until there is a change. A change
 /// has to be in force within 11 s.
 const CONFIG_WAIT: Duration = Duration::from_millis(1_000);
-/// Interval of reads of the list of targets. Not measured.
+/// Interval of reads of the list of targets.
 const TARGETS_INTERVAL: Duration = Duration::from_millis(500);
-/// Pause after a read that failed. Not measured.
+/// Pause after a read that failed.
 const FAILED_PAUSE: Duration = Duration::from_millis(150);
 /// How long a target that is not listed any more still counts after the store is back: its entry may
 /// have lapsed because it could not write either. Targets that live are back within about two seconds;
@@ -166,7 +166,8 @@
     }
 }
 
-/// Writes this router's entry, and with it the requests that it holds back where they have changed. An append that fails is noted, and repeated with the next heartbeat.
+/// Writes this router's entry, and with it the requests that it holds back where they have changed. An append that
+/// fails is noted, and repeated with the next heartbeat.
 async fn write_own(control: &Control, follower: &mut Follower) {
     let partition = follower.partition;
     let mut records = vec![own_record(control)];
--- a/src/gateway/control/grants.rs
+++ b/src/gateway/control/grants.rs
@@ -16,11 +16,11 @@
 use super::loans;
 use super::rows::{self, Purpose, Rows};
 
-/// Interval of renewals while no request waits. Not measured.
+/// Interval of renewals while no request waits.
 const INTERVAL: Duration = Duration::from_millis(1_000);
-/// Interval of renewals while the store does not answer. Not measured.
+/// Interval of renewals while the store does not answer.
 const LOST_INTERVAL: Duration = Duration::from_millis(250);
-/// Pause after a renewal that failed. Not measured.
+/// Pause after a renewal that failed.
 const FAILED_PAUSE: Duration = Duration::from_millis(150);
 /// The first renewals of a process are spread over this time, in milliseconds, since all routers may
 /// start at once.
--- a/src/gateway/control/link.rs
+++ b/src/gateway/control/link.rs
@@ -18,11 +18,11 @@
 use crate::gateway::message::{Heartbeat, Reply, Request};
 use crate::wire;
 
-/// Interval of rounds of heartbeats. Not measured.
+/// Interval of rounds of heartbeats.
 const INTERVAL: Duration = Duration::from_millis(300);
-/// Routers that are told in a round, whatever the size of the fleet. Not measured.
+/// Routers that are told in a round, whatever the size of the fleet.
 const FAN_OUT: usize = 3;
-/// Longest wait for an answer. Not measured: a router that takes longer is frozen or cut off.
+/// Longest wait for an answer. A router that takes longer is frozen or cut off.
 const ANSWER_MAX: Duration = Duration::from_millis(400);
 
 /// Another router's request, and where its answer goes.
--- a/src/gateway/control/loans.rs
+++ b/src/gateway/control/loans.rs
@@ -18,17 +18,17 @@
 use crate::units::Tokens;
 use crate::wire::Missing;
 
-/// Routers that are asked for a loan, one after the other. Not measured: half of the holders.
+/// Routers that are asked for a loan, one after the other. Half of the holders.
 const LENDERS_MAX: usize = 4;
 /// Those of them that are asked since they hold most, as far as is known. The rest are drawn, since rows are old where
 /// the store is lost.
 const RICHEST_MAX: usize = 2;
-/// How long a router that is asked for a loan waits for a grant that covers it. Not measured: a write to the store takes
+/// How long a router that is asked for a loan waits for a grant that covers it. A write to the store takes
 /// a few milliseconds, and the one who asks waits for 400 and has others to ask.
 const RENEWAL_WAIT: Duration = Duration::from_millis(50);
 /// Renewals that such a router waits for: one may be under way that does not know of the loan yet.
 const RENEWALS_MAX: u32 = 2;
-/// Interval at which borrowed tokens that are not needed are given back. Not measured.
+/// Interval at which borrowed tokens that are not needed are given back.
 const GIVE_BACK_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// What follows loans that are not enough.
@@ -148,8 +148,8 @@
 }
 
 /// Lends to another router that asks. Where this one may not spend as much before it writes to the store, or has no
-/// more and the budget has, it writes first: asked again by a borrower that the store gives no grants, it was often asked before that
-/// write was done (tests/gateway_loans.rs no_grants, 2 of 30 requests refused).
+/// more and the budget has, it writes first: a borrower that the store gives no grants asks again before that write
+/// is done otherwise.
 pub(super) async fn lend(control: &Control, customer: &str, loan: Loan) -> Tokens {
     let mut lent = lend_now(control, customer, loan);
     let until = Instant::now() + RENEWAL_WAIT;
--- a/src/gateway/control/notices.rs
+++ b/src/gateway/control/notices.rs
@@ -1,8 +1,8 @@
 //! Keeps in step with the other routers about what targets say of themselves.
 //!
 //! A router that hears something new tells a few others at once, and so does each of those, so that the fleet knows
-//! within some ways between routers. What is in force is told again now and then, for those that no telling has reached;
-//! a router that has started asks. Each message is answered with what the other one knows.
+//! within some ways between routers. What is in force is told again now and then, for those that no telling has
+//! reached; a router that has started asks. Each message is answered with what the other one knows.
 
 use std::cell::Cell;
 use std::rc::Rc;
--- a/src/gateway/control/quarantine.rs
+++ b/src/gateway/control/quarantine.rs
@@ -22,14 +22,14 @@
 use crate::units::Millis;
 use crate::{util, wall_clock};
 
-/// Longest wait for a port to answer. Not measured: one that is closed refuses within the way there and back; a host
+/// Longest wait for a port to answer. One that is closed refuses within the way there and back; a host
 /// that says nothing may be cut off.
 const PROBE_MAX: Duration = Duration::from_millis(400);
-/// Interval of rounds in which others are told. Not measured: that of heartbeats.
+/// Interval of rounds in which others are told. That of heartbeats.
 const TELL_INTERVAL: Duration = Duration::from_millis(300);
-/// Routers that are told in a round, whatever the size of the fleet. Not measured: as with heartbeats.
+/// Routers that are told in a round, whatever the size of the fleet. As with heartbeats.
 const FAN_OUT: usize = 3;
-/// Interval at which what is held back is told again, and what is old forgotten. Not measured: a router that starts
+/// Interval at which what is held back is told again, and what is old forgotten. A router that starts
 /// while the store is silent learns it from one of the others within half of it.
 const TELL_AGAIN: Duration = Duration::from_millis(1_500);
 /// Before a router's name in the key of its row: no name has a slash.
--- a/src/gateway/control/rows.rs
+++ b/src/gateway/control/rows.rs
@@ -13,7 +13,7 @@
 use crate::gateway::escrow::Row;
 use crate::store::{CallError, Page, Partition, Record, Timeout, Topic, hedge};
 
-/// Conditional appends in a row that others may win. Not measured.
+/// Conditional appends in a row that others may win.
 const ATTEMPTS_MAX: u32 = 12;
 /// Longest pause after others have won, in milliseconds; drawn, so that the same do not meet again.
 const CONFLICT_PAUSE_MS: u64 = 12;
--- a/src/gateway/control/shortage.rs
+++ b/src/gateway/control/shortage.rs
@@ -15,9 +15,7 @@
 }
 
 /// Refuses a customer's requests that waited at `asked` already, when the store and the other routers began to
-/// be asked for it. None of them has more, so a longer wait seldom gains: on four days of trouble those that
-/// got tokens had them after 10 to 13 ms in the median (90 in 100 within 43 ms), and those that got none were
-/// refused after 81 to 101 ms in the median, by this after 4 to 21 ms. Tokens came as often (11,376 of 11,460).
+/// be asked for it. None of them has more, so a longer wait seldom gains.
 pub(super) fn refuse_asked(control: &Control, customer: &str, asked: Instant) {
     let hopeless = control.waiting.borrow_mut().take_asked(customer, asked);
     refuse(control, hopeless);
--- a/src/gateway/decision/admission.rs
+++ b/src/gateway/decision/admission.rs
@@ -14,10 +14,10 @@
 const RANK_MAX: u8 = 9;
 
 /// A request waits for a grant for one part in this many of its route's latency objective, so that
-/// what is granted in time can still meet it. Not measured.
+/// what is granted in time can still meet it.
 const GRANT_WAIT_DIVISOR: u32 = 5;
 
-/// How long tokens are not asked for that nobody had. Not measured: the shortest time after which a caller
+/// How long tokens are not asked for that nobody had. The shortest time after which a caller
 /// comes back that was refused for lack of them.
 pub const NOTHING_PAUSE: Millis = Millis(250);
 
--- a/src/gateway/decision/cold.rs
+++ b/src/gateway/decision/cold.rs
@@ -1,8 +1,8 @@
 //! Which router may send to a target that has just started, and how much.
 //!
-//! A cold target takes a few requests a second and falls over well above that. For some seconds the others do its work:
-//! it gets nothing while a warm target has a free slot. Where none has, what it bears is dealt out to a few routers in a
-//! [`share`](super::share).
+//! A cold target takes a few requests a second and falls over well above that. For some seconds the others do its
+//! work: it gets nothing while a warm target has a free slot. Where none has, what it bears is dealt out to a few
+//! routers in a [`share`](super::share).
 
 use super::share::Draw;
 use crate::gateway::route::ColdStart;
--- a/src/gateway/decision/grant.rs
+++ b/src/gateway/decision/grant.rs
@@ -8,25 +8,25 @@
 use crate::units::{Millis, Tokens};
 
 /// Changes of less than one part in this many of the prepaid budget are not written on their own:
-/// each write is a call to the store, which costs money. Not measured.
+/// each write is a call to the store, which costs money.
 const CHANGE_DIVISOR: u64 = 1_000;
 
-/// A lender that has this many times what is wanted lends more than is lacking. Not measured.
+/// A lender that has this many times what is wanted lends more than is lacking.
 const PLENTY: u64 = 4;
 
 /// Borrowed tokens of less than one part in this many of the prepaid budget are kept until they are needed: 80
-/// borrowers then keep less than one part in a hundred. Not measured beyond that.
+/// borrowers then keep less than one part in a hundred.
 const GIVE_BACK_DIVISOR: u64 = 10_000;
 
-/// Requests that a router may begin at once beyond its demand before it writes to the store again, where the budget lasts:
-/// near its end, two requests at each of eight holders are up to a twentieth of a small customer's budget, which a
-/// death of all would lose. Not measured apart.
+/// Requests that a router may begin at once beyond its demand before it writes to the store again, where the budget
+/// lasts: near its end, two requests at each of eight holders are up to a twentieth of a small customer's budget,
+/// which a death of all would lose.
 const BURST_REQUESTS: u64 = 2;
 /// Seconds of demand that a router may spend at once before it writes to the store again: it writes each second, and
-/// demand comes in clumps. Not measured.
+/// demand comes in clumps.
 const BURST_SECONDS: f64 = 0.5;
-/// One part in this many of what a router holds ahead may always be spent or lent at once before it writes again. Not
-/// measured: a quarter of a second at the least rate.
+/// One part in this many of what a router holds ahead may always be spent or lent at once before it writes again. A
+/// quarter of a second at the least rate.
 const BURST_DIVISOR: u64 = 32;
 /// How long the mark of a new promise does not rise where a budget ends soon. A death while the store answers is mostly
 /// judged within it: the row is up to a second old, and a host starts again within another. What is asked for meanwhile
@@ -34,16 +34,12 @@
 const HOLD: Millis = Millis(2_000);
 /// A budget ends soon where it lasts no longer than this at the present demand: what a rising mark loses with a router
 /// is some three seconds of its demand, which is then a tenth of what is left or more. Before that a cut from the store
-/// costs more, in whose first seconds a mark that does not rise pays for little: with it all the time, days of twenty
-/// routers with budgets to spare fell from a mean worth of 0.69 to 0.62 (three seeds of two days).
+/// costs more, in whose first seconds a mark that does not rise pays for little.
 const ENDS_SOON: Millis = Millis(30_000);
-/// Part of what a router holds ahead that it may lend within a promise, whatever its demand, where the budget ends soon,
-/// 0 to 1; all that a promise lets be lent counts as spent where its router dies. With the whole, twenty routers over
-/// five days of faults, three times each, came to a mean worth of 0.592, with half to 0.600, which is within what seeds vary; where budgets last, the
-/// whole is better (0.698 and 0.671 on one of two days without a closing fault).
+/// Part of what a router holds ahead that it may lend within a promise, whatever its demand, where the budget ends
+/// soon, 0 to 1; all that a promise lets be lent counts as spent where its router dies.
 const LENT_SHARE: f64 = 0.5;
 /// How much faster than its demand a router may spend before it writes again: demand varies from second to second.
-/// Not measured.
 const RATE_FACTOR: f64 = 1.25;
 
 /// Where most of the demand comes in at one router, this many times what the others' part of it makes up is left to
@@ -52,9 +48,7 @@
 const LEFT_TO_OTHERS: f64 = 2.0;
 
 /// Age at which a promise is renewed although nothing else has changed. Each renewal is a write; without any, a router
-/// that nobody asks is held to nothing, and all that it holds is lost with it: in trials of twenty routers over five
-/// days of faults, three times each, renewals raised the mean worth from 0.516 to 0.539 where a third of each budget
-/// is spread over routers.
+/// that nobody asks is held to nothing, and all that it holds is lost with it.
 const RENEWAL_AGE: Millis = Millis(1_500);
 
 /// A router's part in keeping a customer's budget.
@@ -66,8 +60,7 @@
     Borrower,
 }
 
-/// How grants are sized. The settings' defaults are the best of 18 days a row over seven trials
-/// (docs/BENCHMARKS.md, trials), none of which was better by more than noise.
+/// How grants are sized.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Sizing {
     /// Span of demand that a grant ahead covers.
@@ -161,10 +154,11 @@
     pub rate: u64,
 }
 
-/// Decides how fast a router may spend before it writes to the store again: near its demand, which is what it asks for
-/// anyway, and fast enough to use up in the span what it holds ahead, whatever its demand, since it lends to others whose
-/// demand it does not know yet. What it could have spent by then is lost with it, and what is granted beyond is not, so
-/// where the budget ends soon it is less: nothing beyond a clump at first, and then half of what it holds ahead.
+/// Decides how fast a router may spend before it writes to the store again: near its demand, which is what it asks
+/// for anyway, and fast enough to use up in the span what it holds ahead, whatever its demand, since it lends to
+/// others whose demand it does not know yet. What it could have spent by then is lost with it, and what is granted
+/// beyond is not, so where the budget ends soon it is less: nothing beyond a clump at first, and then half of what it
+/// holds ahead.
 pub fn pace(spending: &Spending<'_>) -> Pace {
     let need = spending.need;
     let ends_soon = (need.left.0 as f64) < need.total_demand * seconds(ENDS_SOON);
@@ -244,8 +238,7 @@
 }
 
 /// Decides the least number of borrowed tokens that is worth giving back, of a budget of `prepaid`. Without it each
-/// borrower gave a few tokens back each second as its demand fell, a message for each customer: 17,315 messages on a
-/// day of 86 routers, half of them of 27 tokens or fewer and 83 in 100 of under 200.
+/// borrower would give a few tokens back each second as its demand falls, a message for each customer.
 pub fn least_given_back(prepaid: Tokens) -> Tokens {
     Tokens(prepaid.0 / GIVE_BACK_DIVISOR)
 }
--- a/src/gateway/decision/mod.rs
+++ b/src/gateway/decision/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Each rule is a pure function: it takes its inputs as a typed value and returns an outcome that
 //! says why. It owns no state and reads no clock. The constants that it weighs with stand beside it,
-//! with their unit and where the figure comes from. Callers act on the outcome and do not decide
+//! with their unit. Callers act on the outcome and do not decide
 //! again. Ejection, which both kinds of router share, is [`crate::ejection`].
 
 pub mod admission;
--- a/src/gateway/decision/overload.rs
+++ b/src/gateway/decision/overload.rs
@@ -14,8 +14,8 @@
 /// Part of the objective, one in this many, that waiting for turns may take before any request is refused: the target
 /// needs the rest.
 const BEGIN_DIVISOR: u64 = 8;
-/// The same before each is refused. Between the two a part is, so that what waits stays about as long: all or nothing,
-/// by turns, served 124 of 1,000 in time where this serves 485 (tests/overload_refusal.rs too_much).
+/// The same before each is refused. Between the two a part is, so that what waits stays about as long, and not
+/// all or nothing by turns.
 const ALL_DIVISOR: u64 = 2;
 
 /// Decides whether a request is refused, where work waits for its turn for `lag` and an answer is of use within
--- a/src/gateway/decision/placement.rs
+++ b/src/gateway/decision/placement.rs
@@ -10,10 +10,10 @@
 
 use crate::gateway::key::TargetKey;
 
-/// Cost of another hall to a plain request, in requests that run at the target. Not measured:
-/// traffic between halls costs money, so it is the exception.
+/// Cost of another hall to a plain request, in requests that run at the target. Traffic between halls costs money, so
+/// it is the exception.
 const HALL_REQUESTS: f64 = 1.5;
-/// Cost of another hall to a model request, in tokens. Not measured, for the same reason.
+/// The same to a model request, in tokens.
 const HALL_TOKENS: f64 = 150.0;
 
 /// Cost of a target without a free slot to a plain request, in requests: it is only chosen where all
@@ -23,22 +23,18 @@
 const FULL_TOKENS: f64 = 1e6;
 
 /// Cost of a target all of whose recent attempts failed to a plain request, in shares of its slots.
-/// Chosen with [`FAILING_TOKENS`]: with outcomes shared among routers skargard-hq went from 0.827 to
-/// 0.806 and menu-jawa from 0.967 to 0.973, within what the days vary (docs/BENCHMARKS.md, steps).
 const FAILING_SLOTS: f64 = 2.0;
 /// The same to a model request, in tokens.
 const FAILING_TOKENS: f64 = 20_000.0;
 
-/// Slowdown of a prefill by each request that runs beside it, in tokens. Not measured.
+/// Slowdown of a prefill by each request that runs beside it, in tokens.
 const RUNNING_TOKENS: f64 = 60.0;
-/// Prompt tokens that a request is taken to have which waits at a target for other routers. Not
-/// measured: the order of the prompts' lengths on the users' deployments.
+/// Prompt tokens that a request is taken to have which waits at a target for other routers: the order of a prompt's
+/// length.
 const WAITING_TOKENS: f64 = 2_500.0;
 
 /// Weight of prefilling uncached shared blocks, relative to waiting behind the same number of tokens
-/// (dimensionless): a miss also evicts other prompts' blocks. From 1.0 to 2.0 menu-jawa rose from
-/// 0.971 to 0.990, skargard-hq fell from 0.907 to 0.829, within what its days vary
-/// (docs/BENCHMARKS.md, steps).
+/// (dimensionless): a miss also evicts other prompts' blocks.
 const PREFILL_PENALTY: f64 = 2.0;
 
 /// A target that may be chosen, as this router knows it.
--- a/src/gateway/decision/quarantine.rs
+++ b/src/gateway/decision/quarantine.rs
@@ -13,10 +13,10 @@
 /// have an answer on its way at one more target.
 pub const CRASHES_HELD: usize = 3;
 /// Crashes by which a request is held although another one was beside it at each of them. Two that always come
-/// together cannot be told apart, and targets have to be saved from both. Not measured: two more than otherwise.
+/// together cannot be told apart, and targets have to be saved from both. Two more than otherwise.
 const CRASHES_TIED: usize = 5;
 /// By how much a request may seem to have been sent before the last crash, since times are told between routers
-/// over links that take a while. Not measured: some times the way between two regions.
+/// over links that take a while. Some times the way between two regions.
 const ORDER_SLACK: Millis = Millis(50);
 
 /// A target's crash beside which a request was on its way there.
--- a/src/gateway/decision/refusal.rs
+++ b/src/gateway/decision/refusal.rs
@@ -11,39 +11,37 @@
 use crate::gateway::deadline::Over;
 use crate::units::{Millis, Tokens};
 
-/// Time to come back without a configuration: one comes within a read of the store. Not measured.
+/// Time to come back without a configuration: one comes within a read of the store.
 const NO_CONFIG_RETRY: Millis = Millis(300);
 /// Time to come back to another router when this one stops: any other serves at once.
 const STOPPING_RETRY: Millis = Millis(20);
-/// Time to come back where a router is behind with its work: what waits is done, and other routers serve at once. Not
-/// measured: the time over which it is judged.
+/// Time to come back where a router is behind with its work: what waits is done, and other routers serve at once. The
+/// time over which it is judged.
 const OVERLOADED_RETRY: Millis = Millis(200);
-/// Time to come back for a grant, which takes a write to the store or a loan. Not measured.
+/// Time to come back for a grant, which takes a write to the store or a loan.
 const GRANT_RETRY: Millis = Millis(250);
-/// Time to come back while the store does not answer; its outages last many seconds. Not measured.
+/// Time to come back while the store does not answer; its outages last many seconds.
 const CUT_OFF_RETRY: Millis = Millis(5_000);
 /// Time to come back where no target could be reached: the list is read each half a second.
 const NO_TARGET_RETRY: Millis = Millis(250);
 /// Time to come back where all halls with targets of a service are emptied: operators do that for work of some seconds
-/// at least, and take halls back one by one. Not measured.
+/// at least, and take halls back one by one.
 const EVACUATED_RETRY: Millis = Millis(2_000);
 /// Time to come back where targets have no room left for this router by their own word: another router may have some.
 const BARRED_RETRY: Millis = Millis(250);
 /// Shortest time to come back after that, where it is known when a target takes a request again.
 const BARRED_RETRY_MIN: Millis = Millis(50);
-/// Time to come back after a target's refusal, or where the retry budget is used up. Not measured.
+/// Time to come back after a target's refusal, or where the retry budget is used up.
 const REFUSED_RETRY: Millis = Millis(100);
 
 /// Time to come back where little is left of a budget: only a request under way that costs less than was
-/// reserved frees any of it, and an operator adds to it. Not measured: longer than nearly all callers wait.
+/// reserved frees any of it, and an operator adds to it. Longer than nearly all callers wait.
 const SCARCE_RETRY: Millis = Millis(30_000);
-/// Longest time to come back for what is late, which may come at any time. Not measured.
+/// Longest time to come back for what is late, which may come at any time.
 const LATE_RETRY_MAX: Millis = Millis(60_000);
 
 /// A budget is scarce where what is left of it pays for fewer requests of this cost than that: it is spread
-/// over routers and requests under way. Within half a second of a refusal, a request of the customer that
-/// cost as much was paid for in 4 of 100 cases below 16, and in 46 of 100 above (docs/BENCHMARKS.md, coming
-/// back).
+/// over routers and requests under way, so a request of this cost is hardly ever paid for soon.
 const SCARCE_REQUESTS: u64 = 16;
 
 /// Why the control state does not let a request run.
--- a/src/gateway/decision/retry.rs
+++ b/src/gateway/decision/retry.rs
@@ -13,12 +13,12 @@
 use crate::units::Millis;
 
 /// Attempts without a connection before a request is given up. They never reached a target, so they
-/// do not count against the route's attempts. Not measured: three targets that refuse connections in a
+/// do not count against the route's attempts. Three targets that refuse connections in a
 /// row mean that more is wrong than one target.
 const UNREACHED_MAX: u32 = 3;
 
 /// Part of its retry budget that a router uses, 0 to 1. Targets count the window from the arrival of
-/// an attempt, which is later than here, so two windows can overlap. Not measured.
+/// an attempt, which is later than here, so two windows can overlap.
 const BUDGET_USED: f64 = 0.7;
 
 /// How an attempt ended that brought no answer to pass on.
--- a/src/gateway/decision/share.rs
+++ b/src/gateway/decision/share.rs
@@ -1,13 +1,13 @@
 //! Which routers may send to a target that takes only so many requests from all of them, and how many each.
 //!
-//! No router knows what the others send there, and asking one another would cost each request a way to another router. So
-//! the requests of a span are dealt out, whole, to as many routers as there are requests, in an order of the routers
-//! that depends on their names and the target's only: all agree without a word, and different targets have different
-//! routers. Routers whose views of the fleet differ, at a start or in a cut, may deal twice; who uses this leaves room
-//! for it.
+//! No router knows what the others send there, and asking one another would cost each request a way to another
+//! router. So the requests of a span are dealt out, whole, to as many routers as there are requests, in an order of
+//! the routers that depends on their names and the target's only: all agree without a word, and different targets
+//! have different routers. Routers whose views of the fleet differ, at a start or in a cut, may deal twice; who uses
+//! this leaves room for it.
 //!
 //! An equal part for each router of a large fleet would be less than one request in a span, and since requests are
-//! whole, 75 routers that each send one in five seconds can still meet in the same second. One router alone for each
+//! whole, many routers that each send one in several spans can still meet in the same one. One router alone for each
 //! target would leave the target unused where that one has no requests for it.
 
 /// How a span's requests are dealt out.
--- a/src/gateway/decision/stop.rs
+++ b/src/gateway/decision/stop.rs
@@ -4,15 +4,15 @@
 
 use crate::units::Millis;
 
-/// Part of the time to stop, 0 to 1, in which any request is still let in. Not measured.
+/// Part of the time to stop, 0 to 1, in which any request is still let in.
 const LINGER_SHARE: f64 = 0.4;
 /// Longest time in which any request is still let in. Users forgive the end of a long request at a stop to those
 /// that were sent within 3 s of the signal; a request is on its way for a part of the rest.
 const LINGER_MAX: Duration = Duration::from_millis(2_900);
-/// Times the life of an answer about addresses in which callers may still come by it. Not measured.
+/// Times the life of an answer about addresses in which callers may still come by it.
 const LINGER_TTLS: f64 = 1.5;
-/// Longest time left at the end of the time to stop, for the last answers, to give grants back and to exit. Not
-/// measured: an answer's way to a caller and a write to the store take far less.
+/// Longest time left at the end of the time to stop, for the last answers, to give grants back and to exit. An
+/// answer's way to a caller and a write to the store take far less.
 const RESERVE_MAX: Duration = Duration::from_millis(1_150);
 /// The same as a part of the time to stop, 0 to 1: users forgive the end of a long request within its last sixth.
 const RESERVE_SHARE: f64 = 0.15;
@@ -21,7 +21,7 @@
 const ANSWERS_SHARE: f64 = 0.13;
 /// Part of what is left to give grants back, where the stop took all of its time. The rest is for the exit.
 const GIVE_BACK_SHARE: f64 = 0.435;
-/// Longest time to give grants back, where the stop was done early. Not measured: a write to the store and a loan
+/// Longest time to give grants back, where the stop was done early. A write to the store and a loan
 /// take far less.
 const GIVE_BACK_MAX: Duration = Duration::from_millis(500);
 
--- a/src/gateway/escrow/account.rs
+++ b/src/gateway/escrow/account.rs
@@ -10,7 +10,7 @@
 use crate::gateway::decision::grant::{self, Holding, Need, Promise, Role, Sizing, Spending};
 use crate::units::{Millis, Tokens};
 
-/// Time constant of the estimate of demand, in milliseconds. Not measured.
+/// Time constant of the estimate of demand, in milliseconds.
 const DEMAND_MEMORY: f64 = 5_000.0;
 
 /// Why a request cannot be paid for now.
--- a/src/gateway/escrow/guard.rs
+++ b/src/gateway/escrow/guard.rs
@@ -14,10 +14,10 @@
 //!
 //! This rests on these things: the processes of one name run on one host, one after the other (the second cannot
 //! listen on the link's address while the first lives); the steady clock counts on, and the id of a boot changes with
-//! each boot, unless another host names the same one; and no three quarters of the hosts that were asked have their time
-//! of day set back alike between the row and the start. A
-//! process that is frozen may wake at any time, since it looks at its own steady clock whenever it spends. A row that
-//! the store takes in late only shortens what is proved, since its time is that of its making.
+//! each boot, unless another host names the same one; and no three quarters of the hosts that were asked have their
+//! time of day set back alike between the row and the start. A process that is frozen may wake at any time, since it
+//! looks at its own steady clock whenever it spends. A row that the store takes in late only shortens what is proved,
+//! since its time is that of its making.
 
 use serde::{Deserialize, Serialize};
 
@@ -26,8 +26,7 @@
 
 /// How long a promise lasts. It has to cover the age of the last row (two seconds at most while the store answers) and
 /// the time in which a host that has lost power serves again. Longer, a router that is cut off while its demand rises
-/// is held to the earlier rate for longer. In trials of twenty routers over five days of faults, three times each,
-/// eight seconds at a rate lost less than three seconds at a fixed mark (mean worth 0.548 and 0.539).
+/// is held to the earlier rate for longer.
 pub const SPAN: Millis = Millis(8_000);
 
 /// How long promises lasted that name no rate: they began that long before their end.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -34,8 +34,8 @@
 
 /// Longest plain answer, in bytes: it is read completely before it is passed on.
 const ANSWER_MAX: usize = 8 << 20;
-/// What a target is given less than the time that is left, so that its answer is back in time. Not
-/// measured: a few times the way between two halls.
+/// What a target is given less than the time that is left, so that its answer is back in time. A few times the way
+/// between two halls.
 const RETURN_TIME: Duration = Duration::from_millis(4);
 
 /// A request that was let in.
--- a/src/gateway/lag.rs
+++ b/src/gateway/lag.rs
@@ -13,7 +13,7 @@
 
 /// Interval of samples.
 const INTERVAL: Duration = Duration::from_millis(20);
-/// Samples of which the least counts. Not measured: a tenth of a second, in which a host that has used up its part of
+/// Samples of which the least counts. A tenth of a second, in which a host that has used up its part of
 /// a core gets the next.
 const SAMPLES: usize = 5;
 /// Lag that is told in the log, when it begins and when it is over.
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -1,8 +1,9 @@
 //! The routers of the fleet: who is live, who holds a customer's grants, where callers may connect.
 //!
 //! A router is live while its heartbeats arrive, by the store or by a link, and its link answers. While the store is
-//! not read, its silence there says nothing: by links alone a router of 295 hears from another one each fifteen
-//! seconds, and took three quarters of them for dead, and other routers for the holders of grants. Nothing about money follows from that; a router that is wrongly taken for dead loses callers only.
+//! not read, its silence there says nothing: by links alone a router of a large fleet hears from another one each some
+//! ten seconds, and would take most of them for dead, and other routers for the holders of grants. Nothing about
+//! money follows from that; a router that is wrongly taken for dead loses callers only.
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
@@ -12,7 +13,7 @@
 
 use crate::units::Millis;
 
-/// Heartbeats that may be missed before a router counts as dead. Not measured: the usual figure.
+/// Heartbeats that may be missed before a router counts as dead. The usual figure.
 const MISSED_MAX: u64 = 3;
 /// Heartbeats after which a new router's entry has been read by the others: each reads at every heartbeat of its own.
 const JOIN_HEARTBEATS: u64 = 2;
@@ -213,7 +214,7 @@
     }
 
     /// As many addresses as callers are told. Each router leaves out others, so that a large fleet gets its
-    /// callers evenly: where all told the first 64 of 86 in one order, the last got half of what the others had.
+    /// callers evenly.
     fn choose_addresses(&self, mut addresses: Vec<SocketAddr>) -> Vec<SocketAddr> {
         if addresses.len() > ADDRESSES_MAX {
             let seed = xxh3_64(self.me.name.as_bytes());
--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -22,7 +22,7 @@
 
 /// How long a request's crashes, and its being cleared, are remembered after the last. It is sent again after that,
 /// since whoever runs the targets may have mended them; if not, it costs as many targets as the rule allows, each
-/// ten minutes. Not measured.
+/// ten minutes.
 pub const REMEMBERED: Millis = Millis(600_000);
 /// Requests of which crashes are known at most: a hundred bytes each.
 const SUSPECTS_MAX: usize = 1_024;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -13,12 +13,12 @@
 use super::shared::Shared;
 use crate::net::{self, Connection, Pool};
 
-/// Longest wait for a connection to a target. Not measured: a target in another region answers within
+/// Longest wait for a connection to a target. A target in another region answers within
 /// a fraction of it.
 const CONNECT_MAX: Duration = Duration::from_millis(400);
-/// Data that a target's host has not acknowledged for this long fails its connection. Not measured.
+/// Data that a target's host has not acknowledged for this long fails its connection.
 const UNACKNOWLEDGED_MAX: Duration = Duration::from_millis(900);
-/// How long a connection is idle where the target does not say how long it keeps it. Not measured.
+/// How long a connection is idle where the target does not say how long it keeps it.
 const IDLE_DEFAULT: Duration = Duration::from_millis(4_000);
 /// Part of the target's own idle time for which a connection is used, 0 to 1: a request that meets the
 /// target's close on its way may have run.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -24,7 +24,7 @@
 use crate::units::Millis;
 
 /// Calls that are turned away for their number count as lost contact after this long without a call
-/// that succeeded. Not measured: one interval of heartbeats.
+/// that succeeded. One interval of heartbeats.
 const LIMITED_MAX: Duration = Duration::from_millis(1_200);
 
 /// The shared state.
--- a/src/gateway/targets/attempts.rs
+++ b/src/gateway/targets/attempts.rs
@@ -3,12 +3,12 @@
 use crate::ejection::Outcome;
 use crate::units::Millis;
 
-/// Time constant of the decay, in milliseconds. Not measured.
+/// Time constant of the decay, in milliseconds.
 const MEMORY: f64 = 3_000.0;
 /// Counts below this are not told to other routers.
 const TOLD_MIN: f64 = 0.1;
 /// Attempts that are taken to have been answered before any are known, so that one failure alone does
-/// not make a target look broken. Not measured.
+/// not make a target look broken.
 const PRIOR: f64 = 2.0;
 
 /// Decaying counts of attempts at one target.
--- a/src/gateway/targets/cache.rs
+++ b/src/gateway/targets/cache.rs
@@ -7,7 +7,7 @@
 use crate::gateway::key::TargetKey;
 use crate::units::Millis;
 
-/// How long a target is taken to keep a block after its last use. Not measured.
+/// How long a target is taken to keep a block after its last use.
 const KEPT: Millis = Millis(20_000);
 /// Entries that are remembered before those that are too old are dropped.
 const ENTRIES_MAX: usize = 20_000;
--- a/src/gateway/targets/choice.rs
+++ b/src/gateway/targets/choice.rs
@@ -1,7 +1,8 @@
 //! Which of the listed targets a request may be sent to, and the choice among them.
 //!
-//! Left out are, in this order, those that were tried or are barred by their own word, those in halls that are emptied, those that the list lacks, those
-//! that are ejected and those that are cold; what is left goes to [`placement`]. Each step says when it leaves all in.
+//! Left out are, in this order, those that were tried or are barred by their own word, those in halls that are
+//! emptied, those that the list lacks, those that are ejected and those that are cold; what is left goes to
+//! [`placement`]. Each step says when it leaves all in.
 
 use super::registry::Targets;
 use crate::gateway::decision::cold;
--- a/src/gateway/targets/registry.rs
+++ b/src/gateway/targets/registry.rs
@@ -23,10 +23,8 @@
 /// from the store takes to hear of it over the links.
 const REMOVED_TOLD: Millis = Millis(15_000);
 
-/// Targets of which others are told in a heartbeat: those where this router has most. Without a bound a heartbeat grows
-/// with the targets, so the bytes of a fleet that grows with them grow faster than its square: at 300 routers 184 kB a
-/// second in the middle and 936 at the busiest, for 40 and 87 at 100 routers; with it 166 and 551. The number is not measured: more than the targets at
-/// which a router of a fleet of 75 has a request at one time.
+/// Targets of which others are told in a heartbeat: those where this router has most. Without a bound a heartbeat
+/// grows with the targets, so the bytes of a fleet that grows with them grow faster than its square.
 const TOLD_MAX: usize = 64;
 /// How long an incarnation that has ended, and that no request is at any more, is remembered: longer than others
 /// speak of it.
--- a/src/gateway/targets/target.rs
+++ b/src/gateway/targets/target.rs
@@ -13,7 +13,7 @@
 use crate::gateway::key::TargetKey;
 use crate::units::Millis;
 
-/// How long a load that a target reported is believed. Not measured.
+/// How long a load that a target reported is believed.
 const LOAD_BELIEVED: Millis = Millis(1_000);
 
 /// One incarnation of a target.
@@ -78,8 +78,8 @@
         self.is_listed_open() && !self.is_leaving
     }
 
-    /// Whether it has said, in its entry or in an answer, that it leaves: it ends as planned. An entry that is gone says
-    /// nothing: it also goes some time after a crash.
+    /// Whether it has said, in its entry or in an answer, that it leaves: it ends as planned. An entry that is gone
+    /// says nothing: it also goes some time after a crash.
     pub fn has_said_leaving(&self) -> bool {
         self.is_leaving || !self.listing.is_ready
     }
--- a/src/net/half_open.rs
+++ b/src/net/half_open.rs
@@ -1,11 +1,10 @@
 //! A connection to a target on which an answer can still be read after writing has failed.
 //!
-//! A target may answer a long request from its head and close. The HTTP library ends a connection at the first
-//! error of a write, with the answer that has arrived unread: a refusal with a promise, or a whole answer, was
-//! passed on as a failure that may have run, 20 of 20 with a body of 4 MB. So once a part of a request has
-//! been written, the rest of it is dropped in silence, and reading tells the answer or the error. The system
-//! tells a reset once, so what a write was told is told again by the read at the end: an answer without a length
-//! is not whole after it.
+//! A target may answer a long request from its head and close. The HTTP library ends a connection at the first error
+//! of a write, with the answer that has arrived unread: a refusal with a promise, or a whole answer, would be passed
+//! on as a failure that may have run. So once a part of a request has been written, the rest of it is dropped in
+//! silence, and reading tells the answer or the error. The system tells a reset once, so what a write was told is
+//! told again by the read at the end: an answer without a length is not whole after it.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -22,16 +22,16 @@
 use super::socket::{Reading, Socket};
 
 /// Time in which the runtime is sure to look at its sockets: a timer goes off after the sockets have been looked
-/// at. Not measured: the shortest that the runtime's timers have. To yield is no such turn where the runtime has
+/// at. The shortest that the runtime's timers have. To yield is no such turn where the runtime has
 /// workers and this thread only waits for them.
 const TURN: Duration = Duration::from_millis(1);
 
 /// Age up to which a connection is not closed although it carries no request: its first one may be on the
-/// way, and would meet a closed connection. Not measured: many times the way from a caller.
+/// way, and would meet a closed connection. Many times the way from a caller.
 const FIRST_REQUEST_MAX: Duration = Duration::from_millis(100);
 
 /// Longest time in which the rest of a head is waited for on a kept connection, which the HTTP library would
-/// close over the part that it has read. Not measured: a head is mostly sent at once, and a stop is still
+/// close over the part that it has read. A head is mostly sent at once, and a stop is still
 /// short with a caller that never sends the rest.
 const HEAD_REST_MAX: Duration = Duration::from_millis(500);
 
@@ -81,8 +81,7 @@
     /// the rest, the others once their answer is written.
     ///
     /// The runtime knows of what has arrived at a socket after it has looked, so there is a turn of it before
-    /// each step: without them a close passed over requests that had arrived, up to 53 of 53 in one stop
-    /// beside 96 callers that each open a connection a request (13 stops, 6 of them with such a loss).
+    /// each step: without them a close passes over requests that have arrived.
     pub async fn close(&self) {
         sleep(TURN).await;
         self.refusing.cancel();
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -20,7 +20,7 @@
 
 use super::upload;
 
-/// Interval at which a closing server checks whether a connection has written. Not measured: short beside the
+/// Interval at which a closing server checks whether a connection has written. Short beside the
 /// way from a caller; only runs while a server closes.
 const POLL: Duration = Duration::from_millis(5);
 
--- a/src/net/upload.rs
+++ b/src/net/upload.rs
@@ -6,7 +6,7 @@
 use hyper::body::{Body, Incoming};
 use tokio::time::timeout;
 
-/// Longest time in which it is. Not measured: a caller that sends takes far less.
+/// Longest time in which it is. A caller that sends takes far less.
 const DISCARD_TIME: Duration = Duration::from_secs(2);
 
 /// Reads what is still to come of a refused request's body, if it is at most `max` bytes: as much as the body of
--- a/src/router/api/caller.rs
+++ b/src/router/api/caller.rs
@@ -26,7 +26,7 @@
 
 /// Numbers that callers choose are below this.
 const NUMBERS: u64 = 1 << 31;
-/// How long a caller may keep an entry answer. Not measured.
+/// How long a caller may keep an entry answer.
 const KEEP_MS: u64 = 60_000;
 
 /// Who a caller has proved to be, and how its request is to be treated.
--- a/src/router/budget/account.rs
+++ b/src/router/budget/account.rs
@@ -14,7 +14,7 @@
 
 /// Most tokens that a budget may be given, so that sums cannot overflow.
 pub const PREPAID_MAX: Tokens = Tokens(1 << 52);
-/// Most requests of closed holders that a budget remembers as billed. Not measured.
+/// Most requests of closed holders that a budget remembers as billed.
 const RESOLVED_MAX: usize = 4096;
 
 /// What one incarnation holds of a budget. All three are running totals.
--- a/src/router/budget/demand.rs
+++ b/src/router/budget/demand.rs
@@ -2,9 +2,9 @@
 
 use crate::units::{Millis, Tokens};
 
-/// Time constant of the demand estimate. Not measured.
+/// Time constant of the demand estimate.
 const MEMORY: Millis = Millis(10_000);
-/// Span of demand that a holder keeps when it gives back. Not measured.
+/// Span of demand that a holder keeps when it gives back.
 const KEPT: Millis = Millis(2_000);
 
 /// A decaying estimate of tokens spent a second.
--- a/src/router/budget/witness.rs
+++ b/src/router/budget/witness.rs
@@ -16,7 +16,7 @@
 use crate::router::request::{EPOCH_KEEP, Id};
 use crate::units::{Millis, Tokens};
 
-/// A closed ward is kept for this long, for retries of its requests. Not measured.
+/// A closed ward is kept for this long, for retries of its requests.
 const CLOSED_KEEP: Millis = Millis(3_600_000);
 
 /// A witness's answer to a holder.
--- a/src/router/client/log.rs
+++ b/src/router/client/log.rs
@@ -15,7 +15,7 @@
 use crate::units::{Millis, Offset};
 
 const SERVICE: &str = "log";
-/// Longest wait for an answer beyond the wait that a read asks for. Not measured.
+/// Longest wait for an answer beyond the wait that a read asks for.
 const WAIT: Duration = Duration::from_millis(2_500);
 
 /// Where a reader is in a stream.
--- a/src/router/control/decision/grant.rs
+++ b/src/router/control/decision/grant.rs
@@ -3,7 +3,7 @@
 use crate::router::request::Reason;
 use crate::units::{Millis, Tokens};
 
-/// Longest wait for others to give back what lies idle with them. Not measured.
+/// Longest wait for others to give back what lies idle with them.
 const RECALL_WAIT: Millis = Millis(1_500);
 
 /// What is lacking, and what the ledger says.
--- a/src/router/control/decision/retry.rs
+++ b/src/router/control/decision/retry.rs
@@ -1,12 +1,12 @@
 //! Whether a request is dispatched to another target after one that brought no complete answer.
 
-/// Dispatches of one request. Not measured.
+/// Dispatches of one request.
 const ATTEMPTS_MAX: u32 = 3;
-/// Retries that may be saved up. Not measured.
+/// Retries that may be saved up.
 const SAVED_MAX: f64 = 10.0;
-/// Retries that a process starts with. Not measured.
+/// Retries that a process starts with.
 const SAVED_AT_START: f64 = 3.0;
-/// What each complete answer adds to the retries: one in ten requests may be tried again. Not measured.
+/// What each complete answer adds to the retries: one in ten requests may be tried again.
 const SAVED_BY_ANSWER: f64 = 0.1;
 
 /// How a dispatch ended without a complete answer.
--- a/src/router/control/decision/witness.rs
+++ b/src/router/control/decision/witness.rs
@@ -3,7 +3,7 @@
 use crate::units::Millis;
 
 /// A witness that has not answered for this long is replaced, and a ward that has not been heard for as
-/// long may have died. Not measured.
+/// long may have died.
 const SILENT: Millis = Millis(1_000);
 
 /// How a holder's witness stands.
--- a/src/router/control/dispatch.rs
+++ b/src/router/control/dispatch.rs
@@ -10,11 +10,11 @@
 use crate::router::request::{Id, Reason, Ticket, Verdict, Waiting};
 use crate::units::{Millis, Tokens};
 
-/// Longest wait of a reservation for its witnesses. Not measured.
+/// Longest wait of a reservation for its witnesses.
 const OPEN_WAIT: Millis = Millis(1_500);
-/// Longest wait for a witness to judge. Not measured.
+/// Longest wait for a witness to judge.
 const JUDGE_WAIT: Millis = Millis(1_500);
-/// Longest that a verdict waits for the witness of its settlement. Not measured.
+/// Longest that a verdict waits for the witness of its settlement.
 const VERDICT_WAIT: Millis = Millis(200);
 
 /// Whether a queued request could start.
--- a/src/router/control/link.rs
+++ b/src/router/control/link.rs
@@ -8,9 +8,9 @@
 
 use super::Call;
 
-/// A call unanswered for this long is sent again. Not measured.
+/// A call unanswered for this long is sent again.
 const RESEND_AFTER: Millis = Millis(400);
-/// Notices in one call. Not measured.
+/// Notices in one call.
 const NOTICES_MAX: usize = 128;
 
 #[derive(Clone, Debug)]
--- a/src/router/control/money.rs
+++ b/src/router/control/money.rs
@@ -7,16 +7,15 @@
 use crate::router::request::{Reason, Ticket};
 use crate::units::{Millis, Tokens};
 
-/// Time between two rounds of settlement records, in a small fleet. Not measured.
+/// Time between two rounds of settlement records, in a small fleet.
 const MAINTENANCE_INTERVAL: Millis = Millis(1_000);
-/// What each other router adds to it, so that the fleet's appends stay within what the log takes:
-/// 57 appends/s instead of 93 with 32 routers (docs/CAPACITY.md, slopes).
+/// What each other router adds to it, so that the fleet's appends stay within what the log takes.
 const MAINTENANCE_PER_PEER: Millis = Millis(20);
-/// A budget is asked for again after this long at the earliest. Not measured.
+/// A budget is asked for again after this long at the earliest.
 const ASK_AGAIN: Millis = Millis(300);
-/// A grant is asked for before it runs out within this span. Not measured.
+/// A grant is asked for before it runs out within this span.
 const LOW_WITHIN: Millis = Millis(5_000);
-/// The log counts as out when it has not answered for this long. Not measured.
+/// The log counts as out when it has not answered for this long.
 const LOG_WAIT: Millis = Millis(2_000);
 
 impl State {
--- a/src/router/control/operator.rs
+++ b/src/router/control/operator.rs
@@ -12,7 +12,7 @@
 use crate::router::log::Record;
 use crate::units::Millis;
 
-/// A confirm that is not read back within this is answered so; it may be repeated. Not measured.
+/// A confirm that is not read back within this is answered so; it may be repeated.
 const CONFIRM_WAIT: Millis = Millis(8_000);
 /// A stopping router whose streams are done waits this long for the log.
 const STOP_WAIT: Millis = Millis(30_000);
--- a/src/router/control/peers.rs
+++ b/src/router/control/peers.rs
@@ -12,21 +12,21 @@
 use crate::router::request::{EPOCH_KEEP, Id, Prefix};
 use crate::units::{Millis, Tokens};
 
-/// Time between two rounds of heartbeats. Not measured.
+/// Time between two rounds of heartbeats.
 const HEARTBEAT_INTERVAL: Millis = Millis(1_000);
-/// Time between two rounds of forgetting. Not measured.
+/// Time between two rounds of forgetting.
 const PRUNE_EVERY: Millis = Millis(10_000);
-/// A ward silent for this long, whose ledgers name another witness, is forgotten. Not measured.
+/// A ward silent for this long, whose ledgers name another witness, is forgotten.
 const FORGET_AFTER: Millis = Millis(3_600_000);
-/// The same for a ward that has named an earlier incarnation of this process. Not measured.
+/// The same for a ward that has named an earlier incarnation of this process.
 const PAST_FORGET_AFTER: Millis = Millis(60_000);
-/// Time between two rounds of questions to targets about requests in doubt. Not measured.
+/// Time between two rounds of questions to targets about requests in doubt.
 const INQUIRE_EVERY: Millis = Millis(1_000);
-/// Questions in a round. Not measured.
+/// Questions in a round.
 const INQUIRIES: usize = 64;
-/// Concurrency of a customer that gets a wider set of entry hosts. Not measured.
+/// Concurrency of a customer that gets a wider set of entry hosts.
 const LARGE: u32 = 256;
-/// A router behind the log asks a peer for its state this often. Not measured.
+/// A router behind the log asks a peer for its state this often.
 const STATE_EVERY: Millis = Millis(1_000);
 
 /// A holder that a ledger has under this process.
--- a/src/router/control/streams.rs
+++ b/src/router/control/streams.rs
@@ -8,9 +8,9 @@
 use crate::router::log::{Batch, Checkpoint, Progress, Record};
 use crate::units::{Millis, Offset};
 
-/// Longest wait of a checkpoint's writer for somebody else to be first. Not measured.
+/// Longest wait of a checkpoint's writer for somebody else to be first.
 const CHECKPOINT_JITTER: u64 = 2_000;
-/// Share of ticks at which a router whose stream is due sets a mark. Not measured.
+/// Share of ticks at which a router whose stream is due sets a mark.
 const MARK_SHARE: f64 = 0.05;
 
 impl State {
--- a/src/router/control/witnesses.rs
+++ b/src/router/control/witnesses.rs
@@ -15,7 +15,6 @@
 use crate::units::{Millis, Tokens};
 
 /// An earlier incarnation's bills are given up when its witness is silent for this long.
-/// Not measured.
 const LATE_WAIT: Millis = Millis(10_000);
 
 impl State {
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -11,7 +11,7 @@
 use crate::router::control::{Action, Input, Settings, State};
 use crate::units::Millis;
 
-/// Time between two ticks. Not measured.
+/// Time between two ticks.
 const TICK: Duration = Duration::from_millis(25);
 
 /// Starts the control thread; the receiver is told when a planned stop is done.
--- a/src/router/entry.rs
+++ b/src/router/entry.rs
@@ -26,7 +26,7 @@
 use super::request::{Id, Reason, Verdict};
 use crate::net::{Accepted, Reading, Server, Socket};
 
-/// Longest time to send a request's head, which also runs while a connection is idle. Not measured: hyper's
+/// Longest time to send a request's head, which also runs while a connection is idle. Hyper's
 /// default, and as long as a stop waits for a head.
 const HEAD_MAX: Duration = Duration::from_secs(30);
 
--- a/src/router/feed.rs
+++ b/src/router/feed.rs
@@ -12,15 +12,15 @@
 use crate::router::key::Stream;
 use crate::units::{Millis, Offset};
 
-/// Longest wait of a read for something new. Not measured.
+/// Longest wait of a read for something new.
 const READ_WAIT: Millis = Millis(5_000);
-/// Wait after a read that failed. Not measured.
+/// Wait after a read that failed.
 const READ_AGAIN: Duration = Duration::from_millis(250);
-/// Time between two looks at the host list. Not measured.
+/// Time between two looks at the host list.
 const HOSTS_EVERY: Duration = Duration::from_millis(1_000);
-/// Time between two reports of a target that has work of ours. Not measured.
+/// Time between two reports of a target that has work of ours.
 const LOAD_EVERY: Duration = Duration::from_millis(1_000);
-/// Longest wait for a target's report. Not measured.
+/// Longest wait for a target's report.
 const LOAD_WAIT: Duration = Duration::from_secs(1);
 
 /// Starts them all.
--- a/src/router/host/member.rs
+++ b/src/router/host/member.rs
@@ -15,19 +15,17 @@
 use crate::router::key::Incarnation;
 use crate::units::{Millis, Offset};
 
-/// Others told in a round. Not measured.
+/// Others told in a round.
 const FAN_OUT: usize = 3;
-/// Hosts told of in a message. Not measured.
+/// Hosts told of in a message.
 const TOLD_MAX: usize = 8;
 /// A host whose counter has stood still for this long, in a small fleet, is not given to callers.
-/// Not measured.
 const ILL_AFTER: Millis = Millis(3_000);
-/// What each known host adds to that: news of one reaches a given other less often among many
-/// (docs/CAPACITY.md, by role).
+/// What each known host adds to that: news of one reaches a given other less often among many.
 const ILL_PER_PEER: Millis = Millis(30);
-/// A host whose counter has stood still for this long is forgotten. Not measured.
+/// A host whose counter has stood still for this long is forgotten.
 const FORGET_AFTER: Millis = Millis(60_000);
-/// Addresses in an entry answer for an ordinary customer. Not measured.
+/// Addresses in an entry answer for an ordinary customer.
 const ENTRIES: usize = 3;
 
 /// What a router says of itself.
--- a/src/router/http/relay.rs
+++ b/src/router/http/relay.rs
@@ -25,13 +25,13 @@
 /// Times in a row that a broken stream is resumed without anything new. With 4, streams were given up
 /// within 0.2 s where timers run late (docs/FINDINGS.md, bad_streams).
 const RESUMES_MAX: u32 = 8;
-/// Wait before a stream is resumed; it doubles while nothing new comes. Not measured.
+/// Wait before a stream is resumed; it doubles while nothing new comes.
 const RESUME_WAIT: Duration = Duration::from_millis(50);
-/// Longest wait before a stream is resumed. Not measured.
+/// Longest wait before a stream is resumed.
 const RESUME_WAIT_MAX: Duration = Duration::from_millis(400);
-/// Connections kept to one target. Not measured.
+/// Connections kept to one target.
 const IDLE_MAX: usize = 64;
-/// Longest wait for the answer to a question about load or about a request. Not measured.
+/// Longest wait for the answer to a question about load or about a request.
 const QUESTION_WAIT: Duration = Duration::from_secs(2);
 
 type Client = volo_http::client::Client;
--- a/src/router/http/reply.rs
+++ b/src/router/http/reply.rs
@@ -11,12 +11,12 @@
 use crate::router::request::{Id, Reason, Verdict};
 use crate::units::Millis;
 
-/// When to come back after a request that may have run, with the same id. Not measured.
+/// When to come back after a request that may have run, with the same id.
 const ASK_AGAIN: Millis = Millis(1_000);
-/// When to come back after a stopping router has refused a question. Not measured: another router
+/// When to come back after a stopping router has refused a question. Another router
 /// answers at once.
 const STOPPING_RETRY: Millis = Millis(1_000);
-/// When to come back after a router has refused a question that has just been started. Not measured: it reads the
+/// When to come back after a router has refused a question that has just been started. It reads the
 /// log in a fraction of that where the log answers.
 const STARTING_RETRY: Millis = Millis(1_000);
 
--- a/src/router/intent/plan.rs
+++ b/src/router/intent/plan.rs
@@ -9,7 +9,6 @@
 use crate::units::{Offset, Tokens};
 
 /// Plans whose outcome a stream remembers; a confirm repeated later is judged anew, and is stale.
-/// Not measured.
 const OUTCOMES_MAX: usize = 1024;
 
 /// Identifies a plan, so that confirming it twice is confirming it once.
--- a/src/router/log/sequence.rs
+++ b/src/router/log/sequence.rs
@@ -8,7 +8,7 @@
 use crate::units::Offset;
 
 /// Writers remembered after they have left or were closed. One that is older than this many
-/// departures has no append under way any more. Not measured.
+/// departures has no append under way any more.
 const DEPARTED_MAX: usize = 4096;
 
 /// What the fold knows of one writer.
--- a/src/router/log/writer.rs
+++ b/src/router/log/writer.rs
@@ -6,9 +6,9 @@
 use crate::router::key::Incarnation;
 use crate::units::Millis;
 
-/// An append unanswered for this long is sent again. Not measured.
+/// An append unanswered for this long is sent again.
 const RESEND_AFTER: Millis = Millis(1_000);
-/// Records in one append. Not measured.
+/// Records in one append.
 const BATCH_MAX: usize = 256;
 
 /// The outbox of one stream.
--- a/src/router/pool.rs
+++ b/src/router/pool.rs
@@ -1,8 +1,7 @@
 //! All targets of the configuration, with what this router knows of each, and the choice among them.
 //!
 //! A request goes to the less loaded of two targets drawn at random. Routers do not see each other's
-//! dispatches and loads lag, so every choice that prefers one place sends too much there at once
-//! (docs/BENCHMARKS.md, choice of target).
+//! dispatches and loads lag, so every choice that prefers one place sends too much there at once.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -13,7 +12,7 @@
 use crate::router::intent::{Kind, Target};
 use crate::units::{Millis, Offset};
 
-/// A load report older than this counts for nothing. Not measured.
+/// A load report older than this counts for nothing.
 const REPORT_KEEP: Millis = Millis(5_000);
 
 /// A target's place in the pool of this process.
--- a/src/router/process.rs
+++ b/src/router/process.rs
@@ -25,7 +25,7 @@
 
 /// Longest time to write the last answers of a stop. All has been decided by then, so only callers that do not
 /// read their answers, or never send the rest of a head, take as long; without a bound one of them keeps the
-/// process up until it is killed. Not measured: as long as a head may take.
+/// process up until it is killed. As long as a head may take.
 const LAST_ANSWERS_MAX: Duration = Duration::from_secs(30);
 
 /// What a router is started with.
--- a/src/router/report/trail.rs
+++ b/src/router/report/trail.rs
@@ -8,9 +8,9 @@
 
 use crate::router::request::Id;
 
-/// Requests remembered. Not measured.
+/// Requests remembered.
 const KEPT: usize = 4_096;
-/// Steps remembered of one request. Not measured.
+/// Steps remembered of one request.
 const STEPS_MAX: usize = 32;
 
 /// One decision on a request.
--- a/src/router/request/id.rs
+++ b/src/router/request/id.rs
@@ -13,9 +13,9 @@
 use crate::router::key::Incarnation;
 use crate::units::Millis;
 
-/// Uptime that an epoch spans. Not measured.
+/// Uptime that an epoch spans.
 pub const EPOCH_LENGTH: Millis = Millis(60_000);
-/// Epochs that ids and answers are kept for. Not measured.
+/// Epochs that ids and answers are kept for.
 pub const EPOCH_KEEP: u32 = 10;
 
 /// A request's id.
--- a/src/router/shared.rs
+++ b/src/router/shared.rs
@@ -22,7 +22,7 @@
 /// Numbers of requests that came without an id: between callers' and those of takeovers.
 const NUMBERS: std::ops::Range<u32> = 1 << 31..3 << 30;
 
-/// A target counts as active for this long after work of ours. Not measured.
+/// A target counts as active for this long after work of ours.
 const ACTIVE: Duration = Duration::from_secs(10);
 
 /// The shared state.
--- a/src/store/hedge.rs
+++ b/src/store/hedge.rs
@@ -12,10 +12,9 @@
 
 use super::CallError;
 
-/// How long an answer is waited for before the read is sent again. With it skargard-hq went from 0.928
-/// to 0.907, within what its days vary, and a silent store is noticed (docs/BENCHMARKS.md, steps).
+/// How long an answer is waited for before the read is sent again, by which a silent store is noticed.
 pub const HEDGE_AFTER: Duration = Duration::from_millis(600);
-/// How long any answer is waited for in all. Not measured.
+/// How long any answer is waited for in all.
 pub const ANSWER_MAX: Duration = Duration::from_secs(5);
 
 /// Makes a call, and once more after each `gap` without an answer, of which `on_silence` is told; the
--- a/src/store/timeout.rs
+++ b/src/store/timeout.rs
@@ -6,11 +6,11 @@
 
 use super::CallError;
 
-/// Shortest wait. Not measured.
+/// Shortest wait.
 const LEAST: Duration = Duration::from_millis(600);
 /// Longest wait: the same as for a hedged read.
 const MOST: Duration = super::hedge::ANSWER_MAX;
-/// The wait, against the time that the last answer took. Not measured.
+/// The wait, against the time that the last answer took.
 const MARGIN: f64 = 2.5;
 /// Growth of the wait after one in vain.
 const BACKOFF: f64 = 2.0;
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -9,7 +9,7 @@
 const FRAME_MAX: usize = 16 << 20;
 /// Flow-control window of a stream and of a connection, in bytes.
 pub(super) const WINDOW: u32 = 1 << 20;
-/// Longest wait for a connection, and for an answer, where nothing else is said. Not measured.
+/// Longest wait for a connection, and for an answer, where nothing else is said.
 pub(super) const WAIT: Duration = Duration::from_millis(1_500);
 
 /// Reads a body whole; `None` where it is longer than a frame may be.
