Give a limited target's part of a router that has ended for good to others

A router that has been silent for a minute, while the routers' entries were read, holds no place any more; in a cut from the store its silence says nothing, as for liveness. Two views of it in between are within what is dealt out twice. The test (limit_shares parts_of_the_dead) was written with the change.

--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -17,6 +17,9 @@
 const MISSED_MAX: u64 = 3;
 /// Heartbeats after which a new router's entry has been read by the others: each reads at every heartbeat of its own.
 const JOIN_HEARTBEATS: u64 = 2;
+/// Silence after which a router no longer takes a place in the order in which a target's requests are dealt out: its
+/// part would stay unused. Longer than any freeze or cut after which it goes on with the place that it had.
+const GONE_AFTER: Millis = Millis(60_000);
 /// Addresses that callers are told at once: more than they try, and within one packet.
 const ADDRESSES_MAX: usize = 64;
 
@@ -143,12 +146,8 @@
     }
 
     fn is_live(&self, now: Millis, member: &Member) -> bool {
-        let silent = match self.contact {
-            Contact::Lost => Millis::ZERO,
-            // Entries that could not be written meanwhile are written soon after the contact is back.
-            Contact::Since(since) => now.saturating_sub(member.last_heartbeat.max(since)),
-        };
-        !member.is_unreachable && silent.0 <= self.interval.0 * MISSED_MAX
+        let silence = self.silence(now, member);
+        !member.is_unreachable && silence.0 <= self.interval.0 * MISSED_MAX
     }
 
     /// Interval of heartbeats.
@@ -188,7 +187,7 @@
         self.written_since.get_or_insert(now);
     }
 
-    /// This router's place in an order of all that were ever live, which depends on their names and `key` only. It has
+    /// This router's place in an order of all that may be live, which depends on their names and `key` only. It has
     /// none until the others have had the time to read its first entry: they may still count one of themselves in its
     /// place.
     pub fn place(&self, now: Millis, key: &str) -> Option<usize> {
@@ -198,10 +197,28 @@
         }
         let seed = xxh3_64(key.as_bytes());
         let own = place(&self.me, seed);
-        let before = self.known().filter(|router| place(router, seed) < own);
+        let counted = self
+            .known
+            .values()
+            .filter(|member| !self.has_gone(now, member));
+        let before = counted.filter(|member| place(&member.router, seed) < own);
         Some(before.count())
     }
 
+    /// Whether a router has been silent for so long, while the routers' entries were read, that it has ended for good.
+    fn has_gone(&self, now: Millis, member: &Member) -> bool {
+        self.silence(now, member) > GONE_AFTER
+    }
+
+    /// How long a router has been silent. While its entry is not read that says nothing.
+    fn silence(&self, now: Millis, member: &Member) -> Millis {
+        match self.contact {
+            Contact::Lost => Millis::ZERO,
+            // Entries that could not be written meanwhile are written soon after the contact is back.
+            Contact::Since(since) => now.saturating_sub(member.last_heartbeat.max(since)),
+        }
+    }
+
     /// All other routers that were ever live.
     pub fn known(&self) -> impl Iterator<Item = &Router> {
         self.known.values().map(|member| &member.router)
--- a/tests/limit_shares.rs
+++ b/tests/limit_shares.rs
@@ -135,6 +135,22 @@
     }
 }
 
+/// The part of routers that have ended for good goes to others; in a cut from the store nothing is known of that.
+#[test]
+fn parts_of_the_dead() {
+    const MINUTES: Millis = Millis(120_000);
+    let mut view = View::new(0, 1..40);
+    view.hear(NOW, NOW, &limited(0.5));
+    let place = |view: &View, now: Millis| view.members.place(now, "i-0").unwrap();
+    let among_all = place(&view, NOW + MINUTES);
+    assert!(among_all > 2, "this router has no part: {among_all}");
+    view.members.note_read(NOW);
+    assert_eq!(place(&view, NOW + Millis(30_000)), among_all);
+    assert_eq!(place(&view, NOW + MINUTES), 0);
+    view.members.note_unread();
+    assert_eq!(place(&view, NOW + MINUTES), among_all);
+}
+
 /// Routers that start send nothing there until the others know them.
 #[test]
 fn newcomers_wait() {
