Let routers that are behind bring a limit to those that have seen one end

Cause, found on reading the change as a newcomer would: changes of a limit are numbered over all routers, and a router that has started counts from zero. Where the others had seen a limit end more than 15 s ago, they told nothing of it and ignored its lower number, so each heard of the next limit by its own answers only. A router that is told such a number tells the end once more; the other one counts on from there with its next answer. limit_shares behind_the_others failed before. What targets bar is a type of its own now, and nothing is told of incarnations that have ended.

--- a/src/gateway/decision/limit.rs
+++ b/src/gateway/decision/limit.rs
@@ -10,7 +10,7 @@
 use crate::gateway::notice::Rate;
 use crate::units::Millis;
 
-/// The span in which requests are dealt out: the one in which users count.
+/// The span in which requests are dealt out. Users count what a target gets in spans of this length.
 const SPAN: Millis = Millis(4_000);
 /// Longest span, of which each has one request: what a target that takes less often gets, so that a limit that is over
 /// is noticed.
@@ -36,7 +36,7 @@
 
 /// What decides whether one more request may be sent to a target that has a limit.
 #[derive(Clone, Copy, Debug)]
-pub struct Use {
+pub struct Usage {
     /// The limit.
     pub limit: Rate,
     /// Since when it is known to this router.
@@ -77,7 +77,7 @@
     if own == 0 {
         return None;
     }
-    // Two that are as near as catching up lets them be still have the span between the first and the last.
+    // Catching up may bring two requests nearer to each other; a span has no more than the part all the same.
     let interval = (span + CATCH_UP).0.div_ceil(own);
     let first = interval * place as u64 / draw.routers as u64;
     Some(Part {
@@ -87,24 +87,24 @@
 }
 
 /// When this router may send there next; `None` where others use all of the limit.
-pub fn next(usage: &Use) -> Option<Millis> {
+pub fn next(usage: &Usage) -> Option<Millis> {
     Some(due(usage, &own_part(usage)?))
 }
 
 /// What is remembered of a request that is sent there now; `None` where this router has no part, and sends what it may
 /// not.
-pub fn sent(now: Millis, usage: &Use) -> Option<Sent> {
+pub fn sent(now: Millis, usage: &Usage) -> Option<Sent> {
     let part = own_part(usage)?;
     let due = due(usage, &part).max(now.saturating_sub(CATCH_UP));
     let next = due + part.interval;
     Some(Sent { at: now, next })
 }
 
-fn own_part(usage: &Use) -> Option<Part> {
+fn own_part(usage: &Usage) -> Option<Part> {
     part(usage.limit, usage.routers, usage.place?)
 }
 
-fn due(usage: &Use, part: &Part) -> Millis {
+fn due(usage: &Usage, part: &Part) -> Millis {
     match usage.last {
         // A limit that has risen since then leaves less time between two requests.
         Some(last) => last.next.min(last.at + part.interval),
--- a/src/gateway/notice/mod.rs
+++ b/src/gateway/notice/mod.rs
@@ -125,7 +125,7 @@
         /// The limit.
         limit: Option<Rate>,
     },
-    /// It leaves, which no incarnation takes back.
+    /// It leaves, until its next incarnation.
     Leaving,
 }
 
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -367,11 +367,9 @@
     fn choose(&mut self, now: Millis, running: &Running) -> Result<TargetKey, Refusal> {
         let hall = &self.settings.me.hall;
         let service = &running.service;
-        let (barred, first) = self.targets.barred(now, &self.members, service);
-        let is_barred = !barred.is_empty();
-        let mut excluded = barred;
-        excluded.extend(&running.tried);
-        let candidates = self.targets.candidates(now, service, &excluded);
+        let barred = self.targets.barred(now, &self.members, service);
+        let left_out = [&barred.targets[..], &running.tried[..]].concat();
+        let candidates = self.targets.candidates(now, service, &left_out);
         let candidates = self.targets.avoid_cold(now, &self.members, candidates);
         let choice = match &running.job.prompt {
             Some(prompt) => self.targets.choose_model(now, &candidates, hall, prompt),
@@ -383,8 +381,8 @@
         choice.ok_or_else(|| {
             if self.targets.is_evacuated(service) {
                 Refusal::Evacuated
-            } else if is_barred {
-                let left = first.map(|first| first.saturating_sub(now));
+            } else if !barred.targets.is_empty() {
+                let left = barred.until.map(|until| until.saturating_sub(now));
                 Refusal::Barred { left }
             } else {
                 Refusal::NoTarget
--- a/src/gateway/targets/limit.rs
+++ b/src/gateway/targets/limit.rs
@@ -83,6 +83,7 @@
         let strictness = |rate: Option<Rate>| rate.map_or(f64::INFINITY, Rate::per_second);
         let is_tied = revision == self.revision && strictness(rate) < strictness(self.rate);
         if revision <= self.revision && !is_tied {
+            self.tell_those_behind(now, revision, rate);
             return false;
         }
         self.revision = revision;
@@ -95,6 +96,14 @@
         is_change
     }
 
+    /// Has the end of a limit told once more where another router counts fewer changes and knows a limit: it may have
+    /// heard of the next one, which it counts after this end once it has been told.
+    fn tell_those_behind(&mut self, now: Millis, revision: u32, rate: Option<Rate>) {
+        if revision < self.revision && rate.is_some() && self.rate.is_none() {
+            self.since = now;
+        }
+    }
+
     /// What other routers are told, where that is of use to them.
     pub(super) fn word(&self, now: Millis) -> Option<Word> {
         let is_recent = self.revision > 0 && now.saturating_sub(self.since) < ENDED_TOLD;
--- a/src/gateway/targets/mod.rs
+++ b/src/gateway/targets/mod.rs
@@ -12,6 +12,7 @@
 mod registry;
 mod target;
 
+pub use notices::Barred;
 pub use outstanding::{Outstanding, View};
 pub use registry::{Change, Targets};
 pub use target::Target;
--- a/src/gateway/targets/notices.rs
+++ b/src/gateway/targets/notices.rs
@@ -4,7 +4,7 @@
 //! without a target. What it says ends with its incarnation.
 
 use super::registry::Targets;
-use crate::gateway::decision::limit::{self, Use};
+use crate::gateway::decision::limit::{self, Usage};
 use crate::gateway::key::TargetKey;
 use crate::gateway::members::Members;
 use crate::gateway::notice::{Notice, Report, Said, Word};
@@ -54,7 +54,8 @@
     /// What other routers are told of what targets said; where that is too much for one message, each `turn` another
     /// part.
     pub fn reports(&self, now: Millis, turn: usize) -> Vec<Report> {
-        let reports = self.known().flat_map(|target| {
+        let living = self.known().filter(|target| !target.ended.is_cancelled());
+        let reports = living.flat_map(|target| {
             let instance = target.hash();
             let leaving = target.is_leaving.then_some(Word::Leaving);
             let words = target.limit.word(now).into_iter().chain(leaving);
@@ -84,27 +85,20 @@
         said.collect()
     }
 
-    /// Targets of a service that take requests, but none of this router's now by their own word; and when the first
-    /// of them takes one again, where that is known.
-    pub fn barred(
-        &self,
-        now: Millis,
-        routers: &Members,
-        service: &str,
-    ) -> (Vec<TargetKey>, Option<Millis>) {
-        let mut barred = Vec::new();
-        let mut first = None;
+    /// The targets of a service that take requests, but none of this router's now by their own word.
+    pub fn barred(&self, now: Millis, routers: &Members, service: &str) -> Barred {
+        let mut barred = Barred::default();
         for key in self.open(service) {
             match self.next_send(routers, now, key) {
                 Next::At(at) if at <= now => {}
                 Next::At(at) => {
-                    barred.push(key);
-                    first = Some(first.map_or(at, |first: Millis| first.min(at)));
+                    barred.targets.push(key);
+                    barred.until = Some(barred.until.map_or(at, |until| until.min(at)));
                 }
-                Next::Unknown => barred.push(key),
+                Next::Unknown => barred.targets.push(key),
             }
         }
-        (barred, first)
+        barred
     }
 
     /// Notes that a request is sent to a target, which counts towards what it takes by its own word.
@@ -124,10 +118,10 @@
     }
 
     /// What decides how much of a target's limit this router may use, where it has one.
-    fn limit_use(&self, now: Millis, routers: &Members, key: TargetKey) -> Option<Use> {
+    fn limit_use(&self, now: Millis, routers: &Members, key: TargetKey) -> Option<Usage> {
         let target = self.get(key);
         let (limit, since) = target.limit.in_force()?;
-        Some(Use {
+        Some(Usage {
             limit,
             since,
             last: target.limit.last(),
@@ -137,6 +131,15 @@
     }
 }
 
+/// Targets that take none of this router's requests now.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Barred {
+    /// The targets.
+    pub targets: Vec<TargetKey>,
+    /// When the first of them takes one again, where that is known.
+    pub until: Option<Millis>,
+}
+
 /// When this router may send a request to a target by the target's own word; a time that is over is now.
 enum Next {
     At(Millis),
--- a/tests/limit_shares.rs
+++ b/tests/limit_shares.rs
@@ -52,8 +52,8 @@
     }
 
     fn may_send(&self, now: Millis) -> bool {
-        let (barred, _) = self.targets.barred(now, &self.members, "s");
-        barred.is_empty()
+        let barred = self.targets.barred(now, &self.members, "s");
+        barred.targets.is_empty()
     }
 
     fn send(&mut self, now: Millis) {
@@ -229,6 +229,34 @@
     assert!(other.may_send(later));
 }
 
+/// A router that knows nothing of a limit that has ended hears of the next one first: the others hear it from that one,
+/// although its count of changes is behind.
+#[test]
+fn behind_the_others() {
+    let mut old = View::new(0, [1].into_iter());
+    let mut started = View::new(1, [0].into_iter());
+    old.hear(NOW, NOW, &limited(0.5));
+    old.hear(NOW + Millis(10), NOW + Millis(5), &Notice::default());
+    let later = NOW + Millis(60_000);
+    assert!(
+        old.targets.reports(later, 0).is_empty(),
+        "told for long enough"
+    );
+    let mut now = later;
+    for _ in 0..2 {
+        started.hear(now, now, &limited(0.5));
+        old.merge(now, &started.targets.reports(now, 0));
+        started.merge(now, &old.targets.reports(now, 0));
+        now += Millis(10);
+    }
+    let (told, known) = (started.targets.reports(now, 0), old.targets.reports(now, 0));
+    assert_eq!(told, known);
+    assert!(matches!(
+        known[0].word,
+        Word::RateLimit { limit: Some(_), .. }
+    ));
+}
+
 /// Whatever routers hear and tell in whatever order, they agree once all have told all.
 #[test]
 fn routers_agree() {
--- a/tests/rest_asked.rs
+++ b/tests/rest_asked.rs
@@ -30,8 +30,8 @@
 /// The targets that are barred, and when the first of them takes a request again.
 fn barred(targets: &Targets, now: Millis) -> (usize, Option<Millis>) {
     let members = Members::new(router(0), Millis(1_200));
-    let (barred, first) = targets.barred(now, &members, "s");
-    (barred.len(), first)
+    let barred = targets.barred(now, &members, "s");
+    (barred.targets.len(), barred.until)
 }
 
 #[test]
