Have the soak's targets say that they leave, take so much, or want rest

Planned work of gateways beside three targets, each of another service, that say one of the three at random for six seconds; the checks hold the bounds from what targets and callers see: no later call where one was told of a leaving, half as many again and five in any four seconds, two within a rest. Plans of other kinds are as they were.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -25,6 +25,8 @@
 mod router;
 #[path = "soak/run.rs"]
 mod run;
+#[path = "soak/said.rs"]
+mod said;
 #[path = "soak/timeline.rs"]
 mod timeline;
 
@@ -110,10 +112,12 @@
 }
 
 fn soak_gateways(name: &str, kind: Kind) {
+    soak_plans(name, |seed| Plan::new(seed, kind, processes()));
+}
+
+fn soak_plans(name: &str, plan: impl Fn(u64) -> Plan) {
     soak(name, SEEDS, |runtime, seeds| {
-        let runs = seeds
-            .into_iter()
-            .map(|(seed, logs)| run(Plan::new(seed, kind, processes()), logs));
+        let runs = seeds.into_iter().map(|(seed, logs)| run(plan(seed), logs));
         runtime.block_on(futures::future::join_all(runs))
     });
 }
@@ -157,6 +161,14 @@
     soak_gateways("soak_faults", Kind::Faults);
 }
 
+/// Planned work beside targets that say that they leave, or take so much, or want rest.
+#[test]
+fn soak_words() {
+    soak_plans("soak_words", |seed| {
+        Plan::new(seed, Kind::Planned, processes()).with_words()
+    });
+}
+
 #[test]
 fn routers_planned() {
     soak_routers("routers_planned", Kind::Planned);
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -7,11 +7,12 @@
 use tokio::time::sleep;
 
 use super::{FOREIGN, RETURN, Run, UNTIL_BACK, UNTIL_FORGOTTEN, start_again};
-use crate::deployment::runner::BACK_AFTER;
+use crate::deployment::runner::{BACK_AFTER, Mode};
 use crate::deployment::store::Fault;
 use crate::deployment::{list_at, list_born};
 use crate::place::Place;
 use crate::plan::{BACK_MAX, Return, TARGETS};
+use crate::said::{Said, Spoken};
 
 /// Time from when a lapsed target counts as gone until another instance has its address: some time past the bound
 /// for requests to it, since it begins early in the load.
@@ -161,6 +162,49 @@
         });
     }
 
+    /// A target says something of itself in its answers for a while; one that leaves ends then, and another instance
+    /// has its address.
+    pub(super) fn say(&mut self, number: usize, said: Said, span: Duration) {
+        if !self.take_target(number) {
+            return;
+        }
+        let target = &self.targets[number];
+        let instance = target.runner.instance();
+        self.journal.note(format!("{instance} says {said:?}"));
+        match said {
+            Said::Leaving => target.runner.say(&[("server-leaving", "1")]),
+            Said::Limit(in_ten_seconds) => {
+                let limit = (f64::from(in_ten_seconds) / 10.0).to_string();
+                target.runner.say(&[("server-limit", &limit)]);
+            }
+            Said::Rest(one_in, millis) => target.runner.set(Mode::Rest(one_in, millis)),
+        }
+        let from = Instant::now();
+        let (store, targets) = (self.store.clone(), Arc::clone(&self.targets));
+        let (journal, leaving) = (self.journal.clone(), Arc::clone(&self.leaving));
+        let seen = Arc::clone(&self.seen);
+        self.tasks.spawn(async move {
+            sleep(span).await;
+            let target = &targets[number];
+            target.runner.say(&[]);
+            target.runner.set(Mode::Well);
+            seen.lock().unwrap().spoken.push(Spoken {
+                instance: instance.clone(),
+                said,
+                from,
+                until: Instant::now(),
+            });
+            if said == Said::Leaving {
+                let next = next_life(&instance);
+                target.runner.replace(&next);
+                store.put("keyed.servers", &instance, None);
+                list_at(&store, target.service, &next, target.address, "ready");
+                journal.note(format!("{next} has its address"));
+            }
+            leaving.lock().unwrap().retain(|other| *other != number);
+        });
+    }
+
     /// A target vanishes. An instance of another service is at its address until its entry goes, and a
     /// new one of its own after that.
     pub(super) fn crash(&mut self, number: usize) {
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -4,6 +4,7 @@
 use crate::deployment::runner::Mode;
 use crate::deployment::store::Fault;
 use crate::proxy::Harm;
+use crate::said::Said;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -125,6 +126,8 @@
     Crash(usize),
     /// A target's process ends, and starts again under its id.
     Restart(usize),
+    /// A target says this of itself for so many milliseconds.
+    Say(usize, Said, u64),
 }
 
 /// How a target leaves.
@@ -216,6 +219,33 @@
         }
         plan
     }
+
+    /// The same with targets that say something of themselves.
+    pub fn with_words(mut self) -> Self {
+        self.steps.extend(words(self.seed));
+        self.steps.sort_by_key(|(at, _)| *at);
+        self
+    }
+}
+
+/// Targets that say something of themselves in a run where some do, each of another service.
+const SPEAKERS: [usize; 3] = [0, 2, 4];
+/// How long they say it, in milliseconds: until the load is nearly over, so that the bounds are seen.
+const SAID_FOR: u64 = 6_000;
+
+fn words(seed: u64) -> Vec<(u64, Step)> {
+    // Draws of their own, as below.
+    let mut rng = StdRng::seed_from_u64(!seed);
+    let say = |target| {
+        let said = match rng.random_range(0..3) {
+            0 => Said::Leaving,
+            1 => Said::Limit(rng.random_range(5..200)),
+            _ => Said::Rest(rng.random_range(1..5), rng.random_range(1_200..3_000)),
+        };
+        let at = rng.random_range(0..FIRST);
+        (at, Step::Say(target, said, SAID_FOR))
+    };
+    SPEAKERS.map(say).to_vec()
 }
 
 /// Part of the steps that are faults, 0 to 1, where there are any.
--- a/tests/soak/promise.rs
+++ b/tests/soak/promise.rs
@@ -11,6 +11,7 @@
 use crate::line::End;
 use crate::plan::Owner;
 use crate::run::FOREIGN;
+use crate::said::Spoken;
 
 /// How long a whole request may stay unread before its connection is closed. A process reads what has
 /// arrived within milliseconds; a loaded machine may hold it up for many times that.
@@ -36,6 +37,8 @@
     pub arrivals: Vec<Arrival>,
     /// Instances that have left, and when the store took it.
     pub departures: Vec<(String, Instant)>,
+    /// Targets that said something of themselves.
+    pub spoken: Vec<Spoken>,
     /// When the store took that the key of [`Owner::Revoked`] is gone.
     pub revoked: Option<Instant>,
     /// From when until when a gateway was killed, frozen, or on its way back from either.
@@ -98,6 +101,8 @@
             });
         }
         broken.extend(self.left_alone());
+        let spoken = self.spoken.iter();
+        broken.extend(spoken.filter_map(|one| one.broken(&self.arrivals, &self.calls)));
         broken
     }
 
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -217,6 +217,7 @@
             Step::Lapse(number, back, span) => self.lapse(number, back, span),
             Step::Crash(number) => self.crash(number),
             Step::Restart(number) => self.restart(number),
+            Step::Say(number, said, span) => self.say(number, said, Duration::from_millis(span)),
         }
     }
 
