Wait in a test until a connection's task has seen the answer's end

The test put a connection back as soon as it had read the answer, and asked for it at once; the connection's own task, on another thread, had not yet seen the end, so it was not usable. The fault behind it, a connection that is dropped in that moment and opened anew, is listed.

--- a/tests/host_sleep.rs
+++ b/tests/host_sleep.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use deployment::{Ask, LONG, ask_on};
+use deployment::{Ask, LONG, ask_on, until};
 use lanedeck::boot_clock;
 use lanedeck::gateway::deadline::Deadline;
 use lanedeck::gateway::decision::retry::{Bound, Budget};
@@ -39,6 +39,8 @@
     for (sleep, is_kept) in [(Millis::ZERO, true), (SLEEP, false)] {
         let mut line = net::open(runner.address, LONG, LONG).await.unwrap();
         assert_eq!(ask_on(&mut line, &request).await.unwrap().status, 200);
+        // The task of the connection takes a turn of its own to see the answer's end.
+        until(|| std::future::ready(line.is_usable(boot_clock::now()))).await;
         pool.put(runner.address, line, Duration::from_millis(3_000));
         let taken = pool.take_at(boot_clock::now() + sleep, runner.address);
         assert_eq!(taken.is_some(), is_kept, "after {sleep} ms of sleep");
