--- a/src/gateway/decision/quarantine.rs
+++ b/src/gateway/decision/quarantine.rs
@@ -13,7 +13,7 @@
 /// have an answer on its way at one more target.
 pub const CRASHES_HELD: usize = 3;
 /// Crashes by which a request is held although another one was beside it at each of them. Two that always come
-/// together cannot be told apart, and targets have to be saved from both. Two more than otherwise.
+/// together cannot be told apart, and targets have to be saved from both. Two more than where they can.
 const CRASHES_TIED: usize = 5;
 /// By how much a request may seem to have been sent before the last crash, since times are told between routers
 /// over links that take a while. Some times the way between two regions.
--- a/src/gateway/decision/refusal.rs
+++ b/src/gateway/decision/refusal.rs
@@ -15,8 +15,8 @@
 const NO_CONFIG_RETRY: Millis = Millis(300);
 /// Time to come back to another router when this one stops: any other serves at once.
 const STOPPING_RETRY: Millis = Millis(20);
-/// Time to come back where a router is behind with its work: what waits is done, and other routers serve at once. The
-/// time over which it is judged.
+/// Time to come back where a router is behind with its work: what waits is done, and other routers serve at once. As
+/// long as it is judged over.
 const OVERLOADED_RETRY: Millis = Millis(200);
 /// Time to come back for a grant, which takes a write to the store or a loan.
 const GRANT_RETRY: Millis = Millis(250);
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -13,7 +13,7 @@
 
 use crate::units::Millis;
 
-/// Heartbeats that may be missed before a router counts as dead. The usual figure.
+/// Heartbeats that may be missed before a router counts as dead.
 const MISSED_MAX: u64 = 3;
 /// Heartbeats after which a new router's entry has been read by the others: each reads at every heartbeat of its own.
 const JOIN_HEARTBEATS: u64 = 2;
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -49,7 +49,7 @@
     Suspects(Vec<quarantine::Report>),
     /// Which halls are emptied?
     Evacuations,
-    /// What targets said of themselves; none of it is a question only.
+    /// What targets said of themselves. An empty list only asks for what the other router knows.
     Notices(Vec<notice::Report>),
 }
 
