Drop what the change wrote again: rounds, amounts, and what a former incarnation said

Read again as a whole. The fan-out of rounds stood in three modules and their interval in two: one place below them now. Whether a target that starts again had said that it leaves was looked up by id beforehand; the change names the former incarnation, which is asked itself, so that look-up is gone. Whether a target takes requests is told by its entry and its word in one way.

--- a/src/gateway/control/context.rs
+++ b/src/gateway/control/context.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand::seq::IndexedRandom;
 use tokio::sync::Notify;
@@ -32,6 +33,11 @@
 /// its heartbeats.
 const LOAD_BELIEVED: Millis = Millis(1_200);
 
+/// Interval of rounds in which other routers are told something.
+pub(super) const ROUND: Duration = Duration::from_millis(300);
+/// Routers that are told at once, whatever the size of the fleet.
+pub(super) const FAN_OUT: usize = 3;
+
 /// The control thread's state and its means.
 pub(super) struct Control {
     pub(super) state: RefCell<State>,
--- a/src/gateway/control/link.rs
+++ b/src/gateway/control/link.rs
@@ -12,16 +12,12 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-use super::context::Control;
+use super::context::{Control, FAN_OUT, ROUND};
 use super::{apply, clock, evacuations, loans, notices, quarantine};
 use crate::gateway::members::{Router, Source};
 use crate::gateway::message::{Heartbeat, Reply, Request};
 use crate::wire;
 
-/// Interval of rounds of heartbeats.
-const INTERVAL: Duration = Duration::from_millis(300);
-/// Routers that are told in a round, whatever the size of the fleet.
-const FAN_OUT: usize = 3;
 /// Longest wait for an answer. A router that takes longer is frozen or cut off.
 const ANSWER_MAX: Duration = Duration::from_millis(400);
 
@@ -135,7 +131,7 @@
 /// Exchanges heartbeats with other routers until the process ends.
 pub(super) async fn send_heartbeats(control: Rc<Control>) {
     loop {
-        sleep(INTERVAL).await;
+        sleep(ROUND).await;
         // The silence of a router that has ended is noticed by time, also between two reads of the routers' entries.
         control.publish_caller_addresses();
         let is_stale = evacuations::is_stale(&control);
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -161,9 +161,7 @@
             let next = state.retry(now, job, ending, charge);
             answer(&mut state, now, reply, next);
         }
-        Message::Heard { job, notice } => {
-            notices::heard(control, job, &notice);
-        }
+        Message::Heard { job, notice } => notices::heard(control, job, &notice),
         Message::Answered { job, load } => control.state.borrow_mut().answered(now, job, load),
         Message::BrokenOff { job } => quarantine::broken_off(control, job),
         Message::End { job, ending } => control.state.borrow_mut().end(now, job, ending),
--- a/src/gateway/control/notices.rs
+++ b/src/gateway/control/notices.rs
@@ -11,14 +11,12 @@
 
 use tokio::time::{sleep, timeout};
 
-use super::context::Control;
+use super::context::{Control, FAN_OUT};
 use crate::gateway::key::JobKey;
 use crate::gateway::members::Router;
 use crate::gateway::message::{Reply, Request};
 use crate::gateway::notice::{Notice, Report};
 
-/// Routers that are told at once, whatever the size of the fleet.
-const FAN_OUT: usize = 3;
 /// Least time between two tellings: what changes meanwhile is told together.
 const GAP: Duration = Duration::from_millis(100);
 /// Interval at which what is in force is told again.
--- a/src/gateway/control/quarantine.rs
+++ b/src/gateway/control/quarantine.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout};
 
-use super::context::Control;
+use super::context::{Control, FAN_OUT, ROUND};
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::key::{JobKey, TargetKey};
 use crate::gateway::message::{Reply, Request};
@@ -25,10 +25,6 @@
 /// Longest wait for a port to answer. One that is closed refuses within the way there and back; a host
 /// that says nothing may be cut off.
 const PROBE_MAX: Duration = Duration::from_millis(400);
-/// Interval of rounds in which others are told. That of heartbeats.
-const TELL_INTERVAL: Duration = Duration::from_millis(300);
-/// Routers that are told in a round, whatever the size of the fleet. As with heartbeats.
-const FAN_OUT: usize = 3;
 /// Interval at which what is held back is told again, and what is old forgotten. A router that starts
 /// while the store is silent learns it from one of the others within half of it.
 const TELL_AGAIN: Duration = Duration::from_millis(1_500);
@@ -120,7 +116,7 @@
 pub(super) async fn tell(control: Rc<Control>) {
     let mut told_again = Instant::now();
     loop {
-        sleep(TELL_INTERVAL).await;
+        sleep(ROUND).await;
         let now = control.now();
         let mut state = control.state.borrow_mut();
         if told_again.elapsed() >= TELL_AGAIN {
--- a/src/gateway/decision/limit.rs
+++ b/src/gateway/decision/limit.rs
@@ -27,11 +27,11 @@
 
 /// A router's part of a target's limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Part {
+struct Part {
     /// Least time between two requests.
-    pub interval: Millis,
+    interval: Millis,
     /// Least time from when the limit became known to the first request.
-    pub first: Millis,
+    first: Millis,
 }
 
 /// What decides whether one more request may be sent to a target that has a limit.
@@ -70,7 +70,7 @@
 }
 
 /// The part of the router in this place of the order, if it has one.
-pub fn part(limit: Rate, routers: usize, place: usize) -> Option<Part> {
+fn part(limit: Rate, routers: usize, place: usize) -> Option<Part> {
     let (requests, span) = dealt(limit);
     let draw = Draw::new(requests, routers);
     let own = draw.part(place) as u64;
--- a/src/gateway/decision/refusal.rs
+++ b/src/gateway/decision/refusal.rs
@@ -219,7 +219,9 @@
             Self::Refused(Refusal::Scarce) => Some(SCARCE_RETRY),
             Self::Refused(Refusal::CutOff) => Some(CUT_OFF_RETRY),
             Self::Refused(Refusal::Quarantined { left }) => Some(left),
-            Self::Refused(Refusal::Barred { left }) => Some(left.map_or(BARRED_RETRY, at_least)),
+            Self::Refused(Refusal::Barred { left }) => {
+                Some(left.map_or(BARRED_RETRY, |left| left.max(BARRED_RETRY_MIN)))
+            }
             Self::Refused(Refusal::NoTarget) | Self::Unreachable => Some(NO_TARGET_RETRY),
             Self::Refused(Refusal::Evacuated) => Some(EVACUATED_RETRY),
             Self::Refused(Refusal::NoRepeats) | Self::TargetRefused => Some(REFUSED_RETRY),
@@ -266,11 +268,6 @@
     }
 }
 
-/// The time until a target takes a request again, as a time to come back.
-fn at_least(left: Millis) -> Millis {
-    left.max(BARRED_RETRY_MIN)
-}
-
 /// A time from `shortest` to twice that, the same for an id each time.
 fn spread(shortest: Millis, id: &str) -> Millis {
     shortest + Millis(xxh3_64(id.as_bytes()) % (shortest.0 + 1))
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -17,7 +17,6 @@
 use super::decision::retry::{Bound, Budget, Charge};
 use super::dialect::{Listing, Load};
 use super::escrow::{Account, Ledger};
-use super::incarnation;
 use super::job::{Delivery, Ending, Job, Placement};
 use super::key::{JobKey, TargetKey};
 use super::members::{Members, Router, Source};
@@ -294,14 +293,12 @@
 
     /// Takes in what is listed of a target. One that has started again without a word that it leaves has crashed.
     pub fn list(&mut self, now: Millis, listing: Listing, source: Source) -> Change {
-        let id = incarnation::id(&listing.instance);
-        let had_left = self.targets.has_said_leaving(id);
         let change = match source {
             Source::Store => self.targets.list(listing),
             Source::Link => self.targets.list_from_peer(listing),
         };
         if let Change::Restarted { former } = change
-            && !had_left
+            && !self.targets.get(former).has_said_leaving()
         {
             self.crashed(now, former);
         }
--- a/src/gateway/targets/registry.rs
+++ b/src/gateway/targets/registry.rs
@@ -313,12 +313,6 @@
         true
     }
 
-    /// Whether a target's last incarnation has said that it leaves, by the target's id.
-    pub fn has_said_leaving(&self, id: &str) -> bool {
-        let key = self.by_id.get(id);
-        key.is_some_and(|key| self.get(*key).has_said_leaving())
-    }
-
     /// Notes that a target has crashed: it gets no requests for as long as one ejection lasts, however many it had.
     pub fn note_crash(&mut self, now: Millis, key: TargetKey) {
         let target = self.get_mut(key);
--- a/src/gateway/targets/target.rs
+++ b/src/gateway/targets/target.rs
@@ -75,7 +75,7 @@
 
     /// Whether it takes requests.
     pub fn is_open(&self) -> bool {
-        self.is_listed_open() && !self.is_leaving
+        self.is_listed && !self.has_said_leaving()
     }
 
     /// Whether it has said, in its entry or in an answer, that it leaves: it ends as planned. An entry that is gone
