Start one fleet for all plays of targets, and count spans in one place of the tests

The play of the crashing request and those of what targets say started the same fleet, by the same lines; tests of cold and of limited targets made a router's view and counted the most in a span each for itself. No assertion, bound or number has changed.

--- a/tests/cold_targets.rs
+++ b/tests/cold_targets.rs
@@ -5,17 +5,16 @@
 
 use std::collections::HashMap;
 
-use fleet::router;
+use fleet::{HEARTBEAT, NOW, members, most_within, router};
 use lanedeck::gateway::decision::cold;
 use lanedeck::gateway::dialect::Listing;
 use lanedeck::gateway::key::TargetKey;
-use lanedeck::gateway::members::{Members, Source};
+use lanedeck::gateway::members::Members;
 use lanedeck::gateway::route::ColdStart;
 use lanedeck::gateway::targets::Targets;
 use lanedeck::units::Millis;
 
-const NOW: Millis = Millis(1_000_000);
-const HEARTBEAT: Millis = Millis(1_200);
+const SECOND: Millis = Millis(1_000);
 const COLD: ColdStart = ColdStart {
     time: Millis(3_000),
     per_second: 7.7,
@@ -39,16 +38,6 @@
     targets
 }
 
-/// A router that has known these others for a while.
-fn members(me: u16, known: impl Iterator<Item = u16>) -> Members {
-    let mut members = Members::new(router(me), HEARTBEAT);
-    members.note_written(Millis::ZERO);
-    for other in known {
-        members.update(NOW, router(other), Source::Store);
-    }
-    members
-}
-
 fn usable(targets: &Targets, members: &Members, now: Millis) -> Vec<TargetKey> {
     let candidates = targets.candidates(now, "s", &[]);
     targets.avoid_cold(now, members, candidates)
@@ -112,12 +101,8 @@
             }
         }
     }
-    let in_second = |times: &[Millis], at: Millis| {
-        let within = |time: &&Millis| **time >= at && **time < at + Millis(1_000);
-        times.iter().filter(within).count()
-    };
-    let worst = |times: &Vec<Millis>| times.iter().map(|at| in_second(times, *at)).max();
-    sent.values().filter_map(worst).max().unwrap_or(0)
+    let worst = sent.values().map(|times| most_within(times, SECOND));
+    worst.max().unwrap_or(0)
 }
 
 #[test]
--- a/tests/crashing_request.rs
+++ b/tests/crashing_request.rs
@@ -15,9 +15,11 @@
 use std::time::{Duration, Instant};
 
 use deployment::runner::{CRASHING, Down, Runner};
-use deployment::turns::{self, PLENTY, ask_in_turn};
-use deployment::{Ask, Deployment, ask, config, try_ask};
+use deployment::turns::{self, ask_in_turn};
+use deployment::{Ask, ask, try_ask};
 
+const GATEWAYS: usize = 3;
+const TARGETS: usize = 6;
 /// Time between two tries of the request that crashes targets.
 const TRY_GAP: Duration = Duration::from_millis(250);
 /// Time between two requests of others.
@@ -28,21 +30,12 @@
 const KNOWN_BY: Duration = Duration::from_secs(3);
 const SENT_LATE_MAX: usize = 3;
 
-async fn fleet(service: &str) -> (Deployment, Vec<Runner>) {
-    let mut runners = Vec::new();
-    for number in 0..6 {
-        runners.push(Runner::start(&format!("i-{number}")).await);
-    }
-    let mut deployment = Deployment::start(0, &config(1, PLENTY), &[]).await;
-    for runner in &runners {
-        runner.list_in(&deployment.store, service);
-    }
-    for number in 0..3 {
-        deployment.add(&format!("g{number}"), &[]).await;
-    }
-    deployment.wait_ready().await;
-    deployment.wait_acquainted().await;
-    (deployment, runners)
+fn crashing_post(number: usize) -> Ask {
+    Ask::new(&format!("c{number}"), "/once/x").post(CRASHING)
+}
+
+fn other_post(number: usize) -> Ask {
+    Ask::new(&format!("o{number}"), "/once/x").post("other")
 }
 
 /// Crashes of all targets in order.
@@ -75,7 +68,7 @@
 
 /// The same with targets that look so while they are down.
 async fn play_with(service: &str, down: Down, crashing: fn(usize) -> Ask, other: fn(usize) -> Ask) {
-    let (deployment, runners) = fleet(service).await;
+    let (deployment, runners) = turns::fleet(GATEWAYS, TARGETS, service).await;
     runners.iter().for_each(|runner| runner.looks_down(down));
     let fronts = turns::fronts(&deployment);
     let end = Instant::now() + PLAY;
@@ -97,12 +90,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn crashing_once() {
-    play(
-        "app",
-        |number| Ask::new(&format!("c{number}"), "/once/x").post(CRASHING),
-        |number| Ask::new(&format!("o{number}"), "/once/x").post("other"),
-    )
-    .await;
+    play("app", crashing_post, other_post).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -142,37 +130,24 @@
 /// Nothing but its next start tells that a target has crashed whose port a supervisor holds.
 #[tokio::test(flavor = "multi_thread")]
 async fn crashing_held_port() {
-    play_with(
-        "app",
-        Down::Open,
-        |number| Ask::new(&format!("c{number}"), "/once/x").post(CRASHING),
-        |number| Ask::new(&format!("o{number}"), "/once/x").post("other"),
-    )
-    .await;
+    play_with("app", Down::Open, crashing_post, other_post).await;
 }
 
 /// The same where its entry goes meanwhile.
 #[tokio::test(flavor = "multi_thread")]
 async fn crashing_unlisted() {
-    play_with(
-        "app",
-        Down::OpenUnlisted,
-        |number| Ask::new(&format!("c{number}"), "/once/x").post(CRASHING),
-        |number| Ask::new(&format!("o{number}"), "/once/x").post("other"),
-    )
-    .await;
+    play_with("app", Down::OpenUnlisted, crashing_post, other_post).await;
 }
 
 /// A router that starts later, or again, knows as well.
 #[tokio::test(flavor = "multi_thread")]
 async fn crashing_after_start() {
-    let (mut deployment, runners) = fleet("app").await;
-    let crashing = |number: usize| Ask::new(&format!("c{number}"), "/once/x").post(CRASHING);
+    let (mut deployment, runners) = turns::fleet(GATEWAYS, TARGETS, "app").await;
     let mut number = 0;
     let begun = Instant::now();
     while crashes(&runners).len() < 3 || begun.elapsed() < 2 * KNOWN_BY {
         let front = deployment.gateways[number % 3].front;
-        let _ = try_ask(front, &crashing(number)).await;
+        let _ = try_ask(front, &crashing_post(number)).await;
         number += 1;
         tokio::time::sleep(TRY_GAP).await;
     }
@@ -184,7 +159,7 @@
     deployment.wait_ready().await;
     let before = crashes(&runners).len();
     for gateway in &deployment.gateways {
-        let answer = ask(gateway.front, &crashing(number)).await;
+        let answer = ask(gateway.front, &crashing_post(number)).await;
         number += 1;
         assert_eq!(answer.status, 503, "it has not run: {answer:?}");
         assert!(!answer.header("retry-after").is_empty());
--- a/tests/deployment/turns.rs
+++ b/tests/deployment/turns.rs
@@ -11,10 +11,11 @@
 /// The header in which a request has the number of the gateway that it was sent to.
 pub const GATEWAY: &str = "x-gateway";
 
-/// Three runners of one service behind some gateways that all know each other.
-pub async fn fleet(gateways: usize, service: &str) -> (Deployment, Vec<Runner>) {
+/// Runners of one service behind some gateways that all know each other.
+pub async fn fleet(gateways: usize, runners: usize, service: &str) -> (Deployment, Vec<Runner>) {
+    let count = runners;
     let mut runners = Vec::new();
-    for number in 0..3 {
+    for number in 0..count {
         runners.push(Runner::start(&format!("i-{number}")).await);
     }
     let mut deployment = Deployment::start(0, &config(1, PLENTY), &[]).await;
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -1,8 +1,13 @@
-//! Routers of a fleet, as others know them.
+//! Routers of a fleet, as others know them, and what they send together.
+#![allow(dead_code)]
 
 use std::net::SocketAddr;
 
-use lanedeck::gateway::members::Router;
+use lanedeck::gateway::members::{Members, Router, Source};
+use lanedeck::units::Millis;
+
+pub const NOW: Millis = Millis(1_000_000);
+pub const HEARTBEAT: Millis = Millis(1_200);
 
 /// A router that takes callers, with addresses of its own.
 pub fn router(number: u16) -> Router {
@@ -17,3 +22,24 @@
         heartbeat: 1,
     }
 }
+
+/// A router that has known these others for a while.
+pub fn members(me: u16, known: impl Iterator<Item = u16>) -> Members {
+    let mut members = Members::new(router(me), HEARTBEAT);
+    members.note_written(Millis::ZERO);
+    for other in known {
+        members.update(NOW, router(other), Source::Store);
+    }
+    members
+}
+
+/// Most of these times within any such span.
+pub fn most_within(times: &[Millis], span: Millis) -> usize {
+    let within = |begin: Millis| {
+        let times = times.iter();
+        times
+            .filter(|at| **at >= begin && **at < begin + span)
+            .count()
+    };
+    times.iter().map(|begin| within(*begin)).max().unwrap_or(0)
+}
--- a/tests/limit_shares.rs
+++ b/tests/limit_shares.rs
@@ -3,15 +3,13 @@
 mod fleet;
 mod listed;
 
-use fleet::router;
+use fleet::{HEARTBEAT, NOW, members, most_within, router};
 use lanedeck::gateway::key::TargetKey;
-use lanedeck::gateway::members::{Members, Source};
+use lanedeck::gateway::members::Members;
 use lanedeck::gateway::notice::{Notice, Rate, Report, Word};
 use lanedeck::gateway::targets::Targets;
 use lanedeck::units::Millis;
 
-const NOW: Millis = Millis(1_000_000);
-const HEARTBEAT: Millis = Millis(1_200);
 const KEY: TargetKey = TargetKey(0);
 /// Time between two looks of a router that has more requests than its targets take.
 const STEP: Millis = Millis(25);
@@ -41,11 +39,7 @@
 
 impl View {
     fn new(me: u16, known: impl Iterator<Item = u16>) -> Self {
-        let mut members = Members::new(router(me), HEARTBEAT);
-        members.note_written(Millis::ZERO);
-        for other in known {
-            members.update(NOW, router(other), Source::Store);
-        }
+        let members = members(me, known);
         let mut targets = Targets::default();
         targets.list(listed::listing(0));
         Self { members, targets }
@@ -93,16 +87,6 @@
     sent
 }
 
-fn most_in_a_span(sent: &[Millis]) -> usize {
-    let count = |begin: Millis| {
-        let within = sent
-            .iter()
-            .filter(|at| **at >= begin && **at < begin + SPAN);
-        within.count()
-    };
-    sent.iter().map(|begin| count(*begin)).max().unwrap_or(0)
-}
-
 #[test]
 fn kept_and_used() {
     for routers in [1, 3, 8, 75, 350] {
@@ -110,7 +94,7 @@
             let others = |me: u16| (0..routers).filter(move |other| *other != me);
             let mut fleet: Vec<View> = (0..routers).map(|me| View::new(me, others(me))).collect();
             let sent = play(&mut fleet, limit);
-            let (most, allowed) = (most_in_a_span(&sent), allowed(limit));
+            let (most, allowed) = (most_within(&sent, SPAN), allowed(limit));
             assert!(
                 most <= allowed,
                 "{routers} routers, {limit}/s: {most} of {allowed}"
@@ -130,7 +114,7 @@
     for limit in LIMITS {
         let side = |me: u16| (0..40).filter(move |other| *other != me && other % 2 == me % 2);
         let mut fleet: Vec<View> = (0..40).map(|me| View::new(me, side(me))).collect();
-        let most = most_in_a_span(&play(&mut fleet, limit));
+        let most = most_within(&play(&mut fleet, limit), SPAN);
         assert!(most <= allowed(limit), "{limit}/s: {most}");
     }
 }
--- a/tests/soak/said.rs
+++ b/tests/soak/said.rs
@@ -124,17 +124,18 @@
             !one.ran && is_meant && (self.from..self.until).contains(&one.at)
         };
         for asked in here.iter().filter(is_asked) {
+            let Some(own) = gateway(asked) else {
+                continue;
+            };
             let has_forgotten = seen.restarts.iter().any(|(restarted, at)| {
-                Some(*restarted) == gateway(asked) && (asked.at..asked.at + rest).contains(at)
+                *restarted == own && (asked.at..asked.at + rest).contains(at)
             });
             if has_forgotten {
                 continue;
             }
             let times = asked.at + REST_KNOWN_BY..asked.at + rest;
             let within = here.iter().filter(|one| times.contains(&one.at));
-            let same =
-                within.filter(|one| gateway(one).is_some() && gateway(one) == gateway(asked));
-            let got = same.count();
+            let got = within.filter(|one| gateway(one) == Some(own)).count();
             if got > RESTED_MAX {
                 return self.show("BUDGET", asked, format!("{got} within its rest"));
             }
--- a/tests/target_leaving.rs
+++ b/tests/target_leaving.rs
@@ -14,6 +14,7 @@
 use deployment::runner::Runner;
 use deployment::{Ask, Gateway, ask, turns, until};
 
+const TARGETS: usize = 3;
 /// Time between two requests, which go to the routers in turn.
 const GAP: Duration = Duration::from_millis(8);
 /// When the target begins to leave, after the first request.
@@ -25,7 +26,7 @@
 
 /// Requests that reach a target of a service later than allowed, at all routers, where its entry stays as it was.
 async fn play(service: &str, request: fn(usize) -> Ask) {
-    let (deployment, runners) = turns::fleet(3, service).await;
+    let (deployment, runners) = turns::fleet(3, TARGETS, service).await;
     let begun = Instant::now();
     let leaves = begun + LEAVES_AFTER;
     let end = leaves + SERVES_FOR;
@@ -65,7 +66,7 @@
 /// One router hears it, and all show it to operators.
 #[tokio::test(flavor = "multi_thread")]
 async fn operators_see() {
-    let (deployment, runners) = turns::fleet(3, "app").await;
+    let (deployment, runners) = turns::fleet(3, TARGETS, "app").await;
     for runner in &runners {
         runner.say(&[("server-leaving", "1"), ("server-limit", "1.8")]);
     }
@@ -89,7 +90,7 @@
 /// All leave: a request that no target takes is refused at once, and has not run.
 #[tokio::test(flavor = "multi_thread")]
 async fn all_leave() {
-    let (deployment, runners) = turns::fleet(1, "app").await;
+    let (deployment, runners) = turns::fleet(1, TARGETS, "app").await;
     for runner in &runners {
         runner.say(&[("server-leaving", "1")]);
     }
--- a/tests/target_limits.rs
+++ b/tests/target_limits.rs
@@ -16,6 +16,7 @@
 use deployment::runner::Runner;
 use deployment::{Ask, Deployment, turns};
 
+const TARGETS: usize = 3;
 /// Time between two requests, which go to the routers in turn.
 const GAP: Duration = Duration::from_millis(8);
 /// When the target begins to name its limit, after the first request.
@@ -81,7 +82,7 @@
 
 /// One of three targets names a limit for a while.
 async fn play(limit: f64, routers: usize, kind: Trouble) {
-    let (mut deployment, runners) = turns::fleet(routers, "app").await;
+    let (mut deployment, runners) = turns::fleet(routers, TARGETS, "app").await;
     let fronts = turns::fronts(&deployment);
     let begun = Instant::now();
     let named = begun + NAMED_AFTER;
--- a/tests/target_rest.rs
+++ b/tests/target_rest.rs
@@ -17,6 +17,7 @@
 use deployment::runner::{Arrival, Mode, Runner};
 use deployment::turns::{self, GATEWAY};
 
+const TARGETS: usize = 3;
 /// Time between two requests, which go to the routers in turn.
 const GAP: Duration = Duration::from_millis(8);
 /// When targets begin to ask for rest, after the first request.
@@ -66,7 +67,7 @@
 }
 
 async fn play(play: Play) {
-    let (deployment, runners) = turns::fleet(3, "app").await;
+    let (deployment, runners) = turns::fleet(3, TARGETS, "app").await;
     let begun = Instant::now();
     let rests = begun + RESTS_AFTER;
     let well = rests + RESTS_FOR;
