Reproduce a router that ends in part after the store's return from a copy, and a change passed over

What callers saw: 404 for routes that had been added, from one router for twelve seconds, and a tenth of all requests refused. The stand-in of the store now takes copies, comes back from them, names its era, gives offsets out again and answers 410 beyond its end.

--- a/tests/deployment/store.rs
+++ b/tests/deployment/store.rs
@@ -4,19 +4,23 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
-use http::{Response, StatusCode};
+use http::{Method, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use serde_json::json;
 
 use super::server::{Gone, Reply, serve};
 
+/// Its era before it has come back from a copy for the first time.
+const FIRST_ERA: u64 = 1;
+
 /// How the store treats one address.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -35,12 +39,18 @@
     Slow(u64),
     /// It does what is asked, and closes the connection without an answer.
     LostAnswer,
+    /// It does what is asked, and gives no answer to appends about prepaid budgets.
+    LostGrants,
     /// It closes the connection, and does what is asked after this many milliseconds, if its
     /// condition still holds.
     Late(u64),
 }
 
-#[derive(Default)]
+/// What the store held at one moment, to come back from.
+#[derive(Clone, Default)]
+pub struct Copy(HashMap<(String, u32), Part>);
+
+#[derive(Clone, Default)]
 struct Part {
     first: u64,
     records: Vec<Bytes>,
@@ -75,6 +85,8 @@
     parts: Mutex<HashMap<(String, u32), Part>>,
     faults: Mutex<HashMap<SocketAddr, Fault>>,
     turned_away: Mutex<Vec<(SocketAddr, String)>>,
+    /// Times that it has come back from a copy.
+    returns: AtomicU64,
 }
 
 /// The store.
@@ -135,6 +147,18 @@
         part.append(true, vec![record.into()]);
     }
 
+    /// Copies all that it holds.
+    pub fn copy(&self) -> Copy {
+        Copy(self.0.parts.lock().unwrap().clone())
+    }
+
+    /// Comes back from a copy: what was written since is gone, and its offsets are given out again.
+    pub fn restore(&self, copy: &Copy) {
+        let mut parts = self.0.parts.lock().unwrap();
+        parts.clone_from(&copy.0);
+        self.0.returns.fetch_add(1, Ordering::SeqCst);
+    }
+
     /// Forgets the records of a topic; the newest of each key stay.
     pub fn compact(&self, topic: &str) {
         let mut parts = self.0.parts.lock().unwrap();
@@ -150,6 +174,19 @@
         &self,
         address: SocketAddr,
         request: hyper::Request<Incoming>,
+    ) -> Result<Reply, Gone> {
+        let reply = self.reply(address, request).await;
+        reply.map(|mut reply| {
+            let era = FIRST_ERA + self.0.returns.load(Ordering::SeqCst);
+            reply.headers_mut().insert("store-era", era.into());
+            reply
+        })
+    }
+
+    async fn reply(
+        &self,
+        address: SocketAddr,
+        request: hyper::Request<Incoming>,
     ) -> Result<Reply, Gone> {
         let fault = self.0.faults.lock().unwrap().get(&address).copied();
         match fault.unwrap_or_default() {
@@ -173,6 +210,11 @@
                 self.call(request).await;
                 Err(Gone)
             }
+            Fault::LostGrants => {
+                let is_lost = is_about_grants(request.uri()) && request.method() == Method::POST;
+                let reply = self.call(request).await;
+                if is_lost { Err(Gone) } else { Ok(reply) }
+            }
             Fault::Late(millis) => {
                 let store = self.clone();
                 let (parts, body) = request.into_parts();
@@ -248,7 +290,7 @@
             {
                 let mut parts = self.0.parts.lock().unwrap();
                 let part = parts.entry(place.clone()).or_default();
-                if from < part.first {
+                if from < part.first || from > part.end() {
                     let body = json!({ "first": part.first });
                     return with(StatusCode::GONE, body.to_string().into());
                 }
--- /dev/null
+++ b/tests/store_restored.rs
@@ -0,0 +1,135 @@
+//! The store comes back from a copy that is some seconds old: what was written since is gone, and offsets are given
+//! out again.
+
+mod deployment;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use deployment::runner::{Mode, Runner};
+use deployment::store::Fault;
+use deployment::{Ask, CUSTOMER, Deployment, Gateway, config, try_ask, until};
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+const PLENTY: u64 = 200_000;
+const PROMPT: u64 = 100;
+/// Callers that send streams at once.
+const CALLERS: usize = 8;
+/// Longer than the interval at which routers renew their grants.
+const RENEWAL: Duration = Duration::from_millis(1_500);
+/// Users' bound from a change of the configuration to its effect.
+const IN_FORCE: Duration = Duration::from_secs(3);
+
+/// The configuration with a route that others do not have.
+fn with_route(version: u64, prefix: &str) -> Value {
+    let mut config = config(version, PLENTY);
+    let mut route = config["routes"][1].clone();
+    route["name"] = json!(prefix);
+    route["pathPrefix"] = json!(prefix);
+    config["routes"].as_array_mut().unwrap().push(route);
+    config
+}
+
+/// The configuration without the customer's key.
+fn without_key(version: u64) -> Value {
+    let mut config = config(version, PLENTY);
+    config["tenants"] = json!([{ "name": CUSTOMER, "apiKeys": ["another"], "prepaid": PLENTY }]);
+    config
+}
+
+async fn status(gateway: &Gateway, path: &str) -> Option<u16> {
+    let ask = Ask::new(&format!("r{}", rand::random::<u64>()), path);
+    try_ask(gateway.front, &ask)
+        .await
+        .map(|answer| answer.status)
+}
+
+/// Sends a stream; whether it was served.
+async fn stream(front: SocketAddr) -> bool {
+    let id = format!("s{}", rand::random::<u64>());
+    let request = Ask::talk(&id, "/talk/x", PROMPT, 50);
+    let answer = try_ask(front, &request).await;
+    answer.is_some_and(|answer| answer.status == 200)
+}
+
+/// Sends streams for a while, some at once.
+async fn load(gateway: &Gateway, span: Duration) {
+    let (front, end) = (gateway.front, Instant::now() + span);
+    let caller = || async move {
+        while Instant::now() < end {
+            stream(front).await;
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    futures::future::join_all((0..CALLERS).map(|_| caller())).await;
+}
+
+/// Whether every gateway answers a path with a status within the users' bound from `begun`.
+async fn late(deployment: &Deployment, begun: Instant, path: &str, wanted: u16) -> Vec<String> {
+    let mut late = Vec::new();
+    for gateway in &deployment.gateways {
+        while status(gateway, path).await != Some(wanted) {
+            if begun.elapsed() > IN_FORCE {
+                late.push(gateway.name.clone());
+                break;
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+    late
+}
+
+/// A router whose own row went back below what it has spent stopped following configurations.
+#[tokio::test(flavor = "multi_thread")]
+async fn own_row_back() {
+    let (app, engine) = (Runner::start("i-app").await, Runner::start("i-e").await);
+    let runners = [("app", &app), ("engine", &engine)];
+    let flags = ["--partitions", "1", "--horizon", "16000", "--spread", "0"];
+    let deployment = Deployment::start_with(1, &config(1, PLENTY), &runners, &flags).await;
+    let gateway = &deployment.gateways[0];
+    until(|| stream(gateway.front)).await;
+    // Some streams are under way at any time.
+    engine.set(Mode::Slow(100));
+    let copy = deployment.store.copy();
+    load(gateway, RENEWAL).await;
+    deployment.store.set_fault(gateway.store, Fault::LostGrants);
+    let restored = async {
+        sleep(RENEWAL).await;
+        deployment.store.restore(&copy);
+        deployment.store.set_fault(gateway.store, Fault::None);
+    };
+    tokio::join!(load(gateway, RENEWAL * 2), restored);
+    let begun = Instant::now();
+    deployment
+        .store
+        .put("keyed.op", "config", Some(&with_route(2, "/new/")));
+    assert!(
+        late(&deployment, begun, "/new/x", 200).await.is_empty(),
+        "the new route is not served"
+    );
+}
+
+/// A change whose offset had been given out before was passed over.
+#[tokio::test(flavor = "multi_thread")]
+async fn offset_given_again() {
+    let app = Runner::start("i-app").await;
+    let deployment = Deployment::start(3, &config(1, PLENTY), &[("app", &app)]).await;
+    let copy = deployment.store.copy();
+    deployment
+        .store
+        .put("keyed.op", "config", Some(&with_route(2, "/new/")));
+    for gateway in &deployment.gateways {
+        until(|| async { status(gateway, "/new/x").await == Some(200) }).await;
+    }
+    deployment.store.restore(&copy);
+    let begun = Instant::now();
+    deployment
+        .store
+        .put("keyed.op", "config", Some(&without_key(3)));
+    let late = late(&deployment, begun, "/often/x", 401).await;
+    assert!(
+        late.is_empty(),
+        "{late:?} still serve a key that was taken away"
+    );
+}
