Name places in the store by its era, so that no record is passed over after a return from a copy

Ruled out: a read beyond the store's end was noticed before; it is not when others write up to the known offset before the next read. An era and an offset make a place. A page or an append that is answered in another era than its place is an error of its own, Restored, after which the newest records are read again; an append may have been done. Followers, rows and the halls' views hold places; a view of a later era is later, whatever its offset. Why it works: a page that would pass records over is of another era than the place that was asked for, by the store's word. Links carry a place in place of an offset for the halls' views, so routers of before and after do not understand each other's views; each then goes without.

--- a/src/gateway/control/evacuations.rs
+++ b/src/gateway/control/evacuations.rs
@@ -21,10 +21,10 @@
     }
     let as_of = view.as_of;
     for hall in view.halls.difference(&before.halls) {
-        tracing::info!(event = "hall_evacuated", %hall, as_of, source);
+        tracing::info!(event = "hall_evacuated", %hall, %as_of, source);
     }
     for hall in before.halls.difference(&view.halls) {
-        tracing::info!(event = "hall_taken_back", %hall, as_of, source);
+        tracing::info!(event = "hall_taken_back", %hall, %as_of, source);
     }
     let now = control.now();
     let mut state = control.state.borrow_mut();
--- a/src/gateway/control/follow.rs
+++ b/src/gateway/control/follow.rs
@@ -9,7 +9,7 @@
 use super::context::Control;
 use super::{apply, quarantine};
 use crate::gateway::evacuation;
-use crate::store::{CallError, Page, Partition, Record, Timeout, Topic, hedge};
+use crate::store::{CallError, Page, Partition, Place, Record, Timeout, Topic, hedge};
 use crate::util;
 
 /// How long the store holds a read of the configuration until there is a change. A change
@@ -27,7 +27,7 @@
 /// A place in a partition that is followed.
 struct Follower {
     partition: Partition,
-    next: Option<u64>,
+    next: Option<Place>,
     timeout: Timeout,
 }
 
@@ -51,13 +51,19 @@
     /// Reads on. After anything that leaves doubt, the next read is of the newest records.
     async fn step(&mut self, control: &Control, wait: Duration) -> Result<Step, CallError> {
         let result = self.read(control, wait).await;
+        control.shared.set_store_era(control.store.era());
         control
             .shared
             .note_call(self.partition.topic, &result.as_ref().map(|_| ()));
         match result {
             Ok(step) => Ok(step),
             Err(error) => {
-                self.next = None;
+                if let Some(before) = self.next.take()
+                    && error.loses_place()
+                {
+                    let topic = self.partition.topic;
+                    tracing::info!(event = "place_lost", ?topic, %before, %error);
+                }
                 Err(error)
             }
         }
@@ -75,7 +81,8 @@
         let read = || store.read(partition, from, wait, hedge::ANSWER_MAX);
         let page = hedge::hedged(hedge::HEDGE_AFTER + wait, silent, read).await?;
         if page.end < from {
-            return Err(CallError::Gone { first: page.end });
+            let first = page.end.offset;
+            return Err(CallError::Gone { first });
         }
         self.next = Some(page.next);
         Ok(Step::Changes(page))
@@ -94,7 +101,7 @@
                 let known = control.evacuations.borrow().clone();
                 apply::operators(&control, &page, known.unwrap_or_default());
             }
-            Err(CallError::Gone { .. }) => {}
+            Err(error) if error.loses_place() => {}
             Err(_) => sleep(FAILED_PAUSE).await,
         }
     }
@@ -125,7 +132,7 @@
                     apply::target(&control, record);
                 }
             }
-            Err(CallError::Gone { .. }) => continue,
+            Err(error) if error.loses_place() => continue,
             Err(_) => {
                 was_lost = true;
                 sleep(FAILED_PAUSE).await;
@@ -155,7 +162,7 @@
                 }
             }
             // The next read is of the newest entries.
-            Err(CallError::Gone { .. }) => {}
+            Err(error) if error.loses_place() => {}
             Err(_) => control.state.borrow_mut().members.note_unread(),
         }
         control.publish_caller_addresses();
--- a/src/gateway/control/rows.rs
+++ b/src/gateway/control/rows.rs
@@ -11,7 +11,7 @@
 
 use super::context::Control;
 use crate::gateway::escrow::Row;
-use crate::store::{CallError, Page, Partition, Record, Timeout, Topic, hedge};
+use crate::store::{CallError, Page, Partition, Place, Record, Timeout, Topic, hedge};
 
 /// Conditional appends in a row that others may win.
 const ATTEMPTS_MAX: u32 = 12;
@@ -29,8 +29,8 @@
 #[derive(Debug)]
 pub(super) struct Rows {
     partition: Partition,
-    /// The offset up to which rows are known.
-    next: Option<u64>,
+    /// The place up to which rows are known.
+    next: Option<Place>,
     /// Rows whose append was not answered.
     unanswered: Vec<(String, Row)>,
     timeout: Timeout,
@@ -167,7 +167,7 @@
     rows.iter().map(record).collect()
 }
 
-fn log(rows: &[(String, Row)], offset: u64) {
+fn log(rows: &[(String, Row)], at: Place) {
     for (customer, row) in rows {
         tracing::info!(
             event = "grant_written",
@@ -176,13 +176,14 @@
             spent = row.spent.0,
             spent_before = row.spent_before.0,
             demand = row.demand,
-            offset
+            offset = at.offset,
+            era = at.era.0
         );
     }
 }
 
 /// Reads up to the end of the partition, and returns that end.
-async fn read(control: &Control, known: &mut Rows) -> Result<u64, CallError> {
+async fn read(control: &Control, known: &mut Rows) -> Result<Place, CallError> {
     loop {
         let (store, partition) = (&control.store, known.partition);
         let silent = || control.shared.note_silence(partition.topic);
@@ -191,7 +192,9 @@
             Some(from) => store.read(partition, from, Duration::ZERO, hedge::ANSWER_MAX),
         })
         .await;
-        if let Err(CallError::Gone { .. }) = page {
+        if let Err(error) = &page
+            && error.loses_place()
+        {
             known.next = None;
         }
         let page = page?;
--- a/src/gateway/evacuation.rs
+++ b/src/gateway/evacuation.rs
@@ -1,7 +1,7 @@
 //! Which halls the operators have emptied: nothing more is sent to the targets there until they are taken back.
 //!
 //! The operators' records are in the store, beside the configuration, one for each hall. A router that reads them
-//! knows them all as of one offset of that log, so of two views the one of the later offset holds. Routers that the
+//! knows them all as of one place in that log, so of two views the one of the later place holds. Routers that the
 //! store does not answer take the view of one that it does. A view outlives outages of the store and records that
 //! the log has dropped; a process that starts knows none, and serves nobody until it has one.
 
@@ -9,12 +9,14 @@
 
 use serde::{Deserialize, Serialize};
 
-/// The halls that are emptied, as of one offset of the operators' log. It is encoded for other processes, so the
+use crate::store::Place;
+
+/// The halls that are emptied, as of one place in the operators' log. It is encoded for other processes, so the
 /// order of fields is part of its form.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct View {
-    /// All records before this offset are taken in.
-    pub as_of: u64,
+    /// All records before this place are taken in.
+    pub as_of: Place,
     /// The halls.
     pub halls: BTreeSet<String>,
 }
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -66,6 +66,8 @@
             Self::Metrics(shared, dropped) => {
                 let mut text = shared.metrics.text(dropped());
                 text.push_str(&metrics::bad_entries(&shared.bad_entries));
+                let returns = shared.store_returns.get();
+                text.push_str(&metrics::store_era(shared.store_era(), returns));
                 text.push_str(&notice::text(&shared.said.load(), &shared.notices));
                 let refused = shared.quarantine_refused.get();
                 text.push_str(&quarantine::text(&shared.quarantine.load(), refused));
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -9,6 +9,7 @@
 use hdrhistogram::Histogram;
 
 use super::dialect::BadEntry;
+use crate::store::Era;
 
 /// Significant digits of a histogram.
 const DIGITS: u8 = 2;
@@ -123,6 +124,11 @@
     }
 }
 
+/// Lines for the store's era, and how often it rose.
+pub fn store_era(era: Era, returns: u64) -> String {
+    format!("lanedeck_store_era {era}\nlanedeck_store_returns_total {returns}\n")
+}
+
 /// Lines for entries of the list of targets that could not be used, by cause.
 pub fn bad_entries(counters: &[Counter; BadEntry::CAUSES.len()]) -> String {
     let mut text = String::new();
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -20,7 +20,7 @@
 use super::quarantine::Held;
 use super::route::Config;
 use super::stop::Progress;
-use crate::store::{CallError, Topic};
+use crate::store::{CallError, Era, Topic};
 use crate::units::Millis;
 
 /// Calls that are turned away for their number count as lost contact after this long without a call
@@ -61,6 +61,10 @@
     /// Since when the store does not answer. Only the control thread writes it.
     store_lost: ArcSwapOption<Instant>,
     store_answered: ArcSwapOption<Instant>,
+    /// The store's era, as last told.
+    store_era: AtomicU64,
+    /// Times that the store came back from a copy while this process ran.
+    pub store_returns: Counter,
 }
 
 /// A request under way; counted until dropped.
@@ -127,6 +131,19 @@
         self.store_lost.load().is_none()
     }
 
+    /// The store's era.
+    pub fn store_era(&self) -> Era {
+        Era(self.store_era.load(Ordering::Relaxed))
+    }
+
+    /// Sets the store's era. Only the control thread does.
+    pub fn set_store_era(&self, era: Era) {
+        let before = Era(self.store_era.swap(era.0, Ordering::Relaxed));
+        if before < era && before != Era::default() {
+            self.store_returns.add(1);
+        }
+    }
+
     /// How long work waits for its turn on the traffic thread.
     pub fn lag(&self) -> Millis {
         Millis(self.lag.load(Ordering::Relaxed))
@@ -155,7 +172,10 @@
         self.metrics.store_calls.add(1);
         let is_answer = matches!(
             result,
-            Ok(()) | Err(CallError::Gone { .. } | CallError::Moved { .. })
+            Ok(())
+                | Err(CallError::Gone { .. }
+                    | CallError::Moved { .. }
+                    | CallError::Restored { .. })
         );
         if !is_answer {
             self.metrics.store_failures.add(1);
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -4,8 +4,10 @@
 //! back. Only reads are sent twice, by [`hedge`].
 
 pub mod hedge;
+mod place;
 mod timeout;
 
+pub use place::{BadEra, Era, Eras, Place, Told};
 pub use timeout::Timeout;
 
 use std::time::Duration;
@@ -44,6 +46,12 @@
         /// Where it ends.
         end: u64,
     },
+    /// The store has come back from a copy since the place that the call names; an append may have been done.
+    #[snafu(display("the store came back from a copy, in era {era}"))]
+    Restored {
+        /// Its era now.
+        era: Era,
+    },
     /// A record's key is longer than [`KEY_MAX`]; nothing was sent.
     #[snafu(display("a key of {length} bytes"))]
     KeyTooLong {
@@ -61,7 +69,15 @@
 impl CallError {
     /// Whether the call may have been done all the same.
     pub fn may_be_done(&self) -> bool {
-        matches!(self, Self::Unknown | Self::Refused { .. })
+        matches!(
+            self,
+            Self::Unknown | Self::Refused { .. } | Self::Restored { .. }
+        )
+    }
+
+    /// Whether what was read before is to be read anew, from the newest records on.
+    pub fn loses_place(&self) -> bool {
+        matches!(self, Self::Gone { .. } | Self::Restored { .. })
     }
 }
 
@@ -101,10 +117,10 @@
 pub struct Page {
     /// The records, in order.
     pub records: Vec<Record>,
-    /// The offset after the last record of the partition at the time of the answer.
-    pub end: u64,
-    /// The offset after the last record of this page.
-    pub next: u64,
+    /// The place after the last record of the partition at the time of the answer.
+    pub end: Place,
+    /// The place after the last record of this page.
+    pub next: Place,
 }
 
 /// The store. An answer is waited for `limit`, beside what the store is asked to wait.
@@ -115,15 +131,15 @@
         &'a self,
         partition: Partition,
         records: &'a [Record],
-        at: Option<u64>,
+        at: Option<Place>,
         limit: Duration,
-    ) -> BoxFuture<'a, Result<u64, CallError>>;
+    ) -> BoxFuture<'a, Result<Place, CallError>>;
 
-    /// Reads from an offset on, and waits up to `wait` for the first record.
+    /// Reads from a place on, and waits up to `wait` for the first record.
     fn read(
         &self,
         partition: Partition,
-        from: u64,
+        from: Place,
         wait: Duration,
         limit: Duration,
     ) -> BoxFuture<'_, Result<Page, CallError>>;
@@ -135,4 +151,7 @@
         partition: Partition,
         limit: Duration,
     ) -> BoxFuture<'_, Result<Page, CallError>>;
+
+    /// The newest era that any answer has named.
+    fn era(&self) -> Era;
 }
--- a/tests/evacuated_halls.rs
+++ b/tests/evacuated_halls.rs
@@ -14,6 +14,7 @@
 use lanedeck::gateway::evacuation::{Order, View};
 use lanedeck::gateway::key::TargetKey;
 use lanedeck::gateway::targets::Targets;
+use lanedeck::store::{Era, Place};
 use lanedeck::units::Millis;
 use serde_json::json;
 
@@ -26,6 +27,13 @@
     names.iter().map(|name| (*name).to_owned()).collect()
 }
 
+fn place(era: u64, offset: u64) -> Place {
+    Place {
+        era: Era(era),
+        offset,
+    }
+}
+
 fn targets() -> Targets {
     let mut targets = Targets::default();
     for (number, hall) in [(0, "east"), (1, "east"), (2, "west")] {
@@ -64,15 +72,20 @@
     view.set("east", Order::Evacuate);
     view.set("west", Order::Evacuate);
     view.set("east", Order::TakeBack);
-    view.as_of = 4;
+    view.as_of = place(1, 4);
     assert_eq!(view.halls, halls(&["west"]));
     let earlier = View {
-        as_of: 3,
+        as_of: place(1, 3),
         halls: halls(&["east"]),
     };
     assert!(earlier.is_older(&view));
     assert!(!view.is_older(&earlier));
     assert!(!view.is_older(&view), "the same offset tells the same");
+    let restored = View {
+        as_of: place(2, 3),
+        halls: halls(&["east"]),
+    };
+    assert!(view.is_older(&restored), "of a later history of the store");
 }
 
 /// Lists a runner of the plain service in a hall.
--- a/tests/pinned_gateway.rs
+++ b/tests/pinned_gateway.rs
@@ -24,7 +24,7 @@
 use lanedeck::gateway::reply;
 use lanedeck::gateway::route::Kind;
 use lanedeck::gateway::targets::{Outstanding, View};
-use lanedeck::store::{Partition, Record, Store, Topic};
+use lanedeck::store::{Era, Partition, Place, Record, Store, Topic};
 use lanedeck::units::{Millis, Tokens};
 use pins::{options, pin};
 use platform::{LogStore, Platform};
@@ -212,6 +212,14 @@
     );
 }
 
+/// A place in a store that names no era.
+fn place(offset: u64) -> Place {
+    Place {
+        era: Era::default(),
+        offset,
+    }
+}
+
 /// Answers one request of a store's client, and returns the request with its host replaced.
 async fn exchange<T>(answer: &[u8], call: impl AsyncFnOnce(LogStore) -> T) -> (String, T) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -277,7 +285,12 @@
     let records = [record("anna/g1", Some(b"\x01\x02")), record("bo/g1", None)];
     let (seen, end) = exchange(br#"{"end":44}"#, async |store| {
         store
-            .append(partition(Topic::Prepaid, 17), &records, Some(42), LIMIT)
+            .append(
+                partition(Topic::Prepaid, 17),
+                &records,
+                Some(place(42)),
+                LIMIT,
+            )
             .await
     })
     .await;
@@ -285,7 +298,7 @@
         seen,
         "POST /api/log-append?topic=keyed.prepaid&part=17&at=42 HTTP/1.1\\r\\nhost: HOST\\r\\ncontent-length: 24\\r\\n\\r\\n\\x00\\x00\\x00\\n\\x07anna/g1\\x01\\x02\\x00\\x00\\x00\\x06\\x05bo/g1"
     );
-    assert_eq!(end.unwrap(), 44);
+    assert_eq!(end.unwrap(), place(44));
     let records = [record("g1", Some(b"me"))];
     let (seen, _) = exchange(br#"{"end":1}"#, async |store| {
         store
@@ -304,7 +317,12 @@
     let page = b"\0\0\0\0\0\0\0\x09\0\0\0\0\0\0\0\0\0\0\0\x05\x03i-1x\0\0\0\x04\x03i-2";
     let (seen, read) = exchange(page, async |store| {
         store
-            .read(partition(Topic::Targets, 0), 7, Duration::ZERO, LIMIT)
+            .read(
+                partition(Topic::Targets, 0),
+                place(7),
+                Duration::ZERO,
+                LIMIT,
+            )
             .await
     })
     .await;
@@ -317,11 +335,11 @@
         read.records,
         [record("i-1", Some(b"x")), record("i-2", None)]
     );
-    assert_eq!((read.end, read.next), (9, 9));
+    assert_eq!((read.end, read.next), (place(9), place(9)));
     let (seen, _) = exchange(page, async |store| {
         let wait = Duration::from_millis(1_000);
         store
-            .read(partition(Topic::Config, 0), 3, wait, LIMIT)
+            .read(partition(Topic::Config, 0), place(3), wait, LIMIT)
             .await
     })
     .await;
@@ -344,7 +362,7 @@
     );
     let newest = newest.unwrap();
     assert_eq!(newest.records, [record("anna/g1", Some(b"\x01\x02"))]);
-    assert_eq!((newest.end, newest.next), (12, 12));
+    assert_eq!((newest.end, newest.next), (place(12), place(12)));
 }
 
 fn headers(pairs: &[(&'static str, &str)]) -> HeaderMap {
