Take a router's own row in a restored store for what it is: older than what was acknowledged

What callers saw: after the store came back from a copy, one router of 89 answered 404 for routes that were added, 503 for much else, for as long as it ran; it followed no configuration, from the store or from other routers. Cause: an append whose answer is lost was settled by the next read of the partition, which took the router's own row as read for the newest that the store had acknowledged. From a copy that is an older one. Where it grants less than is spent, the account's assertion fails, first in the task that renews the partition's grants, then in the control thread as the next request is settled. The process goes on with the traffic's thread alone. Ruled out: passed over records (links bring a configuration within a second), a late router (its control thread makes no call any more). The fix: an append that was not answered remembers the place that it waited for. A page settles it once the partition has been read past that place, in whichever era; it counts as done only by a row that is the same, in the same era. What may still be done, since a restored partition reaches the place a second time, stays among the rows that bound the spend. Why it works: no row of a former era is acknowledged by a read, so the granted tokens never go back below those spent.

--- a/src/gateway/control/rows.rs
+++ b/src/gateway/control/rows.rs
@@ -2,8 +2,10 @@
 //! where nothing has come in between.
 //!
 //! An append whose answer is lost may have been done, or may be done yet. Its rows are remembered until
-//! the partition has moved on; until then the lower of both grants holds.
+//! the partition has moved on; until then the lower of both grants holds. Once the store has come back from a copy,
+//! what it has of this router may be older than what was acknowledged, so it says nothing of those appends.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -11,7 +13,8 @@
 
 use super::context::Control;
 use crate::gateway::escrow::Row;
-use crate::store::{CallError, Page, Partition, Place, Record, Timeout, Topic, hedge};
+use crate::gateway::state::State;
+use crate::store::{CallError, Era, Page, Partition, Place, Record, Timeout, Topic, hedge};
 
 /// Conditional appends in a row that others may win.
 const ATTEMPTS_MAX: u32 = 12;
@@ -32,10 +35,26 @@
     /// The place up to which rows are known.
     next: Option<Place>,
     /// Rows whose append was not answered.
-    unanswered: Vec<(String, Row)>,
+    unanswered: Vec<Unanswered>,
     timeout: Timeout,
 }
 
+/// A row whose append was not answered.
+#[derive(Debug)]
+struct Unanswered {
+    customer: String,
+    row: Row,
+    /// Where the partition had to end for it.
+    at: Place,
+}
+
+impl Unanswered {
+    /// Whether it is in the store by now or never will be, where the partition was read up to `next`.
+    fn is_settled(&self, next: Place) -> bool {
+        next.offset > self.at.offset
+    }
+}
+
 impl Rows {
     /// Rows of which nothing is known yet.
     pub(super) fn new(number: u32) -> Self {
@@ -111,13 +130,21 @@
     match appended {
         Ok(end) => {
             known.next = Some(end);
-            known.unanswered.clear();
-            control.state.borrow_mut().rows_acknowledged(&rows);
+            let mut state = control.state.borrow_mut();
+            take_settled(known, end);
+            state.rows_acknowledged(&rows);
+            state.rows_sent(&unsettled(known));
+            drop(state);
             log(&rows, next);
             Ok(())
         }
         Err(error) if error.may_be_done() => {
-            known.unanswered.extend(rows);
+            let unanswered = rows.into_iter().map(|(customer, row)| Unanswered {
+                customer,
+                row,
+                at: next,
+            });
+            known.unanswered.extend(unanswered);
             Err(error)
         }
         Err(error) => {
@@ -210,8 +237,7 @@
 fn take(control: &Control, known: &mut Rows, page: &Page) {
     let mut state = control.state.borrow_mut();
     let me = state.members.me.name.clone();
-    let incarnation = state.incarnation();
-    let mut own = Vec::new();
+    let mut own = HashMap::new();
     for record in &page.records {
         let Some((customer, router)) = record.key.split_once(SEPARATOR) else {
             tracing::warn!(event = "row_key_unreadable", key = %record.key);
@@ -232,15 +258,46 @@
         state.set_row(customer, router, row);
         if let Some(row) = row
             && router == me
-            && row.incarnation == incarnation
         {
-            own.push((customer.to_owned(), row));
+            own.insert(customer.to_owned(), row);
         }
     }
-    if !known.unanswered.is_empty() && !page.records.is_empty() {
-        // The partition has moved on, so what was sent is either here or never will be.
-        let unanswered = std::mem::take(&mut known.unanswered);
-        state.rows_withdrawn(&unanswered);
-        state.rows_acknowledged(&own);
+    let settled = take_settled(known, page.next);
+    if !settled.is_empty() {
+        settle(&mut state, settled, &own, page.next.era);
+        state.rows_sent(&unsettled(known));
     }
 }
+
+/// Takes out the rows of which it is known by now whether they were done, where the partition was read up to `next`.
+fn take_settled(known: &mut Rows, next: Place) -> Vec<Unanswered> {
+    let (settled, left) = std::mem::take(&mut known.unanswered)
+        .into_iter()
+        .partition(|unanswered| unanswered.is_settled(next));
+    known.unanswered = left;
+    settled
+}
+
+/// Rows that may still be done: a store that came back from a copy may reach the place once more that they wait for.
+fn unsettled(known: &Rows) -> Vec<(String, Row)> {
+    let unanswered = known.unanswered.iter();
+    unanswered
+        .map(|unanswered| (unanswered.customer.clone(), unanswered.row))
+        .collect()
+}
+
+/// Settles rows whose append was not answered, by this router's own rows that were read. What a store that came back
+/// from a copy has of this router may be older than what it has acknowledged, so it acknowledges nothing.
+fn settle(state: &mut State, settled: Vec<Unanswered>, own: &HashMap<String, Row>, era: Era) {
+    let of_now = settled.iter().filter(|unanswered| unanswered.at.era == era);
+    let done: Vec<(String, Row)> = of_now
+        .filter(|unanswered| own.get(&unanswered.customer) == Some(&unanswered.row))
+        .map(|unanswered| (unanswered.customer.clone(), unanswered.row))
+        .collect();
+    let settled = settled.into_iter();
+    let settled: Vec<(String, Row)> = settled
+        .map(|unanswered| (unanswered.customer, unanswered.row))
+        .collect();
+    state.rows_withdrawn(&settled);
+    state.rows_acknowledged(&done);
+}
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -386,11 +386,6 @@
             }
         })
     }
-
-    /// This process.
-    pub fn incarnation(&self) -> u64 {
-        self.settings.me.incarnation
-    }
 }
 
 /// Logs that a request was beside a crash: what a request that is held back later was decided by.
