End the process where its control thread panics

What callers saw: a router that answered by an old configuration for as long as it ran, after an assertion had ended its control thread. A panic is now logged as panicked with its thread, place and reason, and one in the control thread, or in a task of it, ends the process, which is started again. Ruled out: panic=abort for all threads, which would end a router for a fault in one request.

--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -61,13 +61,16 @@
     pub messages: mpsc::UnboundedReceiver<Message>,
 }
 
+/// Name of the control thread.
+pub const THREAD: &str = "control";
+
 /// Starts the control thread.
 ///
 /// # Panics
 /// Where the system gives no thread, without which the process cannot serve.
 pub fn spawn(parts: Parts) {
     std::thread::Builder::new()
-        .name("control".to_owned())
+        .name(THREAD.to_owned())
         .spawn(move || run(parts))
         .expect("a thread starts");
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod ejection;
 pub mod gateway;
 pub mod net;
+pub mod panics;
 pub mod router;
 pub mod signals;
 pub mod standin;
