--- a/tests/store_restored.rs
+++ b/tests/store_restored.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use deployment::runner::{Mode, Runner};
+use deployment::runner::{EVENTS, Mode, Runner};
 use deployment::store::Fault;
 use deployment::{Ask, CUSTOMER, Deployment, Gateway, config, try_ask, until};
 use serde_json::{Value, json};
@@ -14,6 +14,10 @@
 
 const PLENTY: u64 = 200_000;
 const PROMPT: u64 = 100;
+/// What one stream costs.
+const EACH: u64 = PROMPT + EVENTS as u64;
+/// A budget that is used up within a test.
+const PREPAID: u64 = 20_000;
 /// Callers that send streams at once.
 const CALLERS: usize = 8;
 /// Longer than the interval at which routers renew their grants.
@@ -133,3 +137,91 @@
         "{late:?} still serve a key that was taken away"
     );
 }
+
+/// Spends what can be spent, at all gateways in turn.
+async fn spend(deployment: &Deployment, tries: usize) {
+    for number in 0..tries {
+        let gateway = &deployment.gateways[number % deployment.gateways.len()];
+        stream(gateway.front).await;
+    }
+}
+
+/// How the routers fare while the store is away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    /// All live.
+    Live,
+    /// One is killed and started again.
+    OneKilled,
+    /// All are.
+    AllKilled,
+}
+
+/// Spends a part of a budget, has the store come back from a copy of before that, and spends all that is left; what
+/// was spent in all.
+async fn spent_over_return(fate: Fate) -> u64 {
+    let engine = Runner::start("i-e").await;
+    let runners = [("engine", &engine)];
+    let flags = ["--partitions", "1"];
+    let mut deployment = Deployment::start_with(3, &config(1, PREPAID), &runners, &flags).await;
+    deployment.wait_acquainted().await;
+    // The first rows are spent from once no copy can lack them.
+    until(|| stream(deployment.gateways[0].front)).await;
+    spend(&deployment, 15).await;
+    let copy = deployment.store.copy();
+    for _ in 0..90 {
+        stream(deployment.gateways[0].front).await;
+    }
+    for gateway in &deployment.gateways {
+        deployment.store.set_fault(gateway.store, Fault::Silent);
+    }
+    let killed = match fate {
+        Fate::Live => 0,
+        Fate::OneKilled => 1,
+        Fate::AllKilled => deployment.gateways.len(),
+    };
+    for gateway in &mut deployment.gateways[..killed] {
+        gateway.kill();
+        gateway.start_again();
+    }
+    deployment.store.restore(&copy);
+    for gateway in &deployment.gateways {
+        deployment.store.set_fault(gateway.store, Fault::None);
+    }
+    deployment.wait_ready().await;
+    let before = engine.runs();
+    let end = Instant::now() + Duration::from_secs(6);
+    while Instant::now() < end {
+        for gateway in deployment.gateways.iter().rev() {
+            for _ in 0..30 {
+                stream(gateway.front).await;
+            }
+        }
+    }
+    assert!(
+        fate != Fate::Live || engine.runs() > before,
+        "what is left can be spent"
+    );
+    engine.runs() as u64 * EACH
+}
+
+/// Routers that live were granted again what others of them had spent since the copy.
+#[tokio::test(flavor = "multi_thread")]
+async fn budget_of_the_living() {
+    let spent = spent_over_return(Fate::Live).await;
+    assert!(spent <= PREPAID, "{spent} of {PREPAID}");
+}
+
+/// A router that was killed was granted again what it had spent since the copy.
+#[tokio::test(flavor = "multi_thread")]
+async fn budget_of_one_killed() {
+    let spent = spent_over_return(Fate::OneKilled).await;
+    assert!(spent <= PREPAID, "{spent} of {PREPAID}");
+}
+
+/// What was spent since the copy was known to nobody.
+#[tokio::test(flavor = "multi_thread")]
+async fn budget_of_all_killed() {
+    let spent = spent_over_return(Fate::AllKilled).await;
+    assert!(spent <= PREPAID, "{spent} of {PREPAID}");
+}
