Bound each router's spend by what any copy of the store may have of it

Cause: a grant is believed once it is acknowledged, and everybody else learns of it from the store alone. Rows of the last seconds are gone with the copy, and what they had granted is granted again, to others or to the next process of the router. Ways weighed, all by reasoning, none measured against another: a grant that is spent from only once it is older than a copy can be (each grant at a budget's end would wait for seconds); peers that hold a router's rows in memory (all may die, and that is a replicated store); targets asked what they have served (their report names running requests alone); and this: each row names a cap, which its router does not pass while a copy may have that row as its newest. In the era after, a row of before counts with its cap, until its router has written another; a router that starts over such a row counts the cap as spent, and spends of its own grants once none but its own rows are in copies. Where no copy has a row, nothing is spent. So for each router and any copy: spent <= cap of the row that the copy has; a raise is written only where the sum of grants of this era and caps of former ones stays within what was prepaid. Nothing hangs on who lives, or who is reached. Rows end with the cap, so earlier programs cannot read them and grant nothing beside them while a fleet rolls. Also: topic_read_anew tells the places before and after a return.

--- a/src/boot_clock.rs
+++ b/src/boot_clock.rs
@@ -29,7 +29,7 @@
 }
 
 /// A time of the host's steady clock.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reading {
     /// Which boot; a hash of its id.
     pub boot: u64,
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -166,6 +166,13 @@
         help = "routers that hold grants of one customer ahead of need; the others borrow from them, 1 to 1000"
     )]
     pub holders: String,
+    #[options(
+        no_short,
+        meta = "MS",
+        default = "0",
+        help = "longest age of a copy that the store may come back from without what it has acknowledged since, in milliseconds, 0 to 600000; 0 where it never does. A customer's first grants are spent from once they are this old"
+    )]
+    pub copy_age: String,
     #[options(
         no_short,
         meta = "N",
@@ -280,12 +287,14 @@
     let share = c.number("share", &args.share, 0.0, 1.0);
     let spread = c.number("spread", &args.spread, 0.0, 1.0);
     let holders = c.number("holders", &args.holders, 1, 1_000);
+    let copy_age = c.span("copy-age", &args.copy_age, 0.0, 600_000.0);
     Some(Sizing {
         horizon: horizon?,
         exact: exact?,
         share: share?,
         spread: spread?,
         holders: holders?,
+        copy_age: copy_age?,
     })
 }
 
--- a/src/gateway/control/follow.rs
+++ b/src/gateway/control/follow.rs
@@ -8,6 +8,7 @@
 
 use super::context::Control;
 use super::{apply, quarantine};
+use crate::gateway::escrow::Seen;
 use crate::gateway::evacuation;
 use crate::store::{CallError, Page, Partition, Place, Record, Timeout, Topic, hedge};
 use crate::util;
@@ -28,6 +29,8 @@
 struct Follower {
     partition: Partition,
     next: Option<Place>,
+    /// The place that it had, where the store does not have that any more.
+    lost: Option<Place>,
     timeout: Timeout,
 }
 
@@ -44,13 +47,22 @@
         Self {
             partition: Partition { topic, number: 0 },
             next: None,
+            lost: None,
             timeout: Timeout::default(),
         }
     }
 
     /// Reads on. After anything that leaves doubt, the next read is of the newest records.
     async fn step(&mut self, control: &Control, wait: Duration) -> Result<Step, CallError> {
+        let asked = control.now();
         let result = self.read(control, wait).await;
+        if let Some(next) = self.next.filter(|_| result.is_ok()) {
+            let seen = Seen {
+                era: next.era,
+                at: asked,
+            };
+            control.state.borrow_mut().note_store(seen);
+        }
         control.shared.set_store_era(control.store.era());
         control
             .shared
@@ -58,11 +70,9 @@
         match result {
             Ok(step) => Ok(step),
             Err(error) => {
-                if let Some(before) = self.next.take()
-                    && error.loses_place()
-                {
-                    let topic = self.partition.topic;
-                    tracing::info!(event = "place_lost", ?topic, %before, %error);
+                let before = self.next.take();
+                if error.loses_place() {
+                    self.lost = before;
                 }
                 Err(error)
             }
@@ -76,6 +86,11 @@
             let newest = || store.newest(partition, hedge::ANSWER_MAX);
             let page = hedge::hedged(hedge::HEDGE_AFTER, silent, newest).await?;
             self.next = Some(page.next);
+            if let Some(before) = self.lost.take() {
+                let (topic, now) = (partition.topic, page.next);
+                let records = page.records.len();
+                tracing::info!(event = "topic_read_anew", ?topic, %before, %now, records);
+            }
             return Ok(Step::Snapshot(page));
         };
         let read = || store.read(partition, from, wait, hedge::ANSWER_MAX);
--- a/src/gateway/control/rows.rs
+++ b/src/gateway/control/rows.rs
@@ -12,9 +12,10 @@
 use tokio::time::{Instant, sleep};
 
 use super::context::Control;
-use crate::gateway::escrow::Row;
+use crate::gateway::escrow::{Row, Seen};
 use crate::gateway::state::State;
 use crate::store::{CallError, Era, Page, Partition, Place, Record, Timeout, Topic, hedge};
+use crate::units::Millis;
 
 /// Conditional appends in a row that others may win.
 const ATTEMPTS_MAX: u32 = 12;
@@ -91,7 +92,7 @@
     let mut result = Ok(());
     for _ in 0..ATTEMPTS_MAX {
         let is_idle = !is_awaited(control, known) && known.unanswered.is_empty();
-        if is_idle && rows(control, known, purpose).is_empty() {
+        if is_idle && rows(control, known, purpose, control.store.era()).is_empty() {
             return Ok(());
         }
         result = write_once(control, known, purpose).await;
@@ -114,7 +115,7 @@
     purpose: Purpose,
 ) -> Result<(), CallError> {
     let next = read(control, known).await?;
-    let rows = rows(control, known, purpose);
+    let rows = rows(control, known, purpose, next.era);
     if rows.is_empty() {
         return Ok(());
     }
@@ -132,7 +133,7 @@
             known.next = Some(end);
             let mut state = control.state.borrow_mut();
             take_settled(known, end);
-            state.rows_acknowledged(&rows);
+            state.rows_acknowledged(control.now(), &rows);
             state.rows_sent(&unsettled(known));
             drop(state);
             log(&rows, next);
@@ -150,7 +151,8 @@
         Err(error) => {
             // What was sent before may still be on its way, so only these rows are known not to be.
             if known.unanswered.is_empty() {
-                control.state.borrow_mut().rows_withdrawn(&rows);
+                let mut state = control.state.borrow_mut();
+                state.rows_withdrawn(control.now(), &rows);
             }
             Err(error)
         }
@@ -164,8 +166,8 @@
     customers.any(|customer| control.partition_of(&customer) == known.partition.number)
 }
 
-/// The rows of a partition that are to be written.
-fn rows(control: &Control, known: &Rows, purpose: Purpose) -> Vec<(String, Row)> {
+/// The rows of a partition that are to be written in an era of the store.
+fn rows(control: &Control, known: &Rows, purpose: Purpose, era: Era) -> Vec<(String, Row)> {
     let number = known.partition.number;
     let is_here = |customer: &str| control.partition_of(customer) == number;
     match purpose {
@@ -174,10 +176,10 @@
         Purpose::Renew => {
             let waiting = control.needed();
             let mut state = control.state.borrow_mut();
-            state.rows(control.now(), &waiting, is_here)
+            state.rows(control.now(), era, &waiting, is_here)
         }
         Purpose::GiveBack => {
-            let mut rows = control.state.borrow().last_rows();
+            let mut rows = control.state.borrow().last_rows(era);
             rows.retain(|(customer, _)| is_here(customer));
             rows
         }
@@ -213,6 +215,7 @@
 async fn read(control: &Control, known: &mut Rows) -> Result<Place, CallError> {
     loop {
         let (store, partition) = (&control.store, known.partition);
+        let asked = control.now();
         let silent = || control.shared.note_silence(partition.topic);
         let page = hedge::hedged(hedge::HEDGE_AFTER, silent, || match known.next {
             None => store.newest(partition, hedge::ANSWER_MAX),
@@ -225,6 +228,11 @@
             known.next = None;
         }
         let page = page?;
+        let era = page.end.era;
+        control
+            .state
+            .borrow_mut()
+            .note_store(Seen { era, at: asked });
         take(control, known, &page);
         known.next = Some(page.next);
         if page.next >= page.end {
@@ -264,7 +272,7 @@
     }
     let settled = take_settled(known, page.next);
     if !settled.is_empty() {
-        settle(&mut state, settled, &own, page.next.era);
+        settle(&mut state, control.now(), settled, &own, page.next.era);
         state.rows_sent(&unsettled(known));
     }
 }
@@ -288,7 +296,13 @@
 
 /// Settles rows whose append was not answered, by this router's own rows that were read. What a store that came back
 /// from a copy has of this router may be older than what it has acknowledged, so it acknowledges nothing.
-fn settle(state: &mut State, settled: Vec<Unanswered>, own: &HashMap<String, Row>, era: Era) {
+fn settle(
+    state: &mut State,
+    now: Millis,
+    settled: Vec<Unanswered>,
+    own: &HashMap<String, Row>,
+    era: Era,
+) {
     let of_now = settled.iter().filter(|unanswered| unanswered.at.era == era);
     let done: Vec<(String, Row)> = of_now
         .filter(|unanswered| own.get(&unanswered.customer) == Some(&unanswered.row))
@@ -298,6 +312,6 @@
     let settled: Vec<(String, Row)> = settled
         .map(|unanswered| (unanswered.customer, unanswered.row))
         .collect();
-    state.rows_withdrawn(&settled);
-    state.rows_acknowledged(&done);
+    state.rows_withdrawn(now, &settled);
+    state.rows_acknowledged(now, &done);
 }
--- a/src/gateway/decision/grant.rs
+++ b/src/gateway/decision/grant.rs
@@ -47,6 +47,11 @@
 /// double of what they do now; a router with half of the demand or less holds nothing ahead by it.
 const LEFT_TO_OTHERS: f64 = 2.0;
 
+/// How much more than its demand a router may spend while the store may still come back from a copy that lacks its
+/// newest rows, 1 being its demand: the last row that a copy has bounds it, and demand varies. All of it counts as
+/// spent where the router dies as the store comes back.
+const REACH_FACTOR: f64 = 2.0;
+
 /// Age at which a promise is renewed although nothing else has changed. Each renewal is a write; without any, a router
 /// that nobody asks is held to nothing, and all that it holds is lost with it.
 const RENEWAL_AGE: Millis = Millis(1_500);
@@ -73,6 +78,8 @@
     pub spread: f64,
     /// Routers that hold grants of one customer ahead of need.
     pub holders: usize,
+    /// Longest age of a copy that the store may come back from; zero where it never does.
+    pub copy_age: Millis,
 }
 
 /// A router's need of one customer's tokens.
@@ -179,6 +186,16 @@
     }
 }
 
+/// Decides how much more than it has a router may spend, at most, until every copy of the store has a later row of it:
+/// what it holds ahead in any case, and as much as its demand may ask for meanwhile.
+pub fn reach(spending: &Spending<'_>, pace: &Pace, copy_age: Millis) -> Tokens {
+    let need = spending.need;
+    let demanded = need.demand * REACH_FACTOR * seconds(copy_age);
+    let requests = Tokens(spending.last_cost.0 * BURST_REQUESTS);
+    let risen = Tokens(demanded as u64) + requests.max(need.waiting);
+    spending.ahead.max(pace.burst + risen)
+}
+
 fn seconds(span: Millis) -> f64 {
     span.0 as f64 / 1_000.0
 }
--- a/src/gateway/escrow/account.rs
+++ b/src/gateway/escrow/account.rs
@@ -3,11 +3,13 @@
 //! The account asserts after each change that spend and reservations stay within what is granted and
 //! borrowed.
 
+use super::cap::{Cap, Caps, Seen};
 use super::guard::{self, Guard, Rise, Start};
 use super::row::{Ledger, Loan, Row};
 use crate::boot_clock::Reading;
 use crate::gateway::clock::Clock;
 use crate::gateway::decision::grant::{self, Holding, Need, Promise, Role, Sizing, Spending};
+use crate::store::Era;
 use crate::units::{Millis, Tokens};
 
 /// Time constant of the estimate of demand, in milliseconds.
@@ -36,6 +38,8 @@
     pub started: Option<Reading>,
     /// What the fleet's hosts tell of their clocks.
     pub clock: &'a Clock,
+    /// The era of the store in which rows were read, and are written.
+    pub era: Era,
 }
 
 impl Holder<'_> {
@@ -61,23 +65,36 @@
 }
 
 impl Predecessor {
-    /// Judges what it may have spent by the clocks that are known now.
-    fn judge(&mut self, router: &str, start: &Start) {
+    /// Judges what it may have spent by the clocks that are known now. Where the store may have lost later rows of it,
+    /// only the row's cap bounds it, whatever the clocks tell.
+    fn judge(&mut self, holder: &Holder<'_>, start: &Start) {
+        let former = self.row.former_cap(holder.era);
         let by_last = self.row.spent_at_most(start);
-        let counted = self.row.spent_before + by_last;
+        let counted = match former {
+            Some(cap) => cap.most,
+            None => self.row.spent_before + by_last,
+        };
         if counted != self.counted {
             let granted = self.row.granted.0;
             let by_fleet = start.wall.is_some();
             tracing::info!(
                 event = "row_adopted",
-                router,
+                router = holder.router,
                 granted,
-                counted = by_last.0,
-                by_fleet
+                counted = counted.saturating_sub(self.row.spent_before).0,
+                by_fleet,
+                by_cap = former.is_some()
             );
         }
         self.counted = counted;
-        self.is_settled = start.wall.is_some();
+        self.is_settled = start.wall.is_some() || former.is_some();
+    }
+
+    /// What copies of the store may bound the router by before its next process has written a row: its former one
+    /// kept to the caps of its last rows. Nothing is known of them where the store may have lost later ones.
+    fn base(&self, era: Era) -> Tokens {
+        let cap = self.row.cap.filter(|cap| cap.era == era);
+        cap.map_or(Tokens::ZERO, |cap| cap.least)
     }
 }
 
@@ -104,6 +121,8 @@
     last_cost: Tokens,
     /// The row that the store has.
     written: Option<Row>,
+    /// What bounds it while the store may come back from a copy; `None` where it never does.
+    caps: Option<Caps>,
 }
 
 impl Account {
@@ -117,10 +136,30 @@
         self.written.map_or(Tokens::ZERO, |row| row.limit(now))
     }
 
-    /// What this process may spend of its own grant by `now`, whichever of its rows the store has.
+    /// What this process may spend of its own grant by `now`, whichever of its rows the store has, or comes back with.
     fn limit(&self, now: Millis) -> Tokens {
         let sent = self.sent.iter().map(|row| row.limit(now));
-        sent.fold(self.acknowledged(now), Tokens::min)
+        let limit = sent.fold(self.acknowledged(now), Tokens::min);
+        limit.min(self.capped())
+    }
+
+    /// What caps let this process spend of its own grant.
+    fn capped(&self) -> Tokens {
+        let Some(caps) = &self.caps else {
+            return Tokens(u64::MAX);
+        };
+        let sent = self.sent.iter().filter_map(|row| row.cap);
+        let least = sent.map(|cap| cap.most).chain(caps.least()).min();
+        least.map_or(Tokens(u64::MAX), |least| {
+            least.saturating_sub(self.spent_before)
+        })
+    }
+
+    /// Notes that the store has answered.
+    pub fn confirm(&mut self, seen: &Seen, copy_age: Millis) {
+        if let Some(caps) = &mut self.caps {
+            caps.confirm(seen, copy_age);
+        }
     }
 
     /// Tokens that can still be reserved.
@@ -244,9 +283,11 @@
             role,
             started,
             clock,
+            era,
         } = *holder;
         self.decay(now);
         self.adopt(now, ledger.row(router), holder);
+        self.begin_caps(era, sizing);
         let used = self.used();
         let spent = ledger.spent_by_others(router) + self.spent_before + used;
         let need = Need {
@@ -256,16 +297,17 @@
             used,
             waiting,
             left: prepaid.saturating_sub(spent),
-            free: self.free(ledger, router, prepaid),
+            free: self.free(ledger, router, prepaid, era),
             granted: self.granted(),
         };
-        let granted = grant::size(sizing, &need);
-        let pace = grant::pace(&Spending {
+        let granted = grant::size(sizing, &need).max(self.held_over(era));
+        let spending = Spending {
             need: &need,
             last_cost: self.last_cost,
             ahead: granted.saturating_sub(used),
             span: guard::SPAN,
-        });
+        };
+        let pace = grant::pace(&spending);
         let made = self.promise_made(now);
         let begin = made + pace.hold;
         let rise = Rise {
@@ -294,9 +336,50 @@
                 Role::Borrower => 0,
             },
             guard,
+            cap: self.caps.as_ref().map(|_| {
+                let reach = grant::reach(&spending, &pace, sizing.copy_age);
+                self.cap(era, reach, prepaid)
+            }),
         }
     }
 
+    /// Begins to keep caps, where the store may come back from a copy.
+    fn begin_caps(&mut self, era: Era, sizing: &Sizing) {
+        if sizing.copy_age == Millis::ZERO || self.caps.is_some() {
+            return;
+        }
+        let base = self.predecessor.map(|before| before.base(era));
+        self.caps = Some(Caps::new(base.unwrap_or_default()));
+    }
+
+    /// The cap of a row that is written now, for a router that may spend `reach` more.
+    fn cap(&self, era: Era, reach: Tokens, prepaid: Tokens) -> Cap {
+        let total = self.spent_before + self.used();
+        let most = (total + reach).min(prepaid.max(total));
+        let others = self.capped().0.saturating_add(self.spent_before.0);
+        Cap {
+            era,
+            most,
+            least: most.min(Tokens(others)),
+        }
+    }
+
+    /// What was granted in an earlier era, which the first row of this one keeps: others count that and more for it.
+    fn held_over(&self, era: Era) -> Tokens {
+        let is_former = |row: &Row| row.former_cap(era).is_some();
+        if !self.written.as_ref().is_some_and(is_former) {
+            return Tokens::ZERO;
+        }
+        let sent = self.sent.iter().map(|row| row.granted);
+        sent.fold(self.granted(), Tokens::min).min(self.capped())
+    }
+
+    /// Whether the store's last row of this process is of an earlier era, so that another is due.
+    pub fn is_of_former_era(&self, era: Era) -> bool {
+        let written = self.written.as_ref();
+        written.is_some_and(|row| row.former_cap(era).is_some())
+    }
+
     /// When the promise of a row was made that is written now. While an earlier row may be on its way it is not
     /// prolonged: writes are not answered, so what is granted may soon be needed.
     fn promise_made(&self, now: Millis) -> Millis {
@@ -305,11 +388,11 @@
     }
 
     /// Tokens of the budget that are granted to no other router.
-    fn free(&self, ledger: &Ledger, router: &str, prepaid: Tokens) -> Tokens {
+    fn free(&self, ledger: &Ledger, router: &str, prepaid: Tokens, era: Era) -> Tokens {
         if ledger.has_unreadable() {
             return self.granted();
         }
-        prepaid.saturating_sub(ledger.committed_by_others(router) + self.spent_before)
+        prepaid.saturating_sub(ledger.committed_by_others(router, era) + self.spent_before)
     }
 
     /// Whether a row differs enough from what was last written to be worth a call.
@@ -325,20 +408,26 @@
         ledger: &Ledger,
         router: &str,
         prepaid: Tokens,
+        era: Era,
     ) -> bool {
-        self.used() + tokens <= self.free(ledger, router, prepaid)
+        let free = self.free(ledger, router, prepaid, era);
+        self.used() + tokens <= free.min(self.capped())
     }
 
     /// Whether a row lets more be spent now than there is.
     pub fn gains(&self, now: Millis, row: &Row) -> bool {
-        row.granted > self.granted() || row.limit(now) > self.acknowledged(now)
+        let is_more = row.granted > self.granted() || row.limit(now) > self.acknowledged(now);
+        is_more && self.limit(now) < self.capped()
     }
 
     /// Takes over what the store has of an earlier process of this router, which is gone. It is judged anew until
     /// the fleet's time of day is known, and not after that: no later look knows more.
     fn adopt(&mut self, now: Millis, row: Option<&Row>, holder: &Holder<'_>) {
+        // Once this process has written, another row of its router is one that a copy has brought back.
+        let is_first = !self.is_written();
         if let Some(row) = row
             && row.incarnation != holder.incarnation
+            && (is_first || row.former_cap(holder.era).is_none())
             && self.predecessor.is_none_or(|before| before.row != *row)
         {
             self.predecessor = Some(Predecessor {
@@ -350,7 +439,7 @@
         if let Some(predecessor) = &mut self.predecessor
             && !predecessor.is_settled
         {
-            predecessor.judge(holder.router, &holder.start(now));
+            predecessor.judge(holder, &holder.start(now));
             self.spent_before = predecessor.counted;
         }
     }
@@ -362,19 +451,27 @@
     }
 
     /// Notes that the store has this row.
-    pub fn acknowledge(&mut self, row: &Row) {
-        self.sent.clear();
+    pub fn acknowledge(&mut self, now: Millis, row: &Row) {
+        self.withdraw(now);
+        if let (Some(caps), Some(cap)) = (&mut self.caps, &row.cap) {
+            caps.note(now, cap);
+        }
         self.written = Some(*row);
         self.check();
     }
 
-    /// Notes that a row that was sent is not in the store and never will be.
-    pub fn withdraw(&mut self) {
-        self.sent.clear();
+    /// Notes that the rows that were sent are not in the store and never will be. Copies may have them all the same,
+    /// where the store has come back since.
+    pub fn withdraw(&mut self, now: Millis) {
+        for row in std::mem::take(&mut self.sent) {
+            if let (Some(caps), Some(cap)) = (&mut self.caps, &row.cap) {
+                caps.note(now, cap);
+            }
+        }
     }
 
     /// The row that gives everything back, once nothing runs any more.
-    pub fn last_row(&self, incarnation: u64) -> Row {
+    pub fn last_row(&self, incarnation: u64, era: Era, prepaid: Tokens) -> Row {
         let used = self.used();
         Row {
             incarnation,
@@ -383,6 +480,10 @@
             spent: used,
             demand: 0,
             guard: None,
+            cap: self
+                .caps
+                .as_ref()
+                .map(|_| self.cap(era, Tokens::ZERO, prepaid)),
         }
     }
 }
--- a/src/gateway/escrow/guard.rs
+++ b/src/gateway/escrow/guard.rs
@@ -49,7 +49,7 @@
 }
 
 /// How the mark of a promise rises.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Rise {
     /// When it begins to rise, by the clock of the router's host.
     pub begin: Millis,
@@ -77,6 +77,16 @@
 }
 
 impl Guard {
+    /// A promise that has ended before it was made: it bounds and proves nothing. Rows without a promise are encoded
+    /// with it where more follows.
+    pub(super) fn void() -> Self {
+        Self {
+            mark: Tokens::ZERO,
+            until: Reading::default(),
+            rise: Some(Rise::default()),
+        }
+    }
+
     /// When the promise was made, by the clock of the router's host.
     pub fn made(&self) -> Millis {
         let span = match self.rise {
--- a/src/gateway/escrow/row.rs
+++ b/src/gateway/escrow/row.rs
@@ -5,7 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::guard::{Guard, Start};
+use super::cap::Cap;
+use super::guard::{Guard, Rise, Start};
+use crate::store::Era;
 use crate::units::{Millis, Tokens};
 use crate::util;
 
@@ -35,17 +37,28 @@
     /// earlier programs end without it.
     #[serde(skip)]
     pub guard: Option<Guard>,
+    /// What bounds it while the store may come back from a copy. It stands last, and rows of earlier programs end
+    /// without it.
+    #[serde(skip)]
+    pub cap: Option<Cap>,
 }
 
 impl Row {
     /// Encodes it for the store.
     pub fn encode(&self) -> Vec<u8> {
         let mut bytes = util::encode(self);
-        if let Some(guard) = &self.guard {
-            bytes.extend(util::encode(guard));
-            if let Some(rise) = &guard.rise {
-                bytes.extend(util::encode(rise));
-            }
+        let void = self.cap.map(|_| Guard::void());
+        let Some(guard) = self.guard.or(void) else {
+            return bytes;
+        };
+        bytes.extend(util::encode(&guard));
+        let void = self.cap.map(|_| Rise::default());
+        let Some(rise) = guard.rise.or(void) else {
+            return bytes;
+        };
+        bytes.extend(util::encode(&rise));
+        if let Some(cap) = &self.cap {
+            bytes.extend(util::encode(cap));
         }
         bytes
     }
@@ -58,9 +71,13 @@
         }
         let (mut guard, rest): (Guard, &[u8]) = util::decode_first(rest)?;
         if !rest.is_empty() {
-            guard.rise = Some(util::decode(rest)?);
+            let (rise, rest) = util::decode_first(rest)?;
+            guard.rise = Some(rise);
+            if !rest.is_empty() {
+                row.cap = Some(util::decode(rest)?);
+            }
         }
-        row.guard = Some(guard);
+        row.guard = (guard != Guard::void()).then_some(guard);
         Some(row)
     }
 
@@ -74,6 +91,21 @@
         self.granted.saturating_sub(self.spent)
     }
 
+    /// Tokens that count as given to its router, in the store's era: more than it was granted where the store may have
+    /// lost a later row of it.
+    fn committed(&self, era: Era) -> Tokens {
+        let granted = self.spent_before + self.granted;
+        match self.former_cap(era) {
+            Some(cap) => cap.most.max(granted),
+            None => granted,
+        }
+    }
+
+    /// Its cap, where it was written in an earlier era.
+    pub(super) fn former_cap(&self, era: Era) -> Option<Cap> {
+        self.cap.filter(|cap| cap.era < era)
+    }
+
     /// The most that its process may have spent, where that is gone and the next one on its host has started.
     pub fn spent_at_most(&self, start: &Start) -> Tokens {
         self.at_most(self.guard.and_then(|guard| guard.proved(start)))
@@ -119,10 +151,10 @@
         !self.unreadable.is_empty()
     }
 
-    /// Tokens that other routers than this were granted, or have spent before.
-    pub(super) fn committed_by_others(&self, router: &str) -> Tokens {
+    /// Tokens that other routers than this were granted, or have spent before, in the store's era.
+    pub(super) fn committed_by_others(&self, router: &str, era: Era) -> Tokens {
         let others = self.rows.iter().filter(|(name, _)| *name != router);
-        others.map(|(_, row)| row.spent_before + row.granted).sum()
+        others.map(|(_, row)| row.committed(era)).sum()
     }
 
     /// Tokens that other routers than this have spent, as far as their rows tell.
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -16,7 +16,7 @@
 use super::decision::refusal::Refusal;
 use super::decision::retry::{Bound, Budget, Charge};
 use super::dialect::{Listing, Load};
-use super::escrow::{Account, Ledger};
+use super::escrow::{Account, Ledger, Seen};
 use super::job::{Delivery, Ending, Job, Placement};
 use super::key::{JobKey, TargetKey};
 use super::members::{Members, Router, Source};
@@ -76,6 +76,7 @@
     accounts: HashMap<String, Account>,
     ledgers: HashMap<String, Ledger>,
     prepaid: HashMap<String, Tokens>,
+    store_seen: Seen,
     retry_budgets: HashMap<String, Budget>,
     running: HashMap<JobKey, Running>,
     next_job: u64,
@@ -95,6 +96,7 @@
             accounts: HashMap::new(),
             ledgers: HashMap::new(),
             prepaid: HashMap::new(),
+            store_seen: Seen::default(),
             retry_budgets: HashMap::new(),
             running: HashMap::new(),
             next_job: 1,
--- a/src/gateway/state/money.rs
+++ b/src/gateway/state/money.rs
@@ -7,9 +7,10 @@
 use super::{Running, State};
 use crate::gateway::decision::grant::{self, Role};
 use crate::gateway::decision::refusal::Refusal;
-use crate::gateway::escrow::{Account, Holder, Loan, Row, Short};
+use crate::gateway::escrow::{Account, Holder, Loan, Row, Seen, Short};
 use crate::gateway::job::{Delivery, Job};
 use crate::gateway::members::Router;
+use crate::store::Era;
 use crate::units::{Millis, Tokens};
 
 /// Which borrowed tokens are given to the routers that hold a customer's grants.
@@ -54,6 +55,7 @@
         let cost = job.max_cost();
         let ledger = self.ledgers.entry(customer.clone()).or_default();
         let account = self.accounts.entry(customer.clone()).or_default();
+        account.confirm(&self.store_seen, self.settings.sizing.copy_age);
         let name = &self.settings.me.name;
         match account.reserve(now, cost, *prepaid, ledger, name) {
             // A refused request comes again, so only those that are reserved for count as demand.
@@ -89,11 +91,12 @@
     }
 
     /// The rows that are worth writing now, of the customers that `includes` names. `waiting` has the
-    /// tokens that requests wait for. The ledgers must be as of the offset that the rows are written
-    /// at.
+    /// tokens that requests wait for. The ledgers must be as of the place that the rows are written
+    /// at, which is of this era.
     pub fn rows(
         &mut self,
         now: Millis,
+        era: Era,
         waiting: &HashMap<String, Tokens>,
         includes: impl Fn(&str) -> bool,
     ) -> Vec<(String, Row)> {
@@ -114,13 +117,16 @@
                 role,
                 started: self.settings.started,
                 clock: &self.clock,
+                era,
             };
             let ledger = self.ledgers.entry(customer.clone()).or_default();
             let account = self.accounts.entry(customer.clone()).or_default();
+            account.confirm(&self.store_seen, sizing.copy_age);
             let needed = waiting.get(&customer).copied().unwrap_or(Tokens::ZERO);
             let row = account.wanted(now, ledger, &holder, prepaid, &sizing, needed);
             let is_needed = needed > Tokens::ZERO && account.gains(now, &row);
-            if is_needed || account.is_worth_writing(&row, prepaid) {
+            let is_due = account.is_of_former_era(era);
+            if is_needed || is_due || account.is_worth_writing(&row, prepaid) {
                 rows.push((customer, row));
             }
         }
@@ -128,23 +134,35 @@
     }
 
     /// The rows of a process that stops: they give back all that is not used.
-    pub fn last_rows(&self) -> Vec<(String, Row)> {
+    pub fn last_rows(&self, era: Era) -> Vec<(String, Row)> {
         let incarnation = self.settings.me.incarnation;
         let accounts = self.accounts.iter();
         let accounts = accounts.filter(|(_, account)| account.is_written());
         accounts
-            .map(|(customer, account)| (customer.clone(), account.last_row(incarnation)))
+            .map(|(customer, account)| {
+                let prepaid = self.prepaid.get(customer).copied().unwrap_or_default();
+                let row = account.last_row(incarnation, era, prepaid);
+                (customer.clone(), row)
+            })
             .collect()
     }
 
+    /// Notes that the store has answered a call.
+    pub fn note_store(&mut self, seen: Seen) {
+        let last = &mut self.store_seen;
+        if (seen.era, seen.at) > (last.era, last.at) {
+            *last = seen;
+        }
+    }
+
     /// Notes that these rows are on their way to the store.
     pub fn rows_sent(&mut self, rows: &[(String, Row)]) {
         self.each_account(rows, |account, row| account.send(row));
     }
 
     /// Notes that the store has these rows.
-    pub fn rows_acknowledged(&mut self, rows: &[(String, Row)]) {
-        self.each_account(rows, |account, row| account.acknowledge(row));
+    pub fn rows_acknowledged(&mut self, now: Millis, rows: &[(String, Row)]) {
+        self.each_account(rows, |account, row| account.acknowledge(now, row));
         let name = self.settings.me.name.clone();
         for (customer, row) in rows {
             self.set_row(customer, &name, Some(*row));
@@ -152,8 +170,8 @@
     }
 
     /// Notes that these rows are not in the store and never will be.
-    pub fn rows_withdrawn(&mut self, rows: &[(String, Row)]) {
-        self.each_account(rows, |account, _| account.withdraw());
+    pub fn rows_withdrawn(&mut self, now: Millis, rows: &[(String, Row)]) {
+        self.each_account(rows, |account, _| account.withdraw(now));
     }
 
     fn each_account(&mut self, rows: &[(String, Row)], act: impl Fn(&mut Account, &Row)) {
@@ -213,7 +231,10 @@
     /// Lends tokens to another router; how many is returned.
     pub fn lend(&mut self, now: Millis, customer: &str, loan: Loan) -> Tokens {
         let account = self.accounts.get_mut(customer);
-        account.map_or(Tokens::ZERO, |account| account.lend(now, loan))
+        account.map_or(Tokens::ZERO, |account| {
+            account.confirm(&self.store_seen, self.settings.sizing.copy_age);
+            account.lend(now, loan)
+        })
     }
 
     /// Whether a write to the store can let this router lend so many tokens more.
@@ -225,7 +246,8 @@
         ) else {
             return false;
         };
-        account.can_cover(tokens, ledger, &self.settings.me.name, *prepaid)
+        let name = &self.settings.me.name;
+        account.can_cover(tokens, ledger, name, *prepaid, self.store_seen.era)
     }
 
     /// Takes out what was borrowed and is more than the demand of a second, of each customer whose
--- a/src/panics.rs
+++ b/src/panics.rs
@@ -4,6 +4,7 @@
 //! in part would serve on by the configuration and the targets of that moment, so it ends as a whole and is started
 //! again.
 
+use std::any::Any;
 use std::time::Duration;
 
 /// Time for the log's writer to put out what has ended the process.
@@ -18,7 +19,7 @@
         let name = current.name().unwrap_or_default();
         let place = info.location().map(ToString::to_string);
         let place = place.unwrap_or_default();
-        let reason = info.payload_as_str().unwrap_or_default();
+        let reason = reason(info.payload());
         tracing::error!(event = "panicked", thread = name, place, reason);
         if name == thread {
             std::thread::sleep(LAST_LINE);
@@ -26,3 +27,10 @@
         }
     }));
 }
+
+/// What a panic says, where it says something that can be printed.
+fn reason(payload: &dyn Any) -> &str {
+    let text = payload.downcast_ref::<&str>().copied();
+    let text = text.or_else(|| payload.downcast_ref::<String>().map(String::as_str));
+    text.unwrap_or_default()
+}
--- a/tests/decision_rules.rs
+++ b/tests/decision_rules.rs
@@ -320,6 +320,7 @@
         share: 0.8,
         spread: 0.05,
         holders: 5,
+        copy_age: Millis::ZERO,
     };
     let need = Need {
         role: Role::Holder,
--- a/tests/escrow_rows.rs
+++ b/tests/escrow_rows.rs
@@ -9,7 +9,8 @@
 use lanedeck::boot_clock::Reading;
 use lanedeck::gateway::clock::{Clock, Readings};
 use lanedeck::gateway::decision::grant::{Role, Sizing, least_given_back};
-use lanedeck::gateway::escrow::{Account, Holder, Ledger, Loan, Row, Short};
+use lanedeck::gateway::escrow::{Account, Holder, Ledger, Loan, Row, Seen, Short};
+use lanedeck::store::{Era, Place};
 use lanedeck::units::{Millis, Tokens};
 
 const ROUTERS: usize = 4;
@@ -28,6 +29,7 @@
     share: 0.8,
     spread: 0.2,
     holders: ROUTERS,
+    copy_age: Millis::ZERO,
 };
 
 /// Most of a budget is held ahead, whatever the demand.
@@ -37,22 +39,72 @@
     share: 0.95,
     spread: 0.95,
     holders: ROUTERS,
+    copy_age: Millis::ZERO,
 };
 
+/// Longest age of a copy that the store comes back from.
+const COPY_AGE: Millis = Millis(2_000);
+
+type Log = Vec<(String, Row)>;
+
 /// The store: rows in the order that they were written.
 #[derive(Default)]
 struct Store {
-    log: Vec<(String, Row)>,
+    log: Log,
+    era: Era,
+    /// The logs of former eras.
+    former: Vec<Log>,
+    /// What it held of late.
+    past: Vec<Past>,
+}
+
+/// What the store held once: the first rows of an era's log.
+#[derive(Clone, Copy)]
+struct Past {
+    until: Millis,
+    era: usize,
+    len: usize,
 }
 
 impl Store {
-    fn append(&mut self, at: usize, router: &str, row: Row) -> bool {
+    fn append(&mut self, now: Millis, at: usize, router: &str, row: Row) -> bool {
         let fits = self.log.len() == at;
         if fits {
+            self.note_past(now);
             self.log.push((router.to_owned(), row));
         }
         fits
     }
+
+    fn end(&self) -> Place {
+        Place {
+            era: self.era,
+            offset: self.log.len() as u64,
+        }
+    }
+
+    fn note_past(&mut self, now: Millis) {
+        self.past.push(Past {
+            until: now,
+            era: self.former.len(),
+            len: self.log.len(),
+        });
+    }
+
+    /// What copies of at most an age may hold, besides what it holds now.
+    fn copies(&mut self, now: Millis, copy_age: Millis) -> &[Past] {
+        let oldest = now.saturating_sub(copy_age);
+        self.past.retain(|past| past.until >= oldest);
+        &self.past
+    }
+
+    /// Comes back from a copy.
+    fn restore(&mut self, now: Millis, past: Past) {
+        self.note_past(now);
+        self.former.push(std::mem::take(&mut self.log));
+        self.log = self.former[past.era][..past.len].to_vec();
+        self.era.0 += 1;
+    }
 }
 
 /// How far the time of day is ahead of the time of a run.
@@ -63,7 +115,7 @@
     incarnation: u64,
     account: Account,
     ledger: Ledger,
-    read: usize,
+    read: Place,
     reserved: Vec<Tokens>,
     /// When its process had started, by its host's clock.
     started: Reading,
@@ -71,8 +123,8 @@
     begun: Millis,
     /// What other hosts have told it of their clocks.
     clock: Clock,
-    /// An append whose answer was lost.
-    unknown: Option<(usize, Row)>,
+    /// Appends whose answers were lost, and where the log had to end for them.
+    unknown: Vec<(Place, Row)>,
 }
 
 impl Router {
@@ -85,9 +137,9 @@
             incarnation,
             account: Account::default(),
             ledger: Ledger::default(),
-            read: 0,
+            read: Place::default(),
             reserved: Vec::new(),
-            unknown: None,
+            unknown: Vec::new(),
         }
     }
 
@@ -109,21 +161,43 @@
         }
     }
 
-    fn read(&mut self, store: &Store) {
-        for (router, row) in &store.log[self.read..] {
+    /// Reads to the end of the log; all of it where the store has come back from a copy.
+    fn read(&mut self, now: Millis, store: &Store, copy_age: Millis) {
+        let (at, end) = (self.at(now), store.end());
+        let from = match self.read.era == end.era {
+            true => self.read.offset as usize,
+            false => 0,
+        };
+        let mut own = None;
+        for (router, row) in &store.log[from..] {
             self.ledger.set(router, Some(*row));
+            if *router == self.name {
+                own = Some(*row);
+            }
         }
-        if let Some((at, row)) = self.unknown
-            && store.log.len() > at
-        {
-            self.account.withdraw();
-            let (router, written) = &store.log[at];
-            if *router == self.name && *written == row {
-                self.account.acknowledge(&row);
+        self.read = end;
+        let seen = Seen { era: end.era, at };
+        self.account.confirm(&seen, copy_age);
+        let (settled, left): (Vec<_>, Vec<_>) = std::mem::take(&mut self.unknown)
+            .into_iter()
+            .partition(|(at, _)| end.offset > at.offset);
+        self.unknown = left;
+        if settled.is_empty() {
+            return;
+        }
+        self.account.withdraw(at);
+        for (place, row) in settled {
+            if place.era == end.era && own == Some(row) {
+                self.account.acknowledge(at, &row);
             }
-            self.unknown = None;
         }
-        self.read = store.log.len();
+        self.send_unknown();
+    }
+
+    fn send_unknown(&mut self) {
+        for (_, row) in &self.unknown {
+            self.account.send(row);
+        }
     }
 
     fn row(&mut self, now: Millis, prepaid: Tokens, sizing: &Sizing, waiting: Tokens) -> Row {
@@ -139,6 +213,7 @@
             role,
             started: Some(self.started),
             clock: &self.clock,
+            era: self.read.era,
         };
         self.account
             .wanted(now, &self.ledger, &holder, prepaid, sizing, waiting)
@@ -158,7 +233,7 @@
     store: Store,
     routers: Vec<Router>,
     /// Appends that are done later, if they still fit.
-    late: Vec<(usize, String, Row)>,
+    late: Vec<(Place, String, Row)>,
     /// What targets have handed out, for which nobody can ask back.
     spent: u64,
     incarnations: u64,
@@ -184,32 +259,29 @@
 
     fn renew(&mut self, index: usize, now: Millis, prepaid: Tokens, waiting: Tokens, fate: Fate) {
         let router = &mut self.routers[index];
-        router.read(&self.store);
-        if router.unknown.is_some() {
-            // The same place is tried again: if this one is done, the former never is.
-            router.unknown = None;
-        }
+        router.read(now, &self.store, self.sizing.copy_age);
         let row = router.row(router.at(now), prepaid, &self.sizing, waiting);
         router.account.send(&row);
         let at = router.read;
+        let offset = at.offset as usize;
         match fate {
             Fate::Answered => {
-                if self.store.append(at, &router.name, row) {
-                    router.account.acknowledge(&row);
-                    router.ledger.set(&router.name, Some(row));
-                    router.read = self.store.log.len();
-                } else {
-                    router.unknown = Some((at, row));
-                }
+                assert!(self.store.append(now, offset, &router.name, row));
+                router.read = self.store.end();
+                let end = router.read;
+                router.unknown.retain(|(at, _)| end.offset <= at.offset);
+                router.account.acknowledge(router.at(now), &row);
+                router.send_unknown();
+                router.ledger.set(&router.name, Some(row));
             }
             Fate::LostDone => {
-                self.store.append(at, &router.name, row);
-                router.unknown = Some((at, row));
+                self.store.append(now, offset, &router.name, row);
+                router.unknown.push((at, row));
             }
-            Fate::LostNotDone => router.unknown = Some((at, row)),
+            Fate::LostNotDone => router.unknown.push((at, row)),
             Fate::LostLate => {
                 self.late.push((at, router.name.clone(), row));
-                router.unknown = Some((at, row));
+                router.unknown.push((at, row));
             }
         }
     }
@@ -292,15 +364,11 @@
                 Fate::LostLate,
             ])?;
             let waiting = Tokens(u.int_in_range(0..=400)?);
-            // An append that is still unknown is resolved before the next one.
-            world.routers[index].read(&world.store);
-            if world.routers[index].unknown.is_none() {
-                world.renew(index, now, prepaid, waiting, fate);
-            }
+            world.renew(index, now, prepaid, waiting, fate);
         }
         8 => {
             if let Some((at, name, row)) = world.late.pop() {
-                world.store.append(at, &name, row);
+                world.store.append(now, at.offset as usize, &name, row);
             }
             let other = u.int_in_range(0..=ROUTERS - 1)?;
             if other != index {
@@ -392,6 +460,74 @@
     ample_runs(900, true);
 }
 
+/// Has the store come back from a copy, and some routers die meanwhile.
+fn restore(
+    world: &mut World,
+    u: &mut Unstructured<'_>,
+    now: Millis,
+) -> arbtest::arbitrary::Result<()> {
+    let copies = world.store.copies(now, world.sizing.copy_age);
+    if copies.is_empty() {
+        return Ok(());
+    }
+    let past = *u.choose(copies)?;
+    world.store.restore(now, past);
+    for index in 0..ROUTERS {
+        if u.ratio(1, 3)? {
+            let started = Reading { boot: 1, at: now };
+            world.kill(index, started, now);
+        }
+    }
+    Ok(())
+}
+
+/// The store comes back from copies of any age up to the longest, at any moment, also one time soon after the other.
+#[test]
+fn never_over_returns() {
+    let (mut served, mut returns) = (0, 0);
+    for seed in 1..=SEEDS {
+        arbtest(|u| {
+            let prepaid = Tokens(u.int_in_range(2_000..=20_000)?);
+            let mut world = World::new();
+            let sizing = *u.choose(&[SIZING, AMPLE])?;
+            world.sizing = Sizing {
+                copy_age: COPY_AGE,
+                ..sizing
+            };
+            world.has_fleet = true;
+            let mut now = Millis(1_000_000);
+            for _ in 0..STEPS {
+                if u.is_empty() {
+                    break;
+                }
+                if u.ratio(1, 5)? {
+                    step(&mut world, u, now, prepaid)?;
+                }
+                // One router at a time has most of the demand.
+                let index = u.int_in_range(0..=ROUTERS - 1)?;
+                for _ in 0..u.int_in_range(1..=8)? {
+                    now += Millis(u.int_in_range(0..=150)?);
+                    world.renew(index, now, prepaid, Tokens(200), Fate::Answered);
+                    world.serve(index, now, Tokens(200), prepaid);
+                }
+                if u.ratio(1, 20)? {
+                    restore(&mut world, u, now)?;
+                }
+                world.check(prepaid);
+            }
+            served += world.spent;
+            returns += world.store.era.0;
+            Ok(())
+        })
+        .seed(seed << 32 | BYTES);
+    }
+    assert!(
+        served > 0 && returns > SEEDS,
+        "{served} tokens, {returns} returns"
+    );
+    println!("{} tokens a run, {returns} returns", served / SEEDS);
+}
+
 #[test]
 fn all_is_usable() {
     let prepaid = Tokens(10_000);
--- a/tests/pinned_gateway.rs
+++ b/tests/pinned_gateway.rs
@@ -86,6 +86,7 @@
         spent: Tokens(251),
         demand: 900,
         guard: None,
+        cap: None,
     };
     pin("fb2c0105fc70110100fbfb00fb8403", &row);
     pin("0000000000", &Row::default());
@@ -549,7 +550,7 @@
 fn settings() {
     assert_eq!(
         options("gateway"),
-        "--help  \n--name NAME router\n--front IP:PORT 127.0.0.1:8000\n--ready IP:PORT 127.0.0.1:8001\n--directory IP:PORT 127.0.0.1:8002\n--link IP:PORT 127.0.0.1:8003\n--metrics IP:PORT 127.0.0.1:8004\n--store IP:PORT 127.0.0.1:7100\n--hall NAME hall\n--heartbeat MS 1200\n--keep MS 2000\n--grace MS 30000\n--repeat-ratio X 0.2\n--repeat-window MS 10000\n--repeat-extra N 20\n--horizon MS 8000\n--exact MS 12000\n--share X 0.8\n--spread X 0.05\n--holders N 8\n--partitions N 24\n--fleet-key KEY lanedeck-fleet\n--log-level LEVEL info"
+        "--help  \n--name NAME router\n--front IP:PORT 127.0.0.1:8000\n--ready IP:PORT 127.0.0.1:8001\n--directory IP:PORT 127.0.0.1:8002\n--link IP:PORT 127.0.0.1:8003\n--metrics IP:PORT 127.0.0.1:8004\n--store IP:PORT 127.0.0.1:7100\n--hall NAME hall\n--heartbeat MS 1200\n--keep MS 2000\n--grace MS 30000\n--repeat-ratio X 0.2\n--repeat-window MS 10000\n--repeat-extra N 20\n--horizon MS 8000\n--exact MS 12000\n--share X 0.8\n--spread X 0.05\n--holders N 8\n--copy-age MS 0\n--partitions N 24\n--fleet-key KEY lanedeck-fleet\n--log-level LEVEL info"
     );
 }
 
--- a/tests/spend_guard.rs
+++ b/tests/spend_guard.rs
@@ -8,6 +8,7 @@
 use lanedeck::gateway::decision::grant::{Role, Sizing};
 use lanedeck::gateway::escrow::guard::SPAN;
 use lanedeck::gateway::escrow::{Account, Guard, Holder, Ledger, Rise, Row, Short, Start};
+use lanedeck::store::Era;
 use lanedeck::units::{Millis, Tokens};
 
 const PREPAID: Tokens = Tokens(1_000_000);
@@ -20,6 +21,7 @@
     share: 0.8,
     spread: 0.0,
     holders: 1,
+    copy_age: Millis::ZERO,
 };
 
 /// How far the time of day is ahead of the host's clock before its power is lost.
@@ -52,6 +54,7 @@
         role: Role::Holder,
         started: Some(reading(started)),
         clock: &ALONE,
+        era: Era::default(),
     }
 }
 
@@ -67,7 +70,7 @@
     };
     let row = account.wanted(now, ledger, &holder, PREPAID, &SIZING, COST);
     account.send(&row);
-    account.acknowledge(&row);
+    account.acknowledge(now, &row);
     ledger.set("r0", Some(row));
     row
 }
@@ -275,7 +278,7 @@
         let row = account.wanted(now, &ledger, &holder, PREPAID, &sizing, Tokens::ZERO);
         if account.is_worth_writing(&row, PREPAID) {
             account.send(&row);
-            account.acknowledge(&row);
+            account.acknowledge(now, &row);
             ledger.set("r0", Some(row));
             written.push(now);
         }
@@ -338,7 +341,7 @@
     let within = spend_all(&mut account, &ledger, last);
     let limit = row.guard.unwrap().limit(last).unwrap();
     assert!(row.spent + within <= limit, "the lower limit holds");
-    account.withdraw();
+    account.withdraw(now);
     ledger.set("r0", Some(row));
     assert!(spend_all(&mut account, &ledger, ends[0]) > Tokens::ZERO);
 }
--- a/tests/store_restored.rs
+++ b/tests/store_restored.rs
@@ -162,7 +162,7 @@
 async fn spent_over_return(fate: Fate) -> u64 {
     let engine = Runner::start("i-e").await;
     let runners = [("engine", &engine)];
-    let flags = ["--partitions", "1"];
+    let flags = ["--partitions", "1", "--copy-age", "4000"];
     let mut deployment = Deployment::start_with(3, &config(1, PREPAID), &runners, &flags).await;
     deployment.wait_acquainted().await;
     // The first rows are spent from once no copy can lack them.
