Keep what was known of targets, halls and routers until it is written again

Cause: the newest records after a return were taken for news; they are older than what is known. The fix: a follower says that a page is of a later era than the last one. Entries of targets that it has are then taken as entries that another router tells: neither a target that leaves or is gone nor a former incarnation comes back by them, for three heartbeats; a record that is written from then on counts. What the copy lacks is left on as after an outage. Halls that were emptied stay so until operators say something of them again, ten seconds at most; what routers told of themselves stands, and the requests that this router holds back are written again. Why it works: DRAIN and EVAC bind a router by what it has acknowledged, and each of these is kept until a later word of the one who said it.

--- a/src/gateway/control/apply.rs
+++ b/src/gateway/control/apply.rs
@@ -10,24 +10,58 @@
 use super::context::Control;
 use super::{evacuations, grants, rows};
 use crate::gateway::dialect::{BadEntry, Subject};
-use crate::gateway::evacuation::{self, Order};
+use crate::gateway::evacuation::{Order, View};
 use crate::gateway::incarnation;
 use crate::gateway::members::{Router, Source};
-use crate::gateway::targets::{Change, View};
+use crate::gateway::targets::{self, Change, Freshness};
 use crate::store::{KEY_MAX, Page, Record};
 use crate::util;
 
-/// Takes in a page of the operators' records, with the halls that were emptied before it.
-pub(super) fn operators(control: &Rc<Control>, page: &Page, mut halls: evacuation::View) {
+/// What a page has of its topic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Reading {
+    /// The newest record of each key.
+    All,
+    /// The same, as it stood in the copy that the store has come back from.
+    Copy,
+    /// What has changed since the last page.
+    Changes,
+}
+
+/// Takes in a page of the operators' records. The configuration in force stays until there is a newer one.
+pub(super) fn operators(control: &Rc<Control>, page: &Page, reading: Reading) {
+    let known = control.evacuations.borrow().clone().unwrap_or_default();
+    let mut halls = match reading {
+        Reading::Changes => known.clone(),
+        Reading::All | Reading::Copy => View::default(),
+    };
+    let now = control.now();
+    let mut kept = control.halls_kept.borrow_mut();
+    if reading == Reading::Changes {
+        halls.halls = control.halls_told.borrow().clone();
+    }
     for record in &page.records {
         match (control.dialect.subject(&record.key), &record.value) {
             (Some(Subject::Config), Some(value)) => config(control, value),
-            (Some(Subject::Evacuation { hall }), Some(_)) => halls.set(hall, Order::Evacuate),
-            (Some(Subject::Evacuation { hall }), None) => halls.set(hall, Order::TakeBack),
-            // The configuration in force stays until there is a newer one.
+            (Some(Subject::Evacuation { hall }), value) => {
+                let order = match value {
+                    Some(_) => Order::Evacuate,
+                    None => Order::TakeBack,
+                };
+                halls.set(hall, order);
+                if reading == Reading::Changes {
+                    kept.note_word(hall);
+                }
+            }
             (Some(Subject::Config), None) | (None, _) => {}
         }
     }
+    control.halls_told.replace(halls.halls.clone());
+    if reading == Reading::Copy {
+        kept.note_return(now, &known.halls, &halls.halls);
+    }
+    halls.halls.extend(kept.at(now).cloned());
+    drop(kept);
     halls.as_of = page.next;
     control.operators_read.set(Some(Instant::now()));
     evacuations::set(control, halls, "store");
@@ -77,7 +111,7 @@
 }
 
 /// Takes in one entry of the list of targets.
-pub(super) fn target(control: &Control, record: &Record) {
+pub(super) fn target(control: &Control, record: &Record, freshness: Freshness) {
     let Some(value) = &record.value else {
         control.bad_entries.borrow_mut().remove(&record.key);
         remove_target(control, &record.key, "store");
@@ -89,7 +123,7 @@
             let instance = entry.listing.instance.clone();
             let now = control.now();
             let mut state = control.state.borrow_mut();
-            let change = state.list(now, entry.listing, Source::Store);
+            let change = state.list(now, entry.listing, freshness);
             state.targets.note_cold(now, &instance, entry.cold_left);
             drop(state);
             log_change(&instance, change, "store");
@@ -111,9 +145,14 @@
 
 /// Takes the complete list of targets in. Those that it lacks are removed if `drop_absent`, and else avoided; whether
 /// it lacks none that is left on is returned.
-pub(super) fn all_targets(control: &Control, page: &Page, drop_absent: bool) -> bool {
+pub(super) fn all_targets(
+    control: &Control,
+    page: &Page,
+    freshness: Freshness,
+    drop_absent: bool,
+) -> bool {
     for record in &page.records {
-        target(control, record);
+        target(control, record, freshness);
     }
     let listed: HashSet<&str> = page
         .records
@@ -143,7 +182,7 @@
 
 /// Takes in another router's list of targets, while this one is cut off from the store. Targets that come up meanwhile
 /// have just started; those of the first list may have run for long.
-pub(super) fn peer_targets(control: &Control, view: View) {
+pub(super) fn peer_targets(control: &Control, view: targets::View) {
     let knew_some = control.state.borrow().targets.known_count() > 0;
     for instance in view.gone {
         remove_target(control, &instance, "link");
@@ -152,7 +191,7 @@
         let instance = listing.instance.clone();
         let now = control.now();
         let mut state = control.state.borrow_mut();
-        let change = state.list(now, listing, Source::Link);
+        let change = state.list(now, listing, Freshness::MayBeOld);
         if knew_some && matches!(change, Change::Added | Change::Restarted { .. }) {
             state.targets.note_started(now, &instance);
         }
@@ -175,6 +214,13 @@
     }
 }
 
+/// Names of the routers that are known.
+pub(super) fn known_routers(control: &Control) -> HashSet<String> {
+    let state = control.state.borrow();
+    let known = state.members.known();
+    known.map(|router| router.name.clone()).collect()
+}
+
 /// Takes in another router's entry in the store. An entry that is removed changes nothing: its router
 /// counts as dead once its heartbeats are missed.
 pub(super) fn router(control: &Control, record: &Record) {
--- a/src/gateway/control/context.rs
+++ b/src/gateway/control/context.rs
@@ -1,7 +1,7 @@
 //! What the tasks of the control thread share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,7 +25,7 @@
 use crate::gateway::shared::Shared;
 use crate::gateway::state::State;
 use crate::gateway::targets::Outstanding;
-use crate::store::Store;
+use crate::store::{Era, Store};
 use crate::units::{Millis, Tokens};
 use crate::wire::{self, Missing};
 
@@ -72,14 +72,18 @@
     pub(super) probed: RefCell<HashSet<TargetKey>>,
     /// The requests that are held back, as they were last logged and published.
     pub(super) holds: RefCell<BTreeMap<Fingerprint, Hold>>,
-    /// The requests in this router's row of those that are held back.
-    pub(super) row_held: RefCell<Vec<Fingerprint>>,
+    /// The requests in this router's row of those that are held back, and the store's era as that was written.
+    pub(super) row_held: RefCell<(Era, Vec<Fingerprint>)>,
     /// Wakes the task that tells other routers what targets say of themselves.
     pub(super) notice_changed: Notify,
     /// Messages to other routers with what targets say.
     pub(super) notices_told: Cell<usize>,
     /// Which halls the operators have emptied, once that is known.
     pub(super) evacuations: RefCell<Option<evacuation::View>>,
+    /// The same as the store told it.
+    pub(super) halls_told: RefCell<BTreeSet<String>>,
+    /// Those of before the store came back from a copy that lacks them.
+    pub(super) halls_kept: RefCell<evacuation::Kept>,
     /// When the operators' records were last read.
     pub(super) operators_read: Cell<Option<Instant>>,
     /// The host's boot, where it tells one.
--- a/src/gateway/control/follow.rs
+++ b/src/gateway/control/follow.rs
@@ -6,11 +6,12 @@
 
 use tokio::time::{Instant, sleep, timeout};
 
+use super::apply::Reading;
 use super::context::Control;
 use super::{apply, quarantine};
 use crate::gateway::escrow::Seen;
-use crate::gateway::evacuation;
-use crate::store::{CallError, Page, Partition, Place, Record, Timeout, Topic, hedge};
+use crate::gateway::targets::Freshness;
+use crate::store::{CallError, Era, Page, Partition, Place, Record, Timeout, Topic, hedge};
 use crate::util;
 
 /// How long the store holds a read of the configuration until there is a change. A change
@@ -25,12 +26,18 @@
 /// the next read comes [`TARGETS_INTERVAL`] later.
 const LAPSED_GRACE: Duration = Duration::from_millis(1_700);
 
+/// How long the list may have entries of the copy that the store has come back from: one whose target does not write
+/// any more goes after three of its heartbeats.
+const COPIED_ENTRIES: Duration = Duration::from_millis(6_000);
+
 /// A place in a partition that is followed.
 struct Follower {
     partition: Partition,
     next: Option<Place>,
     /// The place that it had, where the store does not have that any more.
     lost: Option<Place>,
+    /// The era of the last read.
+    era: Option<Era>,
     timeout: Timeout,
 }
 
@@ -38,6 +45,8 @@
 enum Step {
     /// The newest record of each key.
     Snapshot(Page),
+    /// The same, as it stood in the copy that the store has come back from since the last read.
+    Restored(Page),
     /// What has changed.
     Changes(Page),
 }
@@ -48,6 +57,7 @@
             partition: Partition { topic, number: 0 },
             next: None,
             lost: None,
+            era: None,
             timeout: Timeout::default(),
         }
     }
@@ -91,7 +101,12 @@
                 let records = page.records.len();
                 tracing::info!(event = "topic_read_anew", ?topic, %before, %now, records);
             }
-            return Ok(Step::Snapshot(page));
+            let era = page.next.era;
+            let before = self.era.replace(era);
+            return Ok(match before {
+                Some(before) if before < era => Step::Restored(page),
+                _ => Step::Snapshot(page),
+            });
         };
         let read = || store.read(partition, from, wait, hedge::ANSWER_MAX);
         let page = hedge::hedged(hedge::HEDGE_AFTER + wait, silent, read).await?;
@@ -109,13 +124,9 @@
     let mut follower = Follower::new(Topic::Config);
     loop {
         match follower.step(&control, CONFIG_WAIT).await {
-            Ok(Step::Snapshot(page)) => {
-                apply::operators(&control, &page, evacuation::View::default())
-            }
-            Ok(Step::Changes(page)) => {
-                let known = control.evacuations.borrow().clone();
-                apply::operators(&control, &page, known.unwrap_or_default());
-            }
+            Ok(Step::Snapshot(page)) => apply::operators(&control, &page, Reading::All),
+            Ok(Step::Restored(page)) => apply::operators(&control, &page, Reading::Copy),
+            Ok(Step::Changes(page)) => apply::operators(&control, &page, Reading::Changes),
             Err(error) if error.loses_place() => {}
             Err(_) => sleep(FAILED_PAUSE).await,
         }
@@ -128,11 +139,23 @@
     // Since when the list lacks targets that may come back, and whether the store was lost.
     let mut lacks_since: Option<Instant> = None;
     let mut was_lost = false;
+    let mut restored: Option<Instant> = None;
     loop {
-        match follower.step(&control, Duration::ZERO).await {
-            Ok(Step::Snapshot(page)) => {
+        let step = follower.step(&control, Duration::ZERO).await;
+        if let Ok(Step::Restored(_)) = step {
+            restored = Some(Instant::now());
+            lacks_since = None;
+            was_lost = true;
+        }
+        match step {
+            Ok(Step::Snapshot(page) | Step::Restored(page)) => {
+                let is_copy = restored.is_some_and(|at| at.elapsed() < COPIED_ENTRIES);
+                let freshness = match is_copy {
+                    true => Freshness::MayBeOld,
+                    false => Freshness::Newest,
+                };
                 let grace = was_lost && lacks_since.is_none_or(|at| at.elapsed() < LAPSED_GRACE);
-                let is_complete = apply::all_targets(&control, &page, !grace);
+                let is_complete = apply::all_targets(&control, &page, freshness, !grace);
                 if is_complete {
                     lacks_since = None;
                     was_lost = false;
@@ -144,7 +167,7 @@
             }
             Ok(Step::Changes(page)) => {
                 for record in &page.records {
-                    apply::target(&control, record);
+                    apply::target(&control, record, Freshness::Newest);
                 }
             }
             Err(error) if error.loses_place() => continue,
@@ -168,13 +191,12 @@
         let result = follower.step(&control, Duration::ZERO).await;
         match result {
             Ok(Step::Snapshot(page) | Step::Changes(page)) => {
-                let now = control.now();
-                control.state.borrow_mut().members.note_read(now);
-                for record in &page.records {
-                    if !quarantine::take_row(&control, record) {
-                        apply::router(&control, record);
-                    }
-                }
+                take_routers(&control, &page, |_| true)
+            }
+            // What a copy has of a router that is known is older than that.
+            Ok(Step::Restored(page)) => {
+                let known = apply::known_routers(&control);
+                take_routers(&control, &page, |name| !known.contains(name));
             }
             // The next read is of the newest entries.
             Err(error) if error.loses_place() => {}
@@ -188,6 +210,17 @@
     }
 }
 
+/// Takes in a page of the routers' topic, with the entries of those routers that `includes` names.
+fn take_routers(control: &Control, page: &Page, includes: impl Fn(&str) -> bool) {
+    let now = control.now();
+    control.state.borrow_mut().members.note_read(now);
+    for record in &page.records {
+        if !quarantine::take_row(control, record) && includes(&record.key) {
+            apply::router(control, record);
+        }
+    }
+}
+
 /// Writes this router's entry, and with it the requests that it holds back where they have changed. An append that
 /// fails is noted, and repeated with the next heartbeat.
 async fn write_own(control: &Control, follower: &mut Follower) {
@@ -208,8 +241,8 @@
             .members
             .note_written(control.now());
     }
-    if let (Ok(_), Some(held)) = (&result, held) {
-        control.row_held.replace(held);
+    if let (Ok(end), Some(held)) = (&result, held) {
+        control.row_held.replace((end.era, held));
     }
     follower.timeout.note(&result, begun.elapsed());
     control
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -102,6 +102,8 @@
         notice_changed: Notify::new(),
         notices_told: Cell::default(),
         evacuations: RefCell::default(),
+        halls_told: RefCell::default(),
+        halls_kept: RefCell::default(),
         operators_read: Cell::default(),
         holds: RefCell::default(),
         row_held: RefCell::default(),
--- a/src/gateway/control/quarantine.rs
+++ b/src/gateway/control/quarantine.rs
@@ -154,7 +154,9 @@
     let state = control.state.borrow();
     let reports = state.quarantine.own_holds(control.now());
     let held: Vec<Fingerprint> = reports.iter().map(|report| report.fingerprint).collect();
-    if held == *control.row_held.borrow() {
+    // A store that has come back from a copy may lack the row.
+    let (era, written) = &*control.row_held.borrow();
+    if held == *written && (held.is_empty() || *era == control.store.era()) {
         return None;
     }
     let written = wall_clock::now()?.0;
--- a/src/gateway/evacuation.rs
+++ b/src/gateway/evacuation.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::store::Place;
+use crate::units::Millis;
 
 /// The halls that are emptied, as of one place in the operators' log. It is encoded for other processes, so the
 /// order of fields is part of its form.
@@ -48,3 +49,33 @@
         self.as_of < other.as_of
     }
 }
+
+/// Halls that were emptied before the store came back from a copy that has nothing of that. They stay emptied until
+/// operators say something of them again, or for a bounded time: operators may have taken them back in what is lost.
+#[derive(Debug, Default)]
+pub struct Kept {
+    halls: BTreeSet<String>,
+    until: Millis,
+}
+
+impl Kept {
+    /// How long they stay emptied without a word of operators, who write again what was lost within seconds.
+    const LONGEST: Millis = Millis(10_000);
+
+    /// Notes that the store has come back, and which halls of `before` the copy does not have emptied.
+    pub fn note_return(&mut self, now: Millis, before: &BTreeSet<String>, copy: &BTreeSet<String>) {
+        self.halls = before.difference(copy).cloned().collect();
+        self.until = now + Self::LONGEST;
+    }
+
+    /// Notes that operators have said something of a hall.
+    pub fn note_word(&mut self, hall: &str) {
+        self.halls.remove(hall);
+    }
+
+    /// Those that stay emptied.
+    pub fn at(&self, now: Millis) -> impl Iterator<Item = &String> {
+        let is_over = now >= self.until;
+        self.halls.iter().filter(move |_| !is_over)
+    }
+}
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -19,10 +19,10 @@
 use super::escrow::{Account, Ledger, Seen};
 use super::job::{Delivery, Ending, Job, Placement};
 use super::key::{JobKey, TargetKey};
-use super::members::{Members, Router, Source};
+use super::members::{Members, Router};
 use super::notice::{Notice, Report, Word};
 use super::quarantine::{Broken, Quarantine};
-use super::targets::{Change, Targets};
+use super::targets::{Change, Freshness, Targets};
 use crate::boot_clock::Reading;
 use crate::ejection::Outcome;
 use crate::units::{Millis, Tokens};
@@ -294,10 +294,10 @@
     }
 
     /// Takes in what is listed of a target. One that has started again without a word that it leaves has crashed.
-    pub fn list(&mut self, now: Millis, listing: Listing, source: Source) -> Change {
-        let change = match source {
-            Source::Store => self.targets.list(listing),
-            Source::Link => self.targets.list_from_peer(listing),
+    pub fn list(&mut self, now: Millis, listing: Listing, freshness: Freshness) -> Change {
+        let change = match freshness {
+            Freshness::Newest => self.targets.list(listing),
+            Freshness::MayBeOld => self.targets.list_maybe_old(listing),
         };
         if let Change::Restarted { former } = change
             && !self.targets.get(former).has_said_leaving()
--- a/src/gateway/targets/mod.rs
+++ b/src/gateway/targets/mod.rs
@@ -14,5 +14,5 @@
 
 pub use notices::Barred;
 pub use outstanding::{Outstanding, View};
-pub use registry::{Change, Targets};
+pub use registry::{Change, Freshness, Targets};
 pub use target::Target;
--- a/src/gateway/targets/registry.rs
+++ b/src/gateway/targets/registry.rs
@@ -48,6 +48,15 @@
     pub(super) cold_starts: HashMap<String, ColdStart>,
 }
 
+/// Whether an entry of the list may be older than what is known of its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// It is the newest word on its target.
+    Newest,
+    /// It may be older.
+    MayBeOld,
+}
+
 /// How an entry differs from what was known of its target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -88,9 +97,10 @@
         }
     }
 
-    /// Takes in an entry that another router tells of. It may have read the list earlier than this one, so neither
-    /// a target that is known to leave nor a former incarnation comes back by it.
-    pub fn list_from_peer(&mut self, listing: Listing) -> Change {
+    /// Takes in an entry that may be older than what is known: another router has read the list earlier, or the store
+    /// has come back from a copy. Neither a target that is known to leave or to be gone nor a former incarnation comes
+    /// back by it.
+    pub fn list_maybe_old(&mut self, listing: Listing) -> Change {
         if let Some(key) = self.by_instance.get(&listing.instance)
             && !self.get(*key).is_open()
         {
--- a/tests/leaving_word.rs
+++ b/tests/leaving_word.rs
@@ -54,7 +54,7 @@
     let mut targets = targets();
     targets.hear(NOW, TargetKey(0), NOW, &LEAVES);
     assert_eq!(targets.list(listing(100)), Change::Same);
-    assert_eq!(targets.list_from_peer(listing(100)), Change::Same);
+    assert_eq!(targets.list_maybe_old(listing(100)), Change::Same);
     assert_eq!(usable(&targets), [TargetKey(1)]);
     let draining = Listing {
         is_ready: false,
--- a/tests/store_restored.rs
+++ b/tests/store_restored.rs
@@ -8,7 +8,7 @@
 
 use deployment::runner::{EVENTS, Mode, Runner};
 use deployment::store::Fault;
-use deployment::{Ask, CUSTOMER, Deployment, Gateway, config, try_ask, until};
+use deployment::{Ask, CUSTOMER, Deployment, Gateway, config, list, try_ask, until};
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
@@ -225,3 +225,123 @@
     let spent = spent_over_return(Fate::AllKilled).await;
     assert!(spent <= PREPAID, "{spent} of {PREPAID}");
 }
+
+/// Requests that reached a runner while these gateways were asked for a while.
+async fn arrivals_meanwhile(deployment: &Deployment, runner: &Runner, span: Duration) -> usize {
+    let before = runner.arrivals().len();
+    let end = Instant::now() + span;
+    while Instant::now() < end {
+        for gateway in &deployment.gateways {
+            status(gateway, "/often/x").await;
+        }
+    }
+    runner.arrivals().len() - before
+}
+
+/// Asks each gateway until its requests reach a runner.
+async fn until_used(deployment: &Deployment, runner: &Runner) {
+    for gateway in &deployment.gateways {
+        let before = runner.arrivals().len();
+        until(|| async {
+            status(gateway, "/often/x").await;
+            runner.arrivals().len() > before
+        })
+        .await;
+    }
+}
+
+/// Longer than any router reads the newest records anew.
+const READ_ANEW: Duration = Duration::from_millis(1_200);
+/// Within which others write again what the copy lacks.
+const WRITTEN_AGAIN: Duration = Duration::from_millis(500);
+
+async fn two_runners() -> (Deployment, Runner, Runner) {
+    let (first, second) = (Runner::start("i-1").await, Runner::start("i-2").await);
+    let runners = [("app", &first), ("app", &second)];
+    let deployment = Deployment::start(3, &config(1, PLENTY), &runners).await;
+    until_used(&deployment, &first).await;
+    until_used(&deployment, &second).await;
+    (deployment, first, second)
+}
+
+/// A target that was known to leave was used again, since the copy has it ready.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_target_ready_in_copy() {
+    let (deployment, leaving, other) = two_runners().await;
+    let copy = deployment.store.copy();
+    list(&deployment.store, "app", &leaving, "draining");
+    sleep(READ_ANEW).await;
+    deployment.store.restore(&copy);
+    assert_eq!(
+        arrivals_meanwhile(&deployment, &leaving, READ_ANEW).await,
+        0
+    );
+    list(&deployment.store, "app", &leaving, "draining");
+    assert_eq!(
+        arrivals_meanwhile(&deployment, &leaving, READ_ANEW).await,
+        0
+    );
+    assert!(arrivals_meanwhile(&deployment, &other, WRITTEN_AGAIN).await > 0);
+}
+
+/// A target whose entry had gone was used again, since the copy has it.
+#[tokio::test(flavor = "multi_thread")]
+async fn gone_target_in_copy() {
+    let (deployment, gone, other) = two_runners().await;
+    let copy = deployment.store.copy();
+    deployment
+        .store
+        .put("keyed.servers", &gone.instance(), None);
+    sleep(READ_ANEW).await;
+    deployment.store.restore(&copy);
+    assert_eq!(arrivals_meanwhile(&deployment, &gone, READ_ANEW).await, 0);
+    assert!(arrivals_meanwhile(&deployment, &other, WRITTEN_AGAIN).await > 0);
+    // It lives after all, and says so.
+    list(&deployment.store, "app", &gone, "ready");
+    until_used(&deployment, &gone).await;
+}
+
+/// A target that the copy lacks is used on, where there is no other.
+#[tokio::test(flavor = "multi_thread")]
+async fn target_copy_lacks() {
+    let deployment = Deployment::start(3, &config(1, PLENTY), &[]).await;
+    let copy = deployment.store.copy();
+    let only = Runner::start("i-1").await;
+    list(&deployment.store, "app", &only, "ready");
+    until_used(&deployment, &only).await;
+    deployment.store.restore(&copy);
+    let end = Instant::now() + READ_ANEW;
+    while Instant::now() < end {
+        for gateway in &deployment.gateways {
+            assert_eq!(status(gateway, "/often/x").await, Some(200));
+        }
+    }
+    list(&deployment.store, "app", &only, "ready");
+    until_used(&deployment, &only).await;
+}
+
+/// Targets of an emptied hall were used until operators had written it again.
+#[tokio::test(flavor = "multi_thread")]
+async fn emptied_hall_not_in_copy() {
+    let (deployment, first, second) = two_runners().await;
+    let copy = deployment.store.copy();
+    let empty = || {
+        let state = json!({});
+        deployment
+            .store
+            .put("keyed.op", "evacuate/hall", Some(&state));
+    };
+    empty();
+    sleep(READ_ANEW).await;
+    deployment.store.restore(&copy);
+    for runner in [&first, &second] {
+        assert_eq!(
+            arrivals_meanwhile(&deployment, runner, WRITTEN_AGAIN).await,
+            0
+        );
+    }
+    empty();
+    sleep(READ_ANEW).await;
+    deployment.store.put("keyed.op", "evacuate/hall", None);
+    until_used(&deployment, &first).await;
+}
--- a/tests/target_return.rs
+++ b/tests/target_return.rs
@@ -97,7 +97,7 @@
     let mut targets = Targets::default();
     targets.list(listing(1, 200));
     assert_eq!(
-        targets.list_from_peer(listing(1, 100)),
+        targets.list_maybe_old(listing(1, 100)),
         Change::Same,
         "an older one is not brought back"
     );
@@ -113,7 +113,7 @@
         "nor does its removal take the newer away"
     );
     assert_eq!(
-        reader.list_from_peer(listing(1, 200)),
+        reader.list_maybe_old(listing(1, 200)),
         Change::Restarted {
             former: TargetKey(0)
         }
@@ -123,7 +123,7 @@
         [TargetKey(1)],
         "its removal does not hide the newer"
     );
-    assert_eq!(reader.list_from_peer(listing(1, 100)), Change::Same);
+    assert_eq!(reader.list_maybe_old(listing(1, 100)), Change::Same);
     // The list's own newest word counts, also where the target's host had its time of day set back.
     assert_eq!(
         targets.list(listing(1, 50)),
--- a/tests/target_view.rs
+++ b/tests/target_view.rs
@@ -45,17 +45,17 @@
     let mut targets = targets(2);
     targets.list(listing(0, false));
     // Another router that read the list earlier still thinks that it is ready.
-    targets.list_from_peer(listing(0, true));
+    targets.list_maybe_old(listing(0, true));
     assert_eq!(targets.candidates(NOW, "s", &[]), [TargetKey(1)]);
     targets.unlist(NOW, "i-1");
-    targets.list_from_peer(listing(1, true));
+    targets.list_maybe_old(listing(1, true));
     assert!(targets.candidates(NOW, "s", &[]).is_empty());
     // The store itself may list one again, whose entry had gone while it could not write.
     targets.list(listing(1, true));
     assert_eq!(targets.candidates(NOW, "s", &[]), [TargetKey(1)]);
     // New ones and leaving ones are taken from another router.
-    targets.list_from_peer(listing(7, true));
-    targets.list_from_peer(listing(1, false));
+    targets.list_maybe_old(listing(7, true));
+    targets.list_maybe_old(listing(1, false));
     assert_eq!(targets.candidates(NOW, "s", &[]), [TargetKey(2)]);
 }
 
