--- a/src/gateway/decision/grant.rs
+++ b/src/gateway/decision/grant.rs
@@ -47,10 +47,12 @@
 /// double of what they do now; a router with half of the demand or less holds nothing ahead by it.
 const LEFT_TO_OTHERS: f64 = 2.0;
 
-/// How much more than its demand a router may spend while the store may still come back from a copy that lacks its
-/// newest rows, 1 being its demand: the last row that a copy has bounds it, and demand varies. All of it counts as
-/// spent where the router dies as the store comes back.
+/// How much faster than its demand a router may spend, beyond what it holds ahead, while the store may still come back
+/// from a copy that lacks its newest rows: the last row that a copy has bounds it, and demand varies.
 const REACH_FACTOR: f64 = 2.0;
+/// Part of what is left that all holders together may spend beyond that, 0 to 1, since demand may begin at any of them.
+/// Where a router dies as the store comes back, all that it may spend counts as spent.
+const REACH_SHARE: f64 = 0.5;
 
 /// Age at which a promise is renewed although nothing else has changed. Each renewal is a write; without any, a router
 /// that nobody asks is held to nothing, and all that it holds is lost with it.
@@ -187,13 +189,12 @@
 }
 
 /// Decides how much more than it has a router may spend, at most, until every copy of the store has a later row of it:
-/// what it holds ahead in any case, and as much as its demand may ask for meanwhile.
-pub fn reach(spending: &Spending<'_>, pace: &Pace, copy_age: Millis) -> Tokens {
+/// what it holds ahead in any case, what its demand may ask for meanwhile, and a part of what is left.
+pub fn reach(sizing: &Sizing, spending: &Spending<'_>) -> Tokens {
     let need = spending.need;
-    let demanded = need.demand * REACH_FACTOR * seconds(copy_age);
-    let requests = Tokens(spending.last_cost.0 * BURST_REQUESTS);
-    let risen = Tokens(demanded as u64) + requests.max(need.waiting);
-    spending.ahead.max(pace.burst + risen)
+    let demanded = need.demand * REACH_FACTOR * seconds(sizing.copy_age);
+    let share = need.left.0 as f64 * REACH_SHARE / sizing.holders.max(1) as f64;
+    spending.ahead + need.waiting + Tokens((demanded + share) as u64)
 }
 
 fn seconds(span: Millis) -> f64 {
--- a/src/gateway/escrow/account.rs
+++ b/src/gateway/escrow/account.rs
@@ -337,7 +337,7 @@
             },
             guard,
             cap: self.caps.as_ref().map(|_| {
-                let reach = grant::reach(&spending, &pace, sizing.copy_age);
+                let reach = grant::reach(sizing, &spending);
                 self.cap(era, reach, prepaid)
             }),
         }
