--- a/src/gateway/control/rows.rs
+++ b/src/gateway/control/rows.rs
@@ -205,6 +205,8 @@
             spent = row.spent.0,
             spent_before = row.spent_before.0,
             demand = row.demand,
+            cap = row.cap.map(|cap| cap.most.0),
+            least_cap = row.cap.map(|cap| cap.least.0),
             offset = at.offset,
             era = at.era.0
         );
