Take a predecessor's cap for the base once its row has been read

A process that starts asks for its rows before it has read any, and began its caps with zero, as one that no copy knows: it spent nothing of its own grants for the whole age of a copy after each restart. The base is now judged anew until a row has been written.

--- a/src/gateway/escrow/account.rs
+++ b/src/gateway/escrow/account.rs
@@ -343,9 +343,11 @@
         }
     }
 
-    /// Begins to keep caps, where the store may come back from a copy.
+    /// Begins to keep caps, where the store may come back from a copy: anew until a row has been written, since the
+    /// rows of an earlier process may not have been read before.
     fn begin_caps(&mut self, era: Era, sizing: &Sizing) {
-        if sizing.copy_age == Millis::ZERO || self.caps.is_some() {
+        let has_begun = self.caps.as_ref().is_some_and(|caps| !caps.is_new());
+        if sizing.copy_age == Millis::ZERO || has_begun || !self.sent.is_empty() {
             return;
         }
         let base = self.predecessor.map(|before| before.base(era));
--- a/src/gateway/escrow/cap.rs
+++ b/src/gateway/escrow/cap.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// Whether no row of the process has been noted yet.
+    pub fn is_new(&self) -> bool {
+        self.kept.is_empty()
+    }
+
     /// Notes a row that the store has, or may have.
     pub fn note(&mut self, now: Millis, cap: &Cap) {
         let (era, most) = (cap.era, cap.most);
