Leave the next process of a router the reach of the last one's cap

The row by which a stopping router gives back its grants had its spend as cap, so its next process spent nothing of its own grants for the age of a copy.

--- a/src/gateway/escrow/account.rs
+++ b/src/gateway/escrow/account.rs
@@ -472,9 +472,13 @@
         }
     }
 
-    /// The row that gives everything back, once nothing runs any more.
+    /// The row that gives everything back, once nothing runs any more. Its cap leaves the next process what the last
+    /// one left to this: it binds both.
     pub fn last_row(&self, incarnation: u64, era: Era, prepaid: Tokens) -> Row {
         let used = self.used();
+        let cap = self.written.and_then(|row| row.cap);
+        let total = self.spent_before + used;
+        let reach = cap.map_or(Tokens::ZERO, |cap| cap.most.saturating_sub(total));
         Row {
             incarnation,
             spent_before: self.spent_before,
@@ -482,10 +486,7 @@
             spent: used,
             demand: 0,
             guard: None,
-            cap: self
-                .caps
-                .as_ref()
-                .map(|_| self.cap(era, Tokens::ZERO, prepaid)),
+            cap: self.caps.as_ref().map(|_| self.cap(era, reach, prepaid)),
         }
     }
 }
