Never lower a router's cap below what bounds it anyway

A new process does not know its demand yet, so the cap of its first row was low, and bound it for the age of a copy although its predecessor's rows let it spend more.

--- a/src/gateway/escrow/account.rs
+++ b/src/gateway/escrow/account.rs
@@ -354,16 +354,13 @@
         self.caps = Some(Caps::new(base.unwrap_or_default()));
     }
 
-    /// The cap of a row that is written now, for a router that may spend `reach` more.
+    /// The cap of a row that is written now, for a router that may spend `reach` more. It is never lower than what
+    /// bounds the router anyway, which an earlier process may have needed, whose demand is not known here.
     fn cap(&self, era: Era, reach: Tokens, prepaid: Tokens) -> Cap {
         let total = self.spent_before + self.used();
-        let most = (total + reach).min(prepaid.max(total));
-        let others = self.capped().0.saturating_add(self.spent_before.0);
-        Cap {
-            era,
-            most,
-            least: most.min(Tokens(others)),
-        }
+        let least = Tokens(self.capped().0.saturating_add(self.spent_before.0));
+        let most = (total + reach).min(prepaid).max(total).max(least);
+        Cap { era, most, least }
     }
 
     /// What was granted in an earlier era, which the first row of this one keeps: others count that and more for it.
