Have the soak's store come back from copies

soak_returns: planned work and faults beside a store that falls silent up to 1.5 s after a copy, comes back from it within a second, and has what others wrote written again within half a second more, twice a run. Gateways are told the age of copies.

--- a/tests/deployment/store.rs
+++ b/tests/deployment/store.rs
@@ -2,7 +2,7 @@
 //! conditional appends, newest records of keyed topics. Each router is given an address of its own,
 //! so that the store can misbehave towards one of them.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -18,6 +18,47 @@
 
 use super::server::{Gone, Reply, serve};
 
+/// Topics that operators and runners write to.
+const OF_OTHERS: [&str; 2] = ["keyed.op", "keyed.servers"];
+
+/// What operators and runners had written that a copy lacks.
+pub struct Lost(Vec<LostEntry>);
+
+struct LostEntry {
+    topic: String,
+    key: String,
+    /// What it was; `None` where it had gone.
+    value: Option<Bytes>,
+    /// What the copy has.
+    copied: Option<Bytes>,
+}
+
+impl Lost {
+    fn new(parts: &HashMap<(String, u32), Part>, copy: &Copy) -> Self {
+        let mut lost = Vec::new();
+        let none = Part::default();
+        for topic in OF_OTHERS {
+            let place = (topic.to_owned(), 0);
+            let now = &parts.get(&place).unwrap_or(&none).newest;
+            let then = &copy.0.get(&place).unwrap_or(&none).newest;
+            let keys: BTreeSet<&String> = now.keys().chain(then.keys()).collect();
+            for key in keys {
+                let value = now.get(key).map(|(_, value)| value.clone());
+                let copied = then.get(key).map(|(_, value)| value.clone());
+                if value != copied {
+                    lost.push(LostEntry {
+                        topic: topic.to_owned(),
+                        key: key.clone(),
+                        value,
+                        copied,
+                    });
+                }
+            }
+        }
+        Self(lost)
+    }
+}
+
 /// Its era before it has come back from a copy for the first time.
 const FIRST_ERA: u64 = 1;
 
@@ -153,10 +194,28 @@
     }
 
     /// Comes back from a copy: what was written since is gone, and its offsets are given out again.
-    pub fn restore(&self, copy: &Copy) {
+    pub fn restore(&self, copy: &Copy) -> Lost {
         let mut parts = self.0.parts.lock().unwrap();
+        let lost = Lost::new(&parts, copy);
         parts.clone_from(&copy.0);
         self.0.returns.fetch_add(1, Ordering::SeqCst);
+        lost
+    }
+
+    /// Writes again what operators and runners had written, where they have not written since.
+    pub fn write_again(&self, lost: &Lost) {
+        let mut parts = self.0.parts.lock().unwrap();
+        for entry in &lost.0 {
+            let part = parts.entry((entry.topic.clone(), 0)).or_default();
+            let value = part.newest.get(&entry.key).map(|(_, value)| value.clone());
+            if value != entry.copied {
+                continue;
+            }
+            let mut record = vec![entry.key.len() as u8];
+            record.extend_from_slice(entry.key.as_bytes());
+            record.extend_from_slice(entry.value.as_deref().unwrap_or_default());
+            part.append(true, vec![record.into()]);
+        }
     }
 
     /// Forgets the records of a topic; the newest of each key stay.
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -169,6 +169,15 @@
     });
 }
 
+/// Planned work and faults beside a store that comes back from copies.
+#[test]
+fn soak_returns() {
+    soak_plans("soak_returns", |seed| {
+        let kind = [Kind::Planned, Kind::Faults][usize::from(seed % 2 == 0)];
+        Plan::new(seed, kind, processes()).with_returns()
+    });
+}
+
 #[test]
 fn routers_planned() {
     soak_routers("routers_planned", Kind::Planned);
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -81,6 +81,35 @@
         );
     }
 
+    /// The store falls silent for all, and comes back from a copy of a while before.
+    pub(super) fn restore_store(&mut self, age: u64, away: u64, again: u64) {
+        let copy = self.store.copy();
+        let begun = Instant::now();
+        let (store, usual) = (self.store.clone(), Fault::Slow(self.plan.store));
+        let addresses: Vec<SocketAddr> = self.places.iter().map(|place| place.store).collect();
+        let (journal, seen) = (self.journal.clone(), Arc::clone(&self.seen));
+        let whole = Duration::from_millis(age + away + again) + RETURN;
+        let unstable = (begun, begun + whole);
+        seen.lock().unwrap().unstable.push(unstable);
+        self.tasks.spawn(async move {
+            let set = |fault| {
+                for address in &addresses {
+                    store.set_fault(*address, fault);
+                }
+            };
+            sleep(Duration::from_millis(age)).await;
+            journal.note(format!("the store falls silent, {age} ms after a copy"));
+            set(Fault::Silent);
+            sleep(Duration::from_millis(away)).await;
+            let lost = store.restore(&copy);
+            set(usual);
+            journal.note("the store is back from the copy");
+            sleep(Duration::from_millis(again)).await;
+            store.write_again(&lost);
+            journal.note("others have written again");
+        });
+    }
+
     /// Begins something and ends it after so many milliseconds.
     pub(super) fn during(&mut self, span: u64, what: String, set: impl Fn(bool) + Send + 'static) {
         self.journal.note(what.clone());
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -116,6 +116,9 @@
     Store(Option<usize>, Fault, u64),
     /// The store drops the history of all topics.
     Compact,
+    /// The store is copied, falls silent so many milliseconds later, and comes back from the copy after so many more;
+    /// what others had written is written again so many after that.
+    Restore(u64, u64, u64),
     /// The way to a target is harmed for so many milliseconds.
     Link(usize, Harm, u64),
     /// A target behaves so for so many milliseconds.
@@ -160,6 +163,8 @@
     pub steps: Vec<(u64, Step)>,
     pub load: u64,
     pub kind: Kind,
+    /// Longest age of a copy that gateways are told, in milliseconds.
+    pub copy_age: u64,
 }
 
 /// What a run is made of.
@@ -190,6 +195,7 @@
             steps: Vec::new(),
             load: LOAD,
             kind,
+            copy_age: 0,
         };
         let mut at = FIRST;
         while at < LOAD {
@@ -220,6 +226,14 @@
         plan
     }
 
+    /// The same with a store that comes back from copies.
+    pub fn with_returns(mut self) -> Self {
+        self.steps.extend(returns(self.seed));
+        self.steps.sort_by_key(|(at, _)| *at);
+        self.copy_age = COPY_AGE;
+        self
+    }
+
     /// The same with targets that say something of themselves.
     pub fn with_words(mut self) -> Self {
         self.steps.extend(words(self.seed));
@@ -228,6 +242,25 @@
     }
 }
 
+/// Returns of the store from a copy, in a run that has some, each in its part of the load.
+const RETURNS: u64 = 2;
+/// Age of a copy when the store falls silent, at most, in milliseconds.
+pub const COPY_AGE: u64 = 1_500;
+
+fn returns(seed: u64) -> Vec<(u64, Step)> {
+    // Draws of their own, as above.
+    let mut rng = StdRng::seed_from_u64(!seed);
+    let part = LOAD / RETURNS;
+    let restore = |number| {
+        let age = rng.random_range(50..COPY_AGE);
+        let away = rng.random_range(0..1_000);
+        let again = rng.random_range(0..500);
+        let at = number * part + rng.random_range(0..part / 2);
+        (at, Step::Restore(age, away, again))
+    };
+    (0..RETURNS).map(restore).collect()
+}
+
 /// Targets that say something of themselves in a run where some do, each of another service.
 const SPEAKERS: [usize; 3] = [0, 2, 4];
 /// How long they say it, in milliseconds: until the load is nearly over, so that the bounds are seen.
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -137,7 +137,15 @@
             gateways: Vec::new(),
         };
         let keep = plan.keep.to_string();
-        let flags = ["--keep", keep.as_str(), "--grace", GRACE];
+        let copy_age = plan.copy_age.to_string();
+        let flags = [
+            "--keep",
+            keep.as_str(),
+            "--grace",
+            GRACE,
+            "--copy-age",
+            copy_age.as_str(),
+        ];
         for number in 0..plan.gateways {
             let name = format!("g{number}");
             let log = logs.join(format!("{name}.log"));
@@ -193,6 +201,7 @@
                     self.store.compact(topic);
                 }
             }
+            Step::Restore(age, away, again) => self.restore_store(age, away, again),
             Step::Link(number, harm, span) => {
                 let target = Arc::clone(&self.targets);
                 self.during(
