--- a/src/gateway/escrow/mod.rs
+++ b/src/gateway/escrow/mod.rs
@@ -10,9 +10,11 @@
 mod account;
 mod cap;
 pub mod guard;
+mod holder;
 mod row;
 
-pub use account::{Account, Holder, Short};
+pub use account::{Account, Short};
 pub use cap::{Cap, Caps, Seen};
 pub use guard::{Guard, Rise, Start};
+pub use holder::Holder;
 pub use row::{Ledger, Loan, Row};
