Write rows again at once after a return, and read the halls' view in one place

After an append or a read that shows that the store has come back, the renewal goes on within the conflict's pause of some milliseconds and not with the next one, since others count this router's caps until then. The operators' page builds the view that the store tells in one value; no rule of it has changed.

--- a/src/gateway/control/apply.rs
+++ b/src/gateway/control/apply.rs
@@ -1,7 +1,7 @@
 //! Takes what was read from the store, or told by other routers, into the control state. It logs each
 //! change of what this router believes.
 
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -31,15 +31,15 @@
 /// Takes in a page of the operators' records. The configuration in force stays until there is a newer one.
 pub(super) fn operators(control: &Rc<Control>, page: &Page, reading: Reading) {
     let known = control.evacuations.borrow().clone().unwrap_or_default();
-    let mut halls = match reading {
-        Reading::Changes => known.clone(),
-        Reading::All | Reading::Copy => View::default(),
-    };
     let now = control.now();
     let mut kept = control.halls_kept.borrow_mut();
-    if reading == Reading::Changes {
-        halls.halls = control.halls_told.borrow().clone();
-    }
+    let mut told = View {
+        as_of: page.next,
+        halls: match reading {
+            Reading::Changes => control.halls_told.borrow().clone(),
+            Reading::All | Reading::Copy => BTreeSet::new(),
+        },
+    };
     for record in &page.records {
         match (control.dialect.subject(&record.key), &record.value) {
             (Some(Subject::Config), Some(value)) => config(control, value),
@@ -48,7 +48,7 @@
                     Some(_) => Order::Evacuate,
                     None => Order::TakeBack,
                 };
-                halls.set(hall, order);
+                told.set(hall, order);
                 if reading == Reading::Changes {
                     kept.note_word(hall);
                 }
@@ -56,15 +56,14 @@
             (Some(Subject::Config), None) | (None, _) => {}
         }
     }
-    control.halls_told.replace(halls.halls.clone());
+    control.halls_told.replace(told.halls.clone());
     if reading == Reading::Copy {
-        kept.note_return(now, &known.halls, &halls.halls);
+        kept.note_return(now, &known.halls, &told.halls);
     }
-    halls.halls.extend(kept.at(now).cloned());
+    told.halls.extend(kept.at(now).cloned());
     drop(kept);
-    halls.as_of = page.next;
     control.operators_read.set(Some(Instant::now()));
-    evacuations::set(control, halls, "store");
+    evacuations::set(control, told, "store");
 }
 
 /// Puts a configuration in force if it is newer than the one that is.
--- a/src/gateway/control/context.rs
+++ b/src/gateway/control/context.rs
@@ -80,7 +80,7 @@
     pub(super) notices_told: Cell<usize>,
     /// Which halls the operators have emptied, once that is known.
     pub(super) evacuations: RefCell<Option<evacuation::View>>,
-    /// The same as the store told it.
+    /// Those of them that the store told.
     pub(super) halls_told: RefCell<BTreeSet<String>>,
     /// Those of before the store came back from a copy that lacks them.
     pub(super) halls_kept: RefCell<evacuation::Kept>,
--- a/src/gateway/control/rows.rs
+++ b/src/gateway/control/rows.rs
@@ -99,7 +99,8 @@
         let noted = result.as_ref().map(|_| ());
         control.shared.note_call(Topic::Prepaid, &noted);
         match &result {
-            Err(CallError::Moved { .. } | CallError::Gone { .. }) => {
+            // After a return from a copy other routers wait for these rows.
+            Err(CallError::Moved { .. } | CallError::Gone { .. } | CallError::Restored { .. }) => {
                 let pause = rand::rng().random_range(0..CONFLICT_PAUSE_MS);
                 sleep(Duration::from_millis(pause)).await;
             }
