Drop what the change wrote again: kinds of pages, outdated answers, caps of rows

Read again as a whole. What a read brought stood in two enums, one in the follower and one where pages are taken in: one now. Which answers say that what a call rested on is out of date stood in the retry of rows and in the look for lost contact: one method. The look for a row of a former era and the note of a row's cap stood twice in the account. The halls that were known were copied with each page and are only where the store has come back. Behaviour is as it was.

--- a/src/gateway/control/apply.rs
+++ b/src/gateway/control/apply.rs
@@ -30,7 +30,6 @@
 
 /// Takes in a page of the operators' records. The configuration in force stays until there is a newer one.
 pub(super) fn operators(control: &Rc<Control>, page: &Page, reading: Reading) {
-    let known = control.evacuations.borrow().clone().unwrap_or_default();
     let now = control.now();
     let mut kept = control.halls_kept.borrow_mut();
     let mut told = View {
@@ -58,7 +57,11 @@
     }
     control.halls_told.replace(told.halls.clone());
     if reading == Reading::Copy {
-        kept.note_return(now, &known.halls, &told.halls);
+        let known = control.evacuations.borrow();
+        let before = known
+            .as_ref()
+            .map_or_else(BTreeSet::new, |view| view.halls.clone());
+        kept.note_return(now, &before, &told.halls);
     }
     told.halls.extend(kept.at(now).cloned());
     drop(kept);
--- a/src/gateway/control/follow.rs
+++ b/src/gateway/control/follow.rs
@@ -42,13 +42,9 @@
 }
 
 /// What a read brought.
-enum Step {
-    /// The newest record of each key.
-    Snapshot(Page),
-    /// The same, as it stood in the copy that the store has come back from since the last read.
-    Restored(Page),
-    /// What has changed.
-    Changes(Page),
+struct Step {
+    reading: Reading,
+    page: Page,
 }
 
 impl Follower {
@@ -103,10 +99,11 @@
             }
             let era = page.next.era;
             let before = self.era.replace(era);
-            return Ok(match before {
-                Some(before) if before < era => Step::Restored(page),
-                _ => Step::Snapshot(page),
-            });
+            let reading = match before {
+                Some(before) if before < era => Reading::Copy,
+                _ => Reading::All,
+            };
+            return Ok(Step { reading, page });
         };
         let read = || store.read(partition, from, wait, hedge::ANSWER_MAX);
         let page = hedge::hedged(hedge::HEDGE_AFTER + wait, silent, read).await?;
@@ -115,7 +112,8 @@
             return Err(CallError::Gone { first });
         }
         self.next = Some(page.next);
-        Ok(Step::Changes(page))
+        let reading = Reading::Changes;
+        Ok(Step { reading, page })
     }
 }
 
@@ -124,9 +122,7 @@
     let mut follower = Follower::new(Topic::Config);
     loop {
         match follower.step(&control, CONFIG_WAIT).await {
-            Ok(Step::Snapshot(page)) => apply::operators(&control, &page, Reading::All),
-            Ok(Step::Restored(page)) => apply::operators(&control, &page, Reading::Copy),
-            Ok(Step::Changes(page)) => apply::operators(&control, &page, Reading::Changes),
+            Ok(Step { reading, page }) => apply::operators(&control, &page, reading),
             Err(error) if error.loses_place() => {}
             Err(_) => sleep(FAILED_PAUSE).await,
         }
@@ -141,14 +137,21 @@
     let mut was_lost = false;
     let mut restored: Option<Instant> = None;
     loop {
-        let step = follower.step(&control, Duration::ZERO).await;
-        if let Ok(Step::Restored(_)) = step {
-            restored = Some(Instant::now());
-            lacks_since = None;
-            was_lost = true;
-        }
-        match step {
-            Ok(Step::Snapshot(page) | Step::Restored(page)) => {
+        match follower.step(&control, Duration::ZERO).await {
+            Ok(Step {
+                reading: Reading::Changes,
+                page,
+            }) => {
+                for record in &page.records {
+                    apply::target(&control, record, Freshness::Newest);
+                }
+            }
+            Ok(Step { reading, page }) => {
+                if reading == Reading::Copy {
+                    restored = Some(Instant::now());
+                    lacks_since = None;
+                    was_lost = true;
+                }
                 let is_copy = restored.is_some_and(|at| at.elapsed() < COPIED_ENTRIES);
                 let freshness = match is_copy {
                     true => Freshness::MayBeOld,
@@ -165,11 +168,6 @@
                 }
                 control.shared.set_has_targets();
             }
-            Ok(Step::Changes(page)) => {
-                for record in &page.records {
-                    apply::target(&control, record, Freshness::Newest);
-                }
-            }
             Err(error) if error.loses_place() => continue,
             Err(_) => {
                 was_lost = true;
@@ -190,14 +188,15 @@
     loop {
         let result = follower.step(&control, Duration::ZERO).await;
         match result {
-            Ok(Step::Snapshot(page) | Step::Changes(page)) => {
-                take_routers(&control, &page, |_| true)
-            }
             // What a copy has of a router that is known is older than that.
-            Ok(Step::Restored(page)) => {
+            Ok(Step {
+                reading: Reading::Copy,
+                page,
+            }) => {
                 let known = apply::known_routers(&control);
                 take_routers(&control, &page, |name| !known.contains(name));
             }
+            Ok(Step { page, .. }) => take_routers(&control, &page, |_| true),
             // The next read is of the newest entries.
             Err(error) if error.loses_place() => {}
             Err(_) => control.state.borrow_mut().members.note_unread(),
--- a/src/gateway/control/rows.rs
+++ b/src/gateway/control/rows.rs
@@ -100,7 +100,7 @@
         control.shared.note_call(Topic::Prepaid, &noted);
         match &result {
             // After a return from a copy other routers wait for these rows.
-            Err(CallError::Moved { .. } | CallError::Gone { .. } | CallError::Restored { .. }) => {
+            Err(error) if error.is_outdated() => {
                 let pause = rand::rng().random_range(0..CONFLICT_PAUSE_MS);
                 sleep(Duration::from_millis(pause)).await;
             }
--- a/src/gateway/escrow/account.rs
+++ b/src/gateway/escrow/account.rs
@@ -291,8 +291,7 @@
 
     /// What was granted in an earlier era, which the first row of this one keeps: others count that and more for it.
     fn held_over(&self, era: Era) -> Tokens {
-        let is_former = |row: &Row| row.former_cap(era).is_some();
-        if !self.written.as_ref().is_some_and(is_former) {
+        if !self.is_of_former_era(era) {
             return Tokens::ZERO;
         }
         let sent = self.sent.iter().map(|row| row.granted);
@@ -378,9 +377,7 @@
     /// Notes that the store has this row.
     pub fn acknowledge(&mut self, now: Millis, row: &Row) {
         self.withdraw(now);
-        if let (Some(caps), Some(cap)) = (&mut self.caps, &row.cap) {
-            caps.note(now, cap);
-        }
+        self.note_cap(now, row);
         self.written = Some(*row);
         self.check();
     }
@@ -389,9 +386,14 @@
     /// where the store has come back since.
     pub fn withdraw(&mut self, now: Millis) {
         for row in std::mem::take(&mut self.sent) {
-            if let (Some(caps), Some(cap)) = (&mut self.caps, &row.cap) {
-                caps.note(now, cap);
-            }
+            self.note_cap(now, &row);
+        }
+    }
+
+    /// Notes the cap of a row that the store has, or may have.
+    fn note_cap(&mut self, now: Millis, row: &Row) {
+        if let (Some(caps), Some(cap)) = (&mut self.caps, &row.cap) {
+            caps.note(now, cap);
         }
     }
 
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -170,13 +170,10 @@
     /// and targets tell, which each router makes all the time.
     pub fn note_call(&self, topic: Topic, result: &Result<(), &CallError>) {
         self.metrics.store_calls.add(1);
-        let is_answer = matches!(
-            result,
-            Ok(())
-                | Err(CallError::Gone { .. }
-                    | CallError::Moved { .. }
-                    | CallError::Restored { .. })
-        );
+        let is_answer = match result {
+            Ok(()) => true,
+            Err(error) => error.is_outdated(),
+        };
         if !is_answer {
             self.metrics.store_failures.add(1);
         }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -75,6 +75,11 @@
         )
     }
 
+    /// Whether the store has answered that what the call rested on is out of date.
+    pub fn is_outdated(&self) -> bool {
+        matches!(self, Self::Moved { .. }) || self.loses_place()
+    }
+
     /// Whether what was read before is to be read anew, from the newest records on.
     pub fn loses_place(&self) -> bool {
         matches!(self, Self::Gone { .. } | Self::Restored { .. })
