Share the tests' configuration without a key, statuses and reached runners

store_restored had written again what gateway_store and evacuated_halls have: a configuration without the customer's key, the status of a request with an id of its own, and the wait until a request reaches a runner. No assertion, bound or literal has changed.

--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -319,6 +319,29 @@
     })
 }
 
+/// The same without the customer's key.
+pub fn config_without_key(version: u64, prepaid: u64) -> Value {
+    let mut config = config(version, prepaid);
+    config["tenants"] = json!([{ "name": CUSTOMER, "apiKeys": ["another"], "prepaid": prepaid }]);
+    config
+}
+
+/// The status of a request with an id of its own, if it is answered.
+pub async fn status_of(front: SocketAddr, path: &str) -> Option<u16> {
+    let ask = Ask::new(&format!("r{}", rand::random::<u64>()), path);
+    try_ask(front, &ask).await.map(|answer| answer.status)
+}
+
+/// Asks a gateway for a plain route until a request reaches a runner.
+pub async fn until_reached(front: SocketAddr, runner: &Runner) {
+    let before = runner.arrivals().len();
+    until(|| async {
+        status_of(front, "/often/x").await;
+        runner.arrivals().len() > before
+    })
+    .await;
+}
+
 /// A request of a client.
 #[derive(Clone, Debug)]
 pub struct Ask {
--- a/tests/evacuated_halls.rs
+++ b/tests/evacuated_halls.rs
@@ -9,7 +9,7 @@
 
 use deployment::runner::Runner;
 use deployment::store::{Fault, Store};
-use deployment::{Ask, Deployment, ask, config, try_ask, until};
+use deployment::{Ask, Deployment, ask, config, status_of, until_reached};
 use lanedeck::gateway::dialect::Listing;
 use lanedeck::gateway::evacuation::{Order, View};
 use lanedeck::gateway::key::TargetKey;
@@ -112,17 +112,7 @@
 }
 
 async fn status(front: SocketAddr) -> Option<u16> {
-    let ask = Ask::new(&format!("r{}", rand::random::<u64>()), "/often/x");
-    try_ask(front, &ask).await.map(|answer| answer.status)
-}
-
-async fn until_reached(front: SocketAddr, runner: &Runner) {
-    let before = runner.arrivals().len();
-    until(|| async {
-        status(front).await;
-        runner.arrivals().len() > before
-    })
-    .await;
+    status_of(front, "/often/x").await
 }
 
 /// Asks a gateway until twenty requests in a row do not reach a runner; how many of the last were served.
--- a/tests/gateway_store.rs
+++ b/tests/gateway_store.rs
@@ -4,18 +4,17 @@
 
 use deployment::runner::{EVENTS, Mode, Runner};
 use deployment::store::Fault;
-use deployment::{Ask, CUSTOMER, Deployment, KEY, ask, config, list, try_ask, until};
+use deployment::{
+    Ask, CUSTOMER, Deployment, KEY, ask, config, config_without_key, list, try_ask, until,
+};
 use serde_json::{Value, json};
 
 const PLENTY: u64 = 1_000_000;
 /// What one stream costs.
 const EACH: u64 = 100 + EVENTS as u64;
 
-/// The configuration without the customer's key.
 fn without_key(version: u64) -> Value {
-    let mut config = config(version, PLENTY);
-    config["tenants"] = json!([{ "name": CUSTOMER, "apiKeys": ["another"], "prepaid": PLENTY }]);
-    config
+    config_without_key(version, PLENTY)
 }
 
 async fn status(front: std::net::SocketAddr, id: &str, path: &str) -> u16 {
--- a/tests/store_restored.rs
+++ b/tests/store_restored.rs
@@ -8,7 +8,10 @@
 
 use deployment::runner::{EVENTS, Mode, Runner};
 use deployment::store::Fault;
-use deployment::{Ask, CUSTOMER, Deployment, Gateway, config, list, try_ask, until};
+use deployment::{
+    Ask, Deployment, Gateway, config, config_without_key, list, status_of, try_ask, until,
+    until_reached,
+};
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
@@ -35,18 +38,8 @@
     config
 }
 
-/// The configuration without the customer's key.
-fn without_key(version: u64) -> Value {
-    let mut config = config(version, PLENTY);
-    config["tenants"] = json!([{ "name": CUSTOMER, "apiKeys": ["another"], "prepaid": PLENTY }]);
-    config
-}
-
 async fn status(gateway: &Gateway, path: &str) -> Option<u16> {
-    let ask = Ask::new(&format!("r{}", rand::random::<u64>()), path);
-    try_ask(gateway.front, &ask)
-        .await
-        .map(|answer| answer.status)
+    status_of(gateway.front, path).await
 }
 
 /// Sends a stream; whether it was served.
@@ -130,7 +123,7 @@
     let begun = Instant::now();
     deployment
         .store
-        .put("keyed.op", "config", Some(&without_key(3)));
+        .put("keyed.op", "config", Some(&config_without_key(3, PLENTY)));
     let late = late(&deployment, begun, "/often/x", 401).await;
     assert!(
         late.is_empty(),
@@ -241,12 +234,7 @@
 /// Asks each gateway until its requests reach a runner.
 async fn until_used(deployment: &Deployment, runner: &Runner) {
     for gateway in &deployment.gateways {
-        let before = runner.arrivals().len();
-        until(|| async {
-            status(gateway, "/often/x").await;
-            runner.arrivals().len() > before
-        })
-        .await;
+        until_reached(gateway.front, runner).await;
     }
 }
 
