Read each stream on from what the control state has applied

Cause: the feed read on from what it had delivered. The control state cannot apply records if the log has dropped those before them; they were delivered once, dropped, and never read again, also after a checkpoint or a peer's state had brought the state on.

Change: each read starts after the last offset applied, which the control state tells the feed. Where the log has dropped the next records, the stream is read to its end before it is delivered, as at a start, and anew if records are dropped between two such reads. A router that is behind in a stream asks its peers for its state, in turn; before, only until it had been ready once, and always the peer with the newest configuration. A peer's state that does not reach what the log retains does not count as caught up.

--- a/src/router/control/action.rs
+++ b/src/router/control/action.rs
@@ -5,6 +5,7 @@
 
 use serde::Serialize;
 
+use crate::router::client::Cursor;
 use crate::router::config::{Config, Error, Intent, Proposal};
 use crate::router::intent::{Kind, Outcome, Plan};
 use crate::router::key::{BudgetKey, Incarnation, Stream};
@@ -89,6 +90,11 @@
         /// The batches that follow those read before, with their offsets.
         batches: Vec<(Offset, Batch)>,
     },
+    /// The feed asks where to read on.
+    Cursors {
+        /// The feed's question.
+        token: ReplyToken,
+    },
     /// Whether the log service answers.
     LogUp(bool),
     /// The log service answered an append. A record only takes effect once it is read back.
@@ -252,6 +258,13 @@
         /// The addresses, best first, each with the prefix for ids of requests sent there.
         entries: Vec<(SocketAddr, Prefix)>,
     },
+    /// Tell the feed where to read on.
+    Cursors {
+        /// The feed's question.
+        token: ReplyToken,
+        /// The offset after the last one applied, of each stream.
+        cursors: Vec<Cursor>,
+    },
     /// Publish the configuration, which has changed.
     Publish {
         /// The configuration.
--- a/src/router/control/peers.rs
+++ b/src/router/control/peers.rs
@@ -1,6 +1,8 @@
 //! Communication with the other routers: heartbeats, calls and replies, and this router's work as a witness for
 //! its wards, the holders that have named it.
 
+use std::net::SocketAddr;
+
 use super::action::ReplyToken;
 use super::decision::witness::{Ward, must_wait_for};
 use super::state::PendingCall;
@@ -69,19 +71,20 @@
         self.request_state();
     }
 
-    /// Requests the state of the streams from a peer while this router has not read them or cannot read the log.
+    /// Requests the state of streams from a peer while this router cannot bring them on from the log: all of them
+    /// until it has read them once or while the log does not answer, else those that it is behind in.
     fn request_state(&mut self) {
-        let is_behind = !self.is_ready() || !self.log_up;
-        if !is_behind || self.now < self.last_peer_state + STATE_REQUEST_INTERVAL {
+        let takes_all = !self.is_ready() || !self.log_up;
+        let mut wanted: Vec<Stream> = Stream::all().collect();
+        wanted.retain(|stream| takes_all || self.is_behind(*stream));
+        if wanted.is_empty() || self.now < self.last_peer_state + STATE_REQUEST_INTERVAL {
             return;
         }
         self.last_peer_state = self.now;
-        let healthy = self.membership.well(self.now);
-        let Some(peer) = healthy.into_iter().max_by_key(|peer| peer.applied) else {
+        let Some(address) = self.choose_state_peer() else {
             return;
         };
-        let address = peer.address;
-        for stream in Stream::all() {
+        for stream in wanted {
             self.call(
                 address,
                 PendingCall::State(stream),
@@ -90,6 +93,19 @@
         }
     }
 
+    /// The peer to request states from. While the log answers, each round asks another one, since the last one asked
+    /// may be behind too.
+    fn choose_state_peer(&mut self) -> Option<SocketAddr> {
+        let healthy = self.membership.well(self.now);
+        let peer = if self.log_up {
+            self.state_rounds += 1;
+            healthy.get(self.state_rounds % healthy.len().max(1))
+        } else {
+            healthy.iter().max_by_key(|peer| peer.applied)
+        };
+        peer.map(|peer| peer.address)
+    }
+
     /// Answers a request of a peer.
     pub(super) fn answer_peer(&mut self, token: ReplyToken, request: Request) {
         let reply = match request {
--- a/src/router/control/state.rs
+++ b/src/router/control/state.rs
@@ -106,6 +106,8 @@
     pub(super) writers: BTreeMap<Stream, Writer>,
     /// Streams that were read to their end at least once, or taken from a peer.
     pub(super) caught_up: BTreeSet<Stream>,
+    /// The oldest offset that the log retained at the last read of each stream.
+    pub(super) oldest_retained: BTreeMap<Stream, Offset>,
     /// Whether the log service answered the last read.
     pub(super) log_up: bool,
     /// When the log service last stopped answering.
@@ -175,6 +177,8 @@
     pub(super) last_maintenance: Millis,
     pub(super) last_prune: Millis,
     pub(super) last_peer_state: Millis,
+    /// Rounds of state requests sent so far.
+    pub(super) state_rounds: usize,
     pub(super) last_inquiry: Millis,
     /// Number of invariant violations.
     pub(super) violations: u64,
@@ -199,6 +203,7 @@
                 .map(|stream| (stream, Writer::new(incarnation)))
                 .collect(),
             caught_up: BTreeSet::new(),
+            oldest_retained: BTreeMap::new(),
             log_up: true,
             log_down_since: now,
             checkpoints: BTreeMap::new(),
@@ -232,6 +237,7 @@
             last_maintenance: Millis::ZERO,
             last_prune: now,
             last_peer_state: now,
+            state_rounds: 0,
             last_inquiry: now,
             violations: 0,
             suspended: BTreeSet::new(),
@@ -251,6 +257,7 @@
                 first,
                 batches,
             } => self.apply_records(stream, first, &batches),
+            Input::Cursors { token } => self.answer_cursors(token),
             Input::LogUp(up) => self.set_log_up(up),
             Input::Appended { stream, taken } => self.handle_append_result(stream, taken),
             Input::Hosts(hosts) => self.update_hosts(&hosts),
--- a/src/router/control/streams.rs
+++ b/src/router/control/streams.rs
@@ -2,8 +2,10 @@
 
 use rand::RngExt;
 
+use super::action::ReplyToken;
 use super::state::PendingCheckpoint;
 use super::{Action, State};
+use crate::router::client::Cursor;
 use crate::router::key::Stream;
 use crate::router::log::{Batch, Checkpoint, Progress, Record};
 use crate::units::{Millis, Offset};
@@ -25,8 +27,8 @@
             Stream::Config => self.config.apply_batches(first, batches),
             Stream::Shard(shard) => self.ledgers[usize::from(shard)].apply_batches(first, batches),
         };
-        // If the log no longer has the next offset and no checkpoint was found, the state is not usable yet.
-        if self.applied(stream) + Offset(1) >= first {
+        self.oldest_retained.insert(stream, first);
+        if !self.is_behind(stream) {
             self.caught_up.insert(stream);
         }
         self.apply_progress(stream, progress, !batches.is_empty());
@@ -39,12 +41,34 @@
             Stream::Shard(shard) => self.ledgers[usize::from(shard)].restore(checkpoint),
         };
         // An empty stream has nothing to restore and counts as read to its end.
-        if restored || checkpoint.through == self.applied(stream) {
+        let is_current = restored || checkpoint.through == self.applied(stream);
+        if is_current && !self.is_behind(stream) {
             self.caught_up.insert(stream);
         }
         self.apply_progress(stream, Progress::default(), restored);
     }
 
+    /// Whether the log has dropped records of a stream that were not applied here. Only a checkpoint or a peer's
+    /// state can bring the stream on.
+    pub(super) fn is_behind(&self, stream: Stream) -> bool {
+        let oldest = self.oldest_retained.get(&stream);
+        oldest.is_some_and(|oldest| self.next_offset(stream) < *oldest)
+    }
+
+    fn next_offset(&self, stream: Stream) -> Offset {
+        self.applied(stream) + Offset(1)
+    }
+
+    /// Tells the feed to read on from what was applied, which may be less than what it has delivered.
+    pub(super) fn answer_cursors(&mut self, token: ReplyToken) {
+        let cursors = Stream::all().map(|stream| Cursor {
+            stream,
+            from: self.next_offset(stream),
+        });
+        let cursors = cursors.collect();
+        self.actions.push(Action::Cursors { token, cursors });
+    }
+
     fn apply_progress(&mut self, stream: Stream, progress: Progress, has_advanced: bool) {
         for violation in progress.violations {
             self.report_violation(violation);
--- a/src/router/edge.rs
+++ b/src/router/edge.rs
@@ -73,7 +73,8 @@
             | Action::Planned { token, .. }
             | Action::Confirmed { token, .. }
             | Action::Status { token, .. }
-            | Action::Entries { token, .. } => self.shared.reply(token, action),
+            | Action::Entries { token, .. }
+            | Action::Cursors { token, .. } => self.shared.reply(token, action),
             Action::Publish { config } => {
                 tracing::info!(event = "config_in_force", objects = config.items().count());
                 self.shared.config.store(config);
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -18,6 +18,7 @@
 pub mod intent;
 pub mod key;
 pub mod log;
+mod log_feed;
 pub mod message;
 pub mod pool;
 mod process;
--- a/src/router/shared.rs
+++ b/src/router/shared.rs
@@ -9,7 +9,7 @@
 use arc_swap::ArcSwap;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::router::client::HttpLog;
+use crate::router::client::{Cursor, HttpLog};
 use crate::router::config::Config;
 use crate::router::control::{Action, Input, ReplyToken, Spec};
 use crate::router::http::answer::{Answer, Answers};
@@ -132,6 +132,14 @@
         }
     }
 
+    /// Where the feed reads on in each stream; `None` if the process ends first.
+    pub(super) async fn cursors(&self) -> Option<Vec<Cursor>> {
+        match self.ask(|token| Input::Cursors { token }).await {
+            Some(Action::Cursors { cursors, .. }) => Some(cursors),
+            _ => None,
+        }
+    }
+
     /// Entry addresses that a customer should use.
     pub async fn entries(&self, customer: String) -> Option<Vec<Address>> {
         match self.ask(|token| Input::Entry { token, customer }).await {
--- a/tests/common/world.rs
+++ b/tests/common/world.rs
@@ -449,6 +449,7 @@
             | Action::Confirmed { .. }
             | Action::Status { .. }
             | Action::Entries { .. }
+            | Action::Cursors { .. }
             | Action::Publish { .. } => {}
         }
     }
--- a/tests/gateway_store.rs
+++ b/tests/gateway_store.rs
@@ -68,6 +68,61 @@
     until(|| async { status(front, "b", "/often/x").await == 401 }).await;
 }
 
+/// Guards against a gateway that stays behind the store after records that it has not read were dropped.
+#[tokio::test(flavor = "multi_thread")]
+async fn history_dropped_while_frozen() {
+    const TOPICS: [&str; 3] = ["keyed.op", "keyed.servers", "keyed.prepaid"];
+    let first = Runner::start("i-1").await;
+    let second = Runner::start("i-2").await;
+    let deployment = Deployment::start(2, &config(1, LARGE_BUDGET), &[("app", &first)]).await;
+    deployment.wait_for_members().await;
+    let [frozen, other] = [&deployment.gateways[0], &deployment.gateways[1]];
+    for round in 0..6 {
+        frozen.signal("STOP");
+        for step in 0..5 {
+            let version = 2 + 10 * round + step;
+            let (gone, used) = if round % 2 == 0 {
+                (&first, &second)
+            } else {
+                (&second, &first)
+            };
+            list(&deployment.store, "app", gone, "draining");
+            list(&deployment.store, "app", used, "ready");
+            deployment
+                .store
+                .put("keyed.op", "config", Some(&without_key(version)));
+            until(|| async { status(other.front, "a", "/often/x").await == 401 }).await;
+            TOPICS
+                .iter()
+                .for_each(|topic| deployment.store.compact(topic));
+        }
+        frozen.signal("CONT");
+        until(|| async { status(frozen.front, "b", "/often/x").await == 401 }).await;
+        let version = 10 + 10 * round;
+        deployment
+            .store
+            .put("keyed.op", "config", Some(&config(version, LARGE_BUDGET)));
+        until(|| async { status(frozen.front, "c", "/often/x").await == 200 }).await;
+        until(|| async { status(other.front, "d", "/often/x").await == 200 }).await;
+        let (gone, used) = if round % 2 == 0 {
+            (&first, &second)
+        } else {
+            (&second, &first)
+        };
+        let before = used.runs();
+        until(|| async {
+            status(frozen.front, "e", "/often/x").await;
+            used.runs() > before
+        })
+        .await;
+        let before = gone.runs();
+        for _ in 0..40 {
+            assert_eq!(status(frozen.front, "f", "/often/x").await, 200);
+        }
+        assert_eq!(gone.runs(), before, "round {round}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn key_removed_through_peer() {
     for fault in [Fault::Unavailable, Fault::Limited, Fault::Silent] {
