Have targets cancel what a dead router may not have sent

Cause: the holder dies after its witness has the reservation and before the target has the call. The target says that it has not run it, which proves nothing, since the dispatch of a holder that is only slow may still come; so the witness asked for ever.

Change: once the ledger has its close, the witness asks a target that has not run the request to cancel it for that holder; the target then refuses a late dispatch, which names its holder, and nothing is billed. A call that may not be repeated can then run at another router under the same id. A retry at another target waits for the witnesses, as a first attempt does: otherwise they have the wrong target cancel. Weighed: a time after which it counts as not run, and a new process at the same address as proof; neither holds against a holder that goes on, or bytes on their way.

--- a/src/router/budget/ward.rs
+++ b/src/router/budget/ward.rs
@@ -22,6 +22,9 @@
     Settled(Tokens),
     /// This other router has taken the request over.
     TakenOver(Incarnation),
+    /// The target that the request was opened for has not run it, and never will. Set by a witness after it has closed
+    /// the holder, so it is never sent.
+    Cancelled,
 }
 
 /// A witness's replica of one holder.
--- a/src/router/budget/witness.rs
+++ b/src/router/budget/witness.rs
@@ -2,7 +2,7 @@
 //!
 //! A replica is a bounded buffer of what the log does not have yet, not a durable store: it is empty once the log has
 //! the settlements. The witness alone decides whether a request of a lost holder may be taken over: an entry changes
-//! from open to settled or to taken over, once. After a close nothing is acknowledged for the holder any more, so a
+//! from open to settled, cancelled or taken over, once. After a close nothing is acknowledged for the holder any more, so a
 //! request that the holder has not opened here was never dispatched and never will be.
 
 use std::collections::BTreeMap;
@@ -191,7 +191,7 @@
             }
             (State::Settled(_), _, None) => Answer::Acknowledged,
             (State::Settled(_), _, Some(_)) => Answer::Closed { billed: true },
-            (State::TakenOver(_), _, _) => Answer::Closed { billed: false },
+            (State::TakenOver(_) | State::Cancelled, _, _) => Answer::Closed { billed: false },
         }
     }
 
@@ -306,6 +306,15 @@
                 TakeoverAnswer::Open
             }
             State::Open(_) => TakeoverAnswer::Open,
+            State::Cancelled => {
+                *state = State::TakenOver(by);
+                // A repeatable request may have run in part at a target before the one that has cancelled it.
+                if repeatable {
+                    TakeoverAnswer::Open
+                } else {
+                    TakeoverAnswer::Fresh
+                }
+            }
         }
     }
 
@@ -340,7 +349,7 @@
                 budget,
                 reservation,
             }),
-            State::Settled(_) | State::TakenOver(_) => None,
+            State::Settled(_) | State::TakenOver(_) | State::Cancelled => None,
         });
         open.collect()
     }
@@ -357,6 +366,22 @@
         }
     }
 
+    /// Bills nothing for a closed holder's request that its target has cancelled.
+    pub fn record_cancelled(&mut self, id: Id) {
+        let record = self.replicas.get_mut(&id.incarnation);
+        let Some(record) = record.filter(|record| record.closed.is_some()) else {
+            return;
+        };
+        if let Some((budget, state @ State::Open(_))) = record.replica.entries.get_mut(&id.nonce) {
+            *state = State::Cancelled;
+            record.resolved.push(Resolved {
+                id,
+                budget: *budget,
+                billed: Tokens::ZERO,
+            });
+        }
+    }
+
     /// Drops the replica of a holder that has another witness now.
     pub fn remove(&mut self, holder: Incarnation) {
         self.replicas.remove(&holder);
--- a/src/router/control/action.rs
+++ b/src/router/control/action.rs
@@ -160,12 +160,26 @@
         /// Tokens used, before the class's price factor.
         used: Tokens,
     },
+    /// A target that has not run a request in doubt refuses it from now on.
+    Cancelled {
+        /// The request's id in its holder's accounts.
+        id: Id,
+    },
     /// The periodic timer has fired.
     Tick,
     /// The process has been told to stop.
     Stop,
 }
 
+/// What follows if a target has not run a request in doubt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IfNotRun {
+    /// Nothing: its holder may still be alive.
+    Wait,
+    /// The target is asked to cancel the request: its holder is closed, and may have sent it before.
+    Cancel,
+}
+
 /// An action that the control state requests from the code around it.
 #[derive(Debug)]
 pub enum Action {
@@ -175,6 +189,8 @@
         ticket: Ticket,
         /// Id of the request, which is sent to the target.
         id: Id,
+        /// The incarnation of this process whose accounts pay for it.
+        holder: Incarnation,
         /// Number of this dispatch among those of the request, from 1.
         attempt: u32,
         /// The chosen target.
@@ -206,6 +222,8 @@
         request: Id,
         /// The target.
         target: SocketAddr,
+        /// What to do if the target has not run the request.
+        if_not_run: IfNotRun,
     },
     /// Append to the log.
     Append {
--- a/src/router/control/dispatch.rs
+++ b/src/router/control/dispatch.rs
@@ -172,9 +172,11 @@
         job.stage = Stage::Running;
         job.attempt += 1;
         let (id, attempt, rank) = (job.spec.id, job.attempt, job.rank);
+        let holder = job.holder;
         self.actions.push(Action::Dispatch {
             ticket,
             id,
+            holder,
             attempt,
             choice,
             rank,
@@ -227,8 +229,9 @@
         }
     }
 
-    /// Dispatches a request to another target under its existing reservation, if the retry rules and the retry
-    /// budget allow it and a target is free. Returns whether it did.
+    /// Opens a request for another target under its existing reservation, if the retry rules and the retry budget
+    /// allow it and a target is free. Returns whether it did. It is dispatched once the witnesses know which target
+    /// to ask for the outcome: one that has closed this incarnation meanwhile would ask the last one only.
     fn retry(&mut self, ticket: Ticket, last: Choice, failure: Failure) -> bool {
         let Some(job) = self.jobs.get_mut(&ticket) else {
             return false;
@@ -245,15 +248,9 @@
         let Some(choice) = choose(&self.pool, self.now, job, &mut self.rng) else {
             return false;
         };
-        job.choice = Some(choice);
-        let notice = job.open_notice();
+        job.witnessed_by.clear();
         self.retry_budget.withdraw();
-        self.pool.dispatched(choice.target);
-        // The witnesses have the reservation already; this tells them which target to ask for the outcome.
-        if let Some(notice) = notice {
-            self.notify_witnesses(&notice);
-        }
-        self.dispatch(ticket);
+        self.open(ticket, choice);
         true
     }
 
@@ -366,6 +363,18 @@
         }
     }
 
+    /// Ends a request whose reservation the witnesses have not acknowledged in time. What it received from an earlier
+    /// attempt is billed.
+    fn give_up_opening(&mut self, ticket: Ticket) {
+        let job = self.jobs.get(&ticket);
+        let Some((choice, seen)) = job.and_then(|job| Some((job.choice?, job.tokens_seen?))) else {
+            self.refuse(ticket, Reason::WitnessUnavailable);
+            return;
+        };
+        self.pool.finished(self.now, choice.target, None);
+        self.settle_broken(ticket, seen);
+    }
+
     /// Ends the waits for witnesses that have lasted too long.
     pub(super) fn expire_jobs(&mut self) {
         let now = self.now;
@@ -379,7 +388,7 @@
             }
         }
         for ticket in unopened {
-            self.refuse(ticket, Reason::WitnessUnavailable);
+            self.give_up_opening(ticket);
         }
         for ticket in undecided {
             self.handle_takeover_answer(ticket, crate::router::budget::TakeoverAnswer::Unknown);
--- a/src/router/control/link.rs
+++ b/src/router/control/link.rs
@@ -2,6 +2,7 @@
 //! until it is answered.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 
 use crate::router::key::Incarnation;
 use crate::router::message::{Notice, Request};
@@ -33,8 +34,8 @@
     pub last_answered: Millis,
     /// Whether the witness has acknowledged the holder's accounts.
     pub adopted: bool,
-    /// Numbers of the requests that are open in the accounts sent to the witness.
-    pub open: Vec<u64>,
+    /// Numbers and targets of the requests that are open in the accounts sent to the witness.
+    pub open: Vec<(u64, SocketAddr)>,
     /// Numbers of the requests that are settled in the accounts sent to the witness, with an acknowledgement still
     /// outstanding.
     pub settled: Vec<u64>,
--- a/src/router/control/mod.rs
+++ b/src/router/control/mod.rs
@@ -18,5 +18,7 @@
 mod streams;
 mod witnesses;
 
-pub use action::{Action, Call, End, Input, ReplyToken, Spec, Status, StatusBudget, StatusPeer};
+pub use action::{
+    Action, Call, End, IfNotRun, Input, ReplyToken, Spec, Status, StatusBudget, StatusPeer,
+};
 pub use state::{Settings, State};
--- a/src/router/control/peers.rs
+++ b/src/router/control/peers.rs
@@ -6,7 +6,7 @@
 use super::action::ReplyToken;
 use super::decision::witness::{Ward, must_wait_for};
 use super::state::PendingCall;
-use super::{Action, Call, State};
+use super::{Action, Call, IfNotRun, State};
 use crate::router::budget::{Answer, Doubt, Replay, Resolved, TakeoverAnswer, Witness};
 use crate::router::host::Peer;
 use crate::router::key::{BudgetKey, Incarnation, SHARDS, Stream};
@@ -287,18 +287,30 @@
         silent.collect()
     }
 
-    /// Asks targets for the outcome of requests that closed wards had dispatched to them.
+    /// Asks targets for the outcome of requests that closed wards may have dispatched to them.
     pub(super) fn inquire(&mut self) {
         if self.now < self.last_inquiry + INQUIRY_INTERVAL {
             return;
         }
         self.last_inquiry = self.now;
-        let doubts = self.witnesses.values().flat_map(Witness::in_doubt);
-        for doubt in doubts.take(INQUIRIES_PER_ROUND) {
+        let witnesses = self.witnesses.iter();
+        let doubts = witnesses.flat_map(|(name, witness)| {
+            let doubts = witness.in_doubt().into_iter();
+            doubts.map(|doubt| (*name, doubt))
+        });
+        let mut doubts: Vec<(Incarnation, Doubt)> = doubts.collect();
+        doubts.truncate(INQUIRIES_PER_ROUND);
+        for (name, doubt) in doubts {
+            // A witness that the ledger does not name has closed nothing: the holder may be alive.
+            let if_not_run = match self.decides_doubt(name, doubt.id, doubt.budget) {
+                true => IfNotRun::Cancel,
+                false => IfNotRun::Wait,
+            };
             self.actions.push(Action::Inquire {
                 id: doubt.id,
                 request: doubt.reservation.request,
                 target: doubt.reservation.target,
+                if_not_run,
             });
         }
     }
@@ -311,6 +323,14 @@
         self.write_closes();
     }
 
+    /// Records that a target has cancelled a request of a closed ward.
+    pub(super) fn record_cancelled(&mut self, id: Id) {
+        for witness in self.witnesses.values_mut() {
+            witness.record_cancelled(id);
+        }
+        self.write_closes();
+    }
+
     /// Wards whose witness, according to a ledger, is this process.
     fn named_wards(&self) -> impl Iterator<Item = NamedWard> {
         let wards = self.witnesses.iter().flat_map(|(name, witness)| {
--- a/src/router/control/state.rs
+++ b/src/router/control/state.rs
@@ -269,6 +269,7 @@
             Input::Status { token } => self.answer_status(token),
             Input::Entry { token, customer } => self.answer_entry(token, &customer),
             Input::InquiryAnswered { id, used } => self.record_target_outcome(id, used),
+            Input::Cancelled { id } => self.record_cancelled(id),
             Input::Tick => self.tick(),
             Input::Stop => self.begin_stop(),
         }
--- a/src/router/control/witnesses.rs
+++ b/src/router/control/witnesses.rs
@@ -1,5 +1,7 @@
 //! This router as a holder: its choice of a witness, and what the witnesses must acknowledge before it goes on.
 
+use std::net::SocketAddr;
+
 use rand::RngExt;
 
 use super::decision::witness::{self, Decision, WitnessState};
@@ -103,13 +105,21 @@
             self.link_count += 1;
             let mut link = Link::new(self.now, me, witness, self.link_count);
             link.push(Notice::Adopt(self.replica()));
-            link.open = self.by_nonce.keys().copied().collect();
+            link.open = self.open_requests();
             link.settled = self.settling.keys().copied().collect();
             self.links.insert((me, witness), link);
         }
         self.membership.me_mut().witness = chosen;
     }
 
+    /// The number and the target of each request that this incarnation has reserved tokens for.
+    fn open_requests(&self) -> Vec<(u64, SocketAddr)> {
+        let target = |ticket| Some(self.jobs.get(ticket)?.choice?.address);
+        let open = self.by_nonce.iter();
+        open.filter_map(|(nonce, ticket)| Some((*nonce, target(ticket)?)))
+            .collect()
+    }
+
     fn replica(&self) -> Replica {
         let me = self.incarnation();
         let ours = self
@@ -248,7 +258,9 @@
         }
         match notice {
             Notice::Adopt(_) => self.record_adoption(key),
-            Notice::Open { nonce, .. } => self.record_witnessed(witness, *nonce),
+            Notice::Open {
+                nonce, reservation, ..
+            } => self.record_witnessed(witness, *nonce, reservation.target),
             Notice::Settle { nonce, .. } => {
                 if let Some(settling) = self.settling.get_mut(nonce) {
                     settling.acked_by.push(witness);
@@ -259,10 +271,13 @@
         }
     }
 
-    /// Records that a witness has acknowledged a reservation.
-    fn record_witnessed(&mut self, witness: Incarnation, nonce: u64) {
+    /// Records that a witness has acknowledged a reservation for this target.
+    fn record_witnessed(&mut self, witness: Incarnation, nonce: u64, target: SocketAddr) {
         if let Some(ticket) = self.by_nonce.get(&nonce).copied() {
-            if let Some(job) = self.jobs.get_mut(&ticket) {
+            // The acknowledgement of an earlier dispatch may come after another target was chosen.
+            if let Some(job) = self.jobs.get_mut(&ticket)
+                && job.choice.is_some_and(|choice| choice.address == target)
+            {
                 job.witnessed_by.push(witness);
             }
             self.try_dispatch(ticket);
@@ -278,8 +293,8 @@
         link.adopted = true;
         let open = std::mem::take(&mut link.open);
         let settled = std::mem::take(&mut link.settled);
-        for nonce in open {
-            self.record_witnessed(key.1, nonce);
+        for (nonce, target) in open {
+            self.record_witnessed(key.1, nonce, target);
         }
         for nonce in settled {
             if let Some(settling) = self.settling.get_mut(&nonce) {
--- a/src/router/edge.rs
+++ b/src/router/edge.rs
@@ -8,7 +8,7 @@
 
 use super::shared::Shared;
 use crate::router::client::Log;
-use crate::router::control::{Action, Call, Input};
+use crate::router::control::{Action, Call, IfNotRun, Input};
 use crate::router::http::answer::{Answer, Work};
 use crate::router::http::relay::{Dispatch, Relay};
 use crate::router::message::Request;
@@ -41,12 +41,14 @@
             Action::Dispatch {
                 ticket,
                 id,
+                holder,
                 attempt,
                 choice,
                 rank,
             } => {
                 let dispatch = Dispatch {
                     id,
+                    holder,
                     attempt,
                     choice,
                     rank,
@@ -64,8 +66,9 @@
                 id,
                 request,
                 target,
+                if_not_run,
             } => {
-                self.inquire(id, request, target);
+                self.inquire(id, request, target, if_not_run);
             }
             Action::Append { stream, batch } => self.append(stream, batch),
             Action::Call { call, to, request } => self.call(call, to, request),
@@ -90,14 +93,26 @@
     }
 
     /// Asks a target for the outcome of a request in doubt.
-    fn inquire(&self, id: Id, request: Id, target: SocketAddr) {
+    fn inquire(&self, id: Id, request: Id, target: SocketAddr, if_not_run: IfNotRun) {
         let (relay, shared) = (self.relay.clone(), Arc::clone(&self.shared));
         self.traffic.spawn(async move {
-            let state = relay.request_state(target, request).await;
-            if let Some(state) = state.filter(|state| state.ran && state.done) {
+            let Some(state) = relay.request_state(target, request).await else {
+                return;
+            };
+            if state.ran && state.done {
                 let used = Tokens(state.used);
+                tracing::info!(event = "doubt_answered", %request, %target, %used);
                 shared.tell(Input::InquiryAnswered { id, used });
             }
+            if !state.ran && if_not_run == IfNotRun::Cancel {
+                let holder = id.incarnation;
+                let answer = relay.cancel(target, request, holder).await;
+                let cancelled = answer.is_some_and(|answer| answer.cancelled);
+                tracing::info!(event = "doubt_cancelled", %request, %holder, %target, cancelled);
+                if cancelled {
+                    shared.tell(Input::Cancelled { id });
+                }
+            }
         });
     }
 
--- a/src/router/http/mod.rs
+++ b/src/router/http/mod.rs
@@ -43,5 +43,7 @@
 pub const ATTEMPT: &str = "lanedeck-attempt";
 /// Header with the fence of a request (the version of the target's object), sent to targets.
 pub const FENCE: &str = "lanedeck-fence";
+/// Header with the incarnation that pays for a dispatch of a request, sent to targets.
+pub const HOLDER: &str = "lanedeck-holder";
 /// Header with the rank of the class, sent to targets.
 pub const RANK: &str = "lanedeck-rank";
--- a/src/router/http/relay.rs
+++ b/src/router/http/relay.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use http::StatusCode;
+use http::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use volo_http::body::{Body, BodyConversion};
 use volo_http::client::sse::{SseExt, SseReader};
@@ -14,9 +14,10 @@
 
 use super::answer::{Answer, ServiceAnswer, Work};
 use super::chat::Frame;
-use super::{ATTEMPT, FENCE, RANK, REQUEST_ID, VERDICT};
+use super::{ATTEMPT, FENCE, HOLDER, RANK, REQUEST_ID, VERDICT};
 use crate::router::control::End;
 use crate::router::intent::Kind;
+use crate::router::key::Incarnation;
 use crate::router::pool::Choice;
 use crate::router::request::Id;
 use crate::units::{Millis, Tokens};
@@ -51,6 +52,8 @@
 pub struct Dispatch {
     /// Id of the request.
     pub id: Id,
+    /// The incarnation that pays for the request.
+    pub holder: Incarnation,
     /// Number of this dispatch among those of the request.
     pub attempt: u32,
     /// The chosen target.
@@ -70,6 +73,14 @@
     pub used: u64,
 }
 
+/// A target's answer to the cancellation of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cancellation {
+    /// Whether the target has not run the request, and refuses it from now on if this holder pays for it. False if
+    /// the request ran or is running there.
+    pub cancelled: bool,
+}
+
 /// A target's load report. Targets also report cache events, which are not used.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Load {
@@ -156,6 +167,7 @@
             .post(format!("http://{}{path}", dispatch.choice.address))
             .header(http::header::CONTENT_TYPE, "application/json")
             .header(REQUEST_ID, dispatch.id.to_string())
+            .header(HOLDER, dispatch.holder.to_string())
             .header(ATTEMPT, dispatch.attempt.to_string())
             .header(FENCE, dispatch.choice.fence.to_string())
             .header(RANK, dispatch.rank.to_string())
@@ -336,7 +348,8 @@
 
     /// Queries a target for its load and its cache events from offset `from` on.
     pub async fn load(&self, address: std::net::SocketAddr, from: usize) -> Option<Load> {
-        self.get(format!("http://{address}/v1/load/{from}")).await
+        let uri = format!("http://{address}/v1/load/{from}");
+        self.query(Method::GET, uri).await
     }
 
     /// Queries a target for the state of a request.
@@ -345,12 +358,29 @@
         address: std::net::SocketAddr,
         id: Id,
     ) -> Option<RequestState> {
-        self.get(format!("http://{address}/v1/requests/{id}")).await
+        let uri = format!("http://{address}/v1/requests/{id}");
+        self.query(Method::GET, uri).await
+    }
+
+    /// Asks a target to refuse a request that `holder` pays for, unless it has run. `None` if the target does not
+    /// answer or cannot cancel requests; it may have cancelled this one.
+    pub async fn cancel(
+        &self,
+        address: std::net::SocketAddr,
+        id: Id,
+        holder: Incarnation,
+    ) -> Option<Cancellation> {
+        let uri = format!("http://{address}/v1/requests/{id}/holders/{holder}");
+        self.query(Method::DELETE, uri).await
     }
 
     /// Queries a target for JSON; `None` if the query fails or the target has no answer.
-    async fn get<T: serde::de::DeserializeOwned>(&self, uri: String) -> Option<T> {
-        match tokio::time::timeout(QUERY_TIMEOUT, self.fetch(&uri)).await {
+    async fn query<T: serde::de::DeserializeOwned>(
+        &self,
+        method: Method,
+        uri: String,
+    ) -> Option<T> {
+        match tokio::time::timeout(QUERY_TIMEOUT, self.fetch(method, &uri)).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(error)) => {
                 tracing::debug!(event = "target_question_failed", %uri, %error);
@@ -365,9 +395,10 @@
 
     async fn fetch<T: serde::de::DeserializeOwned>(
         &self,
+        method: Method,
         uri: &str,
     ) -> Result<Option<T>, volo_http::error::BoxError> {
-        let response = self.pooled.get(uri).send().await?;
+        let response = self.pooled.request(method, uri).send().await?;
         if response.status() != StatusCode::OK {
             return Ok(None);
         }
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -3,7 +3,7 @@
 //! A response is a function of the prompt, so that a test can check every byte of it. The time at which each word
 //! becomes available is fixed when the request starts; streaming and resuming follow that schedule.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -19,11 +19,11 @@
 use volo_http::server::Router;
 use volo_http::server::param::PathParams;
 use volo_http::server::response::sse::{Event, Sse};
-use volo_http::server::route::{get, post};
+use volo_http::server::route::{delete, get, post};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{empty, json, lock, set_faults};
-use crate::router::http::relay::{Load, RequestState};
+use crate::router::http::relay::{Cancellation, Load, RequestState};
 use crate::router::http::{Headers, chat};
 
 /// Speed and capacity of an engine.
@@ -90,6 +90,7 @@
     faults: Faults,
     ran: HashMap<String, u32>,
     runs: HashMap<String, Run>,
+    cancelled: Cancelled,
     running: u32,
     fence: u64,
 }
@@ -121,7 +122,7 @@
     /// The HTTP routes of the engine.
     pub fn routes(&self) -> Router {
         let (a, b, c) = (self.clone(), self.clone(), self.clone());
-        let (d, e, f) = (self.clone(), self.clone(), self.clone());
+        let (d, e, f, g) = (self.clone(), self.clone(), self.clone(), self.clone());
         Router::new()
             .route(
                 "/v1/chat/completions",
@@ -133,6 +134,14 @@
                 "/v1/requests/{id}",
                 get(move |PathParams(id): PathParams<String>| async move { b.request_state(&id) }),
             )
+            .route(
+                "/v1/requests/{id}/holders/{holder}",
+                delete(
+                    move |PathParams((id, holder)): PathParams<(String, String)>| async move {
+                        g.cancel(id, holder)
+                    },
+                ),
+            )
             .route(
                 "/v1/requests/{id}/stream/{from}",
                 get(
@@ -171,8 +180,10 @@
             return not_run();
         }
         let prompt = call.prompt();
-        let run = self.begin(&dispatch, &prompt, call.max_tokens).await;
-        self.stream(dispatch.id, run, 0)
+        match self.begin(&dispatch, &prompt, call.max_tokens).await {
+            Some(run) => self.stream(dispatch.id, run, 0),
+            None => not_run(),
+        }
     }
 
     fn is_stale(&self, fence: Option<u64>) -> bool {
@@ -185,10 +196,15 @@
         stale
     }
 
-    async fn begin(&self, dispatch: &Dispatch, prompt: &str, tokens: u64) -> Run {
+    /// Starts a request once a slot is free; `None` if it was cancelled.
+    async fn begin(&self, dispatch: &Dispatch, prompt: &str, tokens: u64) -> Option<Run> {
         lock(&self.inner).running += 1;
         let permit = Arc::clone(&self.slots).acquire_owned().await;
         let mut inner = lock(&self.inner);
+        if inner.cancelled.contains(dispatch) {
+            inner.running -= 1;
+            return None;
+        }
         let slow = inner.faults.slow.max(1);
         let run = Run {
             prompt: prompt.to_owned(),
@@ -208,7 +224,7 @@
             lock(&state).running -= 1;
             drop(permit);
         });
-        run
+        Some(run)
     }
 
     fn stream(&self, id: String, run: Run, from: u64) -> Response {
@@ -270,6 +286,15 @@
         json(StatusCode::OK, &state)
     }
 
+    fn cancel(&self, id: String, holder: String) -> Response {
+        let mut inner = lock(&self.inner);
+        let cancelled = !inner.runs.contains_key(&id);
+        if cancelled {
+            inner.cancelled.insert(id, holder);
+        }
+        json(StatusCode::OK, &Cancellation { cancelled })
+    }
+
     fn load(&self) -> Response {
         let running = lock(&self.inner).running;
         json(StatusCode::OK, &Load { running, next: 0 })
@@ -301,9 +326,27 @@
     response
 }
 
+/// Requests that a target refuses, each for the holder that it was cancelled for: another router may have taken the
+/// request over.
+#[derive(Debug, Default)]
+pub(super) struct Cancelled(HashSet<(String, String)>);
+
+impl Cancelled {
+    pub fn insert(&mut self, id: String, holder: String) {
+        self.0.insert((id, holder));
+    }
+
+    pub fn contains(&self, dispatch: &Dispatch) -> bool {
+        let holder = dispatch.holder.clone();
+        holder.is_some_and(|holder| self.0.contains(&(dispatch.id.clone(), holder)))
+    }
+}
+
 /// The request headers that a router sets.
 pub(super) struct Dispatch {
     pub id: String,
+    /// Incarnation of the router that pays for the dispatch; `None` in a call that does not come from a router.
+    pub holder: Option<String>,
     pub attempt: u32,
     /// The fencing token; `None` in a call that does not come from a router.
     pub fence: Option<u64>,
@@ -316,6 +359,7 @@
         let id = text(crate::router::http::REQUEST_ID).ok_or("no request id")?;
         Ok(Self {
             id: id.to_owned(),
+            holder: text(crate::router::http::HOLDER).map(str::to_owned),
             attempt: number(crate::router::http::ATTEMPT).unwrap_or(1) as u32,
             fence: number(crate::router::http::FENCE),
         })
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -10,13 +10,13 @@
 use volo_http::response::Response;
 use volo_http::server::Router;
 use volo_http::server::param::PathParams;
-use volo_http::server::route::{get, post};
+use volo_http::server::route::{delete, get, post};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::engine::{Dispatch, not_run};
+use super::engine::{Cancelled, Dispatch, not_run};
 use super::{empty, json, lock, set_faults};
 use crate::router::http::Headers;
-use crate::router::http::relay::{Load, RequestState};
+use crate::router::http::relay::{Cancellation, Load, RequestState};
 
 /// Faults of a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,6 +34,7 @@
 struct Inner {
     faults: Faults,
     ran: HashMap<String, u32>,
+    cancelled: Cancelled,
     running: u32,
 }
 
@@ -61,7 +62,7 @@
     /// The HTTP routes of the service.
     pub fn routes(&self) -> Router {
         let (a, b, c) = (self.clone(), self.clone(), self.clone());
-        let (d, e) = (self.clone(), self.clone());
+        let (d, e, f) = (self.clone(), self.clone(), self.clone());
         Router::new()
             .route(
                 "/call",
@@ -73,6 +74,14 @@
                 "/v1/requests/{id}",
                 get(move |PathParams(id): PathParams<String>| async move { b.request_state(&id) }),
             )
+            .route(
+                "/v1/requests/{id}/holders/{holder}",
+                delete(
+                    move |PathParams((id, holder)): PathParams<(String, String)>| async move {
+                        f.cancel(id, holder)
+                    },
+                ),
+            )
             .route("/v1/load/{from}", get(move || async move { c.load() }))
             .route("/v1/ran", get(move || async move { d.run_counts() }))
             .route(
@@ -88,7 +97,7 @@
         };
         let faults = {
             let mut inner = lock(&self.inner);
-            if inner.faults.refuses {
+            if inner.faults.refuses || inner.cancelled.contains(&dispatch) {
                 return not_run();
             }
             *inner.ran.entry(dispatch.id.clone()).or_default() += 1;
@@ -127,6 +136,15 @@
         json(StatusCode::OK, &state)
     }
 
+    fn cancel(&self, id: String, holder: String) -> Response {
+        let mut inner = lock(&self.inner);
+        let cancelled = !inner.ran.contains_key(&id);
+        if cancelled {
+            inner.cancelled.insert(id, holder);
+        }
+        json(StatusCode::OK, &Cancellation { cancelled })
+    }
+
     fn load(&self) -> Response {
         let running = lock(&self.inner).running;
         json(
--- a/tests/common/world.rs
+++ b/tests/common/world.rs
@@ -4,10 +4,12 @@
 //! messages. The control states check their own invariants; all other properties are checked here.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::net::SocketAddr;
 
-use lanedeck::router::control::{Action, Call, End, Input, ReplyToken, Settings, Spec, State};
+use lanedeck::router::control::{
+    Action, Call, End, IfNotRun, Input, ReplyToken, Settings, Spec, State,
+};
 use lanedeck::router::host::Peer;
 use lanedeck::router::intent::{Change, Class, Customer, Key, Kind, Object, Plan, Target, Terms};
 use lanedeck::router::key::{Incarnation, Stream};
@@ -85,6 +87,12 @@
     tickets: HashMap<(usize, u64, Ticket), usize>,
     tokens: HashMap<ReplyToken, (usize, u64, Call)>,
     run_counts: BTreeMap<Id, u32>,
+    /// Requests with each target that has run them.
+    ran_at: BTreeSet<(Id, SocketAddr)>,
+    /// Requests whose next dispatch does not reach its target.
+    unsent_once: BTreeSet<Id>,
+    /// Requests that a target refuses, each with the holder that it was cancelled for.
+    cancelled: BTreeSet<(Id, Incarnation, SocketAddr)>,
     cost: BTreeMap<Id, u64>,
     pub billed: BTreeMap<Id, Vec<u64>>,
     pub faults: Faults,
@@ -128,6 +136,9 @@
             tickets: HashMap::new(),
             tokens: HashMap::new(),
             run_counts: BTreeMap::new(),
+            ran_at: BTreeSet::new(),
+            unsent_once: BTreeSet::new(),
+            cancelled: BTreeSet::new(),
             cost: BTreeMap::new(),
             billed: BTreeMap::new(),
             faults: Faults::default(),
@@ -367,11 +378,13 @@
             Action::Dispatch {
                 ticket,
                 id,
+                holder,
                 attempt: _,
-                choice: _,
+                choice,
                 rank: _,
             } => {
-                self.dispatch(node, generation, ticket, id);
+                let dispatch = (id, holder, choice.address);
+                self.dispatch(node, generation, ticket, dispatch);
             }
             Action::Finish { ticket, verdict } => self.finish(node, generation, ticket, verdict),
             Action::Join { ticket, to } => {
@@ -418,14 +431,23 @@
                     );
                 }
             }
-            Action::Inquire { id, request, .. } => {
-                if self.run_counts.contains_key(&request) {
+            Action::Inquire {
+                id,
+                request,
+                target,
+                if_not_run,
+            } => {
+                if self.ran_at.contains(&(request, target)) {
                     self.faults.count("target inquiry answered");
                     let used = Tokens(self.cost[&request]);
                     self.after(
                         5,
                         Event::ToNode(node, generation, Input::InquiryAnswered { id, used }),
                     );
+                } else if if_not_run == IfNotRun::Cancel {
+                    self.faults.count("request cancelled");
+                    self.cancelled.insert((request, id.incarnation, target));
+                    self.after(5, Event::ToNode(node, generation, Input::Cancelled { id }));
                 }
             }
             Action::Violated(violation) => {
@@ -454,10 +476,23 @@
         }
     }
 
-    fn dispatch(&mut self, node: usize, generation: u64, ticket: Ticket, id: Id) {
+    fn dispatch(
+        &mut self,
+        node: usize,
+        generation: u64,
+        ticket: Ticket,
+        dispatch: (Id, Incarnation, SocketAddr),
+    ) {
+        let id = dispatch.0;
         let used = *self.cost.get(&id).unwrap();
         let whole = Millis(50);
+        let is_lost = self.unsent_once.remove(&id);
         let end = match self.rng.random_range(0..100) {
+            _ if is_lost => End::Unsent,
+            _ if self.cancelled.contains(&dispatch) => {
+                self.faults.count("cancelled dispatch refused");
+                End::Refused
+            }
             0..3 if !self.faults_off => End::Unsent,
             3..5 if !self.faults_off => End::Refused,
             5..9 if !self.faults_off => End::Broken {
@@ -472,8 +507,12 @@
         self.trace(|| format!("dispatch node={node} generation={generation} {id} {end:?}"));
         if !matches!(end, End::Unsent | End::Refused) {
             *self.run_counts.entry(id).or_default() += 1;
+            self.ran_at.insert((id, dispatch.2));
         }
-        let wait = self.rng.random_range(20..3_000);
+        let wait = match is_lost {
+            true => 5,
+            false => self.rng.random_range(20..3_000),
+        };
         self.after(
             wait,
             Event::ToNode(node, generation, Input::Ended { ticket, end }),
--- a/tests/common/world/script.rs
+++ b/tests/common/world/script.rs
@@ -89,6 +89,16 @@
         (0..NODES).find(is_witness).expect("a witness that lives")
     }
 
+    /// Lets the next dispatch of a request fail before it reaches its target.
+    pub fn lose_dispatch(&mut self, id: Id) {
+        self.unsent_once.insert(id);
+    }
+
+    /// Whether a target has run a request.
+    pub fn has_run(&self, id: Id) -> bool {
+        self.run_counts.contains_key(&id)
+    }
+
     /// Cost of a request in tokens.
     pub fn cost_of(&self, id: Id) -> Tokens {
         Tokens(self.cost[&id])
--- a/tests/pinned_router.rs
+++ b/tests/pinned_router.rs
@@ -608,6 +608,16 @@
     );
 }
 
+#[test]
+fn cancellation() {
+    let cancelled = lanedeck::router::http::relay::Cancellation { cancelled: true };
+    assert_eq!(
+        serde_json::to_string(&cancelled).unwrap(),
+        r#"{"cancelled":true}"#
+    );
+    assert_eq!(lanedeck::router::http::HOLDER, "lanedeck-holder");
+}
+
 #[test]
 fn settings() {
     assert_eq!(
--- a/tests/witness_rules.rs
+++ b/tests/witness_rules.rs
@@ -145,6 +145,47 @@
     assert!(witness.in_doubt().is_empty());
 }
 
+#[test]
+fn cancelled_by_target() {
+    let mut witness = witness();
+    for number in 1..=3 {
+        open(&mut witness, number);
+    }
+    witness.record_cancelled(id(1));
+    assert!(witness.unrecorded().is_empty(), "the holder is not closed");
+    witness.close(Millis(2), HOLDER);
+    settle(&mut witness, 3, 30);
+    for number in 1..=3 {
+        witness.record_cancelled(id(number));
+    }
+    let bills: Vec<u64> = witness
+        .unrecorded()
+        .iter()
+        .map(|resolved| resolved.billed.0)
+        .collect();
+    assert_eq!(bills, [30, 0, 0], "a bill that was decided stands");
+    assert!(witness.in_doubt().is_empty());
+    // A late bill of the closed holder does not count.
+    assert_eq!(
+        settle(&mut witness, 1, 50),
+        Answer::Closed { billed: false }
+    );
+    // What may not be repeated has not run anywhere; a repeatable request may have, at an earlier target.
+    assert_eq!(
+        witness.take_over(id(1), OTHER, false),
+        TakeoverAnswer::Fresh
+    );
+    assert_eq!(
+        witness.take_over(id(1), OTHER, false),
+        TakeoverAnswer::Yours
+    );
+    assert_eq!(witness.take_over(id(2), OTHER, true), TakeoverAnswer::Open);
+    assert_eq!(
+        witness.take_over(id(2), Incarnation(7), true),
+        TakeoverAnswer::Other(OTHER)
+    );
+}
+
 #[test]
 fn calls_once() {
     let mut witness = witness();
