Ask about all requests in doubt in turn

Cause: each second the witness asked about the first 64 of its requests in doubt, in the same order. 64 whose targets are gone or have forgotten them kept all others in doubt for good. Found by reading, while tracing the call that stayed in doubt; not seen on a deployment.

Change: each round goes on where the last one ended.

Before: holder_death many_in_doubt, 90 requests of two routers, all but ten forgotten by their targets: failed without the rotation. After: passed.

--- a/src/router/control/peers.rs
+++ b/src/router/control/peers.rs
@@ -287,7 +287,8 @@
         silent.collect()
     }
 
-    /// Asks targets for the outcome of requests that closed wards may have dispatched to them.
+    /// Asks targets for the outcome of requests that closed wards may have dispatched to them, in turn, so that those
+    /// whose target never answers do not keep the others waiting.
     pub(super) fn inquire(&mut self) {
         if self.now < self.last_inquiry + INQUIRY_INTERVAL {
             return;
@@ -299,7 +300,10 @@
             doubts.map(|doubt| (*name, doubt))
         });
         let mut doubts: Vec<(Incarnation, Doubt)> = doubts.collect();
+        let first = self.inquiries % doubts.len().max(1);
+        doubts.rotate_left(first);
         doubts.truncate(INQUIRIES_PER_ROUND);
+        self.inquiries += doubts.len();
         for (name, doubt) in doubts {
             // A witness that the ledger does not name has closed nothing: the holder may be alive.
             let if_not_run = match self.decides_doubt(name, doubt.id, doubt.budget) {
--- a/src/router/control/state.rs
+++ b/src/router/control/state.rs
@@ -180,6 +180,8 @@
     /// Rounds of state requests sent so far.
     pub(super) state_rounds: usize,
     pub(super) last_inquiry: Millis,
+    /// Inquiries sent so far.
+    pub(super) inquiries: usize,
     /// Number of invariant violations.
     pub(super) violations: u64,
     /// Budgets that are not served any more because one of their invariants was violated.
@@ -239,6 +241,7 @@
             last_peer_state: now,
             state_rounds: 0,
             last_inquiry: now,
+            inquiries: 0,
             violations: 0,
             suspended: BTreeSet::new(),
             settings,
--- a/tests/common/world.rs
+++ b/tests/common/world.rs
@@ -91,6 +91,8 @@
     ran_at: BTreeSet<(Id, SocketAddr)>,
     /// Requests whose next dispatch does not reach its target.
     unsent_once: BTreeSet<Id>,
+    /// Requests that no target knows any more.
+    forgotten: BTreeSet<Id>,
     /// Requests that a target refuses, each with the holder that it was cancelled for.
     cancelled: BTreeSet<(Id, Incarnation, SocketAddr)>,
     cost: BTreeMap<Id, u64>,
@@ -138,6 +140,7 @@
             run_counts: BTreeMap::new(),
             ran_at: BTreeSet::new(),
             unsent_once: BTreeSet::new(),
+            forgotten: BTreeSet::new(),
             cancelled: BTreeSet::new(),
             cost: BTreeMap::new(),
             billed: BTreeMap::new(),
@@ -437,6 +440,9 @@
                 target,
                 if_not_run,
             } => {
+                if self.forgotten.contains(&request) {
+                    return;
+                }
                 if self.ran_at.contains(&(request, target)) {
                     self.faults.count("target inquiry answered");
                     let used = Tokens(self.cost[&request]);
--- a/tests/common/world/script.rs
+++ b/tests/common/world/script.rs
@@ -94,6 +94,11 @@
         self.unsent_once.insert(id);
     }
 
+    /// Lets the targets answer no more inquiries about a request.
+    pub fn forget(&mut self, id: Id) {
+        self.forgotten.insert(id);
+    }
+
     /// Whether a target has run a request.
     pub fn has_run(&self, id: Id) -> bool {
         self.run_counts.contains_key(&id)
--- a/tests/holder_death.rs
+++ b/tests/holder_death.rs
@@ -9,6 +9,7 @@
 
 const SEEDS: u64 = 10;
 const HOLDER: usize = 0;
+const CUSTOMERS: usize = 3;
 /// Simulated milliseconds after a request's arrival: all steps up to its dispatch.
 const TO_DISPATCH: u64 = 40;
 /// All steps up to its dispatch to a second target.
@@ -103,3 +104,55 @@
 fn frozen_in_retry() {
     play(TO_RETRY, World::lose_dispatch, freeze).check();
 }
+
+/// Two routers of one hall, and their common witness in the other, in the first seed in which they have one.
+fn fleet_with_common_witness(holders: [usize; 2]) -> (World, usize) {
+    let fleet = |seed| {
+        let mut world = World::quiet(seed);
+        world.advance(4_000);
+        call_all(&mut world, holders);
+        world.advance(10_000);
+        let [first, second] = holders.map(|holder| world.witness_of(holder, 0));
+        (first == second).then_some((world, first))
+    };
+    (1..100)
+        .find_map(fleet)
+        .expect("a seed with a common witness")
+}
+
+/// Sends 15 requests of each customer to each of these routers.
+fn call_all(world: &mut World, routers: [usize; 2]) -> Vec<Id> {
+    let calls = routers.into_iter().flat_map(|router| {
+        let customers = (0..CUSTOMERS).flat_map(|customer| [customer; 15]);
+        customers.map(move |customer| (router, customer))
+    });
+    calls
+        .map(|(router, customer)| world.call(router, customer))
+        .collect()
+}
+
+/// Requests whose targets have forgotten them do not keep the others in doubt.
+#[test]
+fn many_in_doubt() {
+    let holders = [0, 2];
+    let (mut world, witness) = fleet_with_common_witness(holders);
+    let mut ids = call_all(&mut world, holders);
+    world.advance(40);
+    holders.iter().for_each(|holder| world.kill(*holder));
+    // Inquiries go in this order.
+    ids.sort_unstable_by_key(|id| (id.incarnation, id.nonce));
+    let (forgotten, known) = ids.split_at(ids.len() - 10);
+    forgotten.iter().for_each(|id| world.forget(*id));
+    world.advance(30_000);
+    let budgets = (0..CUSTOMERS).map(|customer| world.budget(witness, customer));
+    let doubted: Vec<Id> = budgets
+        .flat_map(|budget| budget.doubt.keys())
+        .map(|(incarnation, nonce)| Id {
+            incarnation: *incarnation,
+            nonce: *nonce,
+        })
+        .collect();
+    assert!(doubted.len() > 64, "{} in doubt", doubted.len());
+    let left: Vec<&Id> = known.iter().filter(|id| doubted.contains(id)).collect();
+    assert!(left.is_empty(), "{left:?}");
+}
