Say what a target promises when it cancels a request

A target that may have lost its records of requests must not answer that a request is cancelled: it could have run it, and a call that may not be repeated would run twice. The stand-in engine that forgets answers 404 to a cancellation, as it does to resumes and queries. Also names the log's feed where the polled inputs are listed.

--- a/src/router/feed.rs
+++ b/src/router/feed.rs
@@ -1,4 +1,4 @@
-//! Inputs that a router polls for: the log service, the host list, and the targets' load reports.
+//! Inputs that a router polls for: the log service (in [`log_feed`]), the host list, and the targets' load reports.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/src/router/http/relay.rs
+++ b/src/router/http/relay.rs
@@ -77,7 +77,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Cancellation {
     /// Whether the target has not run the request, and refuses it from now on if this holder pays for it. False if
-    /// the request ran or is running there.
+    /// the request ran or is running there. A target that may have lost its records of requests, as by a restart, must
+    /// not answer true.
     pub cancelled: bool,
 }
 
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -288,6 +288,9 @@
 
     fn cancel(&self, id: String, holder: String) -> Response {
         let mut inner = lock(&self.inner);
+        if inner.faults.forgets {
+            return empty(StatusCode::NOT_FOUND);
+        }
         let cancelled = !inner.runs.contains_key(&id);
         if cancelled {
             inner.cancelled.insert(id, holder);
--- a/tests/router_doubt.rs
+++ b/tests/router_doubt.rs
@@ -151,7 +151,7 @@
         assert_eq!(refused.header("lanedeck-verdict"), "not_run", "{refused:?}");
         assert_eq!(dispatch("a", "h2").status, 200);
         assert!(!cancel("a", "h1"), "it has run");
-        assert_eq!(dispatch("b", "h1").status, 200);
+        assert_eq!(dispatch("b", "h1").status, 200, "another request");
         assert!(!cancel("b", "h1"), "it has run");
     }
 }
