--- a/tests/pinned_gateway.rs
+++ b/tests/pinned_gateway.rs
@@ -354,7 +354,9 @@
 async fn store_newest() {
     let page = br#"{"items":[{"key":"anna/g1","value":"AQI="}],"end":12}"#;
     let (seen, newest) = exchange(page, async |store| {
-        store.newest(partition(Topic::Prepaid, 3), LIMIT).await
+        store
+            .newest(partition(Topic::Prepaid, 3), None, LIMIT)
+            .await
     })
     .await;
     assert_eq!(
@@ -363,7 +365,7 @@
     );
     let newest = newest.unwrap();
     assert_eq!(newest.records, [record("anna/g1", Some(b"\x01\x02"))]);
-    assert_eq!((newest.end, newest.next), (place(12), place(12)));
+    assert_eq!((newest.end, newest.after), (place(12), None));
 }
 
 fn headers(pairs: &[(&'static str, &str)]) -> HeaderMap {
@@ -550,7 +552,7 @@
 fn settings() {
     assert_eq!(
         options("gateway"),
-        "--help  \n--name NAME router\n--front IP:PORT 127.0.0.1:8000\n--ready IP:PORT 127.0.0.1:8001\n--directory IP:PORT 127.0.0.1:8002\n--link IP:PORT 127.0.0.1:8003\n--metrics IP:PORT 127.0.0.1:8004\n--store IP:PORT 127.0.0.1:7100\n--hall NAME hall\n--heartbeat MS 1200\n--keep MS 2000\n--grace MS 30000\n--repeat-ratio X 0.2\n--repeat-window MS 10000\n--repeat-extra N 20\n--horizon MS 8000\n--exact MS 12000\n--share X 0.8\n--spread X 0.05\n--holders N 8\n--copy-age MS 0\n--partitions N 24\n--fleet-key KEY lanedeck-fleet\n--log-level LEVEL info"
+        "--help  \n--name NAME router\n--front IP:PORT 127.0.0.1:8000\n--ready IP:PORT 127.0.0.1:8001\n--directory IP:PORT 127.0.0.1:8002\n--link IP:PORT 127.0.0.1:8003\n--metrics IP:PORT 127.0.0.1:8004\n--store IP:PORT 127.0.0.1:7100\n--hall NAME hall\n--heartbeat MS 1200\n--keep MS 2000\n--grace MS 30000\n--repeat-ratio X 0.2\n--repeat-window MS 10000\n--repeat-extra N 20\n--rollout-share X 0.1\n--rollout-extra N 50\n--horizon MS 8000\n--exact MS 12000\n--share X 0.8\n--spread X 0.05\n--holders N 8\n--copy-age MS 0\n--partitions N 24\n--fleet-key KEY lanedeck-fleet\n--log-level LEVEL info"
     );
 }
 
