Count the bytes held for callers, and refuse bodies before they take too much memory

Cause: nothing bounded what slow callers make a router hold. Each body up to the configuration's limit (4 MiB) was read, and each answer kept until the caller had read it, so 30 slow callers end a process of 120 MB, with all its requests. Ruled out: streams, which go on event by event with the connection's own back-pressure.

Change: one account (`held`), raised by a declared length before anything is read, by the frames of a body without one, and by answers as they come, which are never refused. The rule is `decision/memory`: 35% of `--memory`, less 5% of that a rank. Large answers go to the connection in parts of 64 KiB, so what a slow caller has not read stays counted. The refusal is 503 memory_full, not run, with a time to come back.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -202,6 +202,13 @@
         help = "shared secret that routers of this fleet authenticate with, 8 to 256 visible characters; replace the default where others can reach --link"
     )]
     pub fleet_key: String,
+    #[options(
+        no_short,
+        meta = "MB",
+        default = "0",
+        help = "memory that the process may use, in megabytes, 0 to 1000000; 0 where it is not limited. Requests are refused before bodies and answers take too much of it"
+    )]
+    pub memory: String,
     #[options(
         no_short,
         meta = "LEVEL",
@@ -211,6 +218,9 @@
     pub log_level: String,
 }
 
+/// Bytes in a megabyte, as settings count memory.
+const MEGABYTE: usize = 1_000_000;
+
 /// Validated settings.
 struct Checked {
     settings: Settings,
@@ -222,6 +232,7 @@
     grace: Millis,
     fleet_key: String,
     partitions: u32,
+    memory: Option<usize>,
     log_level: String,
     in_force: String,
 }
@@ -245,6 +256,7 @@
     let sizing = sizing(c, args);
     let rollout = rollout_limit(c, args);
     let partitions = c.number("partitions", &args.partitions, 1, 10_000);
+    let memory = c.number("memory", &args.memory, 0_usize, 1_000_000);
     let log_level = c.log_level(&args.log_level);
     c.fleet_key(&args.fleet_key);
     let in_force = checker.finish()?;
@@ -267,6 +279,7 @@
             grace: grace?,
             fleet_key: args.fleet_key.clone(),
             partitions: partitions?,
+            memory: memory.map(|megabytes| (megabytes > 0).then_some(megabytes * MEGABYTE))?,
             log_level: log_level?,
             in_force,
         })
@@ -373,6 +386,7 @@
         fleet_key: checked.fleet_key,
         partitions: checked.partitions,
         address_ttl: checked.address_ttl,
+        memory: checked.memory,
         grace: checked.grace,
         dialect,
         store,
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -9,6 +9,12 @@
 use hyper::body::{Frame, SizeHint};
 use snafu::Snafu;
 
+use super::held::Hold;
+
+/// Maximum size of a part of a body that is handed to the connection at once, so that the rest is counted as held while
+/// a slow caller reads.
+const FRAME_MAX: usize = 64 << 10;
+
 /// The error of a body that ended early: the connection is closed without the end of the body.
 #[derive(Clone, Copy, Debug, Snafu)]
 #[snafu(display("broken off"))]
@@ -16,8 +22,13 @@
 
 /// A response body.
 pub enum Body {
-    /// The complete body; `None` once it was sent.
-    Full(Option<Bytes>),
+    /// The complete body, or what is left of it.
+    Full {
+        /// The bytes that were not sent yet.
+        bytes: Bytes,
+        /// Counts the bytes while they are held.
+        hold: Option<Hold>,
+    },
     /// A body that is sent as it arrives.
     Stream(BoxStream<'static, Result<Bytes, Truncated>>),
 }
@@ -25,7 +36,14 @@
 impl Body {
     /// Creates a body from bytes that are all known.
     pub fn full(bytes: impl Into<Bytes>) -> Self {
-        Self::Full(Some(bytes.into()))
+        let bytes = bytes.into();
+        Self::Full { bytes, hold: None }
+    }
+
+    /// Creates a body whose bytes are counted until they are sent.
+    pub fn held(bytes: Bytes, hold: Hold) -> Self {
+        let hold = Some(hold);
+        Self::Full { bytes, hold }
     }
 }
 
@@ -38,9 +56,12 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         match self.get_mut() {
-            Self::Full(bytes) => {
-                let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
-                Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
+            Self::Full { bytes, hold } => {
+                let next = bytes.split_to(bytes.len().min(FRAME_MAX));
+                if bytes.is_empty() {
+                    hold.take();
+                }
+                Poll::Ready((!next.is_empty()).then(|| Ok(Frame::data(next))))
             }
             Self::Stream(stream) => {
                 let next = Pin::new(stream).poll_next(context);
@@ -51,16 +72,14 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Full(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Self::Full { bytes, .. } => bytes.is_empty(),
             Self::Stream(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Full(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
-            }
+            Self::Full { bytes, .. } => SizeHint::with_exact(bytes.len() as u64),
             Self::Stream(_) => SizeHint::default(),
         }
     }
--- /dev/null
+++ b/src/gateway/decision/memory.rs
@@ -0,0 +1,24 @@
+//! Whether a request's body is read while the bodies and answers that this router holds take much of its memory.
+//!
+//! Callers may send and read slowly, and so may targets, so a router holds bytes for as long as the slowest of them
+//! takes. A process that exceeds its host's memory is ended with all its requests. So a body is refused before it is
+//! read once too much is held, the less urgent ranks first. Answers are never refused: their requests have run.
+
+/// Share of the process's memory that bodies and answers may take, 0 to 1. The rest is for connections, the lists of
+/// targets and routers, and answers that arrive for requests that were admitted before.
+const HELD_SHARE: f64 = 0.35;
+/// Part of that which each rank leaves to the more urgent ones, 0 to 1.
+const RANK_STEP: f64 = 0.05;
+/// Number of ranks that leave a part; further ranks are treated alike.
+const RANKS: u8 = 10;
+
+/// Decides whether `more` bytes are refused to a request of this rank, given the bytes that are `held` and the process's
+/// `memory` in bytes; `None` if it is not limited.
+pub fn is_refused(held: usize, more: usize, rank: u8, memory: Option<usize>) -> bool {
+    let Some(memory) = memory else {
+        return false;
+    };
+    let left_to_others = f64::from(rank.min(RANKS)) * RANK_STEP;
+    let allowed = memory as f64 * HELD_SHARE * (1.0 - left_to_others);
+    more > 0 && held.saturating_add(more) as f64 > allowed
+}
--- a/src/gateway/decision/mod.rs
+++ b/src/gateway/decision/mod.rs
@@ -8,6 +8,7 @@
 pub mod cold;
 pub mod grant;
 pub mod limit;
+pub mod memory;
 pub mod overload;
 pub mod placement;
 pub mod quarantine;
--- a/src/gateway/decision/refusal.rs
+++ b/src/gateway/decision/refusal.rs
@@ -14,7 +14,7 @@
 const NO_CONFIG_RETRY: Millis = Millis(300);
 /// Retry delay while this router is stopping: any other router serves immediately.
 const STOPPING_RETRY: Millis = Millis(20);
-/// Retry delay when a router is overloaded: by then it has worked off its queue, and other routers serve immediately.
+/// Retry delay when a router is overloaded or short of memory: by then it has worked off its queue, and other routers serve immediately.
 /// As long as it is judged over.
 const OVERLOADED_RETRY: Millis = Millis(200);
 /// Retry delay while a grant is pending, which takes a write to the store or a loan.
@@ -125,6 +125,8 @@
     Stopping,
     /// This router is overloaded and would answer late.
     Overloaded,
+    /// Bodies and answers already take too much of this router's memory.
+    MemoryFull,
     /// The control state refused the request.
     Refused(Refusal),
     /// The target refused the request and has not run it.
@@ -188,6 +190,7 @@
             Self::NoConfig
             | Self::Stopping
             | Self::Overloaded
+            | Self::MemoryFull
             | Self::Refused(_)
             | Self::TargetRefused
             | Self::Unreachable
@@ -214,7 +217,7 @@
         match self {
             Self::NoConfig => Some(NO_CONFIG_RETRY),
             Self::Stopping => Some(STOPPING_RETRY),
-            Self::Overloaded => Some(OVERLOADED_RETRY),
+            Self::Overloaded | Self::MemoryFull => Some(OVERLOADED_RETRY),
             Self::Refused(Refusal::Short) => Some(GRANT_RETRY),
             Self::Refused(Refusal::Scarce) => Some(SCARCE_RETRY),
             Self::Refused(Refusal::CutOff) => Some(CUT_OFF_RETRY),
@@ -249,6 +252,7 @@
             Self::NoKey => "no_key",
             Self::Stopping => "stopping",
             Self::Overloaded => "overloaded",
+            Self::MemoryFull => "memory_full",
             Self::Refused(Refusal::NoTarget) => "no_target",
             Self::Refused(Refusal::Evacuated) => "halls_evacuated",
             Self::Refused(Refusal::NoRepeats) => "no_repeats",
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -22,6 +22,7 @@
 use super::dialect::{self, BadForward, Forward};
 use super::fingerprint::Fingerprint;
 use super::headers;
+use super::held::Hold;
 use super::incarnation;
 use super::job::Job;
 use super::relay::Relay;
@@ -53,6 +54,8 @@
     pub(super) path: PathAndQuery,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// Counts the bytes held for the request.
+    pub(super) hold: Hold,
     pub(super) fingerprint: Fingerprint,
     /// Attempts that were sent to a target.
     pub(super) sent: u32,
@@ -367,6 +370,7 @@
         self.relay
             .store_connection(attempt.placement().address, connection, &reply);
         attempt.note_delivery_started();
+        self.hold.add(body.len());
         Ok(CollectedResponse {
             attempt,
             response: BufferedResponse { parts, body },
@@ -375,7 +379,7 @@
     }
 
     /// Forwards a response that is not a stream to the caller.
-    pub(super) fn respond(&self, response: BufferedResponse) -> Response<Body> {
+    pub(super) fn respond(self, response: BufferedResponse) -> Response<Body> {
         let elapsed = self.started.elapsed();
         let metrics = &self.relay.shared.metrics;
         metrics.answered.add(1);
@@ -388,7 +392,8 @@
             attempts = self.sent,
             ms = elapsed.as_millis() as u64
         );
-        caller_response(response.parts, Body::full(response.body))
+        let body = Body::held(response.body, self.hold);
+        caller_response(response.parts, body)
     }
 }
 
--- /dev/null
+++ b/src/gateway/held.rs
@@ -0,0 +1,78 @@
+//! The account of the bytes that a router holds for callers and targets: bodies that were read, and answers that were
+//! not sent yet. The rule that refuses more of them is in [`decision::memory`](super::decision::memory).
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use super::decision::memory;
+
+/// The bytes held for all requests.
+#[derive(Debug, Default)]
+pub struct Account {
+    held: AtomicUsize,
+    /// Memory that the process may use, in bytes.
+    memory: Option<usize>,
+}
+
+impl Account {
+    /// Creates an account for a process that may use this memory; `None` if it is not limited.
+    pub fn new(memory: Option<usize>) -> Arc<Self> {
+        Arc::new(Self {
+            held: AtomicUsize::new(0),
+            memory,
+        })
+    }
+
+    /// Bytes that are held.
+    pub fn held(&self) -> usize {
+        self.held.load(Ordering::Relaxed)
+    }
+
+    /// Begins to count the bytes of a request of this rank.
+    pub fn open(self: &Arc<Self>, rank: u8) -> Hold {
+        Hold {
+            account: Arc::clone(self),
+            rank,
+            bytes: 0,
+        }
+    }
+}
+
+/// The bytes held for one request. They are given back when it is dropped.
+#[derive(Debug)]
+pub struct Hold {
+    account: Arc<Account>,
+    rank: u8,
+    bytes: usize,
+}
+
+impl Hold {
+    /// Raises the count to `bytes`, unless the rule refuses that; returns whether it was raised.
+    #[must_use]
+    pub fn try_raise(&mut self, bytes: usize) -> bool {
+        let more = bytes.saturating_sub(self.bytes);
+        let Account { held, memory } = &*self.account;
+        let raise = |held: usize| {
+            (!memory::is_refused(held, more, self.rank, *memory)).then_some(held + more)
+        };
+        let is_raised = held
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, raise)
+            .is_ok();
+        if is_raised {
+            self.bytes += more;
+        }
+        is_raised
+    }
+
+    /// Counts more bytes, whatever is held: they have arrived.
+    pub fn add(&mut self, bytes: usize) {
+        self.account.held.fetch_add(bytes, Ordering::Relaxed);
+        self.bytes += bytes;
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        self.account.held.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -124,6 +124,11 @@
     }
 }
 
+/// The metric of the bytes held for callers and targets.
+pub fn held(bytes: usize) -> String {
+    format!("lanedeck_held_bytes {bytes}\n")
+}
+
 /// Formats the store's era and how often it increased.
 pub fn store_era(era: Era, returns: u64) -> String {
     format!("lanedeck_store_era {era}\nlanedeck_store_returns_total {returns}\n")
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod exchange;
 pub mod fingerprint;
 mod headers;
+pub mod held;
 pub mod incarnation;
 pub mod job;
 pub mod key;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -16,6 +16,7 @@
 use super::decision::stop;
 use super::dialect::Dialect;
 use super::fingerprint::Hasher;
+use super::held;
 use super::lag;
 use super::listener::{self, Endpoint};
 use super::members::Router;
@@ -58,6 +59,8 @@
     pub partitions: u32,
     /// How long callers may cache the answer to an address query.
     pub address_ttl: Millis,
+    /// Memory that the process may use, in bytes; `None` if it is not limited.
+    pub memory: Option<usize>,
     /// The grace period: maximum duration of a shutdown.
     pub grace: Millis,
     /// Adapter for the deployment's wire format.
@@ -77,7 +80,7 @@
 pub async fn run(mut options: Options) -> std::io::Result<()> {
     crate::panics::install_abort_hook(control::THREAD);
     let (sender, messages) = mpsc::unbounded_channel();
-    let shared = Arc::new(Shared::default());
+    let shared = Arc::new(Shared::new(held::Account::new(options.memory)));
     shared.set_caller_addresses(vec![options.settings.me.front]);
     log_start(&options.settings.me);
     let relay = Arc::new(Relay {
@@ -85,6 +88,7 @@
         controller: Controller::new(sender),
         dialect: options.dialect,
         hasher: Hasher::new(&options.fleet_key),
+        held: Arc::clone(&shared.held),
         pool: Pool::default(),
         started: Instant::now(),
     });
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -10,6 +10,7 @@
 use super::attempt::Controller;
 use super::dialect::{Dialect, Reply};
 use super::fingerprint::Hasher;
+use super::held;
 use super::shared::Shared;
 use crate::net::{self, Connection, Pool};
 
@@ -33,6 +34,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// Computes request fingerprints.
     pub hasher: Hasher,
+    /// Counts the bytes held for callers and targets.
+    pub held: Arc<held::Account>,
     /// Idle connections to targets.
     pub pool: Pool,
     /// When the process started.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -178,7 +178,8 @@
         return Err(Reason::Stopping);
     }
     let deadline = Deadline::new(deadline, relay.shared.stop.given_up());
-    let body = upload::read(body, config.limits.body_bytes, &deadline).await?;
+    let mut hold = relay.held.open(terms.rank);
+    let body = upload::read(body, config.limits.body_bytes, &mut hold, &deadline).await?;
     let path = parts.uri.path_and_query().cloned();
     let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
     let customer = terms.customer.map(|customer| customer.name.clone());
@@ -207,6 +208,7 @@
         path,
         headers,
         body,
+        hold,
         fingerprint,
         sent: 0,
         unreached: 0,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 use super::dialect::BadEntry;
+use super::held;
 use super::metrics::{Counter, Metrics};
 use super::notice::{AnnouncedState, Counts};
 use super::quarantine::QuarantinedRequest;
@@ -53,6 +54,8 @@
     pub quarantine_refused: Counter,
     /// The rollouts.
     pub rollouts: ArcSwap<Vec<Overview>>,
+    /// The bytes held for callers and targets.
+    pub held: Arc<held::Account>,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Wakes the task that writes this router's own entry.
@@ -89,6 +92,14 @@
 }
 
 impl Shared {
+    /// Creates the state of a process that starts.
+    pub fn new(held: Arc<held::Account>) -> Self {
+        Self {
+            held,
+            ..Self::default()
+        }
+    }
+
     /// Number of requests in progress.
     pub fn active(&self) -> usize {
         self.active.load(Ordering::Relaxed)
--- a/src/gateway/upload.rs
+++ b/src/gateway/upload.rs
@@ -1,29 +1,62 @@
 //! Reads request bodies completely.
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use bytes::{BufMut, Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
 use super::deadline::Deadline;
 use super::decision::refusal::Reason;
+use super::held::Hold;
 
-/// Reads a body of at most `max` bytes.
+/// Reads a body of at most `max` bytes, which `hold` counts: of a declared length before anything is read, else as it
+/// arrives.
 ///
 /// # Errors
-/// Why the request is refused; immediately if the declared length exceeds `max`.
+/// Why the request is refused; immediately if the declared length exceeds `max` or is refused by the account.
 pub(super) async fn read(
     body: &mut Incoming,
     max: usize,
+    hold: &mut Hold,
     deadline: &Deadline,
 ) -> Result<Bytes, Reason> {
-    if body.size_hint().lower() > max as u64 {
+    let declared = body.size_hint().lower();
+    if declared > max as u64 {
         return Err(Reason::TooLong);
     }
-    let collected = deadline.within(Limited::new(body, max).collect()).await;
-    match collected {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Reason::TooLong),
-        Ok(Err(_)) => Err(Reason::BadBody),
+    let declared = usize::try_from(declared).unwrap_or(max);
+    if !hold.try_raise(declared) {
+        return Err(Reason::MemoryFull);
+    }
+    match deadline.within(collect(body, declared, max, hold)).await {
+        Ok(collected) => collected,
         Err(expiry) => Err(Reason::expired_before_send(expiry)),
     }
 }
+
+async fn collect(
+    body: &mut Incoming,
+    declared: usize,
+    max: usize,
+    hold: &mut Hold,
+) -> Result<Bytes, Reason> {
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Reason::BadBody)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let length = collected.len() + data.len();
+        if length > max {
+            return Err(Reason::TooLong);
+        }
+        if !hold.try_raise(length) {
+            return Err(Reason::MemoryFull);
+        }
+        if length == declared && collected.is_empty() {
+            return Ok(data);
+        }
+        collected.reserve(declared.saturating_sub(collected.len()));
+        collected.put(data);
+    }
+    Ok(collected.freeze())
+}
