Let a few routers of each hall read the lists, in parts that are kept

Cause: at 985 routers and 10,000 targets no router ever had the list of targets. Its first read is 20 parts; a refused part ended the read, the next began with the first part 150 ms later, and a read of over 0.6 s was hedged as a whole. The store refused about half of all calls, so hardly a read ended, and the repeats kept it so. Shown by long_list_at_a_refusing_store: with every second call refused, 40 calls read 20 parts now; before, each read ended at its first refused part. Ruled out: renewals of grants, which make no call while nothing is worth writing. Beyond that, by count: each router read each target's and each router's heartbeat, 570 MB a second of 80.

The first eight live routers of a hall read both lists and publish what changes (gateway::feed); the others ask them. A start waits for its role when the list is long. Messages go to 48 neighbours, not to all members: each router had a connection to each other. The loads that routers report are kept by the targets in use, not by a pass over all of them twenty times a second.

--- a/src/gateway/control/apply.rs
+++ b/src/gateway/control/apply.rs
@@ -9,7 +9,7 @@
 
 use super::context::Control;
 use super::{evacuations, grants, rollouts, rows};
-use crate::gateway::dialect::{BadEntry, Subject};
+use crate::gateway::dialect::{BadEntry, Entry, Subject};
 use crate::gateway::evacuation::{Order, View};
 use crate::gateway::incarnation;
 use crate::gateway::members::{Router, Source};
@@ -140,21 +140,43 @@
     match control.dialect.read_listing(&record.key, value) {
         Ok(entry) => {
             control.bad_entries.borrow_mut().remove(&record.key);
-            let instance = entry.listing.instance.clone();
-            let now = control.now();
-            let mut state = control.state.borrow_mut();
-            let change = state.list(now, entry.listing, freshness);
-            state.targets.note_cold(now, &instance, entry.cold_left);
-            if let Some(version) = &entry.version {
-                state.targets.note_version(&instance, version);
-            }
-            drop(state);
-            log_change(&instance, change, "store");
+            self::entry(control, entry, freshness, "store");
         }
         Err(error) => reject_entry(control, &record.key, &error),
     }
 }
 
+/// Applies a decoded entry.
+pub(super) fn entry(control: &Control, entry: Entry, freshness: Freshness, source: &str) {
+    let instance = entry.listing.instance.clone();
+    let now = control.now();
+    let mut state = control.state.borrow_mut();
+    let change = state.list(now, entry.listing, freshness);
+    state.targets.note_cold(now, &instance, entry.cold_left);
+    if let Some(version) = &entry.version {
+        state.targets.note_version(&instance, version);
+    }
+    drop(state);
+    log_change(&instance, change, source);
+}
+
+/// Removes the listed targets that are not among these instances.
+pub(super) fn retain_targets(control: &Control, listed: &HashSet<String>, source: &str) {
+    let state = control.state.borrow();
+    let instances = state
+        .targets
+        .listed()
+        .map(|target| &target.listing.instance);
+    let absent: Vec<String> = instances
+        .filter(|instance| !listed.contains(*instance))
+        .cloned()
+        .collect();
+    drop(state);
+    for instance in absent {
+        remove_target(control, &instance, source);
+    }
+}
+
 /// Rejects an unusable entry of the list of targets. If its target had a usable entry, it gets no further requests
 /// until it writes one again with its next heartbeat; requests already sent to it continue.
 fn reject_entry(control: &Control, key: &str, error: &BadEntry) {
@@ -224,7 +246,7 @@
     control.publish_target_addresses();
 }
 
-fn remove_target(control: &Control, instance: &str, source: &str) {
+pub(super) fn remove_target(control: &Control, instance: &str, source: &str) {
     let now = control.now();
     if control.state.borrow_mut().targets.unlist(now, instance) {
         tracing::info!(event = "target_removed", %instance, source);
--- a/src/gateway/control/context.rs
+++ b/src/gateway/control/context.rs
@@ -19,6 +19,7 @@
 use crate::boot_clock;
 use crate::gateway::dialect::Dialect;
 use crate::gateway::evacuation;
+use crate::gateway::feed::Journal;
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::key::TargetKey;
 use crate::gateway::members::Router;
@@ -26,7 +27,7 @@
 use crate::gateway::shared::Shared;
 use crate::gateway::state::State;
 use crate::gateway::targets::Outstanding;
-use crate::store::{Era, Store};
+use crate::store::{Era, Place, Store};
 use crate::units::{Millis, Tokens};
 use crate::wire::{self, NoReply};
 
@@ -84,6 +85,12 @@
     pub(super) halls_in_store: RefCell<BTreeSet<String>>,
     /// Evacuations kept in force after the store was restored from a copy that lacks them.
     pub(super) halls_retained: RefCell<evacuation::RetainedHalls>,
+    /// Revision of the list of targets whose addresses were published last.
+    pub(super) addresses_of: Cell<Option<u64>>,
+    /// The lists that this router publishes as a reader of the store.
+    pub(super) journal: RefCell<Journal>,
+    /// When a reader told the list of routers, and the place in the store that it is of.
+    pub(super) routers_fed: Cell<Option<(Millis, Place)>>,
     /// Wakes the task that follows rollouts.
     pub(super) rollouts_changed: Notify,
     /// Whether the orders of rollouts have been read, or another router has told them.
@@ -118,12 +125,13 @@
         self.link_tasks.wait().await;
     }
 
-    /// Returns a random sample of the other routers. It includes those that count as dead, since only a call shows
-    /// that they are back.
+    /// Returns a random sample of this router's neighbours. It includes those that count as dead, since only a call
+    /// shows that they are back.
     pub(super) fn sample_routers(&self, count: usize) -> Vec<Router> {
         let state = self.state.borrow();
-        let known: Vec<&Router> = state.members.known().collect();
-        known
+        state
+            .members
+            .neighbours()
             .sample(&mut rand::rng(), count)
             .map(|router| (*router).clone())
             .collect()
@@ -134,7 +142,7 @@
         let mut state = self.state.borrow_mut();
         let is_new = state
             .members
-            .set_unreachable(&router.name, router.incarnation);
+            .set_unreachable(self.now(), &router.name, router.incarnation);
         drop(state);
         if is_new {
             tracing::warn!(event = "peer_unreachable", name = %router.name, reason = %missing);
@@ -150,8 +158,12 @@
 
     /// Publishes the addresses of the targets.
     pub(super) fn publish_target_addresses(&self) {
-        let addresses = self.state.borrow().targets.addresses();
-        self.shared.set_target_addresses(addresses);
+        let state = self.state.borrow();
+        let revision = state.targets.revision();
+        if self.addresses_of.replace(Some(revision)) != Some(revision) {
+            let addresses = state.targets.addresses();
+            self.shared.set_target_addresses(addresses);
+        }
     }
 
     /// Number of the partition that holds a customer's rows.
--- /dev/null
+++ b/src/gateway/control/feed.rs
@@ -0,0 +1,216 @@
+//! Follows the lists of targets and routers at the readers of this router's hall, and publishes them where this router
+//! is one of the readers.
+
+use std::collections::HashSet;
+use std::rc::Rc;
+
+use super::apply;
+use super::context::Control;
+use crate::gateway::decision::feed::{self, READERS_PER_HALL, Role, SOURCES_MAX};
+use crate::gateway::dialect::Entry;
+use crate::gateway::feed::{Change, Cursor, Query, Targets, Update};
+use crate::gateway::members::{Router, Source};
+use crate::gateway::message::{Reply, Request};
+use crate::gateway::targets::Freshness;
+use crate::store::Place;
+use crate::units::Millis;
+
+/// What this router follows, if it is not a reader.
+#[derive(Debug, Default)]
+pub(super) struct Client {
+    /// The source, and how much of its journal was applied.
+    followed: Option<(String, Cursor)>,
+    /// The place in the store's list of targets that this router's knowledge is of.
+    as_of: Option<Place>,
+}
+
+/// How a round ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Round {
+    /// The lists are up to date.
+    Updated,
+    /// The sources that answered have lists that are too old, or none yet: the store does not answer them.
+    Stale,
+    /// No source answered.
+    Unanswered,
+}
+
+/// This router's role at present.
+pub(super) fn role(control: &Control) -> Role {
+    let state = control.state.borrow();
+    let first = state.members.first_in_hall(control.now(), READERS_PER_HALL);
+    let me = &state.members.me.name;
+    feed::role(first.iter().any(|router| router.name == *me))
+}
+
+/// Whether the role is certain: this router knows enough others to be a follower, or has had time to learn of them.
+pub(super) fn is_role_known(control: &Control) -> bool {
+    role(control) == Role::Follower || control.state.borrow().members.is_settled(control.now())
+}
+
+/// The readers to ask, the one that was asked last first.
+fn sources(control: &Control, last: Option<&str>) -> Vec<Router> {
+    let state = control.state.borrow();
+    let me = &state.members.me;
+    let first = state.members.first_in_hall(control.now(), READERS_PER_HALL);
+    let mut sources: Vec<Router> = first.into_iter().cloned().collect();
+    sources.retain(|router| router.name != me.name);
+    // Followers are divided among the readers by their incarnations, which are random.
+    let count = sources.len().max(1);
+    sources.rotate_left((me.incarnation % count as u64) as usize);
+    sources.sort_by_key(|router| Some(router.name.as_str()) != last);
+    sources
+}
+
+/// Answers a follower; `None` if this router is no reader or has not read the lists.
+pub(super) fn answer(control: &Control, query: &Query) -> Option<Update> {
+    let now = control.now();
+    let dead = control.state.borrow().members.dead(now);
+    control.journal.borrow().answer(now, query, dead)
+}
+
+/// Publishes the targets after a read of the store that was sent at `sent_at`.
+pub(super) fn publish_targets(control: &Control, as_of: Place, sent_at: Millis) {
+    let now = control.now();
+    let state = control.state.borrow();
+    let revision = state.targets.revision();
+    let entries = state.targets.entries(now);
+    let mut journal = control.journal.borrow_mut();
+    journal.publish_targets(now, as_of, sent_at, revision, entries);
+}
+
+/// Publishes the routers after a read of the store that was sent at `sent_at`.
+pub(super) fn publish_routers(control: &Control, as_of: Place, sent_at: Millis) {
+    let state = control.state.borrow();
+    let known = state.members.known().chain([&state.members.me]);
+    let mut journal = control.journal.borrow_mut();
+    journal.publish_routers(as_of, sent_at, known);
+}
+
+impl Client {
+    /// The place that this router's list of targets is of.
+    pub(super) fn as_of(&self) -> Option<Place> {
+        self.as_of
+    }
+
+    /// Notes that this router has read the store's list of targets itself.
+    pub(super) fn note_read(&mut self, as_of: Option<Place>) {
+        self.as_of = self.as_of.max(as_of);
+    }
+
+    /// Asks readers for what has changed, until one has current lists.
+    pub(super) async fn follow(&mut self, control: &Rc<Control>) -> Round {
+        let last = self.followed.as_ref().map(|(name, _)| name.as_str());
+        let mut round = Round::Unanswered;
+        for source in sources(control, last).into_iter().take(SOURCES_MAX) {
+            match self.follow_source(control, &source).await {
+                Some(true) => return Round::Updated,
+                Some(false) => round = Round::Stale,
+                None => {}
+            }
+        }
+        round
+    }
+
+    /// Applies what a source has published. Returns whether its lists are current; `None` if it does not answer.
+    async fn follow_source(&mut self, control: &Rc<Control>, source: &Router) -> Option<bool> {
+        let mut query = Query {
+            cursor: self
+                .followed
+                .as_ref()
+                .filter(|(name, _)| *name == source.name)
+                .map(|(_, cursor)| *cursor),
+            after: None,
+        };
+        let mut parts: Option<(Cursor, HashSet<String>)> = None;
+        loop {
+            let Some(update) = ask(control, source, &query).await? else {
+                return Some(false);
+            };
+            if !feed::is_fresh(update.targets_age) {
+                return Some(false);
+            }
+            if self.as_of.is_some_and(|known| update.targets_as_of < known) {
+                // The source is behind what this router has read itself.
+                return None;
+            }
+            apply_routers(control, &update);
+            let next = match update.targets {
+                Targets::Changes(changes) => {
+                    changes
+                        .into_iter()
+                        .for_each(|change| apply_change(control, change));
+                    None
+                }
+                Targets::Part { entries, after } => {
+                    let (_, listed) = parts.get_or_insert_with(|| (update.cursor, HashSet::new()));
+                    for entry in entries {
+                        listed.insert(entry.listing.instance.clone());
+                        apply_entry(control, entry);
+                    }
+                    after
+                }
+            };
+            if next.is_some() {
+                query.after = next;
+                continue;
+            }
+            // What has changed since the first part was answered is asked for in the next round.
+            let cursor = match parts {
+                Some((cursor, listed)) => {
+                    apply::retain_targets(control, &listed, "feed");
+                    tracing::info!(event = "feed_followed", name = %source.name, targets = listed.len());
+                    cursor
+                }
+                None => update.cursor,
+            };
+            self.followed = Some((source.name.clone(), cursor));
+            self.as_of = Some(update.targets_as_of);
+            return Some(true);
+        }
+    }
+}
+
+/// A source's answer, which is `None` while it has not read the lists; `None` if it does not answer.
+async fn ask(control: &Rc<Control>, source: &Router, query: &Query) -> Option<Option<Box<Update>>> {
+    let request = Request::Feed(query.clone());
+    match control.peer_client.ask(source.link, &request).await {
+        Ok(Reply::Feed(update)) => Some(update),
+        Ok(reply) => {
+            tracing::warn!(event = "peer_answer_unfit", name = %source.name, ?reply);
+            None
+        }
+        Err(missing) => {
+            control.set_unreachable(source, missing);
+            None
+        }
+    }
+}
+
+fn apply_change(control: &Control, change: Change) {
+    match change {
+        Change::Listed(entry) => apply_entry(control, entry),
+        Change::Gone(instance) => apply::remove_target(control, &instance, "feed"),
+    }
+}
+
+fn apply_entry(control: &Control, entry: Entry) {
+    apply::entry(control, entry, Freshness::Newest, "feed");
+}
+
+/// Applies the routers that a source knows, if it has read their entries recently.
+fn apply_routers(control: &Control, update: &Update) {
+    for router in &update.routers {
+        apply::heartbeat(control, router.clone(), Source::Store);
+    }
+    if !feed::is_fresh(update.routers_age) {
+        return;
+    }
+    let now = control.now();
+    control
+        .state
+        .borrow_mut()
+        .members
+        .confirm(now, &update.dead);
+    control.routers_fed.set(Some((now, update.routers_as_of)));
+}
--- a/src/gateway/control/link.rs
+++ b/src/gateway/control/link.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::context::{Control, FAN_OUT, ROUND_INTERVAL};
-use super::{apply, clock, evacuations, loans, notices, quarantine, rollouts};
+use super::{apply, clock, evacuations, feed, loans, notices, quarantine, rollouts};
 use crate::gateway::members::{Router, Source};
 use crate::gateway::message::{Heartbeat, Reply, Request};
 use crate::wire;
@@ -85,6 +85,7 @@
             control.rollout_reports.borrow_mut().set(*report);
             Reply::Noted
         }
+        Request::Feed(query) => Reply::Feed(feed::answer(control, &query).map(Box::new)),
         Request::Rollouts => Reply::Rollouts(rollouts::views(control)),
         Request::Suspects(reports) => {
             quarantine::merge(control, &reports);
@@ -111,7 +112,7 @@
 }
 
 fn own_heartbeat(control: &Control) -> Heartbeat {
-    let state = control.state.borrow();
+    let mut state = control.state.borrow_mut();
     let mut router = state.members.me.clone();
     router.is_ready = control.shared.is_ready();
     let config = control.shared.config.load();
@@ -185,7 +186,8 @@
             | Reply::Noted
             | Reply::Notices(_)
             | Reply::Evacuations(_)
-            | Reply::Rollouts(_)),
+            | Reply::Rollouts(_)
+            | Reply::Feed(_)),
         ) => {
             tracing::warn!(event = "peer_answer_unfit", name = %router.name, ?reply);
         }
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -8,6 +8,7 @@
 mod clock;
 mod context;
 mod evacuations;
+mod feed;
 mod follow;
 mod grants;
 mod link;
@@ -36,6 +37,7 @@
 use super::decision::admission::{self, MissingTokens, Source};
 use super::decision::refusal::Refusal;
 use super::dialect::Dialect;
+use super::feed::Journal;
 use super::job::Job;
 use super::shared::Shared;
 use super::state::{Settings, State};
@@ -104,6 +106,9 @@
         evacuations: RefCell::default(),
         halls_in_store: RefCell::default(),
         halls_retained: RefCell::default(),
+        addresses_of: Cell::default(),
+        journal: RefCell::new(Journal::new(rand::random())),
+        routers_fed: Cell::default(),
         rollouts_changed: Notify::new(),
         knows_rollouts: Cell::default(),
         rollout_reports: RefCell::default(),
--- a/src/gateway/control/rows.rs
+++ b/src/gateway/control/rows.rs
@@ -15,7 +15,9 @@
 use super::context::Control;
 use crate::gateway::escrow::{Row, StoreAnswer};
 use crate::gateway::state::State;
-use crate::store::{CallError, Era, Page, Partition, Place, Record, Timeout, Topic, hedge};
+use crate::store::{
+    CallError, Era, Page, Partition, Place, Record, Snapshot, Timeout, Topic, hedge,
+};
 use crate::units::Millis;
 
 /// Maximum number of conditional appends tried in succession when other routers write first.
@@ -37,6 +39,8 @@
     partition: Partition,
     /// The place up to which rows were read.
     next: Option<Place>,
+    /// The parts of the newest rows that were read before a call failed.
+    snapshot: Option<Snapshot>,
     /// Rows whose append was not answered.
     unanswered: Vec<Unanswered>,
     timeout: Timeout,
@@ -68,6 +72,7 @@
                 number,
             },
             next: None,
+            snapshot: None,
             unanswered: Vec::new(),
             timeout: Timeout::default(),
         }
@@ -228,11 +233,21 @@
         let (store, partition) = (&control.store, cursor.partition);
         let asked_at = control.now();
         let silent = || control.shared.record_silence(partition.topic);
-        let page = hedge::hedged(hedge::HEDGE_AFTER, silent, || match cursor.next {
-            None => store.newest(partition, hedge::ANSWER_MAX),
-            Some(from) => store.read(partition, from, Duration::ZERO, hedge::ANSWER_MAX),
-        })
-        .await;
+        let page = match cursor.next {
+            None => {
+                let mut snapshot = cursor
+                    .snapshot
+                    .take()
+                    .unwrap_or_else(|| Snapshot::new(partition));
+                let page = snapshot.read(store.as_ref(), silent).await;
+                cursor.snapshot = page.is_err().then_some(snapshot);
+                page
+            }
+            Some(from) => {
+                let read = || store.read(partition, from, Duration::ZERO, hedge::ANSWER_MAX);
+                hedge::hedged(hedge::HEDGE_AFTER, silent, read).await
+            }
+        };
         if let Err(error) = &page
             && error.invalidates_place()
         {
--- a/src/gateway/decision/mod.rs
+++ b/src/gateway/decision/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod cold;
+pub mod feed;
 pub mod grant;
 pub mod limit;
 pub mod memory;
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -151,8 +151,9 @@
     pub is_ready: bool,
 }
 
-/// A decoded entry of the list of targets.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// A decoded entry of the list of targets. It is encoded by position for other processes, so the order of its fields
+/// must not change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// The target.
     pub listing: Listing,
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -6,7 +6,7 @@
 //! routers for the holders of grants. The accounting of tokens does not depend on liveness: a router that is wrongly
 //! considered dead only loses callers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
 
 use serde::{Deserialize, Serialize};
@@ -22,6 +22,9 @@
 /// Silence after which a router no longer counts when a target's requests are divided among the routers: its share
 /// would stay unused. It exceeds any pause or network partition after which a router continues with its old share.
 const DEPARTED_AFTER: Millis = Millis(60_000);
+/// Number of routers that a router exchanges messages with: enough that gossip reaches all others although most of them
+/// are down, and few enough connections for the smallest host.
+const NEIGHBOURS: usize = 48;
 /// Maximum number of addresses in an answer to a caller: more than a caller tries, and few enough for one packet.
 const ADDRESSES_MAX: usize = 64;
 
@@ -49,8 +52,8 @@
 struct Member {
     router: Router,
     last_heartbeat: Millis,
-    /// Whether the link to the router has failed to answer since the router's last heartbeat.
-    is_unreachable: bool,
+    /// Since when the link to the router has not answered, if that was after the router's last heartbeat.
+    unreachable_since: Option<Millis>,
 }
 
 /// How a heartbeat arrived.
@@ -130,7 +133,7 @@
         });
         let member = Member {
             last_heartbeat: now,
-            is_unreachable: false,
+            unreachable_since: None,
             router,
         };
         self.known.insert(member.router.name.clone(), member);
@@ -139,10 +142,12 @@
     }
 
     /// Records that a router's link does not answer. Returns whether this was not known before.
-    pub fn set_unreachable(&mut self, name: &str, incarnation: u64) -> bool {
+    pub fn set_unreachable(&mut self, now: Millis, name: &str, incarnation: u64) -> bool {
         match self.known.get_mut(name) {
             Some(member) if member.router.incarnation == incarnation => {
-                !std::mem::replace(&mut member.is_unreachable, true)
+                let is_new = member.unreachable_since.is_none();
+                member.unreachable_since.get_or_insert(now);
+                is_new
             }
             _ => false,
         }
@@ -150,7 +155,7 @@
 
     fn is_live(&self, now: Millis, member: &Member) -> bool {
         let silence = self.silence(now, member);
-        !member.is_unreachable && silence.0 <= self.interval.0 * MISSED_HEARTBEATS_MAX
+        member.unreachable_since.is_none() && silence.0 <= self.interval.0 * MISSED_HEARTBEATS_MAX
     }
 
     /// Time between two heartbeats.
@@ -185,6 +190,78 @@
         hashed.into_iter().map(|(_, router)| router).collect()
     }
 
+    /// Processes what another router knows of all routers, as it has read their entries: those whose names have the
+    /// hashes `dead` have missed their heartbeats, and the others have not. Changed entries are processed by
+    /// [`update`](Self::update). Returns whether any router's liveness changed.
+    pub fn confirm(&mut self, now: Millis, dead: &[u64]) -> bool {
+        self.record_read(now);
+        let dead: HashSet<u64> = dead.iter().copied().collect();
+        // After a failed call, that many heartbeats in the store show that the router is back.
+        let answered_before = now.saturating_sub(Millis(self.interval.0 * MISSED_HEARTBEATS_MAX));
+        let mut is_change = false;
+        for (name, member) in &mut self.known {
+            if dead.contains(&hash_name(name)) {
+                continue;
+            }
+            let silence = now.saturating_sub(member.last_heartbeat);
+            is_change |= silence.0 > self.interval.0 * MISSED_HEARTBEATS_MAX;
+            member.last_heartbeat = now;
+            if member
+                .unreachable_since
+                .is_some_and(|since| since < answered_before)
+            {
+                member.unreachable_since = None;
+                is_change = true;
+            }
+        }
+        is_change
+    }
+
+    /// Hashes of the names of the routers that are known and have missed their heartbeats.
+    pub fn dead(&self, now: Millis) -> Vec<u64> {
+        let dead = self.known.iter().filter(|(_, member)| {
+            self.silence(now, member).0 > self.interval.0 * MISSED_HEARTBEATS_MAX
+        });
+        dead.map(|(name, _)| hash_name(name)).collect()
+    }
+
+    /// The first `count` of the live routers in this router's hall, itself included, in an order that depends only on
+    /// their names, so that routers agree on it without communication.
+    pub fn first_in_hall(&self, now: Millis, count: usize) -> Vec<&Router> {
+        let seed = xxh3_64(self.me.hall.as_bytes());
+        let others = self.live(now).filter(|other| other.hall == self.me.hall);
+        let mut hashed: Vec<(u64, &Router)> = others
+            .chain([&self.me])
+            .map(|router| (hash_router(router, seed), router))
+            .collect();
+        hashed.sort_unstable_by_key(|(hash, _)| *hash);
+        hashed.truncate(count);
+        hashed.into_iter().map(|(_, router)| router).collect()
+    }
+
+    /// The routers that this one exchanges messages with, live or not: those next to it by rendezvous hashing. Each
+    /// router has others, so what they pass on reaches the whole fleet in a few rounds, over a number of connections
+    /// that does not grow with the fleet.
+    pub fn neighbours(&self) -> Vec<&Router> {
+        let seed = xxh3_64(self.me.name.as_bytes());
+        let mut known: Vec<(u64, &Router)> = self
+            .known()
+            .map(|router| (hash_router(router, seed), router))
+            .collect();
+        if known.len() > NEIGHBOURS {
+            known.select_nth_unstable_by_key(NEIGHBOURS, |(hash, _)| *hash);
+            known.truncate(NEIGHBOURS);
+        }
+        known.into_iter().map(|(_, router)| router).collect()
+    }
+
+    /// Whether the other routers have had time to read this router's first entry, and this one theirs.
+    pub fn is_settled(&self, now: Millis) -> bool {
+        self.written_since.is_some_and(|written| {
+            now.saturating_sub(written).0 > self.interval.0 * JOIN_HEARTBEATS
+        })
+    }
+
     /// Records that this router's entry was written to the store.
     pub fn record_write(&mut self, now: Millis) {
         self.written_since.get_or_insert(now);
@@ -194,8 +271,7 @@
     /// `key`. `None` until the other routers have had time to read this router's first entry: before that, one of them
     /// may still assume the same position.
     pub fn place(&self, now: Millis, key: &str) -> Option<usize> {
-        let written = self.written_since?;
-        if now.saturating_sub(written).0 <= self.interval.0 * JOIN_HEARTBEATS {
+        if !self.is_settled(now) {
             return None;
         }
         let seed = xxh3_64(key.as_bytes());
@@ -267,6 +343,11 @@
     }
 }
 
+/// Hash of a router's name, which identifies it between routers.
+fn hash_name(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
 /// A router's sort key for this seed.
 fn hash_router(router: &Router, seed: u64) -> u64 {
     xxh3_64_with_seed(router.name.as_bytes(), seed)
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -8,7 +8,7 @@
 use super::evacuation;
 use super::members::Router;
 use super::targets::{Outstanding, View};
-use super::{notice, quarantine, rollout};
+use super::{feed, notice, quarantine, rollout};
 use crate::units::Tokens;
 
 /// A router's heartbeat.
@@ -55,6 +55,8 @@
     Evidence(Box<rollout::Report>),
     /// Asks what the receiver knows of rollouts.
     Rollouts,
+    /// Asks a reader of the store for the lists of targets and routers.
+    Feed(feed::Query),
 }
 
 /// The answer to a [`Request`].
@@ -85,4 +87,6 @@
     Notices(Vec<notice::Report>),
     /// The rollouts, if the answering router has read the operators' records.
     Rollouts(Option<Vec<rollout::View>>),
+    /// The lists, or what has changed in them; `None` if the answering router has not read them.
+    Feed(Option<Box<feed::Update>>),
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod escrow;
 pub mod evacuation;
 mod exchange;
+pub mod feed;
 pub mod fingerprint;
 mod headers;
 pub mod held;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -180,8 +180,8 @@
         self.record_call(topic, &Err(&CallError::Unknown));
     }
 
-    /// Counts a call to the store, and logs when contact is lost or regained. Only calls for grants and targets
-    /// decide that, since every router makes them all the time.
+    /// Counts a call to the store, and logs when contact is lost or regained. Calls for the configuration decide that,
+    /// since every router makes them all the time, and those for grants and targets, since requests rely on them.
     pub fn record_call(&self, topic: Topic, result: &Result<(), &CallError>) {
         self.metrics.store_calls.add(1);
         let is_answer = match result {
@@ -191,7 +191,7 @@
         if !is_answer {
             self.metrics.store_failures.add(1);
         }
-        if !matches!(topic, Topic::Prepaid | Topic::Targets) {
+        if !matches!(topic, Topic::Config | Topic::Prepaid | Topic::Targets) {
             return;
         }
         let now = Instant::now();
--- a/src/gateway/targets/cold.rs
+++ b/src/gateway/targets/cold.rs
@@ -3,6 +3,9 @@
 use crate::gateway::decision::cold::WINDOW;
 use crate::units::Millis;
 
+/// Prolongation of a cold time that is more than a delayed report of the same time.
+const PROLONGED_MIN: Millis = Millis(500);
+
 /// Warm-up state of a target.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Warmup {
@@ -12,11 +15,19 @@
 
 impl Warmup {
     /// Records that the target stays cold for `left`. Never shortens the time known so far, since a delayed report may
-    /// date from before the target turned cold.
-    pub(super) fn extend(&mut self, now: Millis, left: Millis) {
-        if left > Millis::ZERO {
-            self.until = self.until.max(now + left);
+    /// date from before the target turned cold. Returns whether it was prolonged by more than delays explain.
+    pub(super) fn extend(&mut self, now: Millis, left: Millis) -> bool {
+        if left == Millis::ZERO {
+            return false;
         }
+        let before = self.until.max(now);
+        self.until = self.until.max(now + left);
+        self.until.saturating_sub(before) >= PROLONGED_MIN
+    }
+
+    /// How much longer the target is cold.
+    pub(super) fn left(&self, now: Millis) -> Millis {
+        self.until.saturating_sub(now)
     }
 
     /// Whether the target is cold at `now`.
--- a/src/gateway/targets/registry.rs
+++ b/src/gateway/targets/registry.rs
@@ -12,7 +12,7 @@
 use super::outstanding::{Outstanding, View};
 use super::target::{Target, hash};
 use crate::ejection::{self, Outcome};
-use crate::gateway::dialect::{Listing, Load, Prompt};
+use crate::gateway::dialect::{Entry, Listing, Load, Prompt};
 use crate::gateway::incarnation;
 use crate::gateway::key::TargetKey;
 use crate::gateway::route::ColdStart;
@@ -39,6 +39,12 @@
     by_id: HashMap<String, TargetKey>,
     pub(super) by_hash: HashMap<u64, TargetKey>,
     pub(super) by_service: HashMap<String, Vec<TargetKey>>,
+    /// Targets that this router has sent requests to and may still have something to report on.
+    active: BTreeSet<TargetKey>,
+    /// Targets that other routers have reported on.
+    reported: Vec<TargetKey>,
+    /// Number of changes of the list: of targets, their entries, versions or cold times.
+    revision: u64,
     pub(super) cache: Cache,
     /// Instances recently removed from the list, with the times of removal.
     removed: HashMap<String, Millis>,
@@ -87,9 +93,11 @@
         let target = self.get_mut(key);
         let was_ready = target.is_listed_ready();
         let is_ready = listing.is_ready;
+        let is_same = target.is_listed && target.listing == listing;
         target.listing = listing;
         target.is_listed = true;
         target.is_missing = false;
+        self.revision += u64::from(!is_same);
         match (was_ready, is_ready) {
             (true, false) => Change::Leaving,
             (false, true) => Change::Returned,
@@ -120,6 +128,7 @@
         if let Some(former) = former {
             self.end_incarnation(former);
         }
+        self.revision += 1;
         self.removed.remove(&listing.instance);
         let key = TargetKey(self.all.len());
         self.by_id.insert(id, key);
@@ -148,7 +157,9 @@
             .retain(|_, at| now.saturating_sub(*at) < REMOVED_REPORTED_FOR);
         let instance = self.get(key).listing.instance.clone();
         self.removed.insert(instance, now);
-        std::mem::replace(&mut self.get_mut(key).is_listed, false)
+        let was_listed = std::mem::replace(&mut self.get_mut(key).is_listed, false);
+        self.revision += u64::from(was_listed);
+        was_listed
     }
 
     /// Sets the halls that operators have evacuated. Targets of a hall that is no longer evacuated are treated as cold,
@@ -160,6 +171,7 @@
             if before.contains(hall) && !halls.contains(hall) {
                 let left = cold_time(&self.cold_starts, &target.listing.service);
                 target.warmup.extend(now, left);
+                self.revision += 1;
             }
         }
     }
@@ -172,7 +184,8 @@
     /// Records that a target stays cold for `left`.
     pub fn note_cold(&mut self, now: Millis, instance: &str, left: Millis) {
         if let Some(key) = self.by_instance.get(instance).copied() {
-            self.get_mut(key).warmup.extend(now, left);
+            let is_colder = self.get_mut(key).warmup.extend(now, left);
+            self.revision += u64::from(is_colder);
         }
     }
 
@@ -182,6 +195,7 @@
             let known = &mut self.get_mut(key).version;
             if known.as_deref() != Some(version) {
                 *known = Some(version.to_owned());
+                self.revision += 1;
             }
         }
     }
@@ -194,6 +208,7 @@
         };
         let left = cold_time(&self.cold_starts, &self.get(key).listing.service);
         self.get_mut(key).warmup.extend(now, left);
+        self.revision += 1;
     }
 
     /// Removes incarnations that have been unlisted and without requests for `ENDED_RETAINED_FOR`.
@@ -230,6 +245,7 @@
             group.retain(|other| *other != key);
         }
         self.cache.remove_target(key);
+        self.active.remove(&key);
     }
 
     /// Records that a target is missing from the list that was read. It is kept for a while, since its entry may only
@@ -253,6 +269,23 @@
         self.known().filter(|target| target.is_listed)
     }
 
+    /// The entries of the listed targets, without those whose version is not known, which the store has not listed.
+    pub fn entries(&self, now: Millis) -> impl Iterator<Item = Entry> {
+        self.listed()
+            .filter(|target| target.version.is_some() || !target.listing.is_ready)
+            .map(move |target| Entry {
+                listing: target.listing.clone(),
+                cold_left: target.warmup.left(now),
+                version: target.version.clone(),
+            })
+    }
+
+    /// Number of changes of the list so far. While it stays the same, so do the entries, but for cold times that run
+    /// down.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Addresses of the listed targets.
     pub fn addresses(&self) -> HashSet<SocketAddr> {
         self.listed().map(|target| target.listing.address).collect()
@@ -287,6 +320,7 @@
         target.warmup.record_send(now);
         target.in_flight += 1;
         target.backlog += prompt_tokens;
+        self.active.insert(key);
     }
 
     /// Subtracts a prompt from a target's backlog: its response has begun, so the prompt has been processed.
@@ -347,12 +381,17 @@
 
     /// Replaces the other routers' outstanding requests and attempts at the targets.
     pub fn set_others<'a>(&mut self, others: impl Iterator<Item = &'a Outstanding>) {
-        for target in self.all.iter_mut().flatten() {
-            target.others = Outstanding::default();
+        for key in std::mem::take(&mut self.reported) {
+            if let Some(target) = self.all[key.0].as_mut() {
+                target.others = Outstanding::default();
+            }
         }
         for outstanding in others {
-            let key = self.by_hash.get(&outstanding.instance);
-            if let Some(target) = key.and_then(|key| self.all[key.0].as_mut()) {
+            let Some(key) = self.by_hash.get(&outstanding.instance).copied() else {
+                continue;
+            };
+            if let Some(target) = self.all[key.0].as_mut() {
+                self.reported.push(key);
                 let sum = &mut target.others;
                 sum.in_flight += outstanding.in_flight;
                 sum.backlog += outstanding.backlog;
@@ -364,17 +403,24 @@
 
     /// This router's outstanding requests, as reported to the other routers: those at the targets with most of them, at
     /// most `OUTSTANDING_MAX` targets.
-    pub fn outstanding(&self, now: Millis) -> Vec<Outstanding> {
-        let reported = self.known().filter_map(|target| {
+    pub fn outstanding(&mut self, now: Millis) -> Vec<Outstanding> {
+        let all = &self.all;
+        self.active.retain(|key| {
+            let target = all[key.0].as_ref();
+            target.is_some_and(|target| {
+                target.in_flight > 0 || !target.attempts.at(now).is_negligible()
+            })
+        });
+        let active = self.active.iter().map(|key| self.get(*key));
+        let reported = active.map(|target| {
             let attempts = target.attempts.at(now);
-            let is_reported = target.in_flight > 0 || !attempts.is_negligible();
-            is_reported.then(|| Outstanding {
+            Outstanding {
                 instance: target.hash(),
                 in_flight: target.in_flight,
                 backlog: target.backlog,
                 failed: attempts.failed as f32,
                 answered: attempts.answered as f32,
-            })
+            }
         });
         let mut reported: Vec<Outstanding> = reported.collect();
         if reported.len() > OUTSTANDING_MAX {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -3,11 +3,15 @@
 //! A call without an answer may have taken effect, or may still do so. A caller that needs to know reads back. Only
 //! reads are repeated, by [`hedge`].
 
+mod backoff;
 pub mod hedge;
 mod place;
+mod snapshot;
 mod timeout;
 
+pub use backoff::Backoff;
 pub use place::{BadEra, Era, EraTracker, Place, ReportedEra};
+pub use snapshot::Snapshot;
 pub use timeout::Timeout;
 
 use std::time::Duration;
@@ -130,6 +134,17 @@
     pub next: Place,
 }
 
+/// A part of the newest records of a partition.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Part {
+    /// The records, in the order of their keys.
+    pub records: Vec<Record>,
+    /// The end of the partition at the time of the answer.
+    pub end: Place,
+    /// The key after which the next part begins; `None` if this is the last part.
+    pub after: Option<String>,
+}
+
 /// The store. `limit` is the timeout of each request to it, not counting the time that the store is asked to wait.
 pub trait Store: Send + Sync {
     /// Appends all records or none; with `at`, only if the partition ends there. Returns the new end.
@@ -150,13 +165,14 @@
         limit: Duration,
     ) -> BoxFuture<'_, Result<Page, CallError>>;
 
-    /// Reads the newest record of each key. The records may be read in several parts that are not one consistent
-    /// snapshot; reading on from `next` returns all changes made meanwhile.
-    fn newest(
-        &self,
+    /// Reads the newest record of each key, as many as the store returns at once, from the key after `after` on. The
+    /// parts are not one consistent snapshot; see [`Snapshot`].
+    fn newest<'a>(
+        &'a self,
         partition: Partition,
+        after: Option<&'a str>,
         limit: Duration,
-    ) -> BoxFuture<'_, Result<Page, CallError>>;
+    ) -> BoxFuture<'a, Result<Part, CallError>>;
 
     /// The newest era that any answer of the store has named.
     fn era(&self) -> Era;
--- a/tests/deployment/store.rs
+++ b/tests/deployment/store.rs
@@ -126,6 +126,8 @@
     parts: Mutex<HashMap<(String, u32), Partition>>,
     faults: Mutex<HashMap<SocketAddr, Fault>>,
     unavailable_calls: Mutex<Vec<(SocketAddr, String)>>,
+    /// Number of reads by address and topic.
+    reads: Mutex<HashMap<(SocketAddr, String), usize>>,
     /// Number of restores from a snapshot.
     restores: AtomicU64,
 }
@@ -166,6 +168,26 @@
         calls.any(|(at, uri)| *at == address && uri.contains(topic))
     }
 
+    fn count_read(&self, address: SocketAddr, uri: &http::Uri) {
+        let query = uri.query().unwrap_or_default();
+        let topic = query
+            .split('&')
+            .find_map(|pair| pair.strip_prefix("topic="));
+        if let (true, Some(topic)) = (!uri.path().contains("append"), topic) {
+            let mut reads = self.0.reads.lock().unwrap();
+            *reads.entry((address, topic.to_owned())).or_default() += 1;
+        }
+    }
+
+    /// Number of reads of a topic at an address.
+    pub fn reads(&self, address: SocketAddr, topic: &str) -> usize {
+        let reads = self.0.reads.lock().unwrap();
+        reads
+            .get(&(address, topic.to_owned()))
+            .copied()
+            .unwrap_or_default()
+    }
+
     /// Writes the newest record of a key, as operators and runners do.
     pub fn put(&self, topic: &str, key: &str, value: Option<&serde_json::Value>) {
         let mut record = vec![key.len() as u8];
@@ -247,6 +269,7 @@
         address: SocketAddr,
         request: hyper::Request<Incoming>,
     ) -> Result<Reply, ConnectionClosed> {
+        self.count_read(address, request.uri());
         let fault = self.0.faults.lock().unwrap().get(&address).copied();
         match fault.unwrap_or_default() {
             Fault::None => Ok(self.call(request).await),
--- /dev/null
+++ b/tests/feed_runs.rs
@@ -0,0 +1,154 @@
+//! Gateway processes of one hall: a few read the list of targets from the store, and the others follow them, also when
+//! these die or are cut off from the store.
+
+mod deployment;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use deployment::runner::Runner;
+use deployment::store::Fault;
+use deployment::{Deployment, Gateway, config, list, status_of, until, until_reached};
+use lanedeck::gateway::decision::feed::READERS_PER_HALL;
+use lanedeck::gateway::members::{Members, Router, Source};
+use lanedeck::units::Millis;
+use tokio::time::sleep;
+
+const GATEWAYS: usize = READERS_PER_HALL + 4;
+const LARGE_BUDGET: u64 = 1_000_000;
+const TARGETS: &str = "keyed.servers";
+/// Longer than a router waits to learn its role.
+const SETTLING: Duration = Duration::from_secs(2);
+/// Several rounds of reads.
+const ROUNDS: Duration = Duration::from_secs(2);
+
+async fn start() -> (Deployment, Runner) {
+    let app = Runner::start("i-app").await;
+    let runners = [("app", &app)];
+    let deployment = Deployment::start(GATEWAYS, &config(1, LARGE_BUDGET), &runners).await;
+    deployment.wait_for_members().await;
+    sleep(SETTLING).await;
+    (deployment, app)
+}
+
+/// The names of the gateways that read the list.
+fn readers(deployment: &Deployment) -> BTreeSet<String> {
+    let router = |gateway: &Gateway| Router {
+        name: gateway.name.clone(),
+        incarnation: 1,
+        front: gateway.front,
+        link: gateway.link,
+        hall: "hall".into(),
+        is_ready: true,
+        heartbeat: 1,
+    };
+    let routers: Vec<Router> = deployment.gateways.iter().map(router).collect();
+    let mut members = Members::new(routers[0].clone(), Millis(200));
+    members.record_read(Millis(1));
+    for other in &routers {
+        members.update(Millis(1), other.clone(), Source::Store);
+    }
+    let first = members.first_in_hall(Millis(1), READERS_PER_HALL);
+    first.iter().map(|router| router.name.clone()).collect()
+}
+
+fn followers(deployment: &Deployment) -> impl Iterator<Item = &Gateway> {
+    let readers = readers(deployment);
+    let gateways = deployment.gateways.iter();
+    gateways.filter(move |gateway| !readers.contains(&gateway.name))
+}
+
+/// Waits until a gateway sends nothing more to a runner.
+async fn until_avoided(gateway: &Gateway, runner: &Runner) {
+    until(|| async {
+        let before = runner.arrivals().len();
+        for _ in 0..10 {
+            status_of(gateway.front, "/often/x").await;
+        }
+        runner.arrivals().len() == before
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn few_read_the_list() {
+    let (deployment, _app) = start().await;
+    let reads = |gateway: &Gateway| deployment.store.reads(gateway.store, TARGETS);
+    let before: Vec<usize> = deployment.gateways.iter().map(reads).collect();
+    sleep(ROUNDS).await;
+    let reading = deployment
+        .gateways
+        .iter()
+        .zip(before)
+        .filter(|(gateway, before)| reads(gateway) > *before)
+        .map(|(gateway, _)| gateway.name.clone());
+    assert_eq!(reading.collect::<BTreeSet<_>>(), readers(&deployment));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_learn_of_changes() {
+    let (deployment, app) = start().await;
+    let other = Runner::start("i-other").await;
+    list(&deployment.store, "app", &other, "ready");
+    for gateway in &deployment.gateways {
+        until_reached(gateway.front, &other).await;
+    }
+    list(&deployment.store, "app", &app, "draining");
+    for gateway in &deployment.gateways {
+        until_avoided(gateway, &app).await;
+    }
+    deployment.store.put(TARGETS, &other.instance(), None);
+    for gateway in &deployment.gateways {
+        until(|| async { status_of(gateway.front, "/often/x").await == Some(503) }).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn readers_die() {
+    let (mut deployment, app) = start().await;
+    let readers = readers(&deployment);
+    deployment
+        .gateways
+        .retain(|gateway| !readers.contains(&gateway.name));
+    assert_eq!(deployment.gateways.len(), GATEWAYS - READERS_PER_HALL);
+    let other = Runner::start("i-other").await;
+    list(&deployment.store, "app", &other, "ready");
+    list(&deployment.store, "app", &app, "draining");
+    for gateway in &deployment.gateways {
+        until_reached(gateway.front, &other).await;
+        until_avoided(gateway, &app).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn readers_cut_off_from_store() {
+    let (deployment, app) = start().await;
+    let readers = readers(&deployment);
+    for gateway in &deployment.gateways {
+        if readers.contains(&gateway.name) {
+            deployment.store.set_fault(gateway.store, Fault::Silent);
+        }
+    }
+    let other = Runner::start("i-other").await;
+    list(&deployment.store, "app", &other, "ready");
+    list(&deployment.store, "app", &app, "draining");
+    for gateway in followers(&deployment) {
+        until_reached(gateway.front, &other).await;
+        until_avoided(gateway, &app).await;
+    }
+}
+
+/// Guards against a start that depends on routers that are gone: the last router reads the list itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn follower_starts_again() {
+    let (mut deployment, app) = start().await;
+    let name = followers(&deployment).next().unwrap().name.clone();
+    let index = deployment.gateways.iter().position(|it| it.name == name);
+    let mut last = deployment.gateways.swap_remove(index.unwrap());
+    last.kill();
+    deployment.gateways.clear();
+    last.restart();
+    deployment.gateways.push(last);
+    deployment.wait_ready().await;
+    until_reached(deployment.gateways[0].front, &app).await;
+}
--- a/tests/member_view.rs
+++ b/tests/member_view.rs
@@ -58,7 +58,7 @@
     let mut members = large_fleet();
     members.record_failed_read();
     let gone = holders(&members, START).remove(0);
-    assert!(members.set_unreachable(&gone, 1));
+    assert!(members.set_unreachable(START, &gone, 1));
     assert!(!holders(&members, START).contains(&gone));
 }
 
--- a/tests/rollout_records.rs
+++ b/tests/rollout_records.rs
@@ -1,8 +1,9 @@
 //! The records of rollouts as operators write and read them, and the messages between routers about them.
 
+#[allow(dead_code)]
 mod pins;
+#[allow(dead_code, unused_imports)]
 #[path = "../platform/mod.rs"]
-#[allow(dead_code)]
 mod platform;
 
 use lanedeck::gateway::dialect::{Dialect, Subject};
--- a/tests/rollout_runs.rs
+++ b/tests/rollout_runs.rs
@@ -91,7 +91,10 @@
             topic: Topic::Status,
             number: 0,
         };
-        let page = self.status.newest(partition, Duration::from_secs(5)).await;
+        let page = self
+            .status
+            .newest(partition, None, Duration::from_secs(5))
+            .await;
         let records = page.unwrap().records;
         let record = records.iter().find(|record| record.key == "rollout/app");
         let value = record.and_then(|record| record.value.clone());
