Choose readers by heartbeats alone, and begin to read where eight are known

By reading: a router whose call to a reader was refused at the start took it for dead and asked others, which do not know that they should read; and readers waited two heartbeats although they knew eight of their hall.

Change: the readers of a hall follow from heartbeats; whether a link answers only orders those that are asked. A role is known where eight are. A refusal for the rate at the start is no loss of the store.

--- a/src/gateway/control/feed.rs
+++ b/src/gateway/control/feed.rs
@@ -43,9 +43,12 @@
     feed::role(first.iter().any(|router| router.name == *me))
 }
 
-/// Whether the role is certain: this router knows enough others to be a follower, or has had time to learn of them.
+/// Whether the role is certain: this router knows enough others, or has had time to learn of them.
 pub(super) fn is_role_known(control: &Control) -> bool {
-    role(control) == Role::Follower || control.state.borrow().members.is_settled(control.now())
+    let state = control.state.borrow();
+    let now = control.now();
+    let first = state.members.first_in_hall(now, READERS_PER_HALL);
+    first.len() == READERS_PER_HALL || state.members.is_settled(now)
 }
 
 /// The readers to ask, the one that was asked last first.
@@ -58,7 +61,10 @@
     // Followers are divided among the readers by their incarnations, which are random.
     let count = sources.len().max(1);
     sources.rotate_left((me.incarnation % count as u64) as usize);
-    sources.sort_by_key(|router| Some(router.name.as_str()) != last);
+    sources.sort_by_key(|router| {
+        let is_other = Some(router.name.as_str()) != last;
+        (state.members.is_unreachable(&router.name), is_other)
+    });
     sources
 }
 
--- a/src/gateway/control/follow.rs
+++ b/src/gateway/control/follow.rs
@@ -30,7 +30,7 @@
 const FED_INTERVALS: u32 = 2;
 /// How long after an outage of the store, or after a start of all, the readers of a hall may take to read it. Until then
 /// the others do not read it themselves, which would be the whole list for each of them.
-const READERS_RETURN_MAX: Duration = Duration::from_millis(4_000);
+const READERS_RETURN_MAX: Duration = Duration::from_millis(2_500);
 /// Longest time that a router waits at its start to learn whether it reads the list of targets.
 const ROLE_WAIT_MAX: Duration = Duration::from_millis(4_000);
 /// Interval of the checks whether the role is known.
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -154,8 +154,17 @@
     }
 
     fn is_live(&self, now: Millis, member: &Member) -> bool {
-        let silence = self.silence(now, member);
-        member.unreachable_since.is_none() && silence.0 <= self.interval.0 * MISSED_HEARTBEATS_MAX
+        member.unreachable_since.is_none() && !self.misses_heartbeats(now, member)
+    }
+
+    fn misses_heartbeats(&self, now: Millis, member: &Member) -> bool {
+        self.silence(now, member).0 > self.interval.0 * MISSED_HEARTBEATS_MAX
+    }
+
+    /// Whether the link to a router has not answered since the router's last heartbeat.
+    pub fn is_unreachable(&self, name: &str) -> bool {
+        let member = self.known.get(name);
+        member.is_some_and(|member| member.unreachable_since.is_some())
     }
 
     /// Time between two heartbeats.
@@ -219,18 +228,21 @@
 
     /// Hashes of the names of the routers that are known and have missed their heartbeats.
     pub fn dead(&self, now: Millis) -> Vec<u64> {
-        let dead = self.known.iter().filter(|(_, member)| {
-            self.silence(now, member).0 > self.interval.0 * MISSED_HEARTBEATS_MAX
-        });
+        let known = self.known.iter();
+        let dead = known.filter(|(_, member)| self.misses_heartbeats(now, member));
         dead.map(|(name, _)| hash_name(name)).collect()
     }
 
-    /// The first `count` of the live routers in this router's hall, itself included, in an order that depends only on
-    /// their names, so that routers agree on it without communication.
+    /// The first `count` of the routers in this router's hall that write heartbeats, itself included, in an order that
+    /// depends only on their names, so that routers agree on it without communication. Whether their links answer this
+    /// router does not count, since others may reach them.
     pub fn first_in_hall(&self, now: Millis, count: usize) -> Vec<&Router> {
         let seed = xxh3_64(self.me.hall.as_bytes());
-        let others = self.live(now).filter(|other| other.hall == self.me.hall);
+        let others = self.known.values().filter(|member| {
+            member.router.hall == self.me.hall && !self.misses_heartbeats(now, member)
+        });
         let mut hashed: Vec<(u64, &Router)> = others
+            .map(|member| &member.router)
             .chain([&self.me])
             .map(|router| (hash_router(router, seed), router))
             .collect();
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -96,6 +96,8 @@
     pub fn new(held: Arc<held::Account>) -> Self {
         Self {
             held,
+            // A call that is refused for the store's rate at the start does not show that the store is lost.
+            store_answered: ArcSwapOption::from_pointee(Instant::now()),
             ..Self::default()
         }
     }
--- a/tests/deployment/store.rs
+++ b/tests/deployment/store.rs
@@ -59,6 +59,9 @@
     }
 }
 
+/// Maximum number of keys in an answer with the newest records.
+const NEWEST_MAX: usize = 500;
+
 /// Store era before the first restore.
 const FIRST_ERA: u64 = 1;
 
@@ -355,14 +358,17 @@
             "/api/log-newest" => {
                 let mut parts = self.0.parts.lock().unwrap();
                 let part = parts.entry(place).or_default();
-                let items: Vec<_> = part
-                    .newest
-                    .iter()
+                let after = query.get("afterRev").copied().unwrap_or_default();
+                let mut rest = part.newest.iter().filter(|(key, _)| key.as_str() > after);
+                let items: Vec<_> = rest
+                    .by_ref()
+                    .take(NEWEST_MAX)
                     .map(|(key, (offset, value))| {
                         json!({ "key": key, "value": STANDARD.encode(value), "offset": offset })
                     })
                     .collect();
-                let body = json!({ "items": items, "more": false, "end": part.end() });
+                let body =
+                    json!({ "items": items, "more": rest.next().is_some(), "end": part.end() });
                 reply_with(StatusCode::OK, body.to_string().into())
             }
             _ => status(StatusCode::NOT_FOUND),
--- a/tests/feed_runs.rs
+++ b/tests/feed_runs.rs
@@ -8,17 +8,19 @@
 
 use deployment::runner::Runner;
 use deployment::store::Fault;
-use deployment::{Deployment, Gateway, config, list, status_of, until, until_reached};
+use deployment::{Deployment, Gateway, config, list, list_at, status_of, until, until_reached};
 use lanedeck::gateway::decision::feed::READERS_PER_HALL;
 use lanedeck::gateway::members::{Members, Router, Source};
 use lanedeck::units::Millis;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 const GATEWAYS: usize = READERS_PER_HALL + 4;
 const LARGE_BUDGET: u64 = 1_000_000;
 const TARGETS: &str = "keyed.servers";
 /// Longer than a router waits to learn its role.
 const SETTLING: Duration = Duration::from_secs(2);
+/// Within this time a fleet has to serve again after all were killed.
+const RECOVERED_WITHIN: Duration = Duration::from_secs(12);
 /// Several rounds of reads.
 const ROUNDS: Duration = Duration::from_secs(2);
 
@@ -138,6 +140,30 @@
     }
 }
 
+/// Guards against routers that wait for each other after all were killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_killed_with_a_long_list() {
+    let (mut deployment, app) = start().await;
+    for number in 0..1_100 {
+        let instance = format!("i-{number}");
+        list_at(&deployment.store, "far", &instance, app.address, "ready");
+    }
+    sleep(ROUNDS).await;
+    for round in 0..2 {
+        deployment.gateways.iter_mut().for_each(Gateway::kill);
+        let begun = Instant::now();
+        deployment.gateways.iter_mut().for_each(Gateway::restart);
+        for gateway in &deployment.gateways {
+            until_reached(gateway.front, &app).await;
+        }
+        assert!(
+            begun.elapsed() < RECOVERED_WITHIN,
+            "round {round}: {:?}",
+            begun.elapsed()
+        );
+    }
+}
+
 /// Guards against a start that depends on routers that are gone: the last router reads the list itself.
 #[tokio::test(flavor = "multi_thread")]
 async fn follower_starts_again() {
