Space the requests of a trial, split the list of targets off, and name types after what they are

Change: a trial sends at most one request in eight to the new version. Two lines of rollout_rules bounded_share say so; the bounds are as they were. Moves without other edits: control/target_list.rs has the list of targets from control/follow.rs, whose Follower is a Subscription now (a follower is a router's role); held::Usage was Hold (quarantine has one); Decider was Desk.

--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -9,7 +9,7 @@
 use hyper::body::{Frame, SizeHint};
 use snafu::Snafu;
 
-use super::held::Hold;
+use super::held::Usage;
 
 /// Maximum size of a part of a body that is handed to the connection at once, so that the rest is counted as held while
 /// a slow caller reads.
@@ -27,7 +27,7 @@
         /// The bytes that were not sent yet.
         bytes: Bytes,
         /// Counts the bytes while they are held.
-        hold: Option<Hold>,
+        usage: Option<Usage>,
     },
     /// A body that is sent as it arrives.
     Stream(BoxStream<'static, Result<Bytes, Truncated>>),
@@ -37,13 +37,13 @@
     /// Creates a body from bytes that are all known.
     pub fn full(bytes: impl Into<Bytes>) -> Self {
         let bytes = bytes.into();
-        Self::Full { bytes, hold: None }
+        Self::Full { bytes, usage: None }
     }
 
     /// Creates a body whose bytes are counted until they are sent.
-    pub fn held(bytes: Bytes, hold: Hold) -> Self {
-        let hold = Some(hold);
-        Self::Full { bytes, hold }
+    pub fn held(bytes: Bytes, usage: Usage) -> Self {
+        let usage = Some(usage);
+        Self::Full { bytes, usage }
     }
 }
 
@@ -56,10 +56,10 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         match self.get_mut() {
-            Self::Full { bytes, hold } => {
+            Self::Full { bytes, usage } => {
                 let next = bytes.split_to(bytes.len().min(FRAME_MAX));
                 if bytes.is_empty() {
-                    hold.take();
+                    usage.take();
                 }
                 Poll::Ready((!next.is_empty()).then(|| Ok(Frame::data(next))))
             }
--- a/src/gateway/control/follow.rs
+++ b/src/gateway/control/follow.rs
@@ -1,5 +1,5 @@
-//! Follows the topics that others write to in the store: the operators' records, the list of targets, the routers'
-//! entries. Each topic has a task, which owns its offset; [`apply`] applies the records.
+//! Follows topics that others write to in the store: here the operators' records and the routers' entries. Each topic has
+//! a task, which owns its place; [`apply`] applies the records.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,11 +8,9 @@
 
 use super::apply::PageContent;
 use super::context::Control;
-use super::feed::{self, Round};
+use super::feed;
 use super::{apply, quarantine};
-use crate::gateway::decision::feed::Role;
 use crate::gateway::escrow::StoreAnswer;
-use crate::gateway::targets::Freshness;
 use crate::store::{
     Backoff, CallError, Era, Page, Partition, Place, Record, Snapshot, Timeout, Topic, hedge,
 };
@@ -22,39 +20,22 @@
 /// How long the store delays its answer to a read of the configuration until there is a change (long poll). A change
 /// must be in force within 11 s.
 const CONFIG_POLL: Duration = Duration::from_millis(1_000);
-/// Interval of reads of the list of targets.
-const TARGETS_INTERVAL: Duration = Duration::from_millis(500);
 /// Pause after a read that failed.
 pub(super) const FAILED_PAUSE: Duration = Duration::from_millis(150);
 /// Heartbeat intervals for which a reader's list of routers is relied on.
 const FED_INTERVALS: u32 = 2;
-/// How long after an outage of the store, or after a start of all, the readers of a hall may take to read it. Until then
-/// the others do not read it themselves, which would be the whole list for each of them.
-const READERS_RETURN_MAX: Duration = Duration::from_millis(2_500);
-/// Longest time that a router waits at its start to learn whether it reads the list of targets.
-const ROLE_WAIT_MAX: Duration = Duration::from_millis(4_000);
-/// Interval of the checks whether the role is known.
-const ROLE_POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// How long a target that is no longer listed stays in use after the store is back: its entry may have expired because
-/// the target could not write either. Running targets are listed again within about two seconds; the next read follows
-/// [`TARGETS_INTERVAL`] later.
-const LAPSED_GRACE: Duration = Duration::from_millis(1_700);
-
-/// How long after a restore the list may hold entries of the restored copy whose targets have ended: such an entry
-/// expires after three heartbeats of its target.
-const RESTORED_ENTRIES_MAX_AGE: Duration = Duration::from_millis(6_000);
 
 /// Reads a partition continuously.
-pub(super) struct Follower {
+pub(super) struct Subscription {
     partition: Partition,
     /// Where the next read starts; `None` to read the newest records.
-    next: Option<Place>,
+    pub(super) next: Option<Place>,
     /// The parts of the newest records that were read.
     snapshot: Snapshot,
     /// The last place, if the store no longer has it.
     lost_place: Option<Place>,
-    /// The era of the last read.
-    era: Option<Era>,
+    /// The era of the last read of the newest records.
+    pub(super) era: Option<Era>,
     pub(super) timeout: Timeout,
 }
 
@@ -64,7 +45,7 @@
     pub(super) page: Page,
 }
 
-impl Follower {
+impl Subscription {
     pub(super) fn new(topic: Topic) -> Self {
         let partition = Partition { topic, number: 0 };
         Self {
@@ -82,16 +63,6 @@
         self.partition
     }
 
-    /// Where the next read starts; `None` before the first one and after an error.
-    pub(super) fn next_place(&self) -> Option<Place> {
-        self.next
-    }
-
-    /// The era of the last read of the newest records.
-    pub(super) fn era(&self) -> Option<Era> {
-        self.era
-    }
-
     /// Reads the next page. After an error, unless it is a refusal for the store's rate, the following read starts over
     /// with the newest records.
     pub(super) async fn read_next(
@@ -127,7 +98,7 @@
     }
 
     /// Reads the first part of the newest records, if none was read yet; returns whether there are more.
-    async fn read_first_part(&mut self, control: &Control) -> Result<bool, CallError> {
+    pub(super) async fn read_first_part(&mut self, control: &Control) -> Result<bool, CallError> {
         let topic = self.partition.topic;
         if self.snapshot.is_new() {
             let silent = || control.shared.record_silence(topic);
@@ -172,10 +143,10 @@
 
 /// Follows the operators' records: the configuration and the evacuations of halls.
 pub(super) async fn operators(control: Rc<Control>) {
-    let mut follower = Follower::new(Topic::Config);
+    let mut subscription = Subscription::new(Topic::Config);
     let mut backoff = Backoff::default();
     loop {
-        match follower.read_next(&control, CONFIG_POLL).await {
+        match subscription.read_next(&control, CONFIG_POLL).await {
             Ok(ReadPage { content, page }) => {
                 backoff.reset();
                 apply::operators(&control, &page, content);
@@ -186,145 +157,9 @@
     }
 }
 
-/// Follows the list of targets: reads it from the store, or follows the readers of this router's hall.
-pub(super) async fn targets(control: Rc<Control>) {
-    let mut list = TargetList::new();
-    let mut client = feed::Client::default();
-    list.wait_for_role(&control).await;
-    // When the store was last known not to answer, or this router started.
-    let mut lost_at = Instant::now();
-    loop {
-        if !control.shared.store_answers() {
-            lost_at = Instant::now();
-        }
-        let round = match feed::role(&control) {
-            Role::Reader => Round::Unanswered,
-            Role::Follower => client.follow(&control).await,
-        };
-        let reads = match round {
-            Round::Updated => {
-                list.continue_from(client.as_of());
-                control.shared.set_has_targets();
-                false
-            }
-            // Where the store does not answer the readers but this router, they are cut off from it.
-            Round::Stale => lost_at.elapsed() > READERS_RETURN_MAX,
-            Round::Unanswered => true,
-        };
-        if reads {
-            let sent_at = control.now();
-            if let Err(pause) = list.read(&control).await {
-                sleep(pause).await;
-                continue;
-            }
-            client.note_read(list.follower.next);
-            if let Some(as_of) = list.follower.next {
-                feed::publish_targets(&control, as_of, sent_at);
-            }
-        }
-        control.state.borrow_mut().targets.forget(control.now());
-        control.publish_target_addresses();
-        sleep(TARGETS_INTERVAL).await;
-    }
-}
-
-/// The list of targets as this router reads it from the store.
-struct TargetList {
-    follower: Follower,
-    backoff: Backoff,
-    /// Since when the list lacks targets that may come back.
-    incomplete_since: Option<Instant>,
-    /// Whether the store was lost or restored, and the list has not been complete since.
-    was_lost: bool,
-    restored_at: Option<Instant>,
-}
-
-impl TargetList {
-    fn new() -> Self {
-        Self {
-            follower: Follower::new(Topic::Targets),
-            backoff: Backoff::default(),
-            incomplete_since: None,
-            was_lost: false,
-            restored_at: None,
-        }
-    }
-
-    /// Waits, if the list is long, until this router's role is known: routers that start at the same time do not know
-    /// each other yet, and all of them would read the whole list.
-    async fn wait_for_role(&mut self, control: &Control) {
-        let until = Instant::now() + ROLE_WAIT_MAX;
-        while !feed::is_role_known(control) && Instant::now() < until {
-            let pause = match self.follower.read_first_part(control).await {
-                Ok(is_long) if !is_long => return,
-                Ok(_) => ROLE_POLL_INTERVAL,
-                Err(error) => self.backoff.pause(&error, rand::random()),
-            };
-            sleep(pause).await;
-        }
-    }
-
-    /// Continues from a place up to which another router's list was followed.
-    fn continue_from(&mut self, as_of: Option<Place>) {
-        self.follower.next = as_of;
-        self.follower.era = as_of.map(|as_of| as_of.era);
-        self.incomplete_since = None;
-        self.was_lost = false;
-    }
-
-    /// Reads what has changed since the last read. After a failure, returns how long to wait.
-    async fn read(&mut self, control: &Control) -> Result<(), Duration> {
-        match self.follower.read_next(control, Duration::ZERO).await {
-            Ok(ReadPage {
-                content: PageContent::Changes,
-                page,
-            }) => {
-                for record in &page.records {
-                    apply::target(control, record, Freshness::Newest);
-                }
-            }
-            Ok(ReadPage { content, page }) => self.apply_snapshot(control, content, &page),
-            Err(error) if error.invalidates_place() => return Err(Duration::ZERO),
-            Err(error) => {
-                self.was_lost |= error != CallError::Limited;
-                return Err(self.backoff.pause(&error, rand::random()));
-            }
-        }
-        self.backoff.reset();
-        Ok(())
-    }
-
-    fn apply_snapshot(&mut self, control: &Control, content: PageContent, page: &Page) {
-        if content == PageContent::RestoredSnapshot {
-            self.restored_at = Some(Instant::now());
-            self.incomplete_since = None;
-            self.was_lost = true;
-        }
-        let may_be_old = self
-            .restored_at
-            .is_some_and(|at| at.elapsed() < RESTORED_ENTRIES_MAX_AGE);
-        let freshness = match may_be_old {
-            true => Freshness::MayBeOld,
-            false => Freshness::Newest,
-        };
-        let incomplete_since = self.incomplete_since;
-        let is_in_grace =
-            self.was_lost && incomplete_since.is_none_or(|at| at.elapsed() < LAPSED_GRACE);
-        let is_complete = apply::all_targets(control, page, freshness, !is_in_grace);
-        if is_complete {
-            self.incomplete_since = None;
-            self.was_lost = false;
-        } else {
-            self.incomplete_since.get_or_insert_with(Instant::now);
-            self.follower.next = None;
-        }
-        control.shared.set_has_targets();
-    }
-}
-
 /// Follows the routers' entries, and writes this router's own at each heartbeat.
 pub(super) async fn routers(control: Rc<Control>) {
-    let mut follower = Follower::new(Topic::Routers);
+    let mut subscription = Subscription::new(Topic::Routers);
     let interval = control.state.borrow().members.interval();
     let fed_valid_for = Millis((interval * FED_INTERVALS).as_millis() as u64);
     loop {
@@ -333,12 +168,12 @@
         let fed = fed.filter(|(at, _)| now.saturating_sub(*at) <= fed_valid_for);
         if let Some((_, place)) = fed {
             // A reader of the hall tells them.
-            follower.next = Some(place);
+            subscription.next = Some(place);
         } else {
-            read_routers(&control, &mut follower).await;
+            read_routers(&control, &mut subscription).await;
         }
         control.publish_caller_addresses();
-        write_own_entry(&control, &mut follower).await;
+        write_own_entry(&control, &mut subscription).await;
         let changed = control.shared.entry_changed.notified();
         // A timeout and a wake-up have the same effect.
         let _ = timeout(interval, changed).await;
@@ -346,9 +181,9 @@
 }
 
 /// Reads the routers' entries, and publishes them.
-async fn read_routers(control: &Control, follower: &mut Follower) {
+async fn read_routers(control: &Control, subscription: &mut Subscription) {
     let sent_at = control.now();
-    match follower.read_next(control, Duration::ZERO).await {
+    match subscription.read_next(control, Duration::ZERO).await {
         // Entries in a restored copy are older than what is already known of a router.
         Ok(ReadPage {
             content: PageContent::RestoredSnapshot,
@@ -363,7 +198,7 @@
         Err(CallError::Limited) => {}
         Err(_) => control.state.borrow_mut().members.record_failed_read(),
     }
-    if let Some(as_of) = follower.next {
+    if let Some(as_of) = subscription.next {
         feed::publish_routers(control, as_of, sent_at);
     }
 }
@@ -381,8 +216,8 @@
 
 /// Writes this router's entry, together with its quarantined requests if they have changed. A failed append is
 /// recorded, and repeated with the next heartbeat.
-async fn write_own_entry(control: &Control, follower: &mut Follower) {
-    let partition = follower.partition;
+async fn write_own_entry(control: &Control, subscription: &mut Subscription) {
+    let partition = subscription.partition;
     let mut records = vec![own_entry(control)];
     let row = quarantine::own_row(control);
     let held = row.map(|(record, held)| {
@@ -390,7 +225,7 @@
         held
     });
     let begun_at = Instant::now();
-    let limit = follower.timeout.get();
+    let limit = subscription.timeout.get();
     let result = control.store.append(partition, &records, None, limit).await;
     if result.is_ok() {
         control
@@ -402,7 +237,7 @@
     if let (Ok(end), Some(held)) = (&result, held) {
         control.written_holds.replace((end.era, held));
     }
-    follower.timeout.adapt(&result, begun_at.elapsed());
+    subscription.timeout.adapt(&result, begun_at.elapsed());
     control
         .shared
         .record_call(partition.topic, &result.as_ref().map(|_| ()));
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -18,6 +18,7 @@
 mod rollouts;
 mod rows;
 mod shortage;
+mod target_list;
 mod waiting;
 
 use std::cell::{Cell, RefCell};
@@ -120,7 +121,7 @@
     let (peer_requests, received) = mpsc::unbounded_channel();
     let tasks = LocalSet::new();
     tasks.spawn_local(follow::operators(Rc::clone(&control)));
-    tasks.spawn_local(follow::targets(Rc::clone(&control)));
+    tasks.spawn_local(target_list::follow(Rc::clone(&control)));
     tasks.spawn_local(follow::routers(Rc::clone(&control)));
     tasks.spawn_local(rollouts::follow(Rc::clone(&control)));
     tasks.spawn_local(rollouts::report(Rc::clone(&control)));
--- a/src/gateway/control/rollouts.rs
+++ b/src/gateway/control/rollouts.rs
@@ -14,7 +14,7 @@
 
 use super::apply::PageContent;
 use super::context::Control;
-use super::follow::{FAILED_PAUSE, Follower, ReadPage};
+use super::follow::{FAILED_PAUSE, ReadPage, Subscription};
 use crate::gateway::decision::rollout::{self, Input, RECORD_INTERVAL, Verdict};
 use crate::gateway::members::Router;
 use crate::gateway::message::{Reply, Request};
@@ -67,7 +67,7 @@
 }
 
 /// The router that decides about a service's rollout; `None` if no live router accepts callers.
-fn decider(control: &Control, service: &str) -> Option<Router> {
+fn deciding_router(control: &Control, service: &str) -> Option<Router> {
     let state = control.state.borrow();
     let holders = state.members.holders(control.now(), service, 1);
     holders.first().map(|router| (*router).clone())
@@ -82,14 +82,14 @@
     };
     let is_me = |service: &String| {
         let me = &control.state.borrow().members.me.name;
-        decider(control, service).is_some_and(|router| &router.name == me)
+        deciding_router(control, service).is_some_and(|router| &router.name == me)
     };
     services.into_iter().filter(is_me).collect()
 }
 
 /// What the store holds, and the decider's memory.
 #[derive(Default)]
-struct Desk {
+struct Decider {
     in_store: HashMap<String, Progress>,
     /// When the last read that was answered was sent.
     read_sent_at: Option<Millis>,
@@ -99,18 +99,18 @@
 
 /// Follows the progress of rollouts, and decides it where this router is the decider.
 pub(super) async fn follow(control: Rc<Control>) {
-    let mut follower = Follower::new(Topic::Status);
-    let mut desk = Desk::default();
+    let mut subscription = Subscription::new(Topic::Status);
+    let mut decider = Decider::default();
     loop {
-        wait_for_work(&control, &follower).await;
+        wait_for_work(&control, &subscription).await;
         let poll = if decided_here(&control).is_empty() {
             FOLLOW_POLL
         } else {
             DECIDE_POLL
         };
         let sent_at = control.now();
-        match follower.read_next(&control, poll).await {
-            Ok(read) => desk.apply(&control, &read, sent_at),
+        match subscription.read_next(&control, poll).await {
+            Ok(read) => decider.apply(&control, &read, sent_at),
             Err(error) if error.invalidates_place() => continue,
             Err(_) => {
                 sleep(FAILED_PAUSE).await;
@@ -119,8 +119,10 @@
         }
         publish(&control);
         for service in decided_here(&control) {
-            if let Some(place) = follower.next_place() {
-                desk.decide(&control, &service, place, &mut follower).await;
+            if let Some(place) = subscription.next {
+                decider
+                    .decide(&control, &service, place, &mut subscription)
+                    .await;
             }
         }
     }
@@ -135,10 +137,12 @@
 }
 
 /// Waits until a rollout is open, or the store was restored and may lack the end of one.
-async fn wait_for_work(control: &Control, follower: &Follower) {
+async fn wait_for_work(control: &Control, subscription: &Subscription) {
     loop {
         let rollouts_changed = control.rollouts_changed.notified();
-        let is_restored = follower.era().is_some_and(|era| era < control.store.era());
+        let is_restored = subscription
+            .era
+            .is_some_and(|era| era < control.store.era());
         if is_restored || control.state.borrow().rollouts.has_open() {
             return;
         }
@@ -147,7 +151,7 @@
     }
 }
 
-impl Desk {
+impl Decider {
     /// Applies a page of records.
     fn apply(&mut self, control: &Control, read: &ReadPage, sent_at: Millis) {
         let before = self.read_sent_at.replace(sent_at);
@@ -209,7 +213,7 @@
         control: &Control,
         service: &str,
         place: Place,
-        follower: &mut Follower,
+        subscription: &mut Subscription,
     ) {
         let Some((stage, reason)) = self.next_stage(control, service) else {
             return;
@@ -225,13 +229,13 @@
         };
         let record = control.dialect.write_progress(service, &progress);
         let begun_at = Instant::now();
-        let limit = follower.timeout.get();
-        let partition = follower.partition();
+        let limit = subscription.timeout.get();
+        let partition = subscription.partition();
         let result = control
             .store
             .append(partition, &[record], Some(place), limit)
             .await;
-        follower.timeout.adapt(&result, begun_at.elapsed());
+        subscription.timeout.adapt(&result, begun_at.elapsed());
         control
             .shared
             .record_call(partition.topic, &result.as_ref().map(|_| ()));
@@ -344,7 +348,7 @@
     loop {
         sleep(REPORT_INTERVAL).await;
         for report in own_reports(&control) {
-            let Some(decider) = decider(&control, &report.service) else {
+            let Some(decider) = deciding_router(&control, &report.service) else {
                 continue;
             };
             let is_me = decider.name == report.router;
--- /dev/null
+++ b/src/gateway/control/target_list.rs
@@ -0,0 +1,169 @@
+//! Follows the list of targets: reads it from the store if this router is a reader of its hall, and else at one of the
+//! readers. A reader publishes what it has read ([`feed`]).
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
+
+use super::apply;
+use super::apply::PageContent;
+use super::context::Control;
+use super::feed::{self, Round};
+use super::follow::{ReadPage, Subscription};
+use crate::gateway::decision::feed::Role;
+use crate::gateway::targets::Freshness;
+use crate::store::{Backoff, CallError, Page, Place, Topic};
+
+/// Interval of reads of the list of targets.
+const TARGETS_INTERVAL: Duration = Duration::from_millis(500);
+/// How long after an outage of the store, or after a start of all, the readers of a hall may take to read it. Until then
+/// the others do not read it themselves, which would be the whole list for each of them.
+const READERS_RETURN_MAX: Duration = Duration::from_millis(2_500);
+/// Longest time that a router waits at its start to learn whether it reads the list of targets.
+const ROLE_WAIT_MAX: Duration = Duration::from_millis(4_000);
+/// Interval of the checks whether the role is known.
+const ROLE_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// How long a target that is no longer listed stays in use after the store is back: its entry may have expired because
+/// the target could not write either. Running targets are listed again within about two seconds; the next read follows
+/// [`TARGETS_INTERVAL`] later.
+const LAPSED_GRACE: Duration = Duration::from_millis(1_700);
+/// How long after a restore the list may hold entries of the restored copy whose targets have ended: such an entry
+/// expires after three heartbeats of its target.
+const RESTORED_ENTRIES_MAX_AGE: Duration = Duration::from_millis(6_000);
+
+/// Follows the list until the process ends.
+pub(super) async fn follow(control: Rc<Control>) {
+    let mut list = TargetList::new();
+    let mut client = feed::Client::default();
+    list.wait_for_role(&control).await;
+    // When the store was last known not to answer, or this router started.
+    let mut lost_at = Instant::now();
+    loop {
+        if !control.shared.store_answers() {
+            lost_at = Instant::now();
+        }
+        let round = match feed::role(&control) {
+            Role::Reader => Round::Unanswered,
+            Role::Follower => client.follow(&control).await,
+        };
+        let reads = match round {
+            Round::Updated => {
+                list.continue_from(client.as_of());
+                control.shared.set_has_targets();
+                false
+            }
+            // Where the store does not answer the readers but this router, they are cut off from it.
+            Round::Stale => lost_at.elapsed() > READERS_RETURN_MAX,
+            Round::Unanswered => true,
+        };
+        if reads {
+            let sent_at = control.now();
+            if let Err(pause) = list.read(&control).await {
+                sleep(pause).await;
+                continue;
+            }
+            client.note_read(list.subscription.next);
+            if let Some(as_of) = list.subscription.next {
+                feed::publish_targets(&control, as_of, sent_at);
+            }
+        }
+        control.state.borrow_mut().targets.forget(control.now());
+        control.publish_target_addresses();
+        sleep(TARGETS_INTERVAL).await;
+    }
+}
+
+/// The list of targets as this router reads it from the store.
+struct TargetList {
+    subscription: Subscription,
+    backoff: Backoff,
+    /// Since when the list lacks targets that may come back.
+    incomplete_since: Option<Instant>,
+    /// Whether the store was lost or restored, and the list has not been complete since.
+    was_lost: bool,
+    restored_at: Option<Instant>,
+}
+
+impl TargetList {
+    fn new() -> Self {
+        Self {
+            subscription: Subscription::new(Topic::Targets),
+            backoff: Backoff::default(),
+            incomplete_since: None,
+            was_lost: false,
+            restored_at: None,
+        }
+    }
+
+    /// Waits, if the list is long, until this router's role is known: routers that start at the same time do not know
+    /// each other yet, and all of them would read the whole list.
+    async fn wait_for_role(&mut self, control: &Control) {
+        let until = Instant::now() + ROLE_WAIT_MAX;
+        while !feed::is_role_known(control) && Instant::now() < until {
+            let pause = match self.subscription.read_first_part(control).await {
+                Ok(is_long) if !is_long => return,
+                Ok(_) => ROLE_POLL_INTERVAL,
+                Err(error) => self.backoff.pause(&error, rand::random()),
+            };
+            sleep(pause).await;
+        }
+    }
+
+    /// Continues from a place up to which another router's list was followed.
+    fn continue_from(&mut self, as_of: Option<Place>) {
+        self.subscription.next = as_of;
+        self.subscription.era = as_of.map(|as_of| as_of.era);
+        self.incomplete_since = None;
+        self.was_lost = false;
+    }
+
+    /// Reads what has changed since the last read. After a failure, returns how long to wait.
+    async fn read(&mut self, control: &Control) -> Result<(), Duration> {
+        match self.subscription.read_next(control, Duration::ZERO).await {
+            Ok(ReadPage {
+                content: PageContent::Changes,
+                page,
+            }) => {
+                for record in &page.records {
+                    apply::target(control, record, Freshness::Newest);
+                }
+            }
+            Ok(ReadPage { content, page }) => self.apply_snapshot(control, content, &page),
+            Err(error) if error.invalidates_place() => return Err(Duration::ZERO),
+            Err(error) => {
+                self.was_lost |= error != CallError::Limited;
+                return Err(self.backoff.pause(&error, rand::random()));
+            }
+        }
+        self.backoff.reset();
+        Ok(())
+    }
+
+    fn apply_snapshot(&mut self, control: &Control, content: PageContent, page: &Page) {
+        if content == PageContent::RestoredSnapshot {
+            self.restored_at = Some(Instant::now());
+            self.incomplete_since = None;
+            self.was_lost = true;
+        }
+        let may_be_old = self
+            .restored_at
+            .is_some_and(|at| at.elapsed() < RESTORED_ENTRIES_MAX_AGE);
+        let freshness = match may_be_old {
+            true => Freshness::MayBeOld,
+            false => Freshness::Newest,
+        };
+        let incomplete_since = self.incomplete_since;
+        let is_in_grace =
+            self.was_lost && incomplete_since.is_none_or(|at| at.elapsed() < LAPSED_GRACE);
+        let is_complete = apply::all_targets(control, page, freshness, !is_in_grace);
+        if is_complete {
+            self.incomplete_since = None;
+            self.was_lost = false;
+        } else {
+            self.incomplete_since.get_or_insert_with(Instant::now);
+            self.subscription.next = None;
+        }
+        control.shared.set_has_targets();
+    }
+}
--- a/src/gateway/decision/rollout.rs
+++ b/src/gateway/decision/rollout.rs
@@ -22,6 +22,9 @@
 /// Share of the requests allowed beyond the exposure's share that routers use, 0 to 1: these are divided among the
 /// routers by number, and routers that start anew count from zero.
 const EXTRA_SHARE: f64 = 0.5;
+/// Requests of a router for each one that the trial sends to the new version, at least: if that fails them all, the
+/// retry budget covers each of them.
+const TRIAL_SPACING: u64 = 8;
 /// How long before the deadline the end is recorded, so that it is acknowledged in time.
 const FINISH_BEFORE: Millis = Millis(450);
 /// Minimum time for which the new version gets all requests before the end is recorded: a round of reports.
@@ -97,7 +100,9 @@
         _ => TRIAL_SHARE,
     };
     let allowed = limit.share * share * sends.requests as f64 + extra(limit, sends);
-    is_recent && (sends.candidate + 1) as f64 <= allowed
+    let is_spaced = stage == Stage::Shift
+        || sends.requests >= sends.candidate.saturating_add(1) * TRIAL_SPACING;
+    is_recent && is_spaced && (sends.candidate + 1) as f64 <= allowed
 }
 
 /// This router's part of the requests that are allowed in addition to the share.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -22,7 +22,7 @@
 use super::dialect::{self, BadForward, Forward};
 use super::fingerprint::Fingerprint;
 use super::headers;
-use super::held::Hold;
+use super::held::Usage;
 use super::incarnation;
 use super::job::Job;
 use super::relay::Relay;
@@ -55,7 +55,7 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     /// Counts the bytes held for the request.
-    pub(super) hold: Hold,
+    pub(super) usage: Usage,
     pub(super) fingerprint: Fingerprint,
     /// Attempts that were sent to a target.
     pub(super) sent: u32,
@@ -370,7 +370,7 @@
         self.relay
             .store_connection(attempt.placement().address, connection, &reply);
         attempt.note_delivery_started();
-        self.hold.add(body.len());
+        self.usage.add(body.len());
         Ok(CollectedResponse {
             attempt,
             response: BufferedResponse { parts, body },
@@ -392,7 +392,7 @@
             attempts = self.sent,
             ms = elapsed.as_millis() as u64
         );
-        let body = Body::held(response.body, self.hold);
+        let body = Body::held(response.body, self.usage);
         caller_response(response.parts, body)
     }
 }
--- a/src/gateway/held.rs
+++ b/src/gateway/held.rs
@@ -29,8 +29,8 @@
     }
 
     /// Begins to count the bytes of a request of this rank.
-    pub fn open(self: &Arc<Self>, rank: u8) -> Hold {
-        Hold {
+    pub fn open(self: &Arc<Self>, rank: u8) -> Usage {
+        Usage {
             account: Arc::clone(self),
             rank,
             bytes: 0,
@@ -40,13 +40,13 @@
 
 /// The bytes held for one request. They are given back when it is dropped.
 #[derive(Debug)]
-pub struct Hold {
+pub struct Usage {
     account: Arc<Account>,
     rank: u8,
     bytes: usize,
 }
 
-impl Hold {
+impl Usage {
     /// Raises the count to `bytes`, unless the rule refuses that; returns whether it was raised.
     #[must_use]
     pub fn try_raise(&mut self, bytes: usize) -> bool {
@@ -71,7 +71,7 @@
     }
 }
 
-impl Drop for Hold {
+impl Drop for Usage {
     fn drop(&mut self) {
         self.account.held.fetch_sub(self.bytes, Ordering::Relaxed);
     }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -178,8 +178,8 @@
         return Err(Reason::Stopping);
     }
     let deadline = Deadline::new(deadline, relay.shared.stop.given_up());
-    let mut hold = relay.held.open(terms.rank);
-    let body = upload::read(body, config.limits.body_bytes, &mut hold, &deadline).await?;
+    let mut usage = relay.held.open(terms.rank);
+    let body = upload::read(body, config.limits.body_bytes, &mut usage, &deadline).await?;
     let path = parts.uri.path_and_query().cloned();
     let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
     let customer = terms.customer.map(|customer| customer.name.clone());
@@ -208,7 +208,7 @@
         path,
         headers,
         body,
-        hold,
+        usage,
         fingerprint,
         sent: 0,
         unreached: 0,
--- a/src/gateway/upload.rs
+++ b/src/gateway/upload.rs
@@ -6,9 +6,9 @@
 
 use super::deadline::Deadline;
 use super::decision::refusal::Reason;
-use super::held::Hold;
+use super::held::Usage;
 
-/// Reads a body of at most `max` bytes, which `hold` counts: of a declared length before anything is read, else as it
+/// Reads a body of at most `max` bytes, which `usage` counts: of a declared length before anything is read, else as it
 /// arrives.
 ///
 /// # Errors
@@ -16,7 +16,7 @@
 pub(super) async fn read(
     body: &mut Incoming,
     max: usize,
-    hold: &mut Hold,
+    usage: &mut Usage,
     deadline: &Deadline,
 ) -> Result<Bytes, Reason> {
     let declared = body.size_hint().lower();
@@ -24,10 +24,10 @@
         return Err(Reason::TooLong);
     }
     let declared = usize::try_from(declared).unwrap_or(max);
-    if !hold.try_raise(declared) {
+    if !usage.try_raise(declared) {
         return Err(Reason::MemoryFull);
     }
-    match deadline.within(collect(body, declared, max, hold)).await {
+    match deadline.within(collect(body, declared, max, usage)).await {
         Ok(collected) => collected,
         Err(expiry) => Err(Reason::expired_before_send(expiry)),
     }
@@ -37,7 +37,7 @@
     body: &mut Incoming,
     declared: usize,
     max: usize,
-    hold: &mut Hold,
+    usage: &mut Usage,
 ) -> Result<Bytes, Reason> {
     let mut collected = BytesMut::new();
     while let Some(frame) = body.frame().await {
@@ -49,7 +49,7 @@
         if length > max {
             return Err(Reason::TooLong);
         }
-        if !hold.try_raise(length) {
+        if !usage.try_raise(length) {
             return Err(Reason::MemoryFull);
         }
         if length == declared && collected.is_empty() {
--- a/tests/rollout_rules.rs
+++ b/tests/rollout_rules.rs
@@ -77,9 +77,11 @@
     assert!(may(sends(40, 0, None)));
     assert!(!may(sends(79, 1, None)));
     // Half of the additional requests are divided among the first routers.
-    assert!(may(sends(1, 0, Some(24))));
-    assert!(!may(sends(1, 1, Some(24))));
-    assert!(!may(sends(1, 0, Some(25))));
+    assert!(may(sends(8, 0, Some(24))));
+    assert!(!may(sends(8, 1, Some(24))));
+    assert!(!may(sends(8, 0, Some(25))));
+    // They are spaced, so that the retry budget covers them.
+    assert!(!may(sends(7, 0, Some(24))));
     let shift = knows(Some(Stage::Shift), Some(0));
     assert!(rollout::may_send(&LIMIT, shift, &sends(1_000, 89, None)));
     assert!(!rollout::may_send(&LIMIT, shift, &sends(1_000, 90, None)));
