Plan the last span of a rollout by the bound's share and its duration

Cause: by reading. The span in which the new version gets all requests was 6.5% of the time whatever `--rollout-share` is, and at least 600 ms: of a rollout of 5 s that is 12%, beyond a share of a tenth. Ruled out: the routers' own bound, which holds the span before the end, but not what follows it.

--- a/src/gateway/control/rollouts.rs
+++ b/src/gateway/control/rollouts.rs
@@ -275,6 +275,7 @@
             return (!is_in_store).then_some((stage, "repeated"));
         }
         let input = Input {
+            limit: state.rollouts.limit(),
             stage,
             age: rollout.age(now),
             stage_age: rollout.stage_age(now),
--- a/src/gateway/decision/rollout.rs
+++ b/src/gateway/decision/rollout.rs
@@ -27,8 +27,10 @@
 const TRIAL_SPACING: u64 = 8;
 /// How long before the deadline the end is recorded, so that it is acknowledged in time.
 const FINISH_BEFORE: Millis = Millis(450);
-/// Minimum time for which the new version gets all requests before the end is recorded: a round of reports.
-const SHIFT_MIN: Millis = Millis(150);
+/// Largest part of the span in which the new version gets all requests that [`FINISH_BEFORE`] may take, 0 to 1.
+const FINISH_SHARE_MAX: f64 = 0.65;
+/// Part of that span for which the new version gets all requests before the end is recorded, 0 to 1.
+const SHIFT_SHARE_MIN: f64 = 0.2;
 /// Age of the decider's last record up to which a router sends requests to the new version. The decider repeats its
 /// record each [`RECORD_INTERVAL`].
 const RECORD_VALID_FOR: Millis = Millis(3_500);
@@ -123,6 +125,8 @@
 /// The inputs of the decider.
 #[derive(Clone, Debug)]
 pub struct Input<'a> {
+    /// The bound on what a bad version may get.
+    pub limit: &'a Limit,
     /// The stage as recorded in the store.
     pub stage: Stage,
     /// Time since the order.
@@ -195,32 +199,44 @@
     if let Some(reason) = fault(input) {
         return Verdict::Enter(Stage::RolledBack, reason);
     }
-    let finish_at = input.duration.saturating_sub(FINISH_BEFORE);
+    let plan = Plan::new(input.limit, input.duration);
     let is_tested = input.all.total().candidate.attempts() >= ATTEMPTS_MIN;
     match input.stage {
-        Stage::Trial if is_tested && input.age >= shift_at(input.duration) => {
+        Stage::Trial if is_tested && input.age >= plan.shift_at => {
             Verdict::Enter(Stage::Shift, Reason::Good)
         }
-        Stage::Trial if input.age >= finish_at => {
+        Stage::Trial if input.age >= plan.finish_at => {
             Verdict::Enter(Stage::RolledBack, Reason::Untested)
         }
-        Stage::Shift if input.age >= finish_at && input.stage_age >= SHIFT_MIN => {
+        Stage::Shift if input.age >= plan.finish_at && input.stage_age >= plan.shift_min => {
             Verdict::Enter(Stage::Done, Reason::Good)
         }
         _ => Verdict::Hold,
     }
 }
 
-/// Time from the order until the new version gets all requests. Rounded up to the end of the trial where the rest is
-/// too short for the end to be recorded in time.
-fn shift_at(duration: Millis) -> Millis {
-    let shift = (duration.0 as f64 * SHIFT_TIME) as u64;
-    let shift = shift.max(FINISH_BEFORE.0 + SHIFT_MIN.0);
-    duration.saturating_sub(Millis(shift))
+/// When the stages of a rollout end, in times since the order.
+struct Plan {
+    /// When the new version gets all requests.
+    shift_at: Millis,
+    /// Minimum time for which it gets them before the end.
+    shift_min: Millis,
+    /// When the end is recorded.
+    finish_at: Millis,
 }
 
-/// Share of the rollout's time in which the new version gets all requests, 0 to 1.
-const SHIFT_TIME: f64 = 0.065;
+impl Plan {
+    /// Plans a rollout whose last span uses up what the trial leaves of the exposure.
+    fn new(limit: &Limit, duration: Millis) -> Self {
+        let shift = duration.0 as f64 * limit.share * SHIFT_SHARE;
+        let finish_before = (shift * FINISH_SHARE_MAX) as u64;
+        Self {
+            shift_at: duration.saturating_sub(Millis(shift as u64)),
+            shift_min: Millis((shift * SHIFT_SHARE_MIN) as u64),
+            finish_at: duration.saturating_sub(FINISH_BEFORE.min(Millis(finish_before))),
+        }
+    }
+}
 
 /// What is wrong with the new version, if anything is: over all routes, or on one of them.
 fn fault(input: &Input<'_>) -> Option<Reason> {
--- a/tests/rollout_bounds.rs
+++ b/tests/rollout_bounds.rs
@@ -158,6 +158,7 @@
         self.history.push((at, all.clone()));
         let (stage, stage_at) = self.stage();
         let input = Input {
+            limit: &LIMIT,
             stage,
             age: Millis(at),
             stage_age: Millis(at - stage_at),
--- a/tests/rollout_rules.rs
+++ b/tests/rollout_rules.rs
@@ -123,6 +123,7 @@
 
 fn judge(all: &Evidence, recent: &Evidence, stage: Stage, age: u64) -> Verdict {
     rollout::decide(&Input {
+        limit: &LIMIT,
         stage,
         age: Millis(age),
         stage_age: Millis(500),
