Pass the list on also while readers wait for lapsed entries

Cause: after an outage a list that lacks known targets is read anew for 1.7 s, and a reader published nothing until it was whole, so its followers took its list for stale. Shown by logs of leaving_after_an_outage: the eight readers knew of a leaving target within 0.2 s, their four followers 2.1 s later.

Change: a read publishes up to the place that it has read, whole or not.

--- a/src/gateway/control/feed.rs
+++ b/src/gateway/control/feed.rs
@@ -104,8 +104,8 @@
     }
 
     /// Notes that this router has read the store's list of targets itself.
-    pub(super) fn note_read(&mut self, as_of: Option<Place>) {
-        self.as_of = self.as_of.max(as_of);
+    pub(super) fn note_read(&mut self, as_of: Place) {
+        self.as_of = self.as_of.max(Some(as_of));
     }
 
     /// Asks readers for what has changed, until one has current lists.
--- a/src/gateway/control/target_list.rs
+++ b/src/gateway/control/target_list.rs
@@ -59,13 +59,15 @@
         };
         if reads {
             let sent_at = control.now();
-            if let Err(pause) = list.read(&control).await {
-                sleep(pause).await;
-                continue;
-            }
-            client.note_read(list.subscription.next);
-            if let Some(as_of) = list.subscription.next {
-                feed::publish_targets(&control, as_of, sent_at);
+            match list.read(&control).await {
+                Ok(as_of) => {
+                    client.note_read(as_of);
+                    feed::publish_targets(&control, as_of, sent_at);
+                }
+                Err(pause) => {
+                    sleep(pause).await;
+                    continue;
+                }
             }
         }
         control.state.borrow_mut().targets.forget(control.now());
@@ -118,9 +120,10 @@
         self.was_lost = false;
     }
 
-    /// Reads what has changed since the last read. After a failure, returns how long to wait.
-    async fn read(&mut self, control: &Control) -> Result<(), Duration> {
-        match self.subscription.read_next(control, Duration::ZERO).await {
+    /// Reads what has changed since the last read, and returns the place up to which it has read. After a failure, returns
+    /// how long to wait.
+    async fn read(&mut self, control: &Control) -> Result<Place, Duration> {
+        let as_of = match self.subscription.read_next(control, Duration::ZERO).await {
             Ok(ReadPage {
                 content: PageContent::Changes,
                 page,
@@ -128,16 +131,20 @@
                 for record in &page.records {
                     apply::target(control, record, Freshness::Newest);
                 }
+                page.next
+            }
+            Ok(ReadPage { content, page }) => {
+                self.apply_snapshot(control, content, &page);
+                page.next
             }
-            Ok(ReadPage { content, page }) => self.apply_snapshot(control, content, &page),
             Err(error) if error.invalidates_place() => return Err(Duration::ZERO),
             Err(error) => {
                 self.was_lost |= error != CallError::Limited;
                 return Err(self.backoff.pause(&error, rand::random()));
             }
-        }
+        };
         self.backoff.reset();
-        Ok(())
+        Ok(as_of)
     }
 
     fn apply_snapshot(&mut self, control: &Control, content: PageContent, page: &Page) {
--- a/tests/feed_runs.rs
+++ b/tests/feed_runs.rs
@@ -21,6 +21,8 @@
 const TARGETS: &str = "keyed.servers";
 /// Longer than a router waits to learn its role.
 const SETTLING: Duration = Duration::from_secs(2);
+/// A leaving target gets requests for no longer than this, as the page of the whole fleet counts it.
+const KNOWN_WITHIN: Duration = Duration::from_millis(2_200);
 /// Within this time a fleet has to serve again after all were killed.
 const RECOVERED_WITHIN: Duration = Duration::from_secs(12);
 /// Several rounds of reads.
@@ -146,6 +148,34 @@
     }
 }
 
+/// Guards against readers that pass nothing on while they wait for entries that lapsed in an outage.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_after_an_outage() {
+    let (deployment, app) = start().await;
+    let other = Runner::start("i-other").await;
+    list(&deployment.store, "app", &other, "ready");
+    for gateway in &deployment.gateways {
+        until_reached(gateway.front, &other).await;
+    }
+    let set_fault = |fault| {
+        for gateway in &deployment.gateways {
+            deployment.store.set_fault(gateway.store, fault);
+        }
+    };
+    set_fault(Fault::Unavailable);
+    sleep(ROUNDS).await;
+    deployment.store.put(TARGETS, "i-far-0", None);
+    set_fault(Fault::None);
+    list(&deployment.store, "app", &app, "draining");
+    let left = Instant::now();
+    for gateway in &deployment.gateways {
+        until_avoided(gateway, &app).await;
+    }
+    let last = app.arrivals().last().map(|arrival| arrival.at);
+    let last = last.map(|at| at.saturating_duration_since(left.into_std()));
+    assert!(last.is_none_or(|last| last < KNOWN_WITHIN), "{last:?}");
+}
+
 /// Guards against routers that wait for each other after all were killed.
 #[tokio::test(flavor = "multi_thread")]
 async fn all_killed_with_a_long_list() {
