Decide a rollout at its planned moments; good_version_takes_over is red no more

Cause: the decider decided each 150 ms whatever the plan, and since the last span of a rollout of 5 s is 325 ms. Shown by logs of six runs at once: the shift was recorded 4,831 to 4,839 ms after the order in five of them, where 4,675 is planned, and the end at 5,002 to 5,007; those five failed.

--- a/src/gateway/control/rollouts.rs
+++ b/src/gateway/control/rollouts.rs
@@ -24,7 +24,7 @@
 
 /// How long the store delays its answer to a router that only follows, until there is a record.
 const FOLLOW_POLL: Duration = Duration::from_millis(1_000);
-/// How long the store delays its answer to the decider: the interval of its decisions.
+/// Longest time for which the store delays its answer to the decider: the interval of its decisions.
 const DECIDE_POLL: Duration = Duration::from_millis(150);
 /// Interval of the checks whether the store was restored from a copy, while no rollout is open.
 const ERA_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -103,11 +103,7 @@
     let mut decider = Decider::default();
     loop {
         wait_for_work(&control, &subscription).await;
-        let poll = if decided_here(&control).is_empty() {
-            FOLLOW_POLL
-        } else {
-            DECIDE_POLL
-        };
+        let poll = poll(&control);
         let sent_at = control.now();
         match subscription.read_next(&control, poll).await {
             Ok(read) => decider.apply(&control, &read, sent_at),
@@ -128,6 +124,24 @@
     }
 }
 
+/// How long the store may delay its answer: at the decider until the next decision, which is no later than the next
+/// planned stage.
+fn poll(control: &Control) -> Duration {
+    let decided = decided_here(control);
+    if decided.is_empty() {
+        return FOLLOW_POLL;
+    }
+    let now = control.now();
+    let state = control.state.borrow();
+    let limit = state.rollouts.limit();
+    let until_next = decided.iter().filter_map(|service| {
+        let rollout = state.rollouts.get(service)?;
+        rollout::until_next_stage(limit, rollout.order.duration, rollout.age(now))
+    });
+    let until_next = until_next.map(|left| Duration::from_millis(left.0));
+    until_next.fold(DECIDE_POLL, Duration::min)
+}
+
 /// Publishes the rollouts for the metrics.
 fn publish(control: &Control) {
     let state = control.state.borrow();
--- a/src/gateway/decision/rollout.rs
+++ b/src/gateway/decision/rollout.rs
@@ -238,6 +238,18 @@
     }
 }
 
+/// Time until a rollout of this age may enter its next stage as planned; `None` if there is no such moment left.
+pub fn until_next_stage(limit: &Limit, duration: Millis, age: Millis) -> Option<Millis> {
+    let plan = Plan::new(limit, duration);
+    let moments = [
+        plan.shift_at,
+        plan.shift_at + plan.shift_min,
+        plan.finish_at,
+    ];
+    let left = moments.into_iter().filter(|moment| *moment > age);
+    left.min().map(|moment| moment.saturating_sub(age))
+}
+
 /// What is wrong with the new version, if anything is: over all routes, or on one of them.
 fn fault(input: &Input<'_>) -> Option<Reason> {
     let few = (input.candidates as u32).clamp(1, FAILING_TARGETS_MIN);
--- a/tests/rollout_rules.rs
+++ b/tests/rollout_rules.rs
@@ -157,6 +157,16 @@
     assert_eq!(judge(&good, &good, Stage::Done, 15_000), Verdict::Hold);
 }
 
+#[test]
+fn decided_in_time() {
+    let until = |age| rollout::until_next_stage(&LIMIT, Millis(12_000), Millis(age));
+    // 780 ms before the deadline all requests move, and 450 ms before it the end is recorded.
+    assert_eq!(until(0), Some(Millis(11_220)));
+    assert_eq!(until(11_220), Some(Millis(156)));
+    assert_eq!(until(11_400), Some(Millis(150)));
+    assert_eq!(until(11_550), None);
+}
+
 #[test]
 fn untested_version() {
     let few = evidence("r", (800, 10.0, 8), (10, 10.0, 0));
