Let renewals of grants back off where the store refuses them for its rate

Cause: by reading, the same fault as in the lists: a renewal that gets 429 was repeated 150 ms later, by each partition's task, without end. Not shown to be what the fleet's 1.7 million calls are; counters by topic have to show that.

Measured: gateway_loans, gateway_spend, gateway_store, short_tokens, store_restored pass.

--- a/src/gateway/control/grants.rs
+++ b/src/gateway/control/grants.rs
@@ -15,13 +15,12 @@
 use super::context::{Control, Renewal};
 use super::loans;
 use super::rows::{self, Cursor, Purpose};
+use crate::store::Backoff;
 
 /// Interval of renewals while no request waits.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Interval of renewals while the store does not answer.
 const STORE_LOST_INTERVAL: Duration = Duration::from_millis(250);
-/// Pause after a renewal that failed.
-const FAILED_PAUSE: Duration = Duration::from_millis(150);
 /// The first renewals of a process are spread over this time, in milliseconds, since all routers may start at the same
 /// time.
 const START_SPREAD_MS: u64 = 1_000;
@@ -43,6 +42,7 @@
 /// Renews this router's rows in a partition until grants are given back.
 async fn renew(control: Rc<Control>, partition: u32, renewal: Rc<Renewal>) {
     let mut cursor = Cursor::new(partition);
+    let mut backoff = Backoff::default();
     let delay = Duration::from_millis(rand::rng().random_range(0..START_SPREAD_MS));
     wait(delay, &renewal.wake).await;
     while !control.shared.stop.gives_back() {
@@ -52,9 +52,12 @@
         // Requests that still wait borrow tokens, whether or not the store is available.
         control.retry_waiting();
         loans::spawn_for_waiting(&control, partition, begun_at);
-        if let Err(error) = written {
-            tracing::warn!(event = "grants_not_renewed", partition, %error);
-            sleep(FAILED_PAUSE).await;
+        match written {
+            Ok(()) => backoff.reset(),
+            Err(error) => {
+                tracing::warn!(event = "grants_not_renewed", partition, %error);
+                sleep(backoff.pause(&error, rand::random())).await;
+            }
         }
         let interval = if control.shared.store_answers() {
             RENEWAL_INTERVAL
