Bound the reports that a rollout's decider gets, whatever the size of the fleet

Cause: by count. Each router reported each 0.5 s when any attempt had ended, also at the old versions: 1,970 messages a second to one router of 985.

Change: attempts at the new version, a fortieth, are reported at once; those at the others alone by all routers 100 times a second together. The follower of the status topic backs off as the others do.

A rollout at that size was not played.

--- a/src/gateway/control/follow.rs
+++ b/src/gateway/control/follow.rs
@@ -20,8 +20,6 @@
 /// How long the store delays its answer to a read of the configuration until there is a change (long poll). A change
 /// must be in force within 11 s.
 const CONFIG_POLL: Duration = Duration::from_millis(1_000);
-/// Pause after a read that failed.
-pub(super) const FAILED_PAUSE: Duration = Duration::from_millis(150);
 /// Heartbeat intervals for which a reader's list of routers is relied on.
 const FED_INTERVALS: u32 = 2;
 
--- a/src/gateway/control/rollouts.rs
+++ b/src/gateway/control/rollouts.rs
@@ -14,12 +14,14 @@
 
 use super::apply::PageContent;
 use super::context::Control;
-use super::follow::{FAILED_PAUSE, ReadPage, Subscription};
+use super::follow::{ReadPage, Subscription};
 use crate::gateway::decision::rollout::{self, Input, RECORD_INTERVAL, Verdict};
 use crate::gateway::members::Router;
 use crate::gateway::message::{Reply, Request};
-use crate::gateway::rollout::{Arm, Evidence, Order, Overview, Progress, Report, Stage, Written};
-use crate::store::{Place, Topic};
+use crate::gateway::rollout::{
+    Arm, Evidence, Order, Overview, Progress, Report, Stage, Tally, Written,
+};
+use crate::store::{Backoff, Place, Topic};
 use crate::units::Millis;
 
 /// How long the store delays its answer to a router that only follows, until there is a record.
@@ -101,15 +103,19 @@
 pub(super) async fn follow(control: Rc<Control>) {
     let mut subscription = Subscription::new(Topic::Status);
     let mut decider = Decider::default();
+    let mut backoff = Backoff::default();
     loop {
         wait_for_work(&control, &subscription).await;
         let poll = poll(&control);
         let sent_at = control.now();
         match subscription.read_next(&control, poll).await {
-            Ok(read) => decider.apply(&control, &read, sent_at),
+            Ok(read) => {
+                backoff.reset();
+                decider.apply(&control, &read, sent_at);
+            }
             Err(error) if error.invalidates_place() => continue,
-            Err(_) => {
-                sleep(FAILED_PAUSE).await;
+            Err(error) => {
+                sleep(backoff.pause(&error, rand::random())).await;
                 continue;
             }
         }
@@ -359,22 +365,36 @@
 
 /// Reports this router's evidence to the deciders, until the process ends.
 pub(super) async fn report(control: Rc<Control>) {
-    let mut reported: HashMap<String, (String, Report)> = HashMap::new();
+    let mut reported: HashMap<String, (Millis, String, Report)> = HashMap::new();
     loop {
         sleep(REPORT_INTERVAL).await;
-        for report in own_reports(&control) {
+        let routers = control.state.borrow().members.count();
+        for (age, report) in own_reports(&control) {
             let Some(decider) = deciding_router(&control, &report.service) else {
                 continue;
             };
-            let is_me = decider.name == report.router;
-            let last = (decider.name.clone(), report);
-            if is_me || reported.get(&last.1.service) == Some(&last) {
+            if decider.name == report.router {
+                continue;
+            }
+            let now = control.now();
+            let last = reported.get(&report.service);
+            let last = last
+                .filter(|(_, name, last)| *name == decider.name && last.version == report.version);
+            let news = rollout::News {
+                since_last: last.map_or(age, |(at, _, _)| now.saturating_sub(*at)),
+                is_candidate: last.map_or(Tally::default(), |(_, _, last)| {
+                    last.evidence.total().candidate
+                }) != report.evidence.total().candidate,
+                is_any: last.is_none_or(|(_, _, last)| *last != report),
+            };
+            if !rollout::is_report_due(&news, routers) {
                 continue;
             }
-            let request = Request::Evidence(Box::new(last.1.clone()));
+            let request = Request::Evidence(Box::new(report.clone()));
             match control.peer_client.ask(decider.link, &request).await {
                 Ok(Reply::Noted) => {
-                    reported.insert(last.1.service.clone(), last);
+                    let service = report.service.clone();
+                    reported.insert(service, (now, decider.name, report));
                 }
                 Ok(reply) => {
                     tracing::warn!(event = "peer_answer_unfit", name = %decider.name, ?reply);
@@ -385,20 +405,24 @@
     }
 }
 
-/// This router's evidence on the rollouts that have not ended.
-fn own_reports(control: &Control) -> Vec<Report> {
+/// This router's evidence on the rollouts that have not ended, with the time since their orders.
+fn own_reports(control: &Control) -> Vec<(Millis, Report)> {
+    let now = control.now();
     let state = control.state.borrow();
     let me = &state.members.me;
     let open = state
         .rollouts
         .iter()
         .filter(|(_, rollout)| !rollout.has_ended());
-    let reports = open.map(|(service, rollout)| Report {
-        service: service.to_owned(),
-        version: rollout.order.version.clone(),
-        router: me.name.clone(),
-        incarnation: me.incarnation,
-        evidence: rollout.evidence.clone(),
+    let reports = open.map(|(service, rollout)| {
+        let report = Report {
+            service: service.to_owned(),
+            version: rollout.order.version.clone(),
+            router: me.name.clone(),
+            incarnation: me.incarnation,
+            evidence: rollout.evidence.clone(),
+        };
+        (rollout.age(now), report)
     });
     reports.collect()
 }
--- a/src/gateway/decision/rollout.rs
+++ b/src/gateway/decision/rollout.rs
@@ -37,6 +37,9 @@
 /// Interval at which the decider repeats its record.
 pub const RECORD_INTERVAL: Millis = Millis(1_000);
 
+/// Reports a second that a decider gets of attempts at the other versions alone, whatever the size of the fleet.
+const STABLE_REPORTS_PER_SECOND: u64 = 100;
+
 /// Minimum number of attempts at the new version for a judgement that it is good.
 const ATTEMPTS_MIN: u32 = 20;
 /// Minimum number of attempts at the other versions for any comparison.
@@ -250,6 +253,24 @@
     left.min().map(|moment| moment.saturating_sub(age))
 }
 
+/// What a router has to report to the decider.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct News {
+    /// Time since its last report to this decider, or else since the order.
+    pub since_last: Millis,
+    /// Whether attempts at the new version have ended since.
+    pub is_candidate: bool,
+    /// Whether any attempts have ended since.
+    pub is_any: bool,
+}
+
+/// Whether a router of a fleet reports to the decider now. Attempts at the new version are reported at once; there are
+/// few. Those at the other versions are only compared with, so a large fleet reports them less often.
+pub fn is_report_due(news: &News, routers: usize) -> bool {
+    let interval = Millis((1_000 * routers as u64) / STABLE_REPORTS_PER_SECOND);
+    news.is_candidate || (news.is_any && news.since_last >= interval)
+}
+
 /// What is wrong with the new version, if anything is: over all routes, or on one of them.
 fn fault(input: &Input<'_>) -> Option<Reason> {
     let few = (input.candidates as u32).clamp(1, FAILING_TARGETS_MIN);
--- a/tests/rollout_rules.rs
+++ b/tests/rollout_rules.rs
@@ -1,7 +1,9 @@
 //! Table tests of rollouts: what a router may send to a new version, how the decider judges it, and which record of a
 //! rollout counts.
 
-use lanedeck::gateway::decision::rollout::{self, Input, Knowledge, Limit, Reason, Sends, Verdict};
+use lanedeck::gateway::decision::rollout::{
+    self, Input, Knowledge, Limit, News, Reason, Sends, Verdict,
+};
 use lanedeck::gateway::rollout::{
     Arm, AttemptEnd, Evidence, Order, Progress, Rollouts, Stage, View, Written,
 };
@@ -167,6 +169,25 @@
     assert_eq!(until(11_550), None);
 }
 
+#[test]
+fn bounded_reports() {
+    let due = |since, is_candidate, routers| {
+        let news = News {
+            since_last: Millis(since),
+            is_candidate,
+            is_any: true,
+        };
+        rollout::is_report_due(&news, routers)
+    };
+    assert!(due(500, false, 50));
+    assert!(
+        !due(500, false, 985),
+        "2,000 messages a second for one router"
+    );
+    assert!(due(9_850, false, 985));
+    assert!(due(500, true, 985), "the new version is reported at once");
+}
+
 #[test]
 fn untested_version() {
     let few = evidence("r", (800, 10.0, 8), (10, 10.0, 0));
