Count the calls to the store by topic and outcome, and log them each 10 s

The one counter of calls cannot tell reads of lists from rows of budgets, nor refusals for the rate from writers that wait for each other.

--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -64,6 +64,9 @@
     pub messages: mpsc::UnboundedReceiver<Message>,
 }
 
+/// Interval at which the calls to the store are logged.
+const STORE_CALLS_LOG_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Name of the control thread.
 pub const THREAD: &str = "control";
 
@@ -133,6 +136,7 @@
     tasks.spawn_local(notices::gossip(Rc::clone(&control)));
     tasks.spawn_local(clock::compare(Rc::clone(&control)));
     tasks.spawn_local(loans::return_excess(Rc::clone(&control)));
+    tasks.spawn_local(log_store_calls(Rc::clone(&control)));
     tasks.block_on(&runtime, serve(control, parts.messages, received));
 }
 
@@ -156,6 +160,15 @@
     }
 }
 
+/// Logs the calls to the store at regular intervals, until the process ends.
+async fn log_store_calls(control: Rc<Control>) {
+    loop {
+        tokio::time::sleep(STORE_CALLS_LOG_INTERVAL).await;
+        let calls = control.shared.store_calls.summary();
+        tracing::info!(event = "store_calls", calls);
+    }
+}
+
 async fn sleep_until(until: Option<Instant>) {
     match until {
         Some(until) => tokio::time::sleep_until(until).await,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 pub mod sse;
 pub(crate) mod state;
 mod stop;
+pub mod store_calls;
 mod stream;
 pub mod targets;
 mod upload;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -22,6 +22,7 @@
 use super::rollout::Overview;
 use super::route::Config;
 use super::stop::Progress;
+use super::store_calls;
 use crate::store::{CallError, Era, Topic};
 use crate::units::Millis;
 
@@ -54,6 +55,8 @@
     pub quarantine_refused: Counter,
     /// The rollouts.
     pub rollouts: ArcSwap<Vec<Overview>>,
+    /// Calls to the store, by topic and outcome.
+    pub store_calls: store_calls::Counts,
     /// The bytes held for callers and targets.
     pub held: Arc<held::Account>,
     /// Counters and histograms.
@@ -186,6 +189,7 @@
     /// since every router makes them all the time, and those for grants and targets, since requests rely on them.
     pub fn record_call(&self, topic: Topic, result: &Result<(), &CallError>) {
         self.metrics.store_calls.add(1);
+        self.store_calls.add(topic, result);
         let is_answer = match result {
             Ok(()) => true,
             Err(error) => error.is_outdated(),
