Log how a connection to a target failed, and which requests had a pooled one

The logs of a partitioned router tell that attempts fail, not whether a new connection timed out or was refused, or a pooled one broke, so a partition cannot be told from crashed targets. connect_failed was at debug level and had no cause.

attempt_sent has connection=opened or pooled, connect_failed and connection_broken have the system's cause, and two counters split the failed connections. One line per failed connection, as attempt_failed has.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -191,7 +191,7 @@
             Ok(connected) => connected,
             Err(expiry) => return Err(failed(attempt, Failure::expired_before_send(expiry))),
         };
-        let Some(mut connection) = connected else {
+        let Some((mut connection, origin)) = connected else {
             self.unreached += 1;
             return Err(failed(attempt, Failure::Unreachable));
         };
@@ -220,6 +220,7 @@
             instance = %attempt.placement().instance,
             fingerprint = %self.fingerprint,
             attempts = self.sent,
+            connection = origin.as_str(),
             left_ms = self.deadline.left().as_millis() as u64,
             estimate_ms = estimate.map(|estimate| estimate.ms.round() as u64),
             best_ms = estimate.map(|estimate| estimate.best_ms.round() as u64),
@@ -261,7 +262,10 @@
                 self.unreached += 1;
                 return Err(Failure::IdleClosed);
             }
-            Err(_) => return Err(Failure::BrokenOff),
+            Err(error) => {
+                tracing::info!(event = "connection_broken", id = %self.request.id, cause = ?error.kind());
+                return Err(Failure::BrokenOff);
+            }
         };
         let (parts, incoming) = response.into_parts();
         let status = parts.status;
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -98,8 +98,12 @@
     broken,
     /// Stream events that were forwarded.
     events,
-    /// Connections opened to targets.
+    /// Connections opened to targets, or tried in vain.
     connects,
+    /// Connections to targets that were not opened in time.
+    connects_timed_out,
+    /// Connections to targets that were refused or failed otherwise.
+    connects_refused,
     /// Calls to the store.
     store_calls,
     /// Calls to the store that failed.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,6 +1,7 @@
 //! What all requests of the process share: access to the control thread, the dialect, and the idle connections to
 //! targets.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,6 +25,25 @@
 /// connection while a request is on its way, the request may have run.
 const IDLE_TIMEOUT_SHARE: f64 = 0.85;
 
+/// How an attempt got its connection to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Origin {
+    /// An idle connection was reused.
+    Pooled,
+    /// A connection was opened.
+    Opened,
+}
+
+impl Origin {
+    /// The name of the origin in logs.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Self::Pooled => "pooled",
+            Self::Opened => "opened",
+        }
+    }
+}
+
 /// Data that all requests share.
 pub struct Relay {
     /// State shared with the control thread.
@@ -44,15 +64,20 @@
 
 impl Relay {
     /// Returns an idle connection to a target or opens one; `None` if it cannot be opened in time.
-    pub(super) async fn connect(&self, address: SocketAddr) -> Option<Connection> {
+    pub(super) async fn connect(&self, address: SocketAddr) -> Option<(Connection, Origin)> {
         if let Some(connection) = self.pool.take(address) {
-            return Some(connection);
+            return Some((connection, Origin::Pooled));
         }
-        self.shared.metrics.connects.add(1);
+        let metrics = &self.shared.metrics;
+        metrics.connects.add(1);
         match net::open(address, CONNECT_TIMEOUT, UNACKNOWLEDGED_TIMEOUT).await {
-            Ok(connection) => Some(connection),
+            Ok(connection) => Some((connection, Origin::Opened)),
             Err(error) => {
-                tracing::debug!(event = "connect_failed", %address, %error);
+                match error.kind() {
+                    ErrorKind::TimedOut => metrics.connects_timed_out.add(1),
+                    _ => metrics.connects_refused.add(1),
+                }
+                tracing::info!(event = "connect_failed", %address, cause = ?error.kind());
                 None
             }
         }
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -1,6 +1,7 @@
 //! A client connection. It carries one request at a time, and is closed when it is dropped before the response has
 //! been read to its end.
 
+use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -37,6 +38,25 @@
     source: hyper::Error,
 }
 
+impl SendError {
+    /// The kind of the system's error, if the connection failed with one.
+    pub fn kind(&self) -> Option<io::ErrorKind> {
+        error_kind(&self.source)
+    }
+}
+
+/// The kind of the system's error that an error of the HTTP library is due to, if any.
+pub fn error_kind(error: &hyper::Error) -> Option<io::ErrorKind> {
+    let mut source = error.source();
+    while let Some(cause) = source {
+        if let Some(error) = cause.downcast_ref::<io::Error>() {
+            return Some(error.kind());
+        }
+        source = cause.source();
+    }
+    None
+}
+
 /// An open connection. It is closed when dropped.
 #[derive(Debug)]
 pub struct Connection {
