--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -218,6 +218,17 @@
             .push(Gateway::start(name, address, flags, log));
     }
 
+    /// Adds a gateway in a hall of its own that gets other addresses of targets: pairs of the listed address and its own.
+    pub async fn add_routed(&mut self, name: &str, routes: Vec<(SocketAddr, SocketAddr)>) {
+        let address = self.store.open().await;
+        self.store.set_routes(address, routes);
+        let hall = format!("hall-of-{name}");
+        let log = log_path_from_env(name);
+        let flags = ["--hall", &hall];
+        self.gateways
+            .push(Gateway::start(name, address, &flags, log));
+    }
+
     /// Adds a gateway that reaches its store at another address.
     pub fn add_with_store(&mut self, name: &str, store: SocketAddr, flags: &[&str]) {
         let log = log_path_from_env(name);
--- a/tests/deployment/store.rs
+++ b/tests/deployment/store.rs
@@ -133,6 +133,8 @@
     reads: Mutex<HashMap<(SocketAddr, String), usize>>,
     /// Number of restores from a snapshot.
     restores: AtomicU64,
+    /// Addresses of targets as one router gets them, by the router's address here.
+    routes: Mutex<HashMap<SocketAddr, Vec<(SocketAddr, SocketAddr)>>>,
 }
 
 /// The store stand-in; clones share its contents.
@@ -160,6 +162,24 @@
         .await
     }
 
+    /// Replaces addresses in the list of targets for the router that reads at `address`.
+    pub fn set_routes(&self, address: SocketAddr, routes: Vec<(SocketAddr, SocketAddr)>) {
+        self.0.routes.lock().unwrap().insert(address, routes);
+    }
+
+    /// A record or value of a topic as the router that reads at `address` gets it.
+    fn routed(&self, address: SocketAddr, topic: &str, bytes: &Bytes) -> Bytes {
+        let routes = self.0.routes.lock().unwrap();
+        let Some(routes) = routes.get(&address).filter(|_| topic == "keyed.servers") else {
+            return bytes.clone();
+        };
+        let mut text = String::from_utf8(bytes.to_vec()).unwrap();
+        for (from, to) in routes {
+            text = text.replace(&format!("\"{from}\""), &format!("\"{to}\""));
+        }
+        text.into()
+    }
+
     pub fn set_fault(&self, address: SocketAddr, fault: Fault) {
         self.0.faults.lock().unwrap().insert(address, fault);
     }
@@ -275,7 +295,7 @@
         self.count_read(address, request.uri());
         let fault = self.0.faults.lock().unwrap().get(&address).copied();
         match fault.unwrap_or_default() {
-            Fault::None => Ok(self.call(request).await),
+            Fault::None => Ok(self.call(address, request).await),
             Fault::Unavailable => {
                 let call = (address, request.uri().to_string());
                 self.0.unavailable_calls.lock().unwrap().push(call);
@@ -284,20 +304,20 @@
             Fault::NoGrants if concerns_grants(request.uri()) => {
                 Ok(status(StatusCode::SERVICE_UNAVAILABLE))
             }
-            Fault::NoGrants => Ok(self.call(request).await),
+            Fault::NoGrants => Ok(self.call(address, request).await),
             Fault::Limited => Ok(status(StatusCode::TOO_MANY_REQUESTS)),
             Fault::Silent => std::future::pending().await,
             Fault::Slow(millis) => {
                 tokio::time::sleep(Duration::from_millis(millis)).await;
-                Ok(self.call(request).await)
+                Ok(self.call(address, request).await)
             }
             Fault::LostAnswer => {
-                self.call(request).await;
+                self.call(address, request).await;
                 Err(ConnectionClosed)
             }
             Fault::LostGrants => {
                 let is_lost = concerns_grants(request.uri()) && request.method() == Method::POST;
-                let reply = self.call(request).await;
+                let reply = self.call(address, request).await;
                 if is_lost {
                     Err(ConnectionClosed)
                 } else {
@@ -311,7 +331,7 @@
                 tokio::spawn(async move {
                     tokio::time::sleep(Duration::from_millis(millis)).await;
                     if let Ok(body) = body {
-                        store.execute(&parts.uri, body).await;
+                        store.execute(address, &parts.uri, body).await;
                     }
                 });
                 Err(ConnectionClosed)
@@ -319,15 +339,15 @@
         }
     }
 
-    async fn call(&self, request: hyper::Request<Incoming>) -> Reply {
+    async fn call(&self, address: SocketAddr, request: hyper::Request<Incoming>) -> Reply {
         let (parts, body) = request.into_parts();
         match body.collect().await {
-            Ok(body) => self.execute(&parts.uri, body.to_bytes()).await,
+            Ok(body) => self.execute(address, &parts.uri, body.to_bytes()).await,
             Err(_) => status(StatusCode::BAD_REQUEST),
         }
     }
 
-    async fn execute(&self, uri: &http::Uri, body: Bytes) -> Reply {
+    async fn execute(&self, address: SocketAddr, uri: &http::Uri, body: Bytes) -> Reply {
         let query: HashMap<&str, &str> = uri
             .query()
             .unwrap_or_default()
@@ -353,7 +373,7 @@
             "/api/log-read" => {
                 let from = number("from").unwrap_or_default();
                 let wait = number("waitMs").unwrap_or_default();
-                self.read(place, from, wait).await
+                self.read(address, place, from, wait).await
             }
             "/api/log-newest" => {
                 let mut parts = self.0.parts.lock().unwrap();
@@ -364,6 +384,7 @@
                     .by_ref()
                     .take(NEWEST_MAX)
                     .map(|(key, (offset, value))| {
+                        let value = self.routed(address, &topic, value);
                         json!({ "key": key, "value": STANDARD.encode(value), "offset": offset })
                     })
                     .collect();
@@ -375,7 +396,7 @@
         }
     }
 
-    async fn read(&self, place: (String, u32), from: u64, wait: u64) -> Reply {
+    async fn read(&self, address: SocketAddr, place: (String, u32), from: u64, wait: u64) -> Reply {
         const STEP: u64 = 10;
         let mut waited = 0;
         loop {
@@ -391,8 +412,9 @@
                     body.extend(part.first.to_be_bytes());
                     let skip = (from - part.first) as usize;
                     for record in part.records.iter().skip(skip) {
+                        let record = self.routed(address, &place.0, record);
                         body.extend((record.len() as u32).to_be_bytes());
-                        body.extend_from_slice(record);
+                        body.extend_from_slice(&record);
                     }
                     return reply_with(StatusCode::OK, body.into());
                 }
