Send requests through another router while no target can be reached

What callers saw: a router that had lost its path to all targets refused nearly all requests, each after up to three connections of 400 ms, while the other routers reached the same targets.

Cause: a router has one path to a target, its own, and every decision about an attempt takes failures of connections for failures of targets. Ejection and the retry budget refused nothing in the record (no refusal was no_target or no_repeats), and attempts failed at all 15 targets, so neither explains it.

Change: a failed connection makes the router probe three targets. The first router stays the owner of the request: it has chosen the target, holds the tokens, counts the attempt and decides about retries; the other sends it once over a direct connection and never passes it on. Proxy-Status tells whether anything was sent, so 'not run' stays true; connections end together, so a cancelled request ends at the target too. Pooled connections are used on while new ones are refused, and dropped where the network is silent. A port that refuses connections from behind a partition is no sign of a crash any more. Nothing is sent while targets can be reached; while they cannot, at most 48 short questions per half second, whatever the size of the fleet.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -73,6 +73,13 @@
         help = "listening address for other routers"
     )]
     pub link: String,
+    #[options(
+        no_short,
+        meta = "IP:PORT",
+        default = "",
+        help = "listening address for requests of other routers that have no path to the targets; empty: this router sends none for others"
+    )]
+    pub proxy: String,
     #[options(
         no_short,
         meta = "IP:PORT",
@@ -245,6 +252,7 @@
     ready: SocketAddr,
     directory: SocketAddr,
     metrics: SocketAddr,
+    proxy: Option<SocketAddr>,
     store: SocketAddr,
     address_ttl: Millis,
     grace: Millis,
@@ -265,6 +273,7 @@
     let directory = c.address("directory", &args.directory);
     let link = c.address("link", &args.link);
     let metrics = c.address("metrics", &args.metrics);
+    let proxy = proxy_address(c, args);
     let store = c.address("store", &args.store);
     let hall = c.name("hall", &args.hall);
     let heartbeat = c.duration("heartbeat", &args.heartbeat, 50.0, 60_000.0);
@@ -294,6 +303,7 @@
             ready: ready?,
             directory: directory?,
             metrics: metrics?,
+            proxy: proxy?,
             store: store?,
             address_ttl: address_ttl?,
             grace: grace?,
@@ -320,6 +330,14 @@
     }
 }
 
+/// The listening address for other routers' requests, which may be left out.
+fn proxy_address(c: &mut Checker, args: &Args) -> Option<Option<SocketAddr>> {
+    if args.proxy.is_empty() {
+        return Some(None);
+    }
+    c.address("proxy", &args.proxy).map(Some)
+}
+
 fn retry_budget(c: &mut Checker, args: &Args) -> Option<Bound> {
     let ratio = c.number("repeat-ratio", &args.repeat_ratio, 0.0, 10.0);
     let window = c.duration("repeat-window", &args.repeat_window, 100.0, 600_000.0);
@@ -407,6 +425,10 @@
         ready: bind("ready", checked.ready).await?,
         directory: bind("directory", checked.directory).await?,
         metrics: bind("metrics", checked.metrics).await?,
+        proxy: match checked.proxy {
+            Some(address) => Some(bind("proxy", address).await?),
+            None => None,
+        },
     };
     let mut settings = checked.settings;
     // The link address is bound by now, so no earlier process of the same name is still running.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -11,6 +11,7 @@
 use super::job::{Delivery, Ending, Job, Placement, Timing};
 use super::key::JobKey;
 use super::notice::Notice;
+use super::proxy::Located;
 use crate::ejection::Outcome;
 use crate::units::Tokens;
 
@@ -61,6 +62,15 @@
         /// Time since the request was sent to the target.
         elapsed: Duration,
     },
+    /// A connection to a target could not be opened.
+    Unreachable,
+    /// Asks where a target is, for a request of another router.
+    Locate {
+        /// The target's incarnation.
+        target: String,
+        /// Receives its place; `None` if it is not known or has ended.
+        reply: oneshot::Sender<Option<Located>>,
+    },
     /// An attempt was interrupted: its connection was lost, or its response broke off or was unusable.
     Interrupted {
         /// The request.
@@ -121,6 +131,14 @@
         self.receive_attempt(receiver).await
     }
 
+    /// Returns where a target is; `None` if it is not known or has ended.
+    pub async fn locate(&self, target: String) -> Option<Located> {
+        let (reply, receiver) = oneshot::channel();
+        self.send(Message::Locate { target, reply });
+        // If the sender was dropped, the process is ending.
+        receiver.await.ok().flatten()
+    }
+
     async fn receive_attempt(
         &self,
         receiver: oneshot::Receiver<Result<Placement, Declined>>,
--- a/src/gateway/control/context.rs
+++ b/src/gateway/control/context.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +15,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::bad_entries::BadEntries;
+use super::reachability::Monitor;
 use super::rollouts::Reports;
 use super::shortage;
 use super::waiting::{Queue, Scope};
@@ -80,6 +82,10 @@
     pub(super) bad_entries: RefCell<BadEntries>,
     /// Router entries that cannot be decoded.
     pub(super) bad_routers: RefCell<BadEntries>,
+    /// Whether targets can be reached.
+    pub(super) reachability: Monitor,
+    /// Address at which this router takes requests of others; `None` if it takes none.
+    pub(super) proxy_address: Option<SocketAddr>,
     /// Targets whose port is being probed.
     pub(super) probing: RefCell<HashSet<TargetKey>>,
     /// The quarantined requests, as last logged and published.
--- a/src/gateway/control/link.rs
+++ b/src/gateway/control/link.rs
@@ -13,7 +13,9 @@
 use tokio_util::sync::CancellationToken;
 
 use super::context::{Control, FAN_OUT, ROUND_INTERVAL};
-use super::{apply, capacities, clock, evacuations, feed, loans, notices, quarantine, rollouts};
+use super::{
+    apply, capacities, clock, evacuations, feed, loans, notices, quarantine, reachability, rollouts,
+};
 use crate::gateway::link_delay::RoundTrip;
 use crate::gateway::members::{Router, Source};
 use crate::gateway::message::{Heartbeat, Reply, Request};
@@ -95,6 +97,7 @@
         }
         Request::Capacities(query) => Reply::Capacities(capacities::answer(control, &query)),
         Request::Feed(query) => Reply::Feed(feed::answer(control, &query).map(Box::new)),
+        Request::Proxy => Reply::Proxy(reachability::answer(control)),
         Request::Rollouts => Reply::Rollouts(rollouts::views(control)),
         Request::Suspects(reports) => {
             quarantine::merge(control, &reports);
@@ -251,7 +254,8 @@
             | Reply::Evacuations(_)
             | Reply::Rollouts(_)
             | Reply::Feed(_)
-            | Reply::Capacities(_)),
+            | Reply::Capacities(_)
+            | Reply::Proxy(_)),
         ) => {
             tracing::warn!(event = "peer_answer_unfit", name = %router.name, ?reply);
         }
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -16,6 +16,7 @@
 mod loans;
 mod notices;
 mod quarantine;
+mod reachability;
 mod rollouts;
 mod rows;
 mod shortage;
@@ -23,6 +24,7 @@
 mod waiting;
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,6 +36,7 @@
 use tokio_util::task::TaskTracker;
 
 use self::context::Control;
+use self::reachability::Monitor;
 use self::waiting::{WaitingRequest, answer};
 use super::attempt::{Message, ReplySender};
 use super::decision::admission::{self, MissingTokens, Source};
@@ -60,6 +63,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// Listener for other routers, already bound.
     pub link: std::net::TcpListener,
+    /// Address at which this router takes requests of others; `None` if it takes none.
+    pub proxy: Option<SocketAddr>,
     /// Secret with which the routers of this fleet authenticate to each other.
     pub fleet_key: String,
     /// Number of store partitions that customers are spread over.
@@ -111,6 +116,8 @@
         loans_exhausted_at: RefCell::default(),
         bad_entries: RefCell::default(),
         bad_routers: RefCell::default(),
+        reachability: Monitor::default(),
+        proxy_address: parts.proxy,
         probing: RefCell::default(),
         notice_changed: Notify::new(),
         notice_messages: Cell::default(),
@@ -207,6 +214,12 @@
             .state
             .borrow_mut()
             .note_first_event(now, job, elapsed),
+        Message::Unreachable => reachability::suspect(control),
+        Message::Locate { target, reply } => {
+            let located = control.state.borrow().targets.locate(&target);
+            // The receiver is gone if the other router has cancelled its request.
+            let _ = reply.send(located);
+        }
         Message::Interrupted { job } => quarantine::handle_interrupted(control, job),
         Message::End { job, ending } => {
             control.state.borrow_mut().end(now, job, ending);
--- a/src/gateway/control/quarantine.rs
+++ b/src/gateway/control/quarantine.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::context::{Control, FAN_OUT, ROUND_INTERVAL};
+use super::reachability;
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::key::{JobKey, TargetKey};
 use crate::gateway::message::{Reply, Request};
@@ -40,6 +41,10 @@
     let Some(target) = suspected else {
         return;
     };
+    // A port that refuses connections from behind a partition does not show a crash.
+    if !control.reachability.is_reachable() {
+        return;
+    }
     if control.probing.borrow_mut().insert(target) {
         let control = Rc::clone(control);
         tokio::task::spawn_local(async move { probe(&control, target).await });
@@ -47,16 +52,22 @@
 }
 
 /// Probes whether a target still listens on its port.
-async fn probe(control: &Control, target: TargetKey) {
+async fn probe(control: &Rc<Control>, target: TargetKey) {
     let address = control.state.borrow().targets.get(target).listing.address;
     let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
     control.probing.borrow_mut().remove(&target);
     // Any other outcome does not show whether the target has crashed.
+    if matches!(connected, Ok(Ok(_))) {
+        return;
+    }
     if let Ok(Err(error)) = connected
         && error.kind() == std::io::ErrorKind::ConnectionRefused
+        && reachability::reaches_others(control, target).await
     {
         control.state.borrow_mut().note_crash(control.now(), target);
         publish_changes(control);
+    } else {
+        reachability::suspect(control);
     }
 }
 
--- a/src/gateway/decision/mod.rs
+++ b/src/gateway/decision/mod.rs
@@ -21,6 +21,7 @@
 pub mod placement;
 pub mod promise;
 pub mod quarantine;
+pub mod reachability;
 pub mod refusal;
 pub mod reread;
 pub mod retry;
--- a/src/gateway/decision/refusal.rs
+++ b/src/gateway/decision/refusal.rs
@@ -214,9 +214,10 @@
             (Failure::Refused | Failure::AskedRest | Failure::WrongInstance, _) => {
                 Self::TargetRefused
             }
-            (Failure::Unreachable | Failure::IdleClosed | Failure::Unwritable, _) => {
-                Self::Unreachable
-            }
+            (
+                Failure::Unreachable | Failure::NoPath | Failure::IdleClosed | Failure::Unwritable,
+                _,
+            ) => Self::Unreachable,
             (Failure::Late, _) => Self::Late,
             (Failure::Stopping, _) => Self::Stopping,
         }
--- a/src/gateway/decision/retry.rs
+++ b/src/gateway/decision/retry.rs
@@ -25,6 +25,8 @@
 pub enum Failure {
     /// The connection could not be established; nothing was sent.
     Unreachable,
+    /// This router is partitioned from the targets, and no other router has sent the request.
+    NoPath,
     /// The target had closed the idle connection before anything was sent on it.
     IdleClosed,
     /// The request's deadline passed before anything was sent.
@@ -88,6 +90,7 @@
     pub fn verdict(self) -> Verdict {
         match self {
             Self::Unreachable
+            | Self::NoPath
             | Self::IdleClosed
             | Self::Late
             | Self::Stopping
@@ -107,7 +110,8 @@
             | Self::BrokenOff
             | Self::TimedOut
             | Self::ServerError => Some(Outcome::Failed),
-            Self::IdleClosed
+            Self::NoPath
+            | Self::IdleClosed
             | Self::Late
             | Self::Stopping
             | Self::Unwritable
@@ -122,6 +126,7 @@
     pub fn charge(self) -> Charge {
         match self {
             Self::Unreachable
+            | Self::NoPath
             | Self::IdleClosed
             | Self::Late
             | Self::Stopping
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -26,11 +26,12 @@
 use super::held::Usage;
 use super::incarnation;
 use super::job::Job;
-use super::relay::Relay;
+use super::proxy;
+use super::relay::{Link, Origin, Relay};
 use super::route::{Config, Route};
 use super::shared::ActiveRequest;
 use crate::ejection::Outcome;
-use crate::net::{self, Connection};
+use crate::net;
 use crate::units::Millis;
 
 /// Maximum size of a response that is not a stream: it is read completely before it is forwarded.
@@ -89,7 +90,7 @@
 /// A target's response whose head was received; its body was not.
 pub(super) struct TargetResponse {
     pub(super) attempt: Attempt,
-    pub(super) connection: Connection,
+    pub(super) link: Link,
     pub(super) parts: http::response::Parts,
     pub(super) incoming: Incoming,
     pub(super) reply: dialect::Reply,
@@ -191,14 +192,17 @@
             Ok(connected) => connected,
             Err(expiry) => return Err(failed(attempt, Failure::expired_before_send(expiry))),
         };
-        let Some((mut connection, origin)) = connected else {
-            self.unreached += 1;
-            return Err(failed(attempt, Failure::Unreachable));
+        let mut link = match connected {
+            Ok(link) => link,
+            Err(failure) => {
+                self.unreached += 1;
+                return Err(failed(attempt, failure));
+            }
         };
         if let Some(expiry) = self.deadline.expiry() {
             return Err(failed(attempt, Failure::expired_before_send(expiry)));
         }
-        let request = match self.build_request(&attempt) {
+        let request = match self.build_request(&attempt, link.origin) {
             Ok(request) => request,
             Err(error) => {
                 tracing::error!(event = "forward_unwritable", id = %self.request.id, %error);
@@ -220,7 +224,7 @@
             instance = %attempt.placement().instance,
             fingerprint = %self.fingerprint,
             attempts = self.sent,
-            connection = origin.as_str(),
+            connection = link.origin.as_str(),
             left_ms = self.deadline.left().as_millis() as u64,
             estimate_ms = estimate.map(|estimate| estimate.ms.round() as u64),
             best_ms = estimate.map(|estimate| estimate.best_ms.round() as u64),
@@ -229,13 +233,13 @@
                 estimate.and_then(|estimate| estimate.report_age.map(|age| age.0)),
             choice = estimate.map(|estimate| estimate.reason.as_str())
         );
-        let (parts, incoming, reply) = match self.send(&attempt, &mut connection, request).await {
+        let (parts, incoming, reply) = match self.send(&attempt, &mut link, request).await {
             Ok(head) => head,
             Err(failure) => return Err(failed(attempt, failure)),
         };
         Ok(TargetResponse {
             attempt,
-            connection,
+            link,
             parts,
             incoming,
             reply,
@@ -246,10 +250,10 @@
     async fn send(
         &mut self,
         attempt: &Attempt,
-        connection: &mut Connection,
+        link: &mut Link,
         request: net::Request,
     ) -> Result<(http::response::Parts, Incoming, dialect::Reply), Failure> {
-        let sent = attempt.until_ended(connection.send(request));
+        let sent = attempt.until_ended(link.connection.send(request));
         let response = match self.deadline.within(sent).await {
             Ok(None) => return Err(Failure::BrokenOff),
             Ok(Some(sent)) => sent,
@@ -268,6 +272,12 @@
             }
         };
         let (parts, incoming) = response.into_parts();
+        if link.origin == Origin::Proxied {
+            self.relay.shared.path_counts.proxied.add(1);
+            if let Some(error) = proxy::Error::read(&parts.headers) {
+                return Err(self.proxy_failure(error));
+            }
+        }
         let status = parts.status;
         let reply = self
             .relay
@@ -300,8 +310,20 @@
         Ok((parts, incoming, reply))
     }
 
-    /// Builds the request that is sent to the target of an attempt.
-    fn build_request(&self, attempt: &Attempt) -> Result<net::Request, BadForward> {
+    /// The failure of an attempt that another router could not carry out.
+    fn proxy_failure(&mut self, error: proxy::Error) -> Failure {
+        let failure = match error {
+            proxy::Error::Denied | proxy::Error::Unknown => Failure::NoPath,
+            proxy::Error::Unreachable => Failure::Unreachable,
+            proxy::Error::Terminated => return Failure::BrokenOff,
+        };
+        self.sent -= 1;
+        self.unreached += 1;
+        failure
+    }
+
+    /// Builds the request that is sent to the target of an attempt, or to another router for it.
+    fn build_request(&self, attempt: &Attempt, origin: Origin) -> Result<net::Request, BadForward> {
         let left = self.deadline.left().saturating_sub(RETURN_MARGIN);
         let forward = Forward {
             time_limit: Millis(millis(left).max(1)),
@@ -312,6 +334,10 @@
         };
         let mut headers = self.headers.clone();
         self.relay.dialect.write_forward(&mut headers, &forward)?;
+        if origin == Origin::Proxied {
+            let target = &attempt.placement().instance;
+            proxy::address_request(&mut headers, &self.relay.fleet_key, target);
+        }
         let mut request = http::Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = Uri::from(self.path.clone());
@@ -429,8 +455,8 @@
     ) -> Result<CollectedResponse, FailedAttempt> {
         let TargetResponse {
             mut attempt,
-            connection,
-            parts,
+            link,
+            mut parts,
             incoming,
             reply,
             attempted_at,
@@ -441,8 +467,8 @@
             Ok(None | Some(Err(_))) => return Err(failed(attempt, Failure::BrokenOff)),
             Err(expiry) => return Err(failed(attempt, Failure::expired_after_send(expiry))),
         };
-        self.relay
-            .store_connection(attempt.placement().address, connection, &reply);
+        proxy::take_unframed(&mut parts.headers);
+        self.relay.store(link, Relay::reusable_for(&reply));
         if parts.status.is_success() {
             attempt.note_answer_read();
         }
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -30,6 +30,13 @@
     headers.remove(header::CONTENT_LENGTH);
 }
 
+/// Whether a response's body is framed by a length or by chunks, so that the end of the connection does not mark its
+/// end.
+pub(super) fn is_framed(parts: &http::response::Parts) -> bool {
+    let headers = &parts.headers;
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 fn remove_hop_by_hop_headers(headers: &mut HeaderMap) {
     let named: Vec<String> = headers
         .get_all(header::CONNECTION)
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -17,6 +17,7 @@
 use super::dialect::Dialect;
 use super::metrics;
 use super::notice;
+use super::proxy;
 use super::quarantine;
 use super::relay::Relay;
 use super::rollout;
@@ -38,6 +39,8 @@
 pub enum Endpoint {
     /// Callers' requests.
     Callers(Arc<Relay>),
+    /// Requests of other routers.
+    Proxy(Arc<Relay>),
     /// Readiness checks.
     Ready(Arc<Shared>, Arc<dyn Dialect>),
     /// Address queries. The time is the TTL of the answers.
@@ -54,6 +57,7 @@
     ) -> Response<Body> {
         match self {
             Self::Callers(relay) => serve::serve(relay, request, connection).await,
+            Self::Proxy(relay) => proxy::serve(relay, request, &connection.reading).await,
             Self::Ready(shared, dialect) => {
                 let is_check = dialect.is_ready_check(request.uri());
                 let status = match (is_check, shared.is_ready()) {
@@ -81,6 +85,8 @@
                 text.push_str(&metrics::accept_pauses(shared.accept_pauses.get()));
                 text.push_str(&metrics::link_delay(shared.link_delay()));
                 text.push_str(&metrics::capacities(&shared.capacities.load()));
+                let paths = shared.paths.borrow().clone();
+                text.push_str(&shared.path_counts.text(&paths));
                 text.push_str(&metrics::bad_entries(&shared.bad_entries));
                 let returns = shared.store_returns.get();
                 text.push_str(&metrics::store_era(shared.store_era(), returns));
@@ -153,6 +159,10 @@
         .map(|config| config.limits)
         // Without a configuration requests are refused, but the size of their heads is limited all the same.
         .unwrap_or_default();
+    let added_bytes = match endpoint {
+        Endpoint::Proxy(_) => proxy::HEADERS_MAX,
+        _ => 0,
+    };
     let connection = Arc::new(serve::Connection::new(socket.read_state()));
     let service = service_fn(move |request| {
         let (shared, endpoint) = (Arc::clone(&shared), endpoint.clone());
@@ -171,6 +181,6 @@
     http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
-        .max_buf_size(limits.header_bytes.max(BUFFER_MIN))
+        .max_buf_size(limits.header_bytes.max(BUFFER_MIN) + added_bytes)
         .serve_connection(TokioIo::new(socket), service)
 }
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -1,6 +1,8 @@
 //! The messages between gateways, sent over their links. They are encoded by position for other processes, so the order
 //! of variants and fields must not change.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use super::clock::Readings;
@@ -59,6 +61,8 @@
     Feed(feed::Query),
     /// Reports the sender's capacity, and asks for those of other routers.
     Capacities(capacities::Query),
+    /// Asks whether the receiver sends requests to targets for the sender, which is partitioned from them.
+    Proxy,
 }
 
 /// The answer to a [`Request`].
@@ -93,4 +97,6 @@
     Feed(Option<Box<feed::Update>>),
     /// The capacities that the answering router knows among those asked for.
     Capacities(Vec<capacities::Entry>),
+    /// The address at which the answering router takes requests of others; `None` if it does not now.
+    Proxy(Option<SocketAddr>),
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -100,10 +100,6 @@
     events,
     /// Connections opened to targets, or tried in vain.
     connects,
-    /// Connections to targets that were not opened in time.
-    connects_timed_out,
-    /// Connections to targets that were refused or failed otherwise.
-    connects_refused,
     /// Calls to the store.
     store_calls,
     /// Calls to the store that failed.
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::HeaderValue;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
@@ -21,6 +22,7 @@
 use super::listener::{self, Endpoint};
 use super::members::Router;
 use super::pauses;
+use super::proxy;
 use super::relay::Relay;
 use super::shared::Shared;
 use super::state::Settings;
@@ -28,6 +30,7 @@
 use crate::signals::Signals;
 use crate::store::Store;
 use crate::units::Millis;
+use crate::util;
 
 /// Interval at which a gateway that is shutting down checks whether its requests have ended.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(25);
@@ -44,6 +47,8 @@
     pub directory: TcpListener,
     /// Listener for reads of the metrics.
     pub metrics: TcpListener,
+    /// Listener for requests of routers that are partitioned from the targets, if this one takes them.
+    pub proxy: Option<TcpListener>,
 }
 
 /// The parameters of a gateway.
@@ -84,6 +89,9 @@
     let shared = Arc::new(Shared::new(held::Account::new(options.memory)));
     shared.set_caller_addresses(vec![options.settings.me.front]);
     log_start(&options.settings.me);
+    let proxy = options.listeners.proxy.as_ref();
+    let proxy = proxy.map(TcpListener::local_addr).transpose()?;
+    let fleet_key = HeaderValue::from_str(&options.fleet_key).map_err(std::io::Error::other)?;
     let relay = Arc::new(Relay {
         shared: Arc::clone(&shared),
         controller: Controller::new(sender),
@@ -91,6 +99,9 @@
         hasher: Hasher::new(&options.fleet_key),
         held: Arc::clone(&shared.held),
         pool: Pool::default(),
+        fleet_key,
+        fleet_key_hash: util::hash_secret(&options.fleet_key),
+        proxy_load: proxy::Load::default(),
         started: Instant::now(),
     });
     control::spawn(control::Parts {
@@ -99,6 +110,7 @@
         store: options.store,
         dialect: Arc::clone(&relay.dialect),
         link: options.link.into_std()?,
+        proxy,
         fleet_key: options.fleet_key,
         partitions: options.partitions,
         messages,
@@ -155,6 +167,9 @@
     open(listeners.directory, directory);
     let metrics = Endpoint::Metrics(Arc::clone(shared), dropped_log_lines);
     open(listeners.metrics, metrics);
+    if let Some(listener) = listeners.proxy {
+        open(listener, Endpoint::Proxy(Arc::clone(relay)));
+    }
 }
 
 /// Closes pooled connections to addresses that no target uses any more.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -6,12 +6,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::HeaderValue;
+use rand::seq::IndexedRandom;
 use tokio::time::Instant;
 
-use super::attempt::Controller;
+use super::attempt::{Controller, Message};
+use super::decision::reachability::Pooled;
+use super::decision::retry::Failure;
 use super::dialect::{Dialect, Reply};
 use super::fingerprint::Hasher;
 use super::held;
+use super::paths::Paths;
+use super::proxy;
 use super::shared::Shared;
 use crate::net::{self, Connection, Pool};
 
@@ -21,6 +27,9 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(900);
 /// Idle timeout of a connection whose target does not state its own.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(4_000);
+/// Idle timeout of a connection to a router that sends requests for this one: shorter than a router keeps an idle
+/// connection of a caller.
+const PROXY_IDLE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Fraction of the target's own idle timeout for which a connection is reused, 0 to 1: if the target closes the
 /// connection while a request is on its way, the request may have run.
 const IDLE_TIMEOUT_SHARE: f64 = 0.85;
@@ -32,6 +41,8 @@
     Pooled,
     /// A connection was opened.
     Opened,
+    /// Another router sends the request to the target.
+    Proxied,
 }
 
 impl Origin {
@@ -40,10 +51,19 @@
         match self {
             Self::Pooled => "pooled",
             Self::Opened => "opened",
+            Self::Proxied => "proxied",
         }
     }
 }
 
+/// A connection for a request.
+pub(super) struct Link {
+    pub(super) connection: Connection,
+    pub(super) origin: Origin,
+    /// Address of the target, or of the router that sends the request there.
+    peer: SocketAddr,
+}
+
 /// Data that all requests share.
 pub struct Relay {
     /// State shared with the control thread.
@@ -58,41 +78,127 @@
     pub held: Arc<held::Account>,
     /// Idle connections to targets.
     pub pool: Pool,
+    /// The key by which the routers of a fleet authenticate to each other, as a header value.
+    pub fleet_key: HeaderValue,
+    /// Hash of that key.
+    pub fleet_key_hash: String,
+    /// Requests of other routers.
+    pub(super) proxy_load: proxy::Load,
     /// When the process started.
     pub started: Instant,
 }
 
 impl Relay {
+    /// Returns a connection for a request to a target: to the target, or to a router that sends the request there while
+    /// this one is partitioned from the targets.
+    ///
+    /// # Errors
+    /// The failure of the attempt; nothing was sent.
+    pub(super) async fn connect(&self, target: SocketAddr) -> Result<Link, Failure> {
+        let mut paths = self.shared.paths.subscribe();
+        loop {
+            let current = paths.borrow_and_update().clone();
+            match current {
+                Paths::Direct => {
+                    tokio::select! {
+                        biased;
+                        link = self.connect_direct(target) => {
+                            return link.ok_or(Failure::Unreachable);
+                        }
+                        // The sender is part of the shared state, so it is not dropped before.
+                        _ = paths.changed() => {}
+                    }
+                }
+                Paths::Proxied {
+                    pooled,
+                    proxies,
+                    is_searching,
+                } => {
+                    match pooled {
+                        Pooled::Usable => {
+                            if let Some(link) = self.take_pooled(target, Origin::Pooled) {
+                                return Ok(link);
+                            }
+                        }
+                        Pooled::Stale => self.pool.retain(|address| proxies.contains(&address)),
+                    }
+                    let proxy = proxies.choose(&mut rand::rng()).copied();
+                    match proxy {
+                        Some(proxy) => return self.connect_proxy(proxy).await,
+                        None if is_searching => {
+                            let _ = paths.changed().await;
+                        }
+                        None => return Err(Failure::NoPath),
+                    }
+                }
+            }
+        }
+    }
+
+    fn take_pooled(&self, peer: SocketAddr, origin: Origin) -> Option<Link> {
+        let connection = self.pool.take(peer)?;
+        Some(Link {
+            connection,
+            origin,
+            peer,
+        })
+    }
+
     /// Returns an idle connection to a target or opens one; `None` if it cannot be opened in time.
-    pub(super) async fn connect(&self, address: SocketAddr) -> Option<(Connection, Origin)> {
-        if let Some(connection) = self.pool.take(address) {
-            return Some((connection, Origin::Pooled));
+    pub(super) async fn connect_direct(&self, target: SocketAddr) -> Option<Link> {
+        if let Some(link) = self.take_pooled(target, Origin::Pooled) {
+            return Some(link);
         }
-        let metrics = &self.shared.metrics;
-        metrics.connects.add(1);
-        match net::open(address, CONNECT_TIMEOUT, UNACKNOWLEDGED_TIMEOUT).await {
-            Ok(connection) => Some((connection, Origin::Opened)),
+        self.shared.metrics.connects.add(1);
+        match net::open(target, CONNECT_TIMEOUT, UNACKNOWLEDGED_TIMEOUT).await {
+            Ok(connection) => Some(Link {
+                connection,
+                origin: Origin::Opened,
+                peer: target,
+            }),
             Err(error) => {
+                let counts = &self.shared.path_counts;
                 match error.kind() {
-                    ErrorKind::TimedOut => metrics.connects_timed_out.add(1),
-                    _ => metrics.connects_refused.add(1),
+                    ErrorKind::TimedOut => counts.timed_out.add(1),
+                    _ => counts.refused.add(1),
                 }
-                tracing::info!(event = "connect_failed", %address, cause = ?error.kind());
+                tracing::info!(event = "connect_failed", address = %target, cause = ?error.kind());
+                self.controller.send(Message::Unreachable);
                 None
             }
         }
     }
 
-    /// Returns a connection to the pool once its response was read to the end.
-    pub(super) fn store_connection(
-        &self,
-        address: SocketAddr,
-        connection: Connection,
-        reply: &Reply,
-    ) {
-        let idle = reply.idle_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |timeout| {
+    async fn connect_proxy(&self, proxy: SocketAddr) -> Result<Link, Failure> {
+        if let Some(link) = self.take_pooled(proxy, Origin::Proxied) {
+            return Ok(link);
+        }
+        match net::open(proxy, CONNECT_TIMEOUT, UNACKNOWLEDGED_TIMEOUT).await {
+            Ok(connection) => Ok(Link {
+                connection,
+                origin: Origin::Proxied,
+                peer: proxy,
+            }),
+            Err(error) => {
+                tracing::info!(event = "proxy_unreachable", address = %proxy, cause = ?error.kind());
+                Err(Failure::NoPath)
+            }
+        }
+    }
+
+    /// How long a connection may be reused after a response of its target.
+    pub(super) fn reusable_for(reply: &Reply) -> Duration {
+        reply.idle_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |timeout| {
             Duration::from_millis(timeout.0).mul_f64(IDLE_TIMEOUT_SHARE)
-        });
-        self.pool.put(address, connection, idle);
+        })
+    }
+
+    /// Returns a connection to the pool once its response was read to the end.
+    pub(super) fn store(&self, link: Link, time: Duration) {
+        let time = match link.origin {
+            Origin::Pooled | Origin::Opened => time,
+            Origin::Proxied => PROXY_IDLE_TIMEOUT,
+        };
+        self.pool.put(link.peer, link.connection, time);
     }
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -28,7 +28,7 @@
 
 /// A caller's connection.
 pub(super) struct Connection {
-    reading: net::ReadState,
+    pub(super) reading: net::ReadState,
     /// Whether it was logged that the caller sends headers that only routers may set.
     router_headers_logged: AtomicBool,
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -11,7 +11,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bytes::Bytes;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
 use super::budgets;
@@ -21,6 +21,7 @@
 use super::members::Usage;
 use super::metrics::{Counter, Metrics, TokenWaits};
 use super::notice::{AnnouncedState, Counts};
+use super::paths::{self, Paths};
 use super::placements;
 use super::quarantine::QuarantinedRequest;
 use super::rollout::Overview;
@@ -47,6 +48,10 @@
     pub config_bytes: ArcSwapOption<Bytes>,
     /// Addresses of the routers that callers may use.
     pub caller_addresses: ArcSwap<Vec<SocketAddr>>,
+    /// How requests get to the targets. Only the control thread writes it.
+    pub paths: watch::Sender<Paths>,
+    /// Counts of failed connections and of requests through other routers.
+    pub path_counts: paths::Counts,
     /// Addresses of the targets.
     pub target_addresses: ArcSwap<HashSet<SocketAddr>>,
     /// Entries of the list of targets that could not be used, by cause.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use futures::stream;
-use http::{Response, header};
+use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::Instant;
@@ -19,8 +19,10 @@
 use super::exchange::{
     Exchange, FailedAttempt, Refused, TargetResponse, answered_outcome, caller_response, failed,
 };
+use super::headers;
+use super::proxy;
+use super::relay::{Link, Relay};
 use super::sse::Events;
-use crate::net::Connection;
 use crate::units::Tokens;
 
 /// A stream in progress. If it is dropped before its end, its caller has disconnected.
@@ -35,7 +37,7 @@
 /// The target's side of a stream.
 struct Upstream {
     attempt: Attempt,
-    connection: Connection,
+    link: Link,
     incoming: Incoming,
     reply: Reply,
     attempted_at: Instant,
@@ -62,10 +64,11 @@
     /// The exchange, and the attempt that failed.
     pub(super) async fn start(
         exchange: Exchange,
-        response: TargetResponse,
+        mut response: TargetResponse,
     ) -> Result<Response<Body>, (Box<Exchange>, FailedAttempt)> {
+        let is_unframed = proxy::take_unframed(&mut response.parts.headers);
         let parts = response.parts.clone();
-        let mut upstream = Upstream::new(response);
+        let mut upstream = Upstream::new(response, is_unframed);
         let mut events = Events::default();
         let first_events = match upstream.next(&mut events, &exchange.deadline).await {
             Step::Events(bytes) => bytes,
@@ -142,11 +145,12 @@
         let attempt = upstream.close();
         self.events.discard_partial();
         match self.reopen(failed(attempt, failure)).await {
-            Ok(response) => {
+            Ok(mut response) => {
                 self.exchange.relay.shared.metrics.resumed.add(1);
                 let after = self.events.last_id();
                 tracing::info!(event = "stream_resumed", id = %self.exchange.request.id, ?after);
-                self.upstream = Some(Upstream::new(response));
+                let is_unframed = proxy::take_unframed(&mut response.parts.headers);
+                self.upstream = Some(Upstream::new(response, is_unframed));
                 true
             }
             Err(refused) => {
@@ -194,7 +198,6 @@
             events = self.events.count(),
             ms = exchange.started.elapsed().as_millis() as u64
         );
-        let address = upstream.attempt.placement().address;
         let tokens = Tokens(self.events.count() * exchange.event_tokens);
         upstream.attempt.note_delivered(tokens);
         upstream.note_last_event(self.events.count());
@@ -202,7 +205,7 @@
         upstream.attempt.end(Some(outcome));
         if upstream.is_framed {
             let relay = &exchange.relay;
-            relay.store_connection(address, upstream.connection, &upstream.reply);
+            relay.store(upstream.link, Relay::reusable_for(&upstream.reply));
         }
     }
 }
@@ -222,13 +225,12 @@
 }
 
 impl Upstream {
-    fn new(response: TargetResponse) -> Self {
-        let headers = &response.parts.headers;
-        let is_framed = headers.contains_key(header::CONTENT_LENGTH)
-            || headers.contains_key(header::TRANSFER_ENCODING);
+    /// `is_unframed` tells that the target has not framed a response that another router passes back.
+    fn new(response: TargetResponse, is_unframed: bool) -> Self {
+        let is_framed = !is_unframed && headers::is_framed(&response.parts);
         Self {
             attempt: response.attempt,
-            connection: response.connection,
+            link: response.link,
             incoming: response.incoming,
             reply: response.reply,
             attempted_at: response.attempted_at,
@@ -253,7 +255,7 @@
     /// Closes the connection, so that this target stops before another one resumes the stream.
     fn close(self) -> Attempt {
         drop(self.incoming);
-        drop(self.connection);
+        drop(self.link);
         self.attempt
     }
 
--- a/src/gateway/targets/registry.rs
+++ b/src/gateway/targets/registry.rs
@@ -16,6 +16,7 @@
 use crate::gateway::dialect::{Entry, Listing, Load, Prompt};
 use crate::gateway::incarnation;
 use crate::gateway::key::TargetKey;
+use crate::gateway::proxy::Located;
 use crate::gateway::route::ColdStart;
 use crate::units::Millis;
 
@@ -294,6 +295,15 @@
         self.listed().map(|target| target.listing.address).collect()
     }
 
+    /// Where an incarnation is; `None` if it is not known or has ended.
+    pub fn locate(&self, instance: &str) -> Option<Located> {
+        let target = self.get(*self.by_instance.get(instance)?);
+        (!target.ended.is_cancelled()).then(|| Located {
+            address: target.listing.address,
+            ended: target.ended.clone(),
+        })
+    }
+
     /// Number of incarnations in the registry.
     pub fn known_count(&self) -> usize {
         self.known().count()
--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -40,6 +40,7 @@
     pub directory: SocketAddr,
     pub link: SocketAddr,
     pub metrics: SocketAddr,
+    pub proxy: SocketAddr,
     pub store: SocketAddr,
 }
 
@@ -112,12 +113,14 @@
 impl Gateway {
     fn start(name: &str, store: SocketAddr, flags: &[&str], log: Option<PathBuf>) -> Self {
         let starting = START_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
-        let [front, ready, directory, link, metrics] = std::array::from_fn(|_| free_address());
+        let [front, ready, directory, link, metrics, proxy] =
+            std::array::from_fn(|_| free_address());
         let places = [front, ready, directory, link, metrics, store];
         let mut all = ["gateway", "--name", name, "--heartbeat", "200"]
             .map(str::to_owned)
             .to_vec();
         all.extend(address_flags(places));
+        all.extend(["--proxy".to_owned(), proxy.to_string()]);
         all.extend(flags.iter().map(|flag| (*flag).to_owned()));
         let child = spawn(&all, log.as_ref());
         drop(starting);
@@ -131,6 +134,7 @@
             directory,
             link,
             metrics,
+            proxy,
             store,
         }
     }
--- a/tests/pinned_gateway.rs
+++ b/tests/pinned_gateway.rs
@@ -22,6 +22,7 @@
 use lanedeck::gateway::message::{Heartbeat, Reply, Request};
 use lanedeck::gateway::metrics::{self, Metrics};
 use lanedeck::gateway::notice::{Announcement, Rate, Report};
+use lanedeck::gateway::paths::{self, Paths};
 use lanedeck::gateway::placements;
 use lanedeck::gateway::reply;
 use lanedeck::gateway::route::Kind;
@@ -152,6 +153,7 @@
     };
     pin("0204616e6e61fbe110", &give);
     pin("03", &Request::Clocks);
+    pin("0b", &Request::Proxy);
     pin(
         "0603fd0807060504030201000301000000000000fc3ffd0807060504030201000400fd080706050403020101",
         &Request::Notices(reports()),
@@ -201,6 +203,9 @@
     pin("0163", &Reply::Lent(Tokens(99)));
     pin("02", &Reply::Taken);
     pin("03", &Reply::Declined);
+    pin("0b00", &Reply::Proxy(None));
+    let proxy = "10.1.2.3:8100".parse().unwrap();
+    pin("0b01000a010203fba41f", &Reply::Proxy(Some(proxy)));
     let readings = Readings {
         boot: Some(Reading {
             boot: 7,
@@ -585,7 +590,7 @@
 fn settings() {
     assert_eq!(
         options("gateway"),
-        "--help  \n--name NAME router\n--front IP:PORT 127.0.0.1:8000\n--ready IP:PORT 127.0.0.1:8001\n--directory IP:PORT 127.0.0.1:8002\n--link IP:PORT 127.0.0.1:8003\n--metrics IP:PORT 127.0.0.1:8004\n--store IP:PORT 127.0.0.1:7100\n--hall NAME hall\n--heartbeat MS 1200\n--keep MS 2000\n--grace MS 30000\n--repeat-ratio X 0.2\n--repeat-window MS 10000\n--repeat-extra N 20\n--rollout-share X 0.1\n--rollout-extra N 50\n--horizon MS 8000\n--exact MS 12000\n--share X 0.8\n--spread X 0.05\n--holders N 8\n--copy-age MS 0\n--partitions N 24\n--fleet-key KEY lanedeck-fleet\n--memory MB 0\n--cores X 0\n--link-mbps X 0\n--log-level LEVEL info"
+        "--help  \n--name NAME router\n--front IP:PORT 127.0.0.1:8000\n--ready IP:PORT 127.0.0.1:8001\n--directory IP:PORT 127.0.0.1:8002\n--link IP:PORT 127.0.0.1:8003\n--proxy IP:PORT \n--metrics IP:PORT 127.0.0.1:8004\n--store IP:PORT 127.0.0.1:7100\n--hall NAME hall\n--heartbeat MS 1200\n--keep MS 2000\n--grace MS 30000\n--repeat-ratio X 0.2\n--repeat-window MS 10000\n--repeat-extra N 20\n--rollout-share X 0.1\n--rollout-extra N 50\n--horizon MS 8000\n--exact MS 12000\n--share X 0.8\n--spread X 0.05\n--holders N 8\n--copy-age MS 0\n--partitions N 24\n--fleet-key KEY lanedeck-fleet\n--memory MB 0\n--cores X 0\n--link-mbps X 0\n--log-level LEVEL info"
     );
 }
 
@@ -636,6 +641,15 @@
     );
 }
 
+#[test]
+fn path_metrics() {
+    let text = paths::Counts::default().text(&Paths::Direct);
+    assert_eq!(
+        text,
+        "lanedeck_targets_reachable 1\nlanedeck_connect_failures_total{cause=\"timed_out\"} 0\nlanedeck_connect_failures_total{cause=\"refused\"} 0\nlanedeck_proxied_total 0\nlanedeck_proxy_sent_total 0\nlanedeck_proxy_failed_total 0\n"
+    );
+}
+
 #[test]
 fn refusals() {
     let reasons = [
--- a/tests/routes/mod.rs
+++ b/tests/routes/mod.rs
@@ -1,4 +1,5 @@
 //! Network paths from gateways to runners, each of which can be partitioned.
+#![allow(dead_code, missing_docs)]
 
 use std::net::{SocketAddr, TcpStream as BlockingStream};
 use std::sync::{Arc, Mutex};
