Log the shared blocks of a prompt whose request broke off

Different requests under which targets crash have different fingerprints, so the logs do not tell whether a part of their prompts is the same. attempt_failed has the ids of these parts where a model request broke off: one field in a line that is written anyway.

--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -48,6 +48,13 @@
         }
     }
 
+    /// The ids of the shared blocks, for logs.
+    pub fn shared_ids(&self) -> String {
+        let ids = self.shared_blocks().iter();
+        let ids: Vec<String> = ids.map(|block| format!("{:x}", block.id)).collect();
+        ids.join(",")
+    }
+
     /// Maximum number of tokens that a request with this prompt can use.
     pub fn max_cost(&self) -> Tokens {
         self.tokens + self.max_tokens
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -19,7 +19,7 @@
 use super::decision::admission;
 use super::decision::refusal::{Declined, Reason, Refusal};
 use super::decision::retry::{self, Decision, Failure, History, Verdict};
-use super::dialect::{self, BadForward, Forward};
+use super::dialect::{self, BadForward, Forward, Prompt};
 use super::escrow::Demand;
 use super::fingerprint::Fingerprint;
 use super::headers;
@@ -406,11 +406,14 @@
             Decision::Retry => "none",
             Decision::GiveUp(limit) => limit.as_str(),
         };
+        let prompt = self.request.prompt.as_ref();
+        let prompt = prompt.filter(|_| failed.failure == Failure::BrokenOff);
         tracing::info!(
             event = "attempt_failed",
             id = %self.request.id,
             instance = %failed.attempt.placement().instance,
             fingerprint = %self.fingerprint,
+            blocks = prompt.map(Prompt::shared_ids),
             reason,
             limit,
             attempts = self.sent,
