--- a/tests/deployment/runner.rs
+++ b/tests/deployment/runner.rs
@@ -152,6 +152,8 @@
 
 /// A runner that runs a request with this text in its body or path crashes.
 pub const CRASHING: &str = "crashing";
+/// A runner that runs a request with this id among the shared parts of its prompt crashes.
+pub const CRASHING_PART: &str = "dead";
 /// How long a runner runs a crashing request before it crashes.
 const CRASH_AFTER: Duration = Duration::from_millis(30);
 /// Time from a crash until the runner restarts.
@@ -394,6 +396,14 @@
     }
 }
 
+fn has_crashing_part(headers: &HeaderMap) -> bool {
+    let parts = headers
+        .get("x-prompt-prefix")
+        .map(|it| it.to_str().unwrap());
+    let mut ids = parts.into_iter().flat_map(|parts| parts.split(','));
+    ids.any(|part| part.split(':').next() == Some(CRASHING_PART))
+}
+
 /// Accepts connections and closes them at once.
 async fn accept_and_close(listener: &TcpListener) {
     loop {
@@ -444,8 +454,9 @@
         handed_out: Arc::clone(&handed_out),
         instance: instance.clone(),
     });
-    let is_crashing =
-        String::from_utf8_lossy(&body).contains(CRASHING) || parts.uri.path().contains(CRASHING);
+    let is_crashing = String::from_utf8_lossy(&body).contains(CRASHING)
+        || parts.uri.path().contains(CRASHING)
+        || has_crashing_part(&parts.headers);
     if ran && is_crashing {
         let inner = Arc::clone(&inner);
         tokio::spawn(async move {
