Quarantine blocks of prompts under which targets crash

What callers saw: targets crashed one after the other, 31 under one part of prompts, and each took along what else ran there. The requests were no two alike, so none was held back.

Cause: the quarantine counted crashes by a fingerprint of the whole request. What several requests have in common had no crash to its name, however often it was present. The reproduction has nothing else that crashes targets, so load and customers are ruled out there; in the record the customer that is present most is missing at two of the first crashes.

Change: each shared block of a prompt is a suspect of its own beside the request, by its id alone, in the same reports between routers and the same row in the store, so routers that start later and an outage of the store are covered as for requests. Three successive crashes hold it, and requests that name it are refused at once (503, not run). An answer to a request with the block clears it of the crashes before, and not of those after, so a first part that most requests share stays clear, and one that turns bad is found. A request that repeats explains the crashes of its blocks; a block in more crashes explains those of a request.

--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -276,7 +276,7 @@
             shortage::log(control, &job, Refusal::Exhausted, Millis::ZERO, None);
         }
         Some(Refusal::Quarantined { .. }) => {
-            quarantine::log_refusal(control, &job.id, job.fingerprint);
+            quarantine::log_refusal(control, &job);
         }
         _ => {}
     }
--- a/src/gateway/control/quarantine.rs
+++ b/src/gateway/control/quarantine.rs
@@ -16,6 +16,7 @@
 use super::context::{Control, FAN_OUT, ROUND_INTERVAL};
 use super::reachability;
 use crate::gateway::fingerprint::Fingerprint;
+use crate::gateway::job::Job;
 use crate::gateway::key::{JobKey, TargetKey};
 use crate::gateway::message::{Reply, Request};
 use crate::gateway::quarantine::{Hold, QuarantinedRequest, Report, Row};
@@ -210,13 +211,13 @@
 }
 
 /// Logs why a quarantined request is refused.
-pub(super) fn log_refusal(control: &Control, id: &str, fingerprint: Fingerprint) {
+pub(super) fn log_refusal(control: &Control, job: &Job) {
     let now = control.now();
     let state = control.state.borrow();
-    if let Some(hold) = state.quarantine.hold(now, fingerprint) {
+    if let Some((fingerprint, hold)) = state.quarantined(now, job) {
         tracing::info!(
             event = "quarantine_refused",
-            %id,
+            id = %job.id,
             %fingerprint,
             crashes = hold.crashes,
             last_ms = now.saturating_sub(hold.last).0,
--- a/src/gateway/decision/quarantine.rs
+++ b/src/gateway/decision/quarantine.rs
@@ -1,11 +1,16 @@
-//! Whether a request is the cause of the target crashes that it was involved in, and must not be sent again.
+//! Whether a request, or a block that prompts share, is the cause of the target crashes that it was involved in, and must
+//! not be sent again.
 //!
 //! A target that crashes fails all requests that it is processing, so a single crash says almost nothing about any one
 //! of them. Only successive crashes count: the request was sent to another target after the previous one had crashed,
 //! and that target crashed as well. A failed rack, a network partition or reset connections affect everything in flight
 //! once, and so count once. A request that any target has answered successfully is not the cause;
 //! [`Quarantine`](crate::gateway::quarantine::Quarantine) handles that case and drops the crashes of such a request.
+//!
+//! A block is in many requests, of which most may be answered. It has to be answered again and again to stay cleared:
+//! one that begins to crash targets later than its last answer is found too.
 
+use crate::gateway::fingerprint::Kind;
 use crate::units::Millis;
 
 /// Successive crashes after which a request is taken to be their cause. One may happen to any request, and two to an
@@ -49,10 +54,33 @@
     successive_crashes(crashes).len()
 }
 
-/// Whether another request with `other` successive crashes explains a crash that both requests were involved in; `own`
-/// is the number of successive crashes of the request that is judged.
-pub fn is_explained(own: usize, other: usize) -> bool {
-    other > own || (other == own && own < CRASHES_TIED)
+/// A request or block, and the number of its successive crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Suspicion {
+    /// What is suspected.
+    pub kind: Kind,
+    /// Number of successive crashes.
+    pub crashes: usize,
+}
+
+/// Whether another suspect explains a crash that both were involved in. With as many crashes, a request is the narrower
+/// explanation than a block that it contains.
+pub fn is_explained(own: Suspicion, other: Suspicion) -> bool {
+    let is_tied = own.crashes == other.crashes;
+    let explains_tie = match (own.kind, other.kind) {
+        (Kind::Block, Kind::Request) => true,
+        (Kind::Request, Kind::Block) => false,
+        (Kind::Request, Kind::Request) | (Kind::Block, Kind::Block) => own.crashes < CRASHES_TIED,
+    };
+    other.crashes > own.crashes || (is_tied && explains_tie)
+}
+
+/// Whether an answer at the time `answered` clears a suspect of a crash at the time `crash`.
+pub fn is_cleared(kind: Kind, answered: Millis, crash: Millis) -> bool {
+    match kind {
+        Kind::Request => true,
+        Kind::Block => crash <= answered,
+    }
 }
 
 /// Whether a request is quarantined, given the number of its successive crashes that no other request explains.
--- a/src/gateway/fingerprint.rs
+++ b/src/gateway/fingerprint.rs
@@ -1,5 +1,5 @@
 //! Fingerprints, which identify a request that is sent again: by its customer, method, host, path and body, regardless
-//! of its id and its other headers.
+//! of its id and its other headers. A block that prompts share has a fingerprint of its own, by its id alone.
 //!
 //! The customer is hashed separately, so callers of one customer cannot produce the fingerprint of another customer's
 //! request. The hashes are seeded with the fleet key, so callers without it cannot construct collisions.
@@ -20,8 +20,43 @@
     pub request: u64,
 }
 
+/// Stands in place of the customer's hash in the fingerprint of a block. No customer has this hash but by a chance of one in
+/// 2^64.
+const BLOCK: u64 = u64::MAX;
+
+/// What a fingerprint identifies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A request, over all its tries.
+    Request,
+    /// A block that prompts share.
+    Block,
+}
+
+impl Fingerprint {
+    /// The fingerprint of a block that prompts share.
+    pub fn of_block(id: u64) -> Self {
+        Self {
+            customer: BLOCK,
+            request: id,
+        }
+    }
+
+    /// What the fingerprint identifies.
+    pub fn kind(self) -> Kind {
+        if self.customer == BLOCK {
+            Kind::Block
+        } else {
+            Kind::Request
+        }
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.kind() == Kind::Block {
+            return write!(f, "block-{:x}", self.request);
+        }
         write!(f, "{:016x}-{:016x}", self.customer, self.request)
     }
 }
--- a/src/gateway/quarantine/answered.rs
+++ b/src/gateway/quarantine/answered.rs
@@ -1,4 +1,4 @@
-//! Recently succeeded requests, up to a fixed number.
+//! Recently succeeded requests and blocks of prompts, up to a fixed number.
 
 use std::collections::{HashMap, VecDeque};
 
@@ -7,7 +7,7 @@
 
 /// Maximum number of requests kept: a few hundred kilobytes, and about the last ten seconds on the busiest routers.
 /// The requests that matter are repeated often, so they are among them.
-const ENTRIES_MAX: usize = 2_048;
+const ENTRIES_MAX: usize = 4_096;
 /// Minimum time between two records of the same request.
 const RECORD_INTERVAL_MIN: Millis = Millis(1_000);
 
--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -1,7 +1,7 @@
-//! Tracks requests that were in flight at targets when those crashed, across all routers, and quarantines the likely
-//! causes.
+//! Tracks requests that were in flight at targets when those crashed, and the blocks of their prompts, across all routers,
+//! and quarantines the likely causes.
 //!
-//! For each such request it owns the crashes, and whether the request succeeded anywhere, which clears it. Both are
+//! For each such request or block it owns the crashes, and whether the request succeeded anywhere, which clears it. Both are
 //! only ever added to, so reports may arrive late, duplicated and in any order, and all routers converge on the same
 //! state. It relies on its caller for the time, for detecting crashes of targets, and for sending reports to other
 //! routers. [`decision::quarantine`](super::decision::quarantine) defines which crashes count.
@@ -17,23 +17,23 @@
 use self::answered::Answered;
 pub use self::held::{QuarantinedRequest, text};
 pub use self::report::{Report, Row};
-use super::decision::quarantine::{self, Crash};
-use super::fingerprint::Fingerprint;
+use super::decision::quarantine::{self, Crash, Suspicion};
+use super::fingerprint::{Fingerprint, Kind};
 use crate::units::Millis;
 
 /// How long the crashes and the success of a request are kept after the last of them. After that, the request is sent
 /// to targets again, since the targets may have been fixed. If they have not been, it crashes as many targets as the
 /// rule allows every ten minutes.
 pub const RETENTION: Millis = Millis(600_000);
-/// Maximum number of requests with known crashes, about 100 bytes each.
-const SUSPECTS_MAX: usize = 1_024;
+/// Maximum number of requests and blocks with known crashes, about 100 bytes each.
+const SUSPECTS_MAX: usize = 2_048;
 /// Maximum number of crashes kept for a request: as many as any rule needs.
 const CRASHES_MAX: usize = 5;
 /// How long after an attempt broke off the crash of its target may still be detected: a target that restarts under its
 /// id is back within seconds, and its entry is read every half second.
 const CONFIRMATION_WINDOW: Millis = Millis(5_000);
 /// Maximum number of attempts that broke off, and of crashed targets, that are kept for [`CONFIRMATION_WINDOW`].
-const UNCONFIRMED_MAX: usize = 256;
+const UNCONFIRMED_MAX: usize = 1_024;
 /// Number of gossip rounds in which a change is reported. Each round reaches three routers. If all routers do the same,
 /// one in ten thousand gets none of the nine messages; it reads the change from the store.
 const GOSSIP_ROUNDS: u32 = 3;
@@ -47,7 +47,7 @@
 /// An attempt that broke off at a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BrokenAttempt {
-    /// The request.
+    /// The request, or a block of its prompt.
     pub fingerprint: Fingerprint,
     /// Hash of the target's instance.
     pub instance: u64,
@@ -71,10 +71,11 @@
     }
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct Suspect {
+    kind: Kind,
     crashes: Vec<Crash>,
-    /// When the request last succeeded; its crashes are then not attributed to it.
+    /// When it last succeeded; crashes that this clears are not attributed to it.
     answered: Option<Millis>,
     /// Whether this router has seen one of the request's crashes itself.
     has_own_crash: bool,
@@ -83,6 +84,16 @@
 }
 
 impl Suspect {
+    fn new(kind: Kind) -> Self {
+        Self {
+            kind,
+            crashes: Vec::new(),
+            answered: None,
+            has_own_crash: false,
+            rounds_reported: 0,
+        }
+    }
+
     /// Time of the last crash, or of the success.
     fn last(&self) -> Millis {
         let crash = self.crashes.last().map(|crash| crash.at);
@@ -95,7 +106,8 @@
             .crashes
             .iter()
             .any(|known| known.instance == crash.instance);
-        if self.answered.is_some() || is_known {
+        let is_cleared = |answered| quarantine::is_cleared(self.kind, answered, crash.at);
+        if is_known || self.answered.is_some_and(is_cleared) {
             return false;
         }
         let place = self.crashes.partition_point(|known| known.at <= crash.at);
@@ -114,9 +126,21 @@
         self.crashes.remove(least.unwrap_or(0));
     }
 
-    fn clear(&mut self, at: Millis) {
+    /// Records a success; returns whether it clears the suspect of a crash, or is the first.
+    fn clear(&mut self, at: Millis) -> bool {
+        let kind = self.kind;
+        let before = (self.crashes.len(), self.answered.is_some());
         self.answered = self.answered.max(Some(at));
-        self.crashes.clear();
+        self.crashes
+            .retain(|crash| !quarantine::is_cleared(kind, at, crash.at));
+        before != (self.crashes.len(), true)
+    }
+
+    fn suspicion(&self) -> Suspicion {
+        Suspicion {
+            kind: self.kind,
+            crashes: self.in_a_row(),
+        }
     }
 
     fn in_a_row(&self) -> usize {
@@ -128,7 +152,7 @@
     }
 }
 
-/// State of all requests that were in flight at crashing targets.
+/// State of all requests that were in flight at crashing targets, and of the blocks of their prompts.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     suspects: HashMap<Fingerprint, Suspect>,
@@ -160,6 +184,7 @@
             .any(|(_, instance)| *instance == broken.instance);
         if has_crashed {
             self.attribute_crash(now, now, broken);
+            self.update_holds(now);
         } else {
             push_bounded(&mut self.unconfirmed, (now, broken));
         }
@@ -180,10 +205,11 @@
         for (at, broken) in &confirmed {
             self.attribute_crash(now, *at, *broken);
         }
+        self.update_holds(now);
         confirmed.into_iter().map(|(_, broken)| broken).collect()
     }
 
-    /// Adds a crash to the request of an attempt that broke off.
+    /// Adds a crash to the suspect of an attempt that broke off.
     fn attribute_crash(&mut self, now: Millis, at: Millis, broken: BrokenAttempt) {
         let crash = Crash {
             instance: broken.instance,
@@ -199,17 +225,15 @@
             suspect.has_own_crash = true;
             suspect.rounds_reported = 0;
         }
-        self.update_holds(now);
     }
 
-    /// Records that a request succeeded.
+    /// Records that a request, or one with a block, succeeded.
     pub fn note_answered(&mut self, now: Millis, fingerprint: Fingerprint) {
         self.answered.record(now, fingerprint);
         let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
             return;
         };
-        if suspect.answered.is_none() {
-            suspect.clear(now);
+        if suspect.clear(now) {
             suspect.rounds_reported = 0;
             self.update_holds(now);
         }
@@ -228,8 +252,7 @@
         let suspect = self.suspect(now, report.fingerprint);
         let mut is_change = false;
         if let Some(at) = answered {
-            is_change = suspect.answered.is_none();
-            suspect.clear(at);
+            is_change = suspect.clear(at);
         }
         for crash in report.crashes.iter().take(CRASHES_MAX) {
             is_change |= suspect.add_crash(Crash {
@@ -256,7 +279,8 @@
             self.forget(now);
             self.evict_if_full();
         }
-        self.suspects.entry(fingerprint).or_default()
+        let suspect = self.suspects.entry(fingerprint);
+        suspect.or_insert_with(|| Suspect::new(fingerprint.kind()))
     }
 
     /// Removes expired entries.
@@ -292,21 +316,21 @@
     /// compared with each other, so the cost depends on these few.
     fn update_holds(&mut self, now: Millis) {
         let suspects = self.suspects.iter();
-        let in_a_row: Vec<(&Fingerprint, &Suspect, usize)> = suspects
-            .map(|(fingerprint, suspect)| (fingerprint, suspect, suspect.in_a_row()))
-            .filter(|(_, _, count)| quarantine::is_held(*count))
+        let in_a_row: Vec<(&Fingerprint, &Suspect, Suspicion)> = suspects
+            .map(|(fingerprint, suspect)| (fingerprint, suspect, suspect.suspicion()))
+            .filter(|(_, _, suspicion)| quarantine::is_held(suspicion.crashes))
             .collect();
-        let is_explained = |own: &Fingerprint, count: usize, crash: &Crash| {
+        let is_explained = |own: &Fingerprint, suspicion: Suspicion, crash: &Crash| {
             in_a_row.iter().any(|(other, suspect, others)| {
                 *other != own
                     && suspect.was_in_flight_at(crash.instance)
-                    && quarantine::is_explained(count, *others)
+                    && quarantine::is_explained(suspicion, *others)
             })
         };
         let mut holds = BTreeMap::new();
-        for (fingerprint, suspect, count) in &in_a_row {
+        for (fingerprint, suspect, suspicion) in &in_a_row {
             let left = suspect.crashes.iter().copied();
-            let left = left.filter(|crash| !is_explained(fingerprint, *count, crash));
+            let left = left.filter(|crash| !is_explained(fingerprint, *suspicion, crash));
             let hold = Hold {
                 crashes: quarantine::in_a_row(left),
                 last: suspect.last(),
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -22,13 +22,14 @@
 use super::decision::refusal::Refusal;
 use super::decision::retry::{Bound, Budget, Charge};
 use super::decision::rollout;
-use super::dialect::{Listing, Load};
+use super::dialect::{Listing, Load, Prompt};
 use super::escrow::{Account, Ledger, Refused, StoreAnswer};
+use super::fingerprint::{Fingerprint, Kind};
 use super::job::{Delivery, Ending, Job, Placement, Timing};
 use super::key::{JobKey, TargetKey};
 use super::members::{Members, Router};
 use super::notice::{Announcement, Notice, Report};
-use super::quarantine::{BrokenAttempt, Quarantine};
+use super::quarantine::{BrokenAttempt, Hold, Quarantine};
 use super::rollout::{Arm, Rollouts};
 use super::targets::speed::Sample;
 use super::targets::{Change, Freshness, Targets};
@@ -331,16 +332,24 @@
         }
     }
 
-    /// Checks that a request is not quarantined.
+    /// Checks that neither a request nor a block of its prompt is quarantined.
     fn check_quarantine(&self, now: Millis, job: &Job) -> Result<(), Refusal> {
-        match self.quarantine.hold(now, job.fingerprint) {
-            Some(hold) => Err(Refusal::Quarantined {
+        match self.quarantined(now, job) {
+            Some((_, hold)) => Err(Refusal::Quarantined {
                 left: hold.left(now),
             }),
             None => Ok(()),
         }
     }
 
+    /// What of a request is quarantined: itself or a block of its prompt.
+    pub fn quarantined(&self, now: Millis, job: &Job) -> Option<(Fingerprint, Hold)> {
+        suspects(job).find_map(|fingerprint| {
+            let hold = self.quarantine.hold(now, fingerprint)?;
+            Some((fingerprint, hold))
+        })
+    }
+
     /// Records that the current attempt of a request was interrupted. Returns the target if it may have crashed and
     /// that is not known yet.
     pub fn note_interrupted(&mut self, now: Millis, key: JobKey) -> Option<TargetKey> {
@@ -350,14 +359,17 @@
         if listed.has_announced_leaving() {
             return None;
         }
-        let broken = BrokenAttempt {
-            fingerprint: running.job.fingerprint,
-            instance: listed.hash(),
-            sent: running.sent,
-        };
-        let has_crashed = self.quarantine.note_broken(now, broken);
-        if has_crashed {
-            log_crash(now, &broken, &listed.listing.instance);
+        let mut has_crashed = false;
+        for fingerprint in suspects(&running.job) {
+            let broken = BrokenAttempt {
+                fingerprint,
+                instance: listed.hash(),
+                sent: running.sent,
+            };
+            has_crashed = self.quarantine.note_broken(now, broken);
+            if has_crashed {
+                log_crash(now, &broken, &listed.listing.instance);
+            }
         }
         (!has_crashed).then_some(target)
     }
@@ -382,7 +394,9 @@
         let listed = self.targets.get(target);
         let (hash, instance) = (listed.hash(), listed.listing.instance.clone());
         let interrupted = self.quarantine.note_crash(now, hash);
-        tracing::warn!(event = "target_crashed", %instance, beside = interrupted.len());
+        let kinds = interrupted.iter().map(|broken| broken.fingerprint.kind());
+        let requests = kinds.filter(|kind| *kind == Kind::Request).count();
+        tracing::warn!(event = "target_crashed", %instance, beside = requests);
         for broken in &interrupted {
             log_crash(now, broken, &instance);
         }
@@ -392,8 +406,9 @@
     pub fn end(&mut self, now: Millis, key: JobKey, ending: Ending) {
         if let Some(mut running) = self.running.remove(&key) {
             if let Some(Outcome::Answered { .. }) = ending.outcome {
-                let fingerprint = running.job.fingerprint;
-                self.quarantine.note_answered(now, fingerprint);
+                for fingerprint in suspects(&running.job) {
+                    self.quarantine.note_answered(now, fingerprint);
+                }
             }
             self.end_attempt(now, &mut running, ending);
             self.settle(&running);
@@ -493,7 +508,15 @@
     }
 }
 
-/// Logs that a request was in progress at a target that crashed: the evidence for a later quarantine of the request.
+/// What of a request may be the cause of a crash: itself, and the blocks that its prompt shares with others.
+fn suspects(job: &Job) -> impl Iterator<Item = Fingerprint> {
+    let blocks = job.prompt.as_ref().map(Prompt::shared_blocks);
+    let blocks = blocks.unwrap_or_default().iter();
+    std::iter::once(job.fingerprint).chain(blocks.map(|block| Fingerprint::of_block(block.id)))
+}
+
+/// Logs that a request was in progress at a target that crashed: the evidence for a later quarantine of the request, or of
+/// a block of its prompt.
 fn log_crash(now: Millis, broken: &BrokenAttempt, instance: &str) {
     tracing::info!(
         event = "crash_noted",
--- a/tests/crashing_part.rs
+++ b/tests/crashing_part.rs
@@ -5,10 +5,10 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use deployment::runner::{Arrival, CRASHING_PART, Runner};
+use deployment::runner::{Arrival, CRASHING, CRASHING_PART, Runner};
 use deployment::store::Fault;
 use deployment::turns::{self, ask_in_turn};
-use deployment::{Ask, ask};
+use deployment::{Ask, Deployment, ask, try_ask};
 
 const GATEWAYS: usize = 3;
 const TARGETS: usize = 6;
@@ -85,14 +85,23 @@
 
 async fn check_quarantine(crashing: fn(usize) -> Ask, other: fn(usize) -> Ask) {
     let (deployment, runners) = turns::start_fleet(GATEWAYS, TARGETS, "engine").await;
-    let fronts = turns::fronts(&deployment);
+    check_quarantine_of(&deployment, &runners, crashing, other).await;
+}
+
+async fn check_quarantine_of(
+    deployment: &Deployment,
+    runners: &[Runner],
+    crashing: fn(usize) -> Ask,
+    other: fn(usize) -> Ask,
+) {
+    let fronts = turns::fronts(deployment);
     let end = Instant::now() + 2 * SEND_FOR;
     let crashing = tokio::spawn(ask_in_turn(fronts.clone(), CRASHING_GAP, end, crashing));
     let early = Instant::now() + SEND_FOR;
     ask_in_turn(fronts.clone(), OTHER_GAP, early, other).await;
     let (asked, served) = ask_in_turn(fronts, OTHER_GAP, end, other).await;
     crashing.await.unwrap();
-    let (ended, late) = (crashes(&runners).len(), sent_late(&runners));
+    let (ended, late) = (crashes(runners).len(), sent_late(runners));
     println!("{ended} crashes, {late} sent late, others served {served} of {asked}");
     assert!(ended >= 3, "the part crashes at least three targets");
     assert!(late <= SENT_LATE_MAX, "{late} sent late; {ended} crashes");
@@ -103,3 +112,73 @@
 async fn part_talk() {
     check_quarantine(crashing_talk, other_talk).await;
 }
+
+/// Routers resume a stream at another target, so one request crashes several.
+#[tokio::test(flavor = "multi_thread")]
+async fn part_resumed() {
+    check_quarantine(crashing_resume, other_resume).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn part_without_store() {
+    let (deployment, runners) = turns::start_fleet(GATEWAYS, TARGETS, "engine").await;
+    for gateway in &deployment.gateways {
+        deployment.store.set_fault(gateway.store, Fault::Silent);
+    }
+    check_quarantine_of(&deployment, &runners, crashing_talk, other_talk).await;
+}
+
+/// Routers that start later or restart also know of the quarantine.
+#[tokio::test(flavor = "multi_thread")]
+async fn part_after_start() {
+    let (mut deployment, runners) = turns::start_fleet(GATEWAYS, TARGETS, "engine").await;
+    let fronts = turns::fronts(&deployment);
+    let end = Instant::now() + SEND_FOR;
+    let others = tokio::spawn(ask_in_turn(fronts.clone(), OTHER_GAP, end, other_talk));
+    ask_in_turn(fronts, CRASHING_GAP, end, crashing_talk).await;
+    others.await.unwrap();
+    for gateway in &mut deployment.gateways {
+        gateway.kill();
+        gateway.restart();
+    }
+    deployment.add("g3", &[]).await;
+    deployment.wait_ready().await;
+    let before = crashes(&runners).len();
+    for gateway in &deployment.gateways {
+        let answer = ask(gateway.front, &crashing_talk(0)).await;
+        assert_eq!(answer.status, 503, "the request has not run: {answer:?}");
+        assert!(!answer.header("retry-after").is_empty());
+        let answer = ask(gateway.front, &other_talk(0)).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    assert_eq!(crashes(&runners).len(), before, "no target crashes");
+}
+
+/// A request that crashes targets by its body does not condemn the blocks that it names.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_request() {
+    let (deployment, runners) = turns::start_fleet(GATEWAYS, TARGETS, "engine").await;
+    let fronts = turns::fronts(&deployment);
+    let begin = Instant::now();
+    let crashing = |number| {
+        let request = Ask::talk(&format!("c{number}"), "/talk/x", 100, 50);
+        request
+            .post(CRASHING)
+            .with("x-prompt-prefix", "a1:50,b2:49,c3:1")
+    };
+    for number in 0.. {
+        let front = fronts[number % fronts.len()];
+        let answer = try_ask(front, &crashing(number)).await;
+        if answer.is_some_and(|answer| answer.status == 503) {
+            break;
+        }
+        assert!(begin.elapsed() < 3 * SEND_FOR, "it is quarantined");
+        tokio::time::sleep(CRASHING_GAP).await;
+    }
+    assert!(crashes(&runners).len() <= CRASHES, "it is quarantined soon");
+    tokio::time::sleep(KNOWN_BY).await;
+    for front in fronts {
+        let request = with_parts("/talk/x", "a1:50,b2:49");
+        assert_eq!(ask(front, &request).await.status, 200);
+    }
+}
--- a/tests/quarantine_rules.rs
+++ b/tests/quarantine_rules.rs
@@ -314,3 +314,78 @@
     }
     assert!(bytes / ROUTERS < 2_000, "{bytes} bytes sent in total");
 }
+
+fn block(id: u64) -> Fingerprint {
+    Fingerprint::of_block(id)
+}
+
+/// Requests of which no two are alike share one block, and others share their first one.
+#[test]
+fn common_block() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=3 {
+        let at_crash = [request(number), block(1), block(10 + number), block(7)];
+        crash(&mut quarantine, 1_000 * number, number, &at_crash);
+        quarantine.note_answered(at(1_000 * number + 500), block(1));
+    }
+    assert!(is_held(&quarantine, 5_000, block(7)));
+    for other in [block(1), block(11), block(12), block(13), request(1)] {
+        assert!(!is_held(&quarantine, 5_000, other), "{other}");
+    }
+}
+
+/// An answer clears a block of earlier crashes only.
+#[test]
+fn block_turns_bad() {
+    let mut quarantine = Quarantine::default();
+    quarantine.note_answered(at(500), block(7));
+    for number in 1..=3 {
+        crash(&mut quarantine, 1_000 * number, number, &[block(7)]);
+    }
+    assert!(is_held(&quarantine, 5_000, block(7)));
+    quarantine.note_answered(at(5_100), block(7));
+    assert!(!is_held(&quarantine, 5_200, block(7)));
+}
+
+/// A block in each of a request's crashes is explained by the request.
+#[test]
+fn block_of_request() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=6 {
+        let at_crash = [request(1), block(7)];
+        crash(&mut quarantine, 1_000 * number, number, &at_crash);
+    }
+    assert!(is_held(&quarantine, 8_000, request(1)));
+    assert!(!is_held(&quarantine, 8_000, block(7)));
+}
+
+/// A block in more crashes than a repeated request explains them.
+#[test]
+fn request_of_block() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=5 {
+        let own = if number <= 3 { 1 } else { number };
+        let at_crash = [request(own), block(7)];
+        crash(&mut quarantine, 1_000 * number, number, &at_crash);
+    }
+    assert!(is_held(&quarantine, 8_000, block(7)));
+}
+
+/// Routers that each see some of a block's crashes quarantine it from each other's reports.
+#[test]
+fn block_at_several_routers() {
+    let mut routers = [Quarantine::default(), Quarantine::default()];
+    for number in 1..=4 {
+        let router = &mut routers[number as usize % 2];
+        crash(router, 1_000 * number, number, &[request(number), block(7)]);
+        let reports = router.next_reports(at(1_000 * number));
+        let other = &mut routers[(number as usize + 1) % 2];
+        for report in reports {
+            let encoded = util::encode(&report);
+            other.merge(at(1_000 * number + 50), &util::decode(&encoded).unwrap());
+        }
+    }
+    for router in &routers {
+        assert!(is_held(router, 5_000, block(7)));
+    }
+}
