Do not hold a block that has been answered again and again, and try a held one again

While no engine answers, nothing clears a block of the crashes that it is beside, and nothing can clear it later, as no request with it is sent: a false hold would refuse most callers for ten minutes.

A block that this router has seen answered in eight separate seconds is not held, whatever crashes then: equal ids are equal content. A held block is tried again a minute after its last crash by one router, the decider of the block, once a minute, so a false hold ends with the first answer and a right one costs at most one crash a minute. Requests are held as before.

Not covered: a block that turns bad after answers in eight seconds at one router is not held there.

--- a/src/gateway/decision/quarantine.rs
+++ b/src/gateway/decision/quarantine.rs
@@ -54,6 +54,23 @@
     successive_crashes(crashes).len()
 }
 
+/// Number of separate seconds with an answer after which a block is not the cause of crashes, as its content stays the same. Holding
+/// back a block that most requests share would refuse most callers.
+const PROVEN_ANSWERS: u32 = 8;
+/// How long after the last crash one request with a quarantined block is sent to a target again, to learn whether the block
+/// is answered now.
+const TRIAL_INTERVAL: Millis = Millis(60_000);
+
+/// Whether this many answers in separate seconds prove that a suspect is not the cause of crashes.
+pub fn is_proven(kind: Kind, answers: u32) -> bool {
+    kind == Kind::Block && answers >= PROVEN_ANSWERS
+}
+
+/// Whether a request with a quarantined block is sent after all, given the time of the last crash or trial.
+pub fn is_trial_due(kind: Kind, now: Millis, last: Millis) -> bool {
+    kind == Kind::Block && now.saturating_sub(last) >= TRIAL_INTERVAL
+}
+
 /// A request or block, and the number of its successive crashes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Suspicion {
--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -162,9 +162,24 @@
     /// Targets that crashed recently, and when.
     crashed: VecDeque<(Millis, u64)>,
     holds: BTreeMap<Fingerprint, Hold>,
+    /// When this router last sent a request with a quarantined block, by block.
+    trials: BTreeMap<Fingerprint, Millis>,
 }
 
 impl Quarantine {
+    /// Whether a request with a quarantined block is sent after all; if so, the next one is due later.
+    pub fn begin_trial(&mut self, now: Millis, fingerprint: Fingerprint, hold: Hold) -> bool {
+        let last = self.trials.get(&fingerprint).copied();
+        let last = last.unwrap_or_default().max(hold.last);
+        let is_due = quarantine::is_trial_due(fingerprint.kind(), now, last);
+        if is_due {
+            self.trials
+                .retain(|other, _| self.holds.contains_key(other));
+            self.trials.insert(fingerprint, now);
+        }
+        is_due
+    }
+
     /// Why a request is quarantined, if it is.
     pub fn hold(&self, now: Millis, fingerprint: Fingerprint) -> Option<Hold> {
         let hold = self.holds.get(&fingerprint).copied()?;
@@ -267,10 +282,12 @@
         }
     }
 
-    /// When a request succeeded, if that is recent enough to clear it.
+    /// When a suspect succeeded, if that is recent enough to clear it; now, if its successes prove that it is not the cause.
     fn answered(&self, now: Millis, fingerprint: Fingerprint) -> Option<Millis> {
-        let at = self.answered.last(fingerprint)?;
-        (now.saturating_sub(at) < RETENTION).then_some(at)
+        let successes = self.answered.get(fingerprint)?;
+        let is_recent = now.saturating_sub(successes.last) < RETENTION;
+        let is_proven = quarantine::is_proven(fingerprint.kind(), successes.count);
+        is_recent.then_some(if is_proven { now } else { successes.last })
     }
 
     /// The state of a request. Evicts another request if a new entry does not fit.
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -139,7 +139,11 @@
     /// # Errors
     /// Why the request cannot run. [`Refusal::Short`] may be resolved by the next grant.
     pub fn begin(&mut self, now: Millis, job: Job) -> Result<Placement, Refusal> {
-        self.check_quarantine(now, &job)?;
+        if let Err(refusal) = self.check_quarantine(now, &job)
+            && !self.begin_trial(now, &job)
+        {
+            return Err(refusal);
+        }
         let service = self.draw_service(&job);
         let arm = self.assign_arm(now, &service);
         let mut running = Running {
@@ -342,6 +346,17 @@
         }
     }
 
+    /// Whether a request is sent to a target although a block of its prompt is quarantined. One router decides this for a
+    /// block, so that few requests of a fleet are.
+    fn begin_trial(&mut self, now: Millis, job: &Job) -> bool {
+        let Some((fingerprint, hold)) = self.quarantined(now, job) else {
+            return false;
+        };
+        let decider = self.members.decider(now, &fingerprint.to_string());
+        let is_mine = decider.is_some_and(|router| router.name == self.members.me.name);
+        is_mine && self.quarantine.begin_trial(now, fingerprint, hold)
+    }
+
     /// What of a request is quarantined: itself or a block of its prompt.
     pub fn quarantined(&self, now: Millis, job: &Job) -> Option<(Fingerprint, Hold)> {
         suspects(job).find_map(|fingerprint| {
--- a/tests/quarantine_rules.rs
+++ b/tests/quarantine_rules.rs
@@ -389,3 +389,36 @@
         assert!(is_held(router, 5_000, block(7)));
     }
 }
+
+/// A block that has been answered again and again is not held for crashes while nothing is answered.
+#[test]
+fn proven_block() {
+    let mut quarantine = Quarantine::default();
+    for second in 0..10 {
+        quarantine.note_answered(at(1_000 * second), block(1));
+    }
+    for number in 10..=20 {
+        crash(&mut quarantine, 1_000 * number, number, &[block(1)]);
+    }
+    assert!(!is_held(&quarantine, 21_000, block(1)));
+}
+
+/// A held block is tried again a minute after its last crash, once a minute.
+#[test]
+fn block_trial() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=3 {
+        crash(&mut quarantine, 1_000 * number, number, &[block(7)]);
+    }
+    let hold = quarantine.hold(at(5_000), block(7)).unwrap();
+    assert!(!quarantine.begin_trial(at(62_000), block(7), hold));
+    assert!(quarantine.begin_trial(at(63_000), block(7), hold));
+    assert!(!quarantine.begin_trial(at(122_000), block(7), hold));
+    assert!(quarantine.begin_trial(at(123_000), block(7), hold));
+    let mut quarantine = Quarantine::default();
+    for number in 1..=3 {
+        crash(&mut quarantine, 1_000 * number, number, &[request(7)]);
+    }
+    let hold = quarantine.hold(at(5_000), request(7)).unwrap();
+    assert!(!quarantine.begin_trial(at(90_000), request(7), hold));
+}
