Soak gateways that lose all targets, and blocks under which targets crash

soak_partitions gives each gateway paths of its own to the targets, cuts them for 0.3 to 3 s up to four times a run, and sends requests with a crashing block, beside the planned operations and faults of the seed. Other steps that take targets out of service are left out there, as a crashed target writes its entry again. What other seeds play does not change.

--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -224,11 +224,22 @@
 
     /// Adds a gateway in a hall of its own that gets other addresses of targets: pairs of the listed address and its own.
     pub async fn add_routed(&mut self, name: &str, routes: Vec<(SocketAddr, SocketAddr)>) {
+        let log = log_path_from_env(name);
+        self.add_routed_logged(name, routes, &[], log).await;
+    }
+
+    /// Like `add_routed`, with additional flags and a log file.
+    pub async fn add_routed_logged(
+        &mut self,
+        name: &str,
+        routes: Vec<(SocketAddr, SocketAddr)>,
+        flags: &[&str],
+        log: Option<PathBuf>,
+    ) {
         let address = self.store.open().await;
         self.store.set_routes(address, routes);
         let hall = format!("hall-of-{name}");
-        let log = log_path_from_env(name);
-        let flags = ["--hall", &hall];
+        let flags = [&["--hall", hall.as_str()], flags].concat();
         self.gateways
             .push(Gateway::start(name, address, &flags, log));
     }
--- a/tests/routes/mod.rs
+++ b/tests/routes/mod.rs
@@ -10,7 +10,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::deployment::runner::Runner;
-use crate::deployment::{Deployment, config, turns};
+use crate::deployment::{Deployment, config, free_address, turns};
 
 /// What a gateway sees of a partition.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,7 +46,8 @@
 
 impl Path {
     pub async fn open(target: SocketAddr) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        // No outgoing connection takes the port while the path is cut.
+        let listener = TcpListener::bind(free_address()).await.unwrap();
         let path = Self {
             address: listener.local_addr().unwrap(),
             target,
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -24,6 +24,7 @@
 mod proxy;
 #[path = "soak/router/mod.rs"]
 mod router;
+mod routes;
 #[path = "soak/run.rs"]
 mod run;
 #[path = "soak/said.rs"]
@@ -40,6 +41,8 @@
 
 /// Default number of seeds for gateways: all tests of this file take one to two minutes in CI.
 const GATEWAY_SEEDS: u64 = 6;
+/// Default number of seeds with partitions: one batch.
+const PARTITION_SEEDS: u64 = 3;
 /// Default number of seeds for routers: one batch for each kind.
 const ROUTER_SEEDS: u64 = 3;
 /// Seeds that run concurrently, which makes about a dozen processes.
@@ -127,7 +130,11 @@
 }
 
 fn soak_plans(name: &str, plan: impl Fn(u64) -> Plan) {
-    soak(name, GATEWAY_SEEDS, |runtime, seeds| {
+    soak_seeds(name, GATEWAY_SEEDS, plan);
+}
+
+fn soak_seeds(name: &str, default_count: u64, plan: impl Fn(u64) -> Plan) {
+    soak(name, default_count, |runtime, seeds| {
         let runs = seeds.into_iter().map(|(seed, logs)| run(plan(seed), logs));
         runtime.block_on(futures::future::join_all(runs))
     });
@@ -193,6 +200,14 @@
     });
 }
 
+/// Gateways that lose their paths to all targets, and a block of prompts under which targets crash.
+#[test]
+fn soak_partitions() {
+    soak_seeds("soak_partitions", PARTITION_SEEDS, |seed| {
+        Plan::new(seed, Kind::Faults, processes()).with_partitions()
+    });
+}
+
 #[test]
 fn routers_planned() {
     soak_routers("routers_planned", Kind::Planned);
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -4,22 +4,29 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures::future::join_all;
 use tokio::time::sleep;
 
 use super::{
     ENTRY_REMOVAL_DELAY, FOREIGN_PREFIX, RECOVERY_TIME, Run, SUCCESSOR_DELAY, start_again,
 };
-use crate::deployment::runner::{BACK_AFTER, Mode};
+use crate::deployment::runner::{BACK_AFTER, CRASHING_PART, Mode};
 use crate::deployment::store::Fault;
-use crate::deployment::{list_at, list_with_born};
+use crate::deployment::{Ask, list_at, list_with_born, try_ask};
 use crate::place::GatewaySlot;
 use crate::plan::{REWRITE_MAX_MS, Rewrite, TARGETS};
+use crate::routes::{Partition, Path};
 use crate::said::{NoticePeriod, TargetNotice};
 
 /// Time from when a lapsed target counts as gone until another instance takes its address. It goes well past the bound
 /// for requests to the old instance, which fits in the run since entries lapse early in the load.
 const LAPSED_REPLACEMENT_DELAY: Duration = Duration::from_secs(5);
 
+/// Prefix of the ids of requests with a block under which targets crash.
+pub const CRASHING_BLOCK_ID: &str = "block";
+/// Time between two requests with a block under which targets crash.
+const CRASHING_BLOCK_GAP: Duration = Duration::from_millis(300);
+
 impl Run {
     /// Kills a gateway and restarts it.
     pub(super) fn kill(&mut self, number: usize, pause: Duration) {
@@ -114,6 +121,48 @@
         });
     }
 
+    /// Cuts the paths of a gateway to all targets for a while.
+    pub(super) fn partition(&mut self, number: usize, partition: Partition, span: u64) {
+        {
+            let mut partitioned = self.partitioned.lock().unwrap();
+            if partitioned.contains(&number) {
+                return;
+            }
+            partitioned.push(number);
+        }
+        let name = self.slots[number].name.clone();
+        self.journal
+            .record(format!("{name} loses all targets: {partition:?}"));
+        let (journal, paths) = (self.journal.clone(), self.paths[number].clone());
+        let partitioned = Arc::clone(&self.partitioned);
+        self.tasks.spawn(async move {
+            join_all(paths.iter().map(|path| path.cut(partition))).await;
+            sleep(Duration::from_millis(span)).await;
+            join_all(paths.iter().map(Path::heal)).await;
+            journal.record(format!("{name} reaches the targets again"));
+            partitioned.lock().unwrap().retain(|other| *other != number);
+        });
+    }
+
+    /// Sends requests of which no two are alike, with a block under which targets crash, to the gateways in turn.
+    pub(super) fn send_crashing_block(&mut self, count: usize) {
+        self.journal.record("requests with a crashing block begin");
+        let fronts: Vec<SocketAddr> = self.slots.iter().map(|slot| slot.front).collect();
+        let journal = self.journal.clone();
+        self.tasks.spawn(async move {
+            for number in 0..count {
+                let blocks = format!("a1:50,{CRASHING_PART}:29,f{number}:1");
+                let request = Ask::talk(&format!("{CRASHING_BLOCK_ID}{number}"), "/talk/x", 80, 50);
+                let request = request.with("x-prompt-prefix", &blocks);
+                let request = request.post(&format!("body {number}"));
+                let front = fronts[number % fronts.len()];
+                let status = try_ask(front, &request).await.map(|answer| answer.status);
+                journal.record(format!("{CRASHING_BLOCK_ID}{number}: {status:?}"));
+                sleep(CRASHING_BLOCK_GAP).await;
+            }
+        });
+    }
+
     /// Turns something on, and off again after `span` milliseconds.
     pub(super) fn during(&mut self, span: u64, what: String, set: impl Fn(bool) + Send + 'static) {
         self.journal.record(what.clone());
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -4,6 +4,7 @@
 use crate::deployment::runner::Mode;
 use crate::deployment::store::Fault;
 use crate::proxy::LinkFault;
+use crate::routes::Partition;
 use crate::said::TargetNotice;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -148,6 +149,10 @@
     Restart(usize),
     /// A target sends a notice about itself for this many milliseconds.
     Notice(usize, TargetNotice, u64),
+    /// A gateway has no path to any target for this many milliseconds.
+    Partition(usize, Partition, u64),
+    /// Requests with a block under which targets crash come to the gateways in turn, this many.
+    CrashingBlock(usize),
     /// A target takes this percentage of its usual time, and reports that, for this many milliseconds.
     Slow(usize, u64, u64),
 }
@@ -186,6 +191,8 @@
     pub steps: Vec<(u64, Step)>,
     pub load_ms: u64,
     pub kind: Kind,
+    /// Whether each gateway has its own paths to the targets.
+    pub has_own_paths: bool,
     /// Maximum age of a restored copy that gateways are configured with, in milliseconds.
     pub copy_age_max_ms: u64,
 }
@@ -220,6 +227,7 @@
             steps: Vec::new(),
             load_ms: LOAD_MS,
             kind,
+            has_own_paths: false,
             copy_age_max_ms: 0,
         };
         let mut at = FIRST_STEP_MS;
@@ -292,6 +300,21 @@
         self
     }
 
+    /// Adds gateways that lose their paths to all targets, and a block of prompts under which targets crash. No other
+    /// step takes a target out of service then.
+    pub fn with_partitions(mut self) -> Self {
+        self.steps.retain(|(_, step)| {
+            !matches!(
+                step,
+                Step::Leave(..) | Step::Lapse(..) | Step::Crash(_) | Step::Restart(_)
+            )
+        });
+        self.steps.extend(partitions(self.seed, self.gateways));
+        self.steps.sort_by_key(|(at, _)| *at);
+        self.has_own_paths = true;
+        self
+    }
+
     /// Adds targets that send notices about themselves.
     pub fn with_notices(mut self) -> Self {
         self.steps.extend(notices(self.seed));
@@ -348,6 +371,30 @@
     (0..RESTORES).map(restore).collect()
 }
 
+/// Partitions in a run that has any.
+const PARTITIONS: usize = 4;
+/// Longest partition, in milliseconds: long enough that requests go through other gateways for most of it.
+const PARTITION_MAX_MS: u64 = 3_000;
+/// Requests with a crashing block in such a run.
+const CRASHING_REQUESTS: usize = 12;
+
+fn partitions(seed: u64, gateways: usize) -> Vec<(u64, Step)> {
+    // A separate generator, as in `lapses`.
+    let mut rng = StdRng::seed_from_u64(!seed);
+    let kinds = [Partition::Silent, Partition::Reset, Partition::Refused];
+    let partition = |_| {
+        let kind = kinds[rng.random_range(0..kinds.len())];
+        let span = rng.random_range(300..PARTITION_MAX_MS);
+        let gateway = rng.random_range(0..gateways);
+        let at = rng.random_range(FIRST_STEP_MS..LOAD_MS);
+        (at, Step::Partition(gateway, kind, span))
+    };
+    let mut steps: Vec<(u64, Step)> = (0..PARTITIONS).map(partition).collect();
+    let at = rng.random_range(FIRST_STEP_MS..LOAD_MS / 2);
+    steps.push((at, Step::CrashingBlock(CRASHING_REQUESTS)));
+    steps
+}
+
 /// Targets that send notices in a run that has any, each of a different service.
 const NOTICE_TARGETS: [usize; 3] = [0, 2, 4];
 /// How long they send them, in milliseconds: until shortly before the end of the load, so that the bounds pass within
--- a/tests/soak/promise.rs
+++ b/tests/soak/promise.rs
@@ -10,6 +10,7 @@
 use crate::line::End;
 use crate::plan::{LOCAL_PREPAID, Owner};
 use crate::run::FOREIGN_PREFIX;
+use crate::run::faults::CRASHING_BLOCK_ID;
 use crate::said::NoticePeriod;
 
 /// How long a request that was sent completely may stay unread before its connection is closed. A process reads what
@@ -98,7 +99,11 @@
                 what,
             }));
         }
-        for id in runs.keys() {
+        // Requests with a crashing block are sent once, beside the callers.
+        let is_ours = |id: &str, arrivals: &[&Arrival]| {
+            id.starts_with(CRASHING_BLOCK_ID) && arrivals.len() == 1
+        };
+        for (id, _) in runs.iter().filter(|(id, arrivals)| !is_ours(id, arrivals)) {
             violations.push(Violation {
                 promise: "UNASKED",
                 id: Some((*id).to_owned()),
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -18,12 +18,13 @@
 use crate::plan::{Change, Departure, Kind, Plan, SLOWER_PERCENT, Step, TARGETS, TOP_UP_TOKENS};
 use crate::promise::{IN_FORCE_MAX, Observations, Violation};
 use crate::proxy::{LinkFault, Proxy};
+use crate::routes::Path;
 use crate::timeline::Journal;
 
 #[path = "ending.rs"]
 mod ending;
 #[path = "faults.rs"]
-mod faults;
+pub mod faults;
 
 /// Grace period of a gateway's shutdown, in milliseconds: several times the longest request.
 const GRACE_MS: &str = "8000";
@@ -84,6 +85,10 @@
     slots: Vec<GatewaySlot>,
     targets: Arc<Vec<Target>>,
     reserved_targets: Arc<Mutex<Vec<usize>>>,
+    /// The own paths of each gateway to the targets, if it has any.
+    paths: Vec<Vec<Path>>,
+    /// The gateways that are partitioned from all targets.
+    partitioned: Arc<Mutex<Vec<usize>>>,
     config: Config,
     observations: Arc<Mutex<Observations>>,
     violations: Arc<Mutex<Vec<Violation>>>,
@@ -153,6 +158,7 @@
             "--copy-age",
             copy_age.as_str(),
         ];
+        let mut paths = Vec::new();
         for number in 0..plan.gateways {
             let name = format!("g{number}");
             let log = logs.join(format!("{name}.log"));
@@ -160,7 +166,20 @@
             let (cores, link) = (capacity.cores.to_string(), capacity.link_mbps.to_string());
             let own = ["--cores", cores.as_str(), "--link-mbps", link.as_str()];
             let flags = [&flags[..], &own].concat();
-            deployment.add_logged(&name, &flags, Some(log)).await;
+            if plan.has_own_paths {
+                let mut own_paths = Vec::new();
+                for target in &targets {
+                    own_paths.push(Path::open(target.address).await);
+                }
+                let routes = targets.iter().zip(&own_paths);
+                let routes = routes.map(|(target, path)| (target.address, path.address));
+                deployment
+                    .add_routed_logged(&name, routes.collect(), &flags, Some(log))
+                    .await;
+                paths.push(own_paths);
+            } else {
+                deployment.add_logged(&name, &flags, Some(log)).await;
+            }
         }
         deployment.wait_ready().await;
         let listed = plan.gateways.min(ADDRESSES_MIN);
@@ -185,6 +204,8 @@
                 .map(|gateway| GatewaySlot::new(gateway, logs))
                 .collect(),
             targets: Arc::new(targets),
+            paths,
+            partitioned: Arc::default(),
             reserved_targets: Arc::default(),
             config,
             observations: Arc::default(),
@@ -240,6 +261,8 @@
             Step::Lapse(number, rewrite, span) => self.lapse(number, rewrite, span),
             Step::Crash(number) => self.crash(number),
             Step::Restart(number) => self.restart(number),
+            Step::Partition(number, partition, span) => self.partition(number, partition, span),
+            Step::CrashingBlock(count) => self.send_crashing_block(count),
             Step::Slow(number, percent, span) => {
                 let targets = Arc::clone(&self.targets);
                 let paces = [USUAL_PERCENT, percent].map(|now| pace(&self.plan, number, now));
