--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -210,7 +210,7 @@
         no_short,
         meta = "KEY",
         default = "lanedeck-fleet",
-        help = "shared secret that routers of this fleet authenticate with, 8 to 256 visible characters; replace the default where others can reach --link"
+        help = "shared secret that routers of this fleet authenticate with, 8 to 256 visible characters; replace the default where others can reach --link or --proxy"
     )]
     pub fleet_key: String,
     #[options(
--- a/src/gateway/control/quarantine.rs
+++ b/src/gateway/control/quarantine.rs
@@ -57,10 +57,10 @@
     let address = control.state.borrow().targets.get(target).listing.address;
     let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
     control.probing.borrow_mut().remove(&target);
-    // Any other outcome does not show whether the target has crashed.
     if matches!(connected, Ok(Ok(_))) {
         return;
     }
+    // Only a refused connection shows a crash, and only from a router that reaches the other targets.
     if let Ok(Err(error)) = connected
         && error.kind() == std::io::ErrorKind::ConnectionRefused
         && reachability::reaches_others(control, target).await
--- a/src/gateway/control/reachability.rs
+++ b/src/gateway/control/reachability.rs
@@ -1,8 +1,8 @@
 //! Follows whether this router has a path to the targets, and finds routers that send its requests while it has none.
 //!
 //! A connection that fails makes this router probe a few targets. While none can be reached, it probes them again at
-//! short intervals, and asks its neighbours whether they can. The number of questions per interval does not depend on the
-//! size of the fleet, and a router that has a path asks nobody.
+//! short intervals, and asks its neighbours whether they can. The number of questions per interval does not depend on
+//! the size of the fleet, and a router that has a path asks nobody.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -32,6 +32,10 @@
 /// Most routers that are used at the same time.
 const PROXIES_MAX: usize = 4;
 
+/// Most rounds without a search after one that found no router: the neighbours are partitioned too, and asking all of
+/// them in each round would take more than a router may use for control.
+const ROUNDS_PAUSED_MAX: u32 = 3;
+
 /// What the task that follows the path needs between its rounds.
 #[derive(Debug, Default)]
 pub(super) struct Monitor {
@@ -61,6 +65,7 @@
 async fn follow(control: Rc<Control>) {
     let monitor = &control.reachability;
     let mut proxies = Vec::new();
+    let (mut searches_in_vain, mut rounds_paused) = (0, 0);
     while monitor.is_suspected.replace(false) || !monitor.is_reachable() {
         let probes = probe_targets(&control).await;
         let before = monitor.state.get();
@@ -72,13 +77,21 @@
         match state {
             Reachability::Reachable => {
                 proxies.clear();
+                (searches_in_vain, rounds_paused) = (0, 0);
                 publish(&control, Paths::Direct);
             }
+            Reachability::Partitioned(_) if rounds_paused > 0 => rounds_paused -= 1,
             Reachability::Partitioned(pooled) => {
                 if proxies.is_empty() {
                     publish(&control, proxied(pooled, &proxies, true));
                 }
                 proxies = find_proxies(&control, &proxies).await;
+                if proxies.is_empty() {
+                    searches_in_vain += 1;
+                    rounds_paused = ROUNDS_PAUSED_MAX.min(searches_in_vain);
+                } else {
+                    searches_in_vain = 0;
+                }
                 publish(&control, proxied(pooled, &proxies, false));
             }
         }
--- a/src/gateway/decision/quarantine.rs
+++ b/src/gateway/decision/quarantine.rs
@@ -1,5 +1,5 @@
-//! Whether a request, or a block that prompts share, is the cause of the target crashes that it was involved in, and must
-//! not be sent again.
+//! Whether a request, or a block that prompts share, is the cause of the target crashes that it was involved in, and
+//! must not be sent again.
 //!
 //! A target that crashes fails all requests that it is processing, so a single crash says almost nothing about any one
 //! of them. Only successive crashes count: the request was sent to another target after the previous one had crashed,
@@ -7,8 +7,8 @@
 //! once, and so count once. A request that any target has answered successfully is not the cause;
 //! [`Quarantine`](crate::gateway::quarantine::Quarantine) handles that case and drops the crashes of such a request.
 //!
-//! A block is in many requests, of which most may be answered. It has to be answered again and again to stay cleared:
-//! one that begins to crash targets later than its last answer is found too.
+//! A block is in many requests. An answer clears it of earlier crashes only, so that one that turns bad is found too;
+//! many answers clear it for good.
 
 use crate::gateway::fingerprint::Kind;
 use crate::units::Millis;
@@ -54,11 +54,11 @@
     successive_crashes(crashes).len()
 }
 
-/// Number of separate seconds with an answer after which a block is not the cause of crashes, as its content stays the same. Holding
-/// back a block that most requests share would refuse most callers.
+/// Number of separate seconds with an answer after which a block is not taken to be the cause of crashes: its content
+/// stays the same, and holding a block that most requests share would refuse most callers.
 const PROVEN_ANSWERS: u32 = 8;
-/// How long after the last crash one request with a quarantined block is sent to a target again, to learn whether the block
-/// is answered now.
+/// How long after the last crash one request with a quarantined block is sent to a target again, to learn whether the
+/// block is answered now.
 const TRIAL_INTERVAL: Millis = Millis(60_000);
 
 /// Whether this many answers in separate seconds prove that a suspect is not the cause of crashes.
--- a/src/gateway/fingerprint.rs
+++ b/src/gateway/fingerprint.rs
@@ -20,8 +20,8 @@
     pub request: u64,
 }
 
-/// Stands in place of the customer's hash in the fingerprint of a block. No customer has this hash but by a chance of one in
-/// 2^64.
+/// Stands in place of the customer's hash in the fingerprint of a block. A customer has this hash with a probability of
+/// one in 2^64.
 const BLOCK: u64 = u64::MAX;
 
 /// What a fingerprint identifies.
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -1,9 +1,9 @@
 //! Sends requests of other routers, which are partitioned from the targets, to targets.
 //!
-//! A router sends such a request as it would send it to the target, with two headers more: the fleet's key, and the
-//! target's incarnation. It stays the owner of the request: it has chosen the target, holds the tokens, counts the attempt
-//! and decides about retries. Here the request is sent to that target over a direct connection, once, and the response is
-//! passed back as it arrives. A request is never passed on to a third router, so none goes round.
+//! A router sends such a request as it would send it to the target, with two more headers: the fleet's key and the
+//! target's incarnation. It stays the owner of the request: it has chosen the target, holds the tokens, counts the
+//! attempt and decides about retries. Here the request is sent to that target over a direct connection, once, and the
+//! response is passed back as it arrives. A request is never passed on to a third router, so there are no loops.
 //!
 //! Whether a request that failed here was sent is told in the `Proxy-Status` header (RFC 9209). The connection to the
 //! target ends with the one to the router, so a request that is cancelled there is cancelled here too.
--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -1,7 +1,7 @@
-//! Tracks requests that were in flight at targets when those crashed, and the blocks of their prompts, across all routers,
-//! and quarantines the likely causes.
+//! Tracks requests that were in flight at targets when those crashed, and the blocks of their prompts, across all
+//! routers, and quarantines the likely causes.
 //!
-//! For each such request or block it owns the crashes, and whether the request succeeded anywhere, which clears it. Both are
+//! For each such request or block it owns the crashes, and when it last succeeded anywhere, which clears it. Both are
 //! only ever added to, so reports may arrive late, duplicated and in any order, and all routers converge on the same
 //! state. It relies on its caller for the time, for detecting crashes of targets, and for sending reports to other
 //! routers. [`decision::quarantine`](super::decision::quarantine) defines which crashes count.
@@ -282,7 +282,8 @@
         }
     }
 
-    /// When a suspect succeeded, if that is recent enough to clear it; now, if its successes prove that it is not the cause.
+    /// When a suspect succeeded, if that is recent enough to clear it; `now` if its successes prove that it is not the
+    /// cause of crashes at all.
     fn answered(&self, now: Millis, fingerprint: Fingerprint) -> Option<Millis> {
         let successes = self.answered.get(fingerprint)?;
         let is_recent = now.saturating_sub(successes.last) < RETENTION;
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -530,8 +530,8 @@
     std::iter::once(job.fingerprint).chain(blocks.map(|block| Fingerprint::of_block(block.id)))
 }
 
-/// Logs that a request was in progress at a target that crashed: the evidence for a later quarantine of the request, or of
-/// a block of its prompt.
+/// Logs that a request was in progress at a target that crashed: the evidence for a later quarantine of the request, or
+/// of a block of its prompt.
 fn log_crash(now: Millis, broken: &BrokenAttempt, instance: &str) {
     tracing::info!(
         event = "crash_noted",
