Begin the outage of part_without_store once each router serves

The test silenced the store as soon as the routers were ready, and beside load that was before their first grants were written, so each request was refused with budget_short_and_cut_off, which is right. The checks are the same.

--- a/tests/crashing_part.rs
+++ b/tests/crashing_part.rs
@@ -8,7 +8,7 @@
 use deployment::runner::{Arrival, CRASHING, CRASHING_PART, Runner};
 use deployment::store::Fault;
 use deployment::turns::{self, ask_in_turn};
-use deployment::{Ask, Deployment, ask, try_ask};
+use deployment::{Ask, Deployment, ask, try_ask, until};
 
 const GATEWAYS: usize = 3;
 const TARGETS: usize = 6;
@@ -123,6 +123,8 @@
 async fn part_without_store() {
     let (deployment, runners) = turns::start_fleet(GATEWAYS, TARGETS, "engine").await;
     for gateway in &deployment.gateways {
+        // Without a grant from before the outage nothing is served in it.
+        until(|| async { ask(gateway.front, &other_talk(0)).await.status == 200 }).await;
         deployment.store.set_fault(gateway.store, Fault::Silent);
     }
     check_quarantine_of(&deployment, &runners, crashing_talk, other_talk).await;
