--- a/tests/routes/mod.rs
+++ b/tests/routes/mod.rs
@@ -46,8 +46,7 @@
 
 impl Path {
     pub async fn open(target: SocketAddr) -> Self {
-        // No outgoing connection takes the port while the path is cut.
-        let listener = TcpListener::bind(free_address()).await.unwrap();
+        let listener = listen().await;
         let path = Self {
             address: listener.local_addr().unwrap(),
             target,
@@ -122,6 +121,16 @@
     }
 }
 
+/// Binds a port that no outgoing connection takes while the path is cut. A process that another thread starts may hold
+/// a copy of the socket that probed a port for a moment, so others are tried.
+async fn listen() -> TcpListener {
+    loop {
+        if let Ok(listener) = TcpListener::bind(free_address()).await {
+            return listener;
+        }
+    }
+}
+
 async fn forward(mut client: TcpStream, target: SocketAddr) {
     let Ok(mut upstream) = TcpStream::connect(target).await else {
         return;
