Log the id of a request that is sent for another router, and which router sends one

Reading the diff: proxy_sent and proxy_failed had no request id, and attempt_sent did not tell which router a proxied request went to, so its way could not be followed from its id. Two errors were dropped: why a body was not taken, and how the target's connection broke.

attempt_sent has the other router's address (proxy), the lines of that router have the id, and both errors are logged.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -225,6 +225,7 @@
             fingerprint = %self.fingerprint,
             attempts = self.sent,
             connection = link.origin.as_str(),
+            proxy = link.proxy().map(tracing::field::display),
             left_ms = self.deadline.left().as_millis() as u64,
             estimate_ms = estimate.map(|estimate| estimate.ms.round() as u64),
             best_ms = estimate.map(|estimate| estimate.best_ms.round() as u64),
--- a/src/gateway/paths.rs
+++ b/src/gateway/paths.rs
@@ -34,7 +34,7 @@
     pub timed_out: Counter,
     /// Connections to targets that were refused or failed otherwise.
     pub refused: Counter,
-    /// Requests that another router answered for this one, or its targets.
+    /// Responses that came through another router: a target's, or that router's own if it got none.
     pub proxied: Counter,
     /// Requests that were sent to targets for other routers.
     pub sent_for_others: Counter,
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -151,11 +151,14 @@
         *response.status_mut() = StatusCode::PROXY_AUTHENTICATION_REQUIRED;
         return response;
     }
-    match forward(relay, parts, &mut body).await {
+    let id = relay.dialect.read_request(&parts.headers);
+    // The other router has read the request before; a header that cannot be read here is in its log.
+    let id = id.map_or_else(|_| String::new(), |request| request.id);
+    match forward(relay, &id, parts, &mut body).await {
         Ok(response) => response,
         Err(error) => {
             relay.shared.path_counts.failed_for_others.add(1);
-            tracing::info!(event = "proxy_failed", reason = error.as_str());
+            tracing::info!(event = "proxy_failed", %id, reason = error.as_str());
             let config = relay.shared.config.load();
             let limits = config.as_ref().map(|config| config.limits);
             read_state.discard(body, limits.unwrap_or_default().body_bytes);
@@ -172,6 +175,7 @@
 
 async fn forward(
     relay: &Arc<Relay>,
+    id: &str,
     parts: http::request::Parts,
     body: &mut Incoming,
 ) -> Result<Response<Body>, Error> {
@@ -187,19 +191,30 @@
     let limits = relay.shared.config.load().as_ref().map(|it| it.limits);
     let max = limits.unwrap_or_default().body_bytes;
     let body = upload::read(body, max, &mut usage, &deadline).await;
-    let body = body.map_err(|_| Error::Denied)?;
+    let body = body.map_err(|reason| {
+        tracing::info!(event = "proxy_body_refused", %id, reason = reason.as_str());
+        Error::Denied
+    })?;
     let mut link = relay
         .connect_direct(address)
         .await
         .ok_or(Error::Unreachable)?;
     let request = build_request(parts, body);
     relay.shared.path_counts.sent_for_others.add(1);
-    tracing::info!(event = "proxy_sent", instance = %target, connection = link.origin.as_str());
+    tracing::info!(
+        event = "proxy_sent",
+        %id,
+        instance = %target,
+        connection = link.origin.as_str()
+    );
     let response = until_ended(&ended, link.connection.send(request)).await;
     let response = match response.ok_or(Error::Terminated)? {
         Ok(response) => response,
         Err(error) if error.was_not_sent => return Err(Error::Unreachable),
-        Err(_) => return Err(Error::Terminated),
+        Err(error) => {
+            tracing::info!(event = "connection_broken", %id, cause = ?error.kind());
+            return Err(Error::Terminated);
+        }
     };
     let guard = Guard {
         _slot: slot,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -64,6 +64,13 @@
     peer: SocketAddr,
 }
 
+impl Link {
+    /// The router that sends the request to the target, if another one does.
+    pub(super) fn proxy(&self) -> Option<SocketAddr> {
+        (self.origin == Origin::Proxied).then_some(self.peer)
+    }
+}
+
 /// Data that all requests share.
 pub struct Relay {
     /// State shared with the control thread.
@@ -126,6 +133,7 @@
                     match proxy {
                         Some(proxy) => return self.connect_proxy(proxy).await,
                         None if is_searching => {
+                            // An error would mean that the sender is gone, as above.
                             let _ = paths.changed().await;
                         }
                         None => return Err(Failure::NoPath),
