--- a/src/gateway/control/quarantine.rs
+++ b/src/gateway/control/quarantine.rs
@@ -76,9 +76,7 @@
 pub(super) fn merge(control: &Control, reports: &[Report]) {
     let now = control.now();
     let mut state = control.state.borrow_mut();
-    for report in reports {
-        state.quarantine.merge(now, report);
-    }
+    state.quarantine.merge_all(now, reports);
     drop(state);
     publish_changes(control);
 }
--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -254,12 +254,28 @@
         }
     }
 
-    /// Merges another router's report on a request.
+    /// Merges another router's report on a request or block.
     pub fn merge(&mut self, now: Millis, report: &Report) {
+        self.merge_all(now, std::slice::from_ref(report));
+    }
+
+    /// Merges the reports of a message. The holds are computed once for all of them.
+    pub fn merge_all(&mut self, now: Millis, reports: &[Report]) {
+        let mut is_change = false;
+        for report in reports {
+            is_change |= self.merge_one(now, report);
+        }
+        if is_change {
+            self.update_holds(now);
+        }
+    }
+
+    /// Merges a report; returns whether it changes anything.
+    fn merge_one(&mut self, now: Millis, report: &Report) -> bool {
         let ages = report.crashes.iter().map(|crash| crash.ago);
         let youngest = ages.chain(report.answered_ago).min();
         if youngest.is_none_or(|ago| ago >= RETENTION) {
-            return;
+            return false;
         }
         let ago = |ago: Millis| now.saturating_sub(ago);
         let reported = report.answered_ago.map(ago);
@@ -278,8 +294,8 @@
         }
         if is_change {
             suspect.rounds_reported = 0;
-            self.update_holds(now);
         }
+        is_change
     }
 
     /// When a suspect succeeded, if that is recent enough to clear it; `now` if its successes prove that it is not the
@@ -335,6 +351,7 @@
     fn update_holds(&mut self, now: Millis) {
         let suspects = self.suspects.iter();
         let in_a_row: Vec<(&Fingerprint, &Suspect, Suspicion)> = suspects
+            .filter(|(_, suspect)| quarantine::is_held(suspect.crashes.len()))
             .map(|(fingerprint, suspect)| (fingerprint, suspect, suspect.suspicion()))
             .filter(|(_, _, suspicion)| quarantine::is_held(suspicion.crashes))
             .collect();
