Let requests wait only for the first search for a router that has a path

Reading the diff: each search in vain published again that it was under way, and requests waited for its end. Neighbours that do not answer, as where a router is cut off from them too, make a search take up to 2.4 s (six batches of 400 ms), so callers were refused late again and again. Now only the first search of a partition is waited for; after it requests are refused at once until a router is found.

By reading: at four routers neighbours that do not answer are known as unreachable within a second and are not asked, so no test of this size shows the difference. target_partition and proxied_requests pass as before.

--- a/src/gateway/control/reachability.rs
+++ b/src/gateway/control/reachability.rs
@@ -31,7 +31,6 @@
 const PROXIES_MIN: usize = 2;
 /// Most routers that are used at the same time.
 const PROXIES_MAX: usize = 4;
-
 /// Most rounds without a search after one that found no router: the neighbours are partitioned too, and asking all of
 /// them in each round would take more than a router may use for control.
 const ROUNDS_PAUSED_MAX: u32 = 3;
@@ -82,7 +81,8 @@
             }
             Reachability::Partitioned(_) if rounds_paused > 0 => rounds_paused -= 1,
             Reachability::Partitioned(pooled) => {
-                if proxies.is_empty() {
+                // Requests wait for the first search only: neighbours that do not answer make one take seconds.
+                if proxies.is_empty() && searches_in_vain == 0 {
                     publish(&control, proxied(pooled, &proxies, true));
                 }
                 proxies = find_proxies(&control, &proxies).await;
