--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -74,6 +74,8 @@
     pub prompt: Option<Prompt>,
     /// Id of the last event that the caller received of the stream that it resumes.
     pub last_event: Option<String>,
+    /// Id of the caller's request that brought the first event of the stream that it resumes.
+    pub resumes: Option<String>,
     /// Whether the caller set headers by which only routers may instruct a target. These are not forwarded.
     pub has_orders: bool,
 }
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -52,6 +52,8 @@
     pub target: TargetKey,
     /// The target's instance; another instance at the same address must refuse the request.
     pub instance: String,
+    /// Version of the target's software, if it is known.
+    pub version: Option<String>,
     /// The target's address.
     pub address: SocketAddr,
     /// Cancelled when the target's incarnation is known to have ended.
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -242,13 +242,14 @@
         self.targets.note_send(now, &self.members, target);
         let estimate = running.estimate;
         self.running.insert(key, running);
-        let listing = &self.targets.get(target).listing;
+        let chosen = self.targets.get(target);
         Placement {
             job: key,
             target,
-            instance: listing.instance.clone(),
-            address: listing.address,
-            ended: self.targets.get(target).ended.clone(),
+            instance: chosen.listing.instance.clone(),
+            version: chosen.version.clone(),
+            address: chosen.listing.address,
+            ended: chosen.ended.clone(),
             estimate,
         }
     }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -95,6 +95,7 @@
             event = "stream_started",
             id = %exchange.request.id,
             instance = %upstream.attempt.placement().instance,
+            version = upstream.attempt.placement().version,
             ms = elapsed.as_millis() as u64
         );
         upstream.attempt.report_first_event();
@@ -148,7 +149,14 @@
             Ok(mut response) => {
                 self.exchange.relay.shared.metrics.resumed.add(1);
                 let after = self.events.last_id();
-                tracing::info!(event = "stream_resumed", id = %self.exchange.request.id, ?after);
+                let placement = response.attempt.placement();
+                tracing::info!(
+                    event = "stream_resumed",
+                    id = %self.exchange.request.id,
+                    instance = %placement.instance,
+                    version = placement.version,
+                    after
+                );
                 let is_unframed = proxy::take_unframed(&mut response.parts.headers);
                 self.upstream = Some(Upstream::new(response, is_unframed));
                 true
--- a/src/gateway/targets/target.rs
+++ b/src/gateway/targets/target.rs
@@ -23,7 +23,7 @@
     /// The target's entry in the list, as last read.
     pub listing: Listing,
     /// Version of the target's software; `None` if only another router has told of the target.
-    pub(super) version: Option<String>,
+    pub version: Option<String>,
     /// Number of this router's requests in flight at the target.
     pub in_flight: u32,
     /// Prompt tokens of this router's requests in flight whose responses have not begun.
--- a/tests/untaken_attempt.rs
+++ b/tests/untaken_attempt.rs
@@ -36,6 +36,7 @@
     Placement {
         job: JOB,
         target: TargetKey(0),
+        version: None,
         instance: "i-1".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         ended: CancellationToken::new(),
