Resume an interrupted stream only at targets of the version that began it

Callers saw: streams with events of two software versions in one answer. Cause: a retry chooses its target as for a new request; nothing of the attempt that delivered the first event is kept but its last event's id, and during a rollout each retry goes to the stable version, also that of a stream that the new one began. Change: a request has a constraint on versions (decision/origin). The first event sets it to the version of its target; the choice then leaves out all other targets of the service, those of unknown version among them, and a target that broke the stream off may get it again if no other of its version is left. During a rollout such a retry belongs to the arm of its version: at the new one it counts as exposed and is sent only while the bound and the decider's last record allow it. If no target of the version accepts requests, the retry is refused (version_gone), and the stream is broken off as before.

A router that sends for another one gets the target's incarnation from the owner, and a version belongs to an incarnation, so the constraint holds there too (by reading).

--- a/src/gateway/decision/mod.rs
+++ b/src/gateway/decision/mod.rs
@@ -17,6 +17,7 @@
 pub mod limit;
 pub mod memory;
 pub mod order;
+pub mod origin;
 pub mod overload;
 pub mod placement;
 pub mod promise;
--- a/src/gateway/decision/refusal.rs
+++ b/src/gateway/decision/refusal.rs
@@ -75,6 +75,10 @@
         /// Time until the targets can run the request.
         after: Millis,
     },
+    /// It is not known which version of the targets' software began the stream.
+    VersionUnknown,
+    /// No target of the version that began the stream accepts requests.
+    VersionGone,
     /// Targets crashed in succession while they ran the request, so it is not sent to any.
     Quarantined {
         /// How much longer the quarantine lasts.
@@ -310,7 +314,8 @@
                 Some(left.map_or(BARRED_RETRY, |left| left.max(BARRED_RETRY_MIN)))
             }
             Self::Refused(Refusal::Busy { after, .. }) => Some(after.max(promise::RETURN_MIN)),
-            Self::Refused(Refusal::NoTarget) | Self::Unreachable => Some(NO_TARGET_RETRY),
+            Self::Refused(Refusal::NoTarget | Refusal::VersionUnknown | Refusal::VersionGone)
+            | Self::Unreachable => Some(NO_TARGET_RETRY),
             Self::Refused(Refusal::Evacuated) => Some(EVACUATED_RETRY),
             Self::Refused(Refusal::NoRepeats) | Self::TargetRefused => Some(REFUSED_RETRY),
             Self::BadHeader
@@ -339,6 +344,8 @@
             Self::Overloaded => "overloaded",
             Self::MemoryFull => "memory_full",
             Self::Refused(Refusal::NoTarget) => "no_target",
+            Self::Refused(Refusal::VersionUnknown) => "version_unknown",
+            Self::Refused(Refusal::VersionGone) => "version_gone",
             Self::Refused(Refusal::Evacuated) => "halls_evacuated",
             Self::Refused(Refusal::NoRepeats) => "no_repeats",
             Self::Refused(Refusal::Exhausted) => "budget_exhausted",
--- a/src/gateway/decision/rollout.rs
+++ b/src/gateway/decision/rollout.rs
@@ -92,6 +92,14 @@
 
 /// Whether a router may send its next request to the new version.
 pub fn may_send(limit: &Limit, knowledge: Knowledge, sends: &Sends) -> bool {
+    let is_spaced = knowledge.stage != Some(Stage::Trial)
+        || sends.requests >= sends.candidate.saturating_add(1) * TRIAL_SPACING;
+    is_spaced && may_continue(limit, knowledge, sends)
+}
+
+/// Whether a router may send a stream that the new version has begun to that version again. Streams that go on count as
+/// exposed, but are not spaced: they cannot go on anywhere else.
+pub fn may_continue(limit: &Limit, knowledge: Knowledge, sends: &Sends) -> bool {
     let stage = match knowledge.stage {
         None | Some(Stage::RolledBack) => return false,
         Some(Stage::Done) => return true,
@@ -105,9 +113,7 @@
         _ => TRIAL_SHARE,
     };
     let allowed = limit.share * share * sends.requests as f64 + extra(limit, sends);
-    let is_spaced = stage == Stage::Shift
-        || sends.requests >= sends.candidate.saturating_add(1) * TRIAL_SPACING;
-    is_recent && is_spaced && (sends.candidate + 1) as f64 <= allowed
+    is_recent && (sends.candidate + 1) as f64 <= allowed
 }
 
 /// This router's part of the requests that are allowed in addition to the share.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -17,6 +17,7 @@
 use super::body::{self, Body};
 use super::deadline::Deadline;
 use super::decision::admission;
+use super::decision::origin::Constraint;
 use super::decision::refusal::{Declined, Reason, Refusal};
 use super::decision::retry::{self, Decision, Failure, History, Verdict};
 use super::dialect::{self, BadForward, Forward, Prompt};
@@ -173,6 +174,7 @@
             route: self.route.name.clone(),
             services: services.collect(),
             prompt: self.request.prompt.clone(),
+            origin: Constraint::Any,
             fingerprint: self.fingerprint,
             payer: admission::payer(customer, self.request.prompt.is_some()),
             demand: Demand::New,
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -5,6 +5,7 @@
 
 use tokio_util::sync::CancellationToken;
 
+use super::decision::origin::Constraint;
 use super::decision::placement::Estimate;
 use super::dialect::Prompt;
 use super::escrow::Demand;
@@ -24,6 +25,8 @@
     pub services: Vec<(String, f64)>,
     /// The prompt; set for a model request only.
     pub prompt: Option<Prompt>,
+    /// The versions of targets that the request may be sent to.
+    pub origin: Constraint,
     /// Identity of the request, the same whenever it is sent again.
     pub fingerprint: Fingerprint,
     /// The customer that pays, and its total of prepaid tokens.
--- a/src/gateway/rollout/registry.rs
+++ b/src/gateway/rollout/registry.rs
@@ -60,6 +60,22 @@
         self.stage.is_some_and(Stage::is_final)
     }
 
+    /// The inputs of the decision about a send to the new version, by a router at this position among the fleet's
+    /// `routers`.
+    fn inputs(&self, now: Millis, routers: usize, place: Option<usize>) -> (Knowledge, Sends) {
+        let knowledge = Knowledge {
+            stage: self.stage,
+            record_age: self.record_age(now),
+        };
+        let sends = Sends {
+            requests: self.requests,
+            candidate: self.candidate_attempts,
+            routers,
+            place,
+        };
+        (knowledge, sends)
+    }
+
     /// The later one of the known stage and `stage`; returns whether it is a new one.
     fn enter(&mut self, now: Millis, stage: Stage) -> bool {
         let is_later = self.stage.is_none_or(|known| known < stage);
@@ -211,16 +227,7 @@
     ) -> Option<Arm> {
         let rollout = self.by_service.get_mut(service)?;
         rollout.requests += 1;
-        let knowledge = Knowledge {
-            stage: rollout.stage,
-            record_age: rollout.record_age(now),
-        };
-        let sends = Sends {
-            requests: rollout.requests,
-            candidate: rollout.candidate_attempts,
-            routers,
-            place: place(),
-        };
+        let (knowledge, sends) = rollout.inputs(now, routers, place());
         let may_send = rollout::may_send(&self.limit, knowledge, &sends);
         Some(if may_send {
             Arm::Candidate
@@ -229,6 +236,22 @@
         })
     }
 
+    /// Whether a stream that the new version has begun may go on there. Unlike in [`assign`](Self::assign), it is no new
+    /// request.
+    pub fn may_continue(
+        &self,
+        now: Millis,
+        service: &str,
+        routers: usize,
+        place: Option<usize>,
+    ) -> bool {
+        let rollout = self.by_service.get(service);
+        rollout.is_some_and(|rollout| {
+            let (knowledge, sends) = rollout.inputs(now, routers, place);
+            rollout::may_continue(&self.limit, knowledge, &sends)
+        })
+    }
+
     /// The arm of a retry: a request that the new version failed is not sent there again.
     pub fn retry_arm(&self, service: &str) -> Option<Arm> {
         let rollout = self.by_service.get(service)?;
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -6,6 +6,7 @@
 
 mod loans;
 mod money;
+mod origins;
 mod rollouts;
 
 use std::collections::HashMap;
@@ -18,6 +19,7 @@
 use super::decision::busy::{self, Prospect};
 use super::decision::capacity::Capacity;
 use super::decision::grant::Sizing;
+use super::decision::origin::Constraint;
 use super::decision::placement::Estimate;
 use super::decision::refusal::Refusal;
 use super::decision::retry::{Bound, Budget, Charge};
@@ -145,7 +147,10 @@
             return Err(refusal);
         }
         let service = self.draw_service(&job);
-        let arm = self.assign_arm(now, &service);
+        let arm = match job.origin {
+            Constraint::Only(origin) => self.arm_of_origin(now, &service, origin)?,
+            Constraint::Any | Constraint::Unknown => self.assign_arm(now, &service),
+        };
         let mut running = Running {
             service,
             arm,
@@ -185,7 +190,6 @@
             return Err(Refusal::NoTarget);
         };
         self.end_attempt(now, &mut running, ending);
-        running.arm = self.rollouts.retry_arm(&running.service);
         match self.retry_target(now, &mut running, charge) {
             Ok(target) => Ok(self.place(now, key, running, target)),
             Err(refusal) => {
@@ -203,6 +207,10 @@
         charge: Charge,
     ) -> Result<TargetKey, Refusal> {
         self.check_quarantine(now, &running.job)?;
+        running.arm = match running.job.origin {
+            Constraint::Only(origin) => self.arm_of_origin(now, &running.service, origin)?,
+            Constraint::Any | Constraint::Unknown => self.rollouts.retry_arm(&running.service),
+        };
         let target = self.choose(now, running)?;
         if charge == Charge::Free {
             return Ok(target);
@@ -327,6 +335,7 @@
 
     /// Records that the first event of a target's stream has arrived, and the time since the request was sent.
     pub fn note_first_event(&mut self, now: Millis, key: JobKey, elapsed: Duration) {
+        self.note_origin(key);
         let Some(running) = self.running.get(&key) else {
             return;
         };
@@ -437,6 +446,7 @@
             return;
         };
         running.tried.push(target);
+        self.learn_origin(running, target);
         self.note_rollout_attempt(now, running, target, ending);
         let backlog = std::mem::take(&mut running.backlog);
         self.targets.prefilled(target, backlog);
@@ -471,8 +481,14 @@
     fn choose(&mut self, now: Millis, running: &mut Running) -> Result<TargetKey, Refusal> {
         let service = &running.service;
         let barred = self.targets.barred(now, &self.members, service);
-        let excluded = [&barred.targets[..], &running.tried[..]].concat();
-        let candidates = self.targets.candidates(now, service, &excluded);
+        let other = self.of_other_origins(running)?;
+        let excluded = [&barred.targets[..], &running.tried[..], &other[..]].concat();
+        let mut candidates = self.targets.candidates(now, service, &excluded);
+        if candidates.is_empty() && running.job.origin != Constraint::Any {
+            // A target that broke off a stream may go on with it, which no other version can.
+            let excluded = [&barred.targets[..], &other[..]].concat();
+            candidates = self.targets.candidates(now, service, &excluded);
+        }
         let (arm, candidates) = self.restrict_to_arm(service, running.arm, candidates);
         let candidates = self.targets.avoid_cold(now, &self.members, candidates);
         running.arm = arm;
@@ -490,7 +506,8 @@
         });
         if let (busy::Outcome::Busy { expected }, Some(shortest)) = (outcome, shortest) {
             // A few targets of a new version may be busy while those of the former one are not.
-            if arm == Some(Arm::Candidate) && self.may_use_stable(service) {
+            let is_new = running.job.origin == Constraint::Any;
+            if is_new && arm == Some(Arm::Candidate) && self.may_use_stable(service) {
                 running.arm = Some(Arm::Stable);
                 return self.choose(now, running);
             }
--- a/src/gateway/targets/choice.rs
+++ b/src/gateway/targets/choice.rs
@@ -7,6 +7,7 @@
 
 use super::registry::Targets;
 use crate::gateway::decision::cold;
+use crate::gateway::decision::origin::{Constraint, Origin};
 use crate::gateway::decision::placement::{self, Candidate, Choice, ModelCandidate, Pace, Usual};
 use crate::gateway::dialect::Prompt;
 use crate::gateway::key::TargetKey;
@@ -30,6 +31,21 @@
         open.peek().is_some() && open.all(|key| self.is_in_evacuated_hall(key))
     }
 
+    /// The origin of streams that a target begins; `None` if its version is not known.
+    pub fn origin(&self, key: TargetKey) -> Option<Origin> {
+        self.get(key).origin()
+    }
+
+    /// The targets of a service that accept requests: those that a stream of this origin may be sent to, and the others.
+    pub fn split_by_origin(
+        &self,
+        service: &str,
+        origin: Constraint,
+    ) -> (Vec<TargetKey>, Vec<TargetKey>) {
+        self.accepting(service)
+            .partition(|key| origin.allows(self.origin(*key)))
+    }
+
     fn is_in_evacuated_hall(&self, key: TargetKey) -> bool {
         self.evacuated.contains(&self.get(key).listing.hall)
     }
--- a/src/gateway/targets/target.rs
+++ b/src/gateway/targets/target.rs
@@ -9,6 +9,7 @@
 use super::outstanding::Outstanding;
 use super::speed::{Report, Speed};
 use crate::ejection::Health;
+use crate::gateway::decision::origin::Origin;
 use crate::gateway::decision::placement::Candidate;
 use crate::gateway::dialect::{Listing, Load};
 use crate::gateway::key::TargetKey;
@@ -81,6 +82,12 @@
         hash(&self.listing.instance)
     }
 
+    /// The origin of streams that the target begins; `None` if its version is not known.
+    pub fn origin(&self) -> Option<Origin> {
+        let version = self.version.as_ref()?;
+        Some(Origin::new(&self.listing.service, version))
+    }
+
     /// Whether the target accepts requests.
     pub fn accepts_requests(&self) -> bool {
         self.is_listed && !self.has_announced_leaving()
--- a/tests/busy/mod.rs
+++ b/tests/busy/mod.rs
@@ -3,6 +3,7 @@
 
 use lanedeck::gateway::decision::capacity::Capacity;
 use lanedeck::gateway::decision::grant::Sizing;
+use lanedeck::gateway::decision::origin::Constraint;
 use lanedeck::gateway::decision::retry::Bound;
 use lanedeck::gateway::decision::rollout;
 use lanedeck::gateway::dialect::{Listing, Load, Prompt};
@@ -76,6 +77,7 @@
             max_tokens: Tokens(100),
             blocks: vec![block(u64::MAX, tokens)],
         }),
+        origin: Constraint::Any,
         fingerprint: Hasher::new("fleet").fingerprint(None, &[id.as_bytes()]),
         payer: None,
         rank: 1,
--- a/tests/capped_fleet/mod.rs
+++ b/tests/capped_fleet/mod.rs
@@ -9,6 +9,7 @@
 use lanedeck::gateway::decision::capacity::Capacity;
 use lanedeck::gateway::decision::grant::{Role, Sizing};
 use lanedeck::gateway::decision::lenders::StoreContact;
+use lanedeck::gateway::decision::origin::Constraint;
 use lanedeck::gateway::decision::reread::{Reads, Scarcity};
 use lanedeck::gateway::decision::retry::Bound;
 use lanedeck::gateway::decision::rollout::Limit;
@@ -231,6 +232,7 @@
                 tokens: cost,
                 ..Prompt::default()
             }),
+            origin: Constraint::Any,
             fingerprint: Fingerprint {
                 customer: 1,
                 request: id,
--- a/tests/returned_demand.rs
+++ b/tests/returned_demand.rs
@@ -6,6 +6,7 @@
 use lanedeck::gateway::decision::capacity::Capacity;
 use lanedeck::gateway::decision::grant::Sizing;
 use lanedeck::gateway::decision::order::Standing;
+use lanedeck::gateway::decision::origin::Constraint;
 use lanedeck::gateway::decision::promise::{Book, Claim, RETURN_MIN, RETURNS_MAX};
 use lanedeck::gateway::decision::refusal::Refusal;
 use lanedeck::gateway::decision::retry::Bound;
@@ -85,6 +86,7 @@
             max_tokens: Tokens(COST.0 / 2),
             blocks: Vec::new(),
         }),
+        origin: Constraint::Any,
         fingerprint: fingerprint(body),
         payer: Some((CUSTOMER.into(), PREPAID)),
         demand: Demand::New,
--- a/tests/untaken_attempt.rs
+++ b/tests/untaken_attempt.rs
@@ -8,6 +8,7 @@
 
 use futures::FutureExt;
 use lanedeck::gateway::attempt::{Controller, Message, ReplySender};
+use lanedeck::gateway::decision::origin::Constraint;
 use lanedeck::gateway::escrow::Demand;
 use lanedeck::gateway::fingerprint::Fingerprint;
 use lanedeck::gateway::job::{Job, Placement};
@@ -20,6 +21,7 @@
 
 fn job() -> Job {
     Job {
+        origin: Constraint::Any,
         fingerprint: Fingerprint::default(),
         id: "r".into(),
         route: "route".into(),
