Send a stream that a caller takes up only to the version that began it

Cause: a request that takes up a stream is a new request to the router that gets it; nothing reads which request began the stream, and nothing is kept of the version that answered it.

Change: a router keeps the version of each stream it begins, by the id of the request that brought the first event (Resumes names it), and sends it within 100 ms, batched, to three keepers: the first routers by rendezvous hashing of the id, in different halls. Any router can name them. One that is asked to go on with a stream looks at its own records, else asks the keepers at the same time, for 400 ms at most; with an answer the constraint on versions holds as inside an answer, without one the request is refused at once (version_unknown), as it is where no target of the version is left (version_gone). A route with several services goes on at the one that began the stream. Where a service has had a single version for a minute, by a list read without a gap, records wait and nothing is asked; they are sent once a second version comes. Records end with their callers' time. A stream at a rollout's new version may use what the trial leaves of the allowed exposure.

A resume costs three small calls. Nothing is sent by all to all.

Weighed: a hash of the id that draws the version costs no message but is wrong where routers' views differ or a version is full; asking all routers on a resume is all to all once a router with many streams dies; the store takes few writes. A record at the neighbours of the serving router cannot be found by the id.

--- a/src/gateway/control/context.rs
+++ b/src/gateway/control/context.rs
@@ -111,6 +111,10 @@
     pub(super) journal: RefCell<Journal>,
     /// When the read of the store that this router's list of targets is of was sent, by whichever router.
     pub(super) targets_read_at: Cell<Option<Millis>>,
+    /// Since when the list of targets has been read without a gap.
+    pub(super) targets_known_since: Cell<Option<Millis>>,
+    /// Wakes the task that sends the records of streams to their keepers.
+    pub(super) streams_begun: Notify,
     /// Number of targets that the store was seen to list before the list was read.
     pub(super) targets_at_least: Cell<usize>,
     /// Number of whole lists of targets that were sent to routers that the store does not answer.
--- a/src/gateway/control/link.rs
+++ b/src/gateway/control/link.rs
@@ -15,7 +15,7 @@
 
 use super::context::{Control, FAN_OUT, ROUND_INTERVAL};
 use super::{
-    apply, capacities, clock, evacuations, feed, loans, notices, operators, quarantine,
+    apply, capacities, clock, evacuations, feed, loans, notices, operators, origins, quarantine,
     reachability, rollouts, target_list,
 };
 use crate::gateway::decision;
@@ -104,6 +104,11 @@
         Request::Proxy => Reply::Proxy(reachability::answer(control)),
         Request::Operators(query) => Reply::Operators(operators::answer(control, &query)),
         Request::Rollouts => Reply::Rollouts(rollouts::views(control)),
+        Request::Streams(records) => {
+            origins::merge(control, &records);
+            Reply::Noted
+        }
+        Request::Origin(stream) => Reply::Origin(origins::answer(control, stream)),
         Request::Suspects(reports) => {
             quarantine::merge(control, &reports);
             Reply::Noted
@@ -271,7 +276,8 @@
             | Reply::Feed(_)
             | Reply::Capacities(_)
             | Reply::Proxy(_)
-            | Reply::Operators(_)),
+            | Reply::Operators(_)
+            | Reply::Origin(_)),
         ) => {
             tracing::warn!(event = "peer_answer_unfit", name = %router.name, ?reply);
         }
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -16,6 +16,7 @@
 mod loans;
 mod notices;
 mod operators;
+mod origins;
 mod quarantine;
 mod reachability;
 mod rollouts;
@@ -45,6 +46,7 @@
 use super::decision::admission::{self, MissingTokens, Source};
 use super::decision::forecast::Outcome;
 use super::decision::order::{Standing, Turn};
+use super::decision::origin::Constraint;
 use super::decision::refusal::Refusal;
 use super::dialect::Dialect;
 use super::feed::Journal;
@@ -132,6 +134,8 @@
         addresses_of: Cell::default(),
         journal: RefCell::new(Journal::new(rand::random())),
         targets_read_at: Cell::default(),
+        targets_known_since: Cell::default(),
+        streams_begun: Notify::new(),
         targets_at_least: Cell::default(),
         lists_sent: Cell::default(),
         routers_fed: Cell::default(),
@@ -160,6 +164,7 @@
     tasks.spawn_local(capacities::exchange(Rc::clone(&control)));
     tasks.spawn_local(clock::compare(Rc::clone(&control)));
     tasks.spawn_local(loans::return_excess(Rc::clone(&control)));
+    tasks.spawn_local(origins::send_records(Rc::clone(&control)));
     tasks.spawn_local(log_store(Rc::clone(&control)));
     tasks.block_on(&runtime, serve(control, parts.messages, received));
 }
@@ -222,6 +227,11 @@
 fn handle(control: &Rc<Control>, message: Message) {
     let now = control.now();
     match message {
+        Message::Begin { job, wait, reply } if job.origin == Constraint::Unknown => {
+            origins::resolve(control, job, reply, move |control, job, reply| {
+                begin(control, job, wait, reply);
+            });
+        }
         Message::Begin { job, wait, reply } => begin(control, job, wait, reply),
         Message::Retry {
             job,
@@ -238,10 +248,13 @@
             .state
             .borrow_mut()
             .note_response_started(now, job, load),
-        Message::FirstEvent { job, elapsed } => control
-            .state
-            .borrow_mut()
-            .note_first_event(now, job, elapsed),
+        Message::FirstEvent { job, elapsed } => {
+            let mut state = control.state.borrow_mut();
+            state.note_first_event(now, job, elapsed);
+            if state.streams.has_unsent() {
+                control.streams_begun.notify_one();
+            }
+        }
         Message::Unreachable => reachability::suspect(control),
         Message::Locate { target, reply } => {
             let located = control.state.borrow().targets.locate(&target);
--- a/src/gateway/control/target_list.rs
+++ b/src/gateway/control/target_list.rs
@@ -159,11 +159,16 @@
 /// Notes when the read that the list is of was sent, and logs where the list has become old between two rounds.
 fn note_age(control: &Control, read_at: Option<Millis>) {
     let before = control.targets_read_at.replace(read_at);
-    let (Some(before), Some(read_at)) = (before, read_at) else {
+    let Some(read_at) = read_at else {
+        return;
+    };
+    let Some(before) = before else {
+        control.targets_known_since.set(Some(read_at));
         return;
     };
     let gap = read_at.saturating_sub(before);
     if gap > AGE_MAX {
+        control.targets_known_since.set(Some(read_at));
         let role = feed::role(control);
         tracing::warn!(event = "target_list_late", gap_ms = gap.0, ?role);
     }
--- a/src/gateway/decision/origin.rs
+++ b/src/gateway/decision/origin.rs
@@ -5,9 +5,13 @@
 //! whoever has ended the earlier attempt. A version that is not known is neither equal to another one nor different, so
 //! nothing is sent then.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::units::Millis;
+
 /// A version of one service's software: a hash that all routers compute alike.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Origin(u64);
@@ -22,6 +26,12 @@
     }
 }
 
+impl fmt::Display for Origin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// The versions that a request may be sent to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Constraint {
@@ -48,3 +58,29 @@
         }
     }
 }
+
+/// How long a service must have had a single version, as far as a router knows, before it takes that version for the one
+/// of every stream: longer than callers go on with a stream.
+pub const SOLE_AFTER: Millis = Millis(60_000);
+
+/// Number of routers that keep the record of a stream: two may die, or be partitioned, together with the one that
+/// began it. At 2,100 streams a second, 350 routers each send and receive 18 records of 24 bytes a second, and 985 routers
+/// 6; at 600 streams a second, 7 routers 220, in some 40 messages.
+pub const KEEPERS: usize = 3;
+
+/// The version that all streams of a service have, given those of all targets seen lately and for how long the list of
+/// targets has been read without a gap. `None` if there are several, or another one may have been there while a stream
+/// began that goes on now.
+pub fn sole(
+    known_for: Option<Millis>,
+    versions: impl IntoIterator<Item = Option<Origin>>,
+) -> Option<Origin> {
+    if known_for.is_none_or(|time| time < SOLE_AFTER) {
+        return None;
+    }
+    let mut versions = versions.into_iter();
+    let first = versions.next()??;
+    versions
+        .all(|version| version == Some(first))
+        .then_some(first)
+}
--- a/src/gateway/decision/rollout.rs
+++ b/src/gateway/decision/rollout.rs
@@ -92,26 +92,34 @@
 
 /// Whether a router may send its next request to the new version.
 pub fn may_send(limit: &Limit, knowledge: Knowledge, sends: &Sends) -> bool {
-    let is_spaced = knowledge.stage != Some(Stage::Trial)
-        || sends.requests >= sends.candidate.saturating_add(1) * TRIAL_SPACING;
-    is_spaced && may_continue(limit, knowledge, sends)
+    match knowledge.stage {
+        Some(Stage::Trial) => {
+            let is_spaced = sends.requests >= sends.candidate.saturating_add(1) * TRIAL_SPACING;
+            is_spaced && is_within(TRIAL_SHARE, limit, knowledge, sends)
+        }
+        Some(Stage::Shift) => is_within(TRIAL_SHARE + SHIFT_SHARE, limit, knowledge, sends),
+        Some(Stage::Done) => true,
+        None | Some(Stage::RolledBack) => false,
+    }
 }
 
-/// Whether a router may send a stream that the new version has begun to that version again. Streams that go on count as
-/// exposed, but are not spaced: they cannot go on anywhere else.
+/// Whether a router may send a stream that the new version has begun to that version again. It can go on nowhere else, so
+/// it may use what the trial leaves of the allowed exposure.
 pub fn may_continue(limit: &Limit, knowledge: Knowledge, sends: &Sends) -> bool {
-    let stage = match knowledge.stage {
-        None | Some(Stage::RolledBack) => return false,
-        Some(Stage::Done) => return true,
-        Some(stage @ (Stage::Trial | Stage::Shift)) => stage,
-    };
+    match knowledge.stage {
+        Some(Stage::Trial | Stage::Shift) => {
+            is_within(TRIAL_SHARE + SHIFT_SHARE, limit, knowledge, sends)
+        }
+        Some(Stage::Done) => true,
+        None | Some(Stage::RolledBack) => false,
+    }
+}
+
+/// Whether one more attempt at the new version stays within this share of the allowed exposure, and the decider lives.
+fn is_within(share: f64, limit: &Limit, knowledge: Knowledge, sends: &Sends) -> bool {
     let is_recent = knowledge
         .record_age
         .is_some_and(|age| age <= RECORD_VALID_FOR);
-    let share = match stage {
-        Stage::Shift => TRIAL_SHARE + SHIFT_SHARE,
-        _ => TRIAL_SHARE,
-    };
     let allowed = limit.share * share * sends.requests as f64 + extra(limit, sends);
     is_recent && (sends.candidate + 1) as f64 <= allowed
 }
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -80,6 +80,13 @@
     pub has_orders: bool,
 }
 
+impl Request {
+    /// Whether the request takes up a stream of which its caller has got events.
+    pub fn takes_up_stream(&self) -> bool {
+        self.resumes.is_some() || self.last_event.is_some()
+    }
+}
+
 /// A header that cannot be parsed.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 #[snafu(display("{header}: wanted is {wanted}"))]
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -29,8 +29,10 @@
 use super::job::Job;
 use super::proxy;
 use super::relay::{Link, Origin, Relay};
-use super::route::{Config, Route};
+use super::route::{Config, Kind, Route};
 use super::shared::ActiveRequest;
+use super::streams::{self, Stream};
+use crate::boot_clock;
 use crate::ejection::Outcome;
 use crate::net;
 use crate::units::Millis;
@@ -174,7 +176,11 @@
             route: self.route.name.clone(),
             services: services.collect(),
             prompt: self.request.prompt.clone(),
-            origin: Constraint::Any,
+            stream: self.stream(),
+            origin: match self.takes_up_stream() {
+                true => Constraint::Unknown,
+                false => Constraint::Any,
+            },
             fingerprint: self.fingerprint,
             payer: admission::payer(customer, self.request.prompt.is_some()),
             demand: Demand::New,
@@ -183,6 +189,21 @@
         }
     }
 
+    fn takes_up_stream(&self) -> bool {
+        self.route.kind.is_stream() && self.request.takes_up_stream()
+    }
+
+    /// The stream that the request takes up, or that it begins and its route allows callers to take up again.
+    fn stream(&self) -> Option<Stream> {
+        let is_resumable = self.route.kind == Kind::Stream { resumable: true };
+        let first = self.request.resumes.as_ref().unwrap_or(&self.request.id);
+        let time = self.request.time_limit.unwrap_or(self.route.timeout);
+        (is_resumable || self.takes_up_stream()).then(|| Stream {
+            id: streams::Id::new(self.customer.as_deref(), first),
+            until: boot_clock::now() + time.min(streams::KEPT_MAX),
+        })
+    }
+
     /// Sends the request to the target of an attempt and waits for the head of its response.
     pub(super) async fn attempt(
         &mut self,
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -11,6 +11,7 @@
 use super::escrow::Demand;
 use super::fingerprint::Fingerprint;
 use super::key::{JobKey, TargetKey};
+use super::streams::Stream;
 use crate::ejection::Outcome;
 use crate::units::{Millis, Tokens};
 
@@ -25,6 +26,8 @@
     pub services: Vec<(String, f64)>,
     /// The prompt; set for a model request only.
     pub prompt: Option<Prompt>,
+    /// The stream that the request begins or takes up, if callers may take it up again.
+    pub stream: Option<Stream>,
     /// The versions of targets that the request may be sent to.
     pub origin: Constraint,
     /// Identity of the request, the same whenever it is sent again.
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -19,6 +19,8 @@
     ADDRESSES_MAX, Basis, Candidate, Capacity, Median, Spread, Weight,
 };
 use super::decision::capacity::{sample, spread, weight};
+use super::decision::origin::KEEPERS;
+use super::streams;
 use crate::units::Millis;
 
 pub use capacities::{Coverage, Usage};
@@ -303,6 +305,29 @@
         decider.into_iter().next()
     }
 
+    /// The other routers that keep the record of a stream: the first by rendezvous hashing of all that have not left for good,
+    /// from different halls where there are enough. Whether they answer does not count, since routers may differ in that.
+    pub fn keepers(&self, now: Millis, stream: streams::Id) -> Vec<&Router> {
+        let staying = self
+            .known
+            .values()
+            .filter(|member| !self.has_departed(now, member));
+        let routers = staying.map(|member| &member.router).chain([&self.me]);
+        let mut ranked: Vec<(u64, &Router)> = routers
+            .map(|router| (hash_router(router, stream.seed()), router))
+            .collect();
+        ranked.sort_unstable_by_key(|(hash, _)| *hash);
+        let mut halls = BTreeSet::new();
+        let (first, rest): (Vec<_>, Vec<_>) = ranked
+            .into_iter()
+            .partition(|(_, router)| halls.insert(router.hall.as_str()));
+        let keepers = first.into_iter().chain(rest).take(KEEPERS);
+        keepers
+            .map(|(_, router)| router)
+            .filter(|router| router.name != self.me.name)
+            .collect()
+    }
+
     /// Processes what another router knows of all routers, as it has read their entries: those whose names have the
     /// hashes `dead` have missed their heartbeats, and the others have not. Changed entries are processed by
     /// [`update`](Self::update). Returns whether any router's liveness changed.
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -6,11 +6,12 @@
 use serde::{Deserialize, Serialize};
 
 use super::clock::Readings;
+use super::decision::origin::Origin;
 use super::escrow::Loan;
 use super::evacuation;
 use super::members::Router;
 use super::targets::{Outstanding, View};
-use super::{capacities, feed, notice, operators, quarantine, rollout};
+use super::{capacities, feed, notice, operators, quarantine, rollout, streams};
 use crate::units::Tokens;
 
 /// A router's heartbeat.
@@ -66,6 +67,10 @@
     Proxy,
     /// Asks a reader of the store for the operators' records.
     Operators(operators::Query),
+    /// Sends records of streams that the sender has begun, and that the receiver keeps.
+    Streams(Vec<streams::Record>),
+    /// Asks for the version that began a stream.
+    Origin(streams::Id),
 }
 
 /// The answer to a [`Request`].
@@ -104,4 +109,6 @@
     Proxy(Option<SocketAddr>),
     /// The operators' records; `None` if the answering router has not read them.
     Operators(Option<Box<operators::Update>>),
+    /// The version that began a stream; `None` if the answering router has no record of it.
+    Origin(Option<Origin>),
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -50,6 +50,7 @@
 mod stop;
 pub mod store_calls;
 mod stream;
+pub mod streams;
 pub mod targets;
 mod upload;
 
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -33,6 +33,7 @@
 use super::notice::{Announcement, Notice, Report};
 use super::quarantine::{BrokenAttempt, Hold, Quarantine};
 use super::rollout::{Arm, Rollouts};
+use super::streams::Streams;
 use super::targets::speed::Sample;
 use super::targets::{Change, Freshness, Targets};
 use crate::boot_clock::Reading;
@@ -95,6 +96,8 @@
     pub quarantine: Quarantine,
     /// Rollouts of versions of targets.
     pub rollouts: Rollouts,
+    /// The versions at which streams began.
+    pub streams: Streams,
     accounts: HashMap<String, Account>,
     ledgers: HashMap<String, Ledger>,
     prepaid: HashMap<String, Tokens>,
@@ -121,6 +124,7 @@
             clock: Clock::new(settings.started.map(|started| started.boot)),
             quarantine: Quarantine::default(),
             rollouts: Rollouts::new(settings.rollout),
+            streams: Streams::default(),
             targets: Targets::default(),
             accounts: HashMap::new(),
             ledgers: HashMap::new(),
@@ -146,7 +150,7 @@
         {
             return Err(refusal);
         }
-        let service = self.draw_service(&job);
+        let service = self.choose_service(&job)?;
         let arm = match job.origin {
             Constraint::Only(origin) => self.arm_of_origin(now, &service, origin)?,
             Constraint::Any | Constraint::Unknown => self.assign_arm(now, &service),
@@ -335,7 +339,7 @@
 
     /// Records that the first event of a target's stream has arrived, and the time since the request was sent.
     pub fn note_first_event(&mut self, now: Millis, key: JobKey, elapsed: Duration) {
-        self.note_origin(key);
+        self.note_origin(now, key);
         let Some(running) = self.running.get(&key) else {
             return;
         };
@@ -463,6 +467,19 @@
         }
     }
 
+    /// Chooses one of the services of a request's route: the one that began the request's stream, or else one at random.
+    fn choose_service(&mut self, job: &Job) -> Result<String, Refusal> {
+        let Constraint::Only(origin) = job.origin else {
+            return Ok(self.draw_service(job));
+        };
+        let mut services = job.services.iter().map(|(service, _)| service);
+        let service = services.find(|service| {
+            let mut origins = self.targets.origins(service);
+            origins.any(|known| known == Some(origin))
+        });
+        service.cloned().ok_or(Refusal::VersionGone)
+    }
+
     /// Chooses one of the services of a request's route at random, by weight.
     fn draw_service(&mut self, job: &Job) -> String {
         let total: f64 = job.services.iter().map(|(_, weight)| weight).sum();
--- a/src/gateway/state/origins.rs
+++ b/src/gateway/state/origins.rs
@@ -3,18 +3,34 @@
 use super::{Running, State};
 use crate::gateway::decision::origin::{Constraint, Origin};
 use crate::gateway::decision::refusal::Refusal;
+use crate::gateway::job::Job;
 use crate::gateway::key::{JobKey, TargetKey};
 use crate::gateway::rollout::Arm;
 use crate::units::Millis;
 
 impl State {
     /// Records that the current attempt of a request has delivered the first event of its stream.
-    pub(super) fn note_origin(&mut self, key: JobKey) {
+    pub(super) fn note_origin(&mut self, now: Millis, key: JobKey) {
         let Some(running) = self.running.get_mut(&key) else {
             return;
         };
-        if let (Some(target), Constraint::Any) = (running.target, running.job.origin) {
-            running.job.origin = Constraint::of(self.targets.origin(target));
+        let (Some(target), Constraint::Any) = (running.target, running.job.origin) else {
+            return;
+        };
+        let origin = self.targets.origin(target);
+        running.job.origin = Constraint::of(origin);
+        if let (Some(stream), Some(origin)) = (running.job.stream, origin)
+            && !self.streams.begin(now, &running.service, stream, origin)
+        {
+            tracing::warn!(event = "streams_dropped", count = 1);
+        }
+    }
+
+    /// Keeps the version of the stream that a request takes up, as another router has told it.
+    pub fn keep_origin(&mut self, now: Millis, job: &Job, origin: Origin) {
+        if let Some(stream) = job.stream {
+            // Without room for it the keepers are asked again at the next try.
+            self.streams.keep(now, stream, origin);
         }
     }
 
--- a/src/gateway/targets/choice.rs
+++ b/src/gateway/targets/choice.rs
@@ -36,6 +36,12 @@
         self.get(key).origin()
     }
 
+    /// The origins of the streams of all targets of a service that are listed or were lately.
+    pub fn origins(&self, service: &str) -> impl Iterator<Item = Option<Origin>> {
+        let group = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        group.iter().map(|key| self.origin(*key))
+    }
+
     /// The targets of a service that accept requests: those that a stream of this origin may be sent to, and the others.
     pub fn split_by_origin(
         &self,
--- a/tests/busy/mod.rs
+++ b/tests/busy/mod.rs
@@ -77,6 +77,7 @@
             max_tokens: Tokens(100),
             blocks: vec![block(u64::MAX, tokens)],
         }),
+        stream: None,
         origin: Constraint::Any,
         fingerprint: Hasher::new("fleet").fingerprint(None, &[id.as_bytes()]),
         payer: None,
--- a/tests/capped_fleet/mod.rs
+++ b/tests/capped_fleet/mod.rs
@@ -232,6 +232,7 @@
                 tokens: cost,
                 ..Prompt::default()
             }),
+            stream: None,
             origin: Constraint::Any,
             fingerprint: Fingerprint {
                 customer: 1,
--- a/tests/returned_demand.rs
+++ b/tests/returned_demand.rs
@@ -86,6 +86,7 @@
             max_tokens: Tokens(COST.0 / 2),
             blocks: Vec::new(),
         }),
+        stream: None,
         origin: Constraint::Any,
         fingerprint: fingerprint(body),
         payer: Some((CUSTOMER.into(), PREPAID)),
--- a/tests/untaken_attempt.rs
+++ b/tests/untaken_attempt.rs
@@ -21,6 +21,7 @@
 
 fn job() -> Job {
     Job {
+        stream: None,
         origin: Constraint::Any,
         fingerprint: Fingerprint::default(),
         id: "r".into(),
