Let the soak run engines of several versions and callers that take up streams

Change: the stand-in's instances may have a version that changes with each generation; soak_versions runs four engines of three versions, breaks their streams off 48 times beside kills, freezes, stops, link and store faults, and its callers take a stream up where it broke off. At most two streams may hold events of several versions. Plans of other soaks stay as they were.

--- a/src/gateway/control/origins.rs
+++ b/src/gateway/control/origins.rs
@@ -170,13 +170,16 @@
     }
 }
 
+fn keepers(control: &Control, stream: Id) -> Vec<Router> {
+    let state = control.state.borrow();
+    let keepers = state.members.keepers(control.now(), stream);
+    keepers.into_iter().cloned().collect()
+}
+
 /// Asks the keepers of a stream at the same time. One record by its request is enough; those by its content, and this
 /// router's own, must agree.
 async fn ask_keepers(control: &Control, stream: Stream, sole: Option<Origin>) -> Inquiry {
-    let state = control.state.borrow();
-    let keepers = state.members.keepers(control.now(), stream.id);
-    let keepers: Vec<Router> = keepers.into_iter().cloned().collect();
-    drop(state);
+    let keepers = keepers(control, stream.id);
     let request = Request::Origin(stream.id);
     let calls = keepers.iter().map(|keeper| {
         let request = &request;
--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -294,7 +294,7 @@
     born: Option<u64>,
 ) {
     let mut entry = json!({
-        "service": service, "address": address, "zone": "hall", "version": "v1",
+        "service": service, "address": address, "zone": "hall", "version": version_of(instance),
         "slots": 64, "state": state, "coldLeftMs": 0, "sequence": 1,
     });
     if let Some(born) = born {
@@ -303,6 +303,21 @@
     store.put("keyed.servers", instance, Some(&entry));
 }
 
+/// Number of versions that run side by side.
+const VERSIONS: u32 = 3;
+
+/// Version of an instance's software. Instances named `NAME.NUMBER-GENERATION` have another one in each generation.
+pub fn version_of(instance: &str) -> String {
+    let numbers = instance
+        .split_once('.')
+        .and_then(|(_, numbers)| numbers.split_once('-'));
+    let numbers = numbers.map(|(number, generation)| {
+        let [number, generation] = [number, generation].map(|it| it.parse::<u32>().unwrap());
+        1 + (number + generation) % VERSIONS
+    });
+    format!("v{}", numbers.unwrap_or(1))
+}
+
 /// Writes the entry of a runner with another version of its software.
 pub fn list_version(store: &Store, service: &str, runner: &Runner, version: &str) {
     let entry = json!({
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -43,6 +43,8 @@
 const GATEWAY_SEEDS: u64 = 6;
 /// Default number of seeds with partitions: one batch.
 const PARTITION_SEEDS: u64 = 3;
+/// Default number of seeds with several versions: one batch.
+const VERSION_SEEDS: u64 = 3;
 /// Default number of seeds for routers: one batch for each kind.
 const ROUTER_SEEDS: u64 = 3;
 /// Seeds that run concurrently, which makes about a dozen processes.
@@ -208,6 +210,14 @@
     });
 }
 
+/// Engines of several versions whose streams break off, and callers that take them up again.
+#[test]
+fn soak_versions() {
+    soak_seeds("soak_versions", VERSION_SEEDS, |seed| {
+        Plan::new(seed, Kind::Faults, processes()).with_versions()
+    });
+}
+
 #[test]
 fn routers_planned() {
     soak_routers("routers_planned", Kind::Planned);
--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -13,7 +13,7 @@
 use crate::deployment::runner::Work;
 use crate::deployment::{Ask, HOST, try_ask};
 use crate::line::{Connection, End, Pieces, Progress, Reading};
-use crate::plan::{self, Habit, Owner};
+use crate::plan::{self, Habit, Owner, Versions};
 
 /// Deadline that callers send with a request, in milliseconds.
 const DEADLINE_MS: u64 = 5_000;
@@ -97,6 +97,25 @@
 }
 
 impl Call {
+    /// The number of the event after which it takes up a stream; zero if it asks for a whole one.
+    pub fn after(&self) -> u32 {
+        let after = self.ask.headers.get("last-event-id");
+        after.map_or(0, |after| after.to_str().unwrap().parse().unwrap())
+    }
+
+    /// The last complete event that it has got.
+    pub fn last_event(&self) -> Option<u32> {
+        if self.progress.status() != Some(200) {
+            return None;
+        }
+        let body = String::from_utf8_lossy(&self.progress.body);
+        let (complete, _) = body.rsplit_once("\n\n")?;
+        let mut ids = complete
+            .lines()
+            .filter_map(|line| line.strip_prefix("id: "));
+        ids.next_back()?.parse().ok()
+    }
+
     /// The time until it may be retried, if it was told one.
     pub fn told(&self) -> Option<Duration> {
         let text = self.progress.header("retry-after")?;
@@ -160,6 +179,18 @@
     count: u32,
     /// Whether its key was refused in its last call.
     is_key_refused: bool,
+    versions: Versions,
+    /// The stream of its present request, once it has got events of it.
+    taken: Option<Taken>,
+}
+
+/// A stream of which a caller has got events.
+#[derive(Clone, Debug)]
+struct Taken {
+    /// The call that brought the first event.
+    first: String,
+    /// The last event.
+    last: u32,
 }
 
 impl Caller {
@@ -175,15 +206,23 @@
             addresses_expire_at: Instant::now(),
             count: 0,
             is_key_refused: false,
+            versions: Versions::One,
+            taken: None,
         }
     }
 
+    /// Sets the versions of the engines: with several, it takes up streams that broke off.
+    pub fn with_versions(self, versions: Versions) -> Self {
+        Self { versions, ..self }
+    }
+
     /// Sends requests until the end of the load.
     pub async fn run(mut self, end: Instant) {
         while Instant::now() < end {
             let pause = self.rng.random_range(0..self.plan.pause_max_ms);
             tokio::time::sleep(Duration::from_millis(pause)).await;
             let request = self.next_request();
+            self.taken = None;
             let mut retries = 0;
             if self.is_key_refused {
                 tokio::time::sleep(REFUSED_KEY_PAUSE).await;
@@ -264,6 +303,12 @@
             Some(name) => ask.with(name, FORGED_VALUE),
             None => ask,
         };
+        let ask = match &self.taken {
+            Some(taken) => ask
+                .with("resumes", &taken.first)
+                .with("last-event-id", &taken.last.to_string()),
+            None => ask,
+        };
         ask.post(&request.body)
             .with("host", HOST)
             .with("x-deadline-ms", &deadline_ms.to_string())
@@ -305,6 +350,9 @@
             was_abandoned: !in_time && request.abandon_after.is_some(),
         };
         let wait = retry_wait(&call);
+        if self.versions == Versions::Several && call.route == Route::Resume {
+            self.note_events(&call);
+        }
         self.is_key_refused = call.progress.status() == Some(401);
         if self.plan.habit == Habit::Kept && call.progress.end == End::Whole && connection.is_open()
         {
@@ -314,6 +362,18 @@
         wait
     }
 
+    /// Notes the last event of a call's stream, to take the stream up after it.
+    fn note_events(&mut self, call: &Call) {
+        let Some(last) = call.last_event() else {
+            return;
+        };
+        let first = self
+            .taken
+            .take()
+            .map_or(call.id.clone(), |taken| taken.first);
+        self.taken = Some(Taken { first, last });
+    }
+
     /// Returns a kept connection, if there is one to reuse, or opens one to a resolved address.
     async fn connection(&mut self, is_retry: bool) -> Option<Connection> {
         self.connections.retain(Connection::is_open);
--- a/tests/soak/ending.rs
+++ b/tests/soak/ending.rs
@@ -99,12 +99,13 @@
         let calls = observations.calls.iter();
         let short =
             calls.filter(|call| call.owner != Owner::Scarce && call.is_refused_for_tokens());
+        let (taken_up, went_on) = observations.taken_up();
         Outcome {
             seed: self.plan.seed,
             violations,
             timeline,
             summary: format!(
-                "{} gateways, {} calls {:?}, {} short of tokens, {} departures, {left} of {} tokens left, unsettled {unsettled:?}",
+                "{} gateways, {} calls {:?}, {went_on} of {taken_up} went on, {} short of tokens, {} departures, {left} of {} tokens left, unsettled {unsettled:?}",
                 self.plan.gateways,
                 observations.calls.len(),
                 tally(&observations.calls),
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -193,10 +193,21 @@
     pub kind: Kind,
     /// Whether each gateway has its own paths to the targets.
     pub has_own_paths: bool,
+    /// The versions of the model engines' software.
+    pub versions: Versions,
     /// Maximum age of a restored copy that gateways are configured with, in milliseconds.
     pub copy_age_max_ms: u64,
 }
 
+/// The versions of the model engines' software in a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Versions {
+    /// All have the same.
+    One,
+    /// Several run side by side, and each new instance has another one. Callers take up streams that broke off.
+    Several,
+}
+
 /// Which steps a run has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -228,6 +239,7 @@
             load_ms: LOAD_MS,
             kind,
             has_own_paths: false,
+            versions: Versions::One,
             copy_age_max_ms: 0,
         };
         let mut at = FIRST_STEP_MS;
@@ -315,6 +327,14 @@
         self
     }
 
+    /// Adds engines of several versions, whose streams break off, and callers that take streams up again.
+    pub fn with_versions(mut self) -> Self {
+        self.steps.extend(interruptions(self.seed, self.gateways));
+        self.steps.sort_by_key(|(at, _)| *at);
+        self.versions = Versions::Several;
+        self
+    }
+
     /// Adds targets that send notices about themselves.
     pub fn with_notices(mut self) -> Self {
         self.steps.extend(notices(self.seed));
@@ -395,6 +415,32 @@
     steps
 }
 
+/// Engines beside those of [`TARGETS`] in a run with several versions: no other step disturbs them.
+pub const MORE_ENGINES: usize = 2;
+/// Interruptions of streams in such a run.
+const INTERRUPTIONS: usize = 48;
+/// Longest time that an engine breaks off its streams, in milliseconds.
+const INTERRUPTION_MAX_MS: u64 = 800;
+
+fn interruptions(seed: u64, gateways: usize) -> Vec<(u64, Step)> {
+    // A separate generator, as in `lapses`.
+    let mut rng = StdRng::seed_from_u64(!seed);
+    let engines = TARGETS.len() - 2..TARGETS.len() + MORE_ENGINES;
+    let interruption = |_| {
+        let at = rng.random_range(FIRST_STEP_MS..LOAD_MS);
+        let step = match rng.random_range(0..12) {
+            0 => Step::Kill(rng.random_range(0..gateways), rng.random_range(0..600)),
+            _ => {
+                let mode = Mode::Break(rng.random_range(1..6));
+                let span = rng.random_range(100..INTERRUPTION_MAX_MS);
+                Step::Target(rng.random_range(engines.clone()), mode, span)
+            }
+        };
+        (at, step)
+    };
+    (0..INTERRUPTIONS).map(interruption).collect()
+}
+
 /// Targets that send notices in a run that has any, each of a different service.
 const NOTICE_TARGETS: [usize; 3] = [0, 2, 4];
 /// How long they send them, in milliseconds: until shortly before the end of the load, so that the bounds pass within
--- a/tests/soak/promise.rs
+++ b/tests/soak/promise.rs
@@ -1,12 +1,13 @@
 //! Checks each promise against what callers and targets have seen. docs/PROOFS.md names the rule behind each.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use crate::caller::{CONTROL_HEADERS, Call, FORGED_VALUE, Route};
 use crate::deployment::runner::{Arrival, Work};
+use crate::deployment::version_of;
 use crate::line::End;
 use crate::plan::{LOCAL_PREPAID, Owner};
 use crate::run::FOREIGN_PREFIX;
@@ -20,6 +21,9 @@
 /// still be served. Gateways read both every half second; this is six times as long, for a loaded machine.
 pub const IN_FORCE_MAX: Duration = Duration::from_secs(3);
 
+/// Streams that may hold events of several versions.
+const MIXED_MAX: usize = 2;
+
 /// Longest time from a gateway's refusal until its caller has it, on a loaded machine.
 const REFUSAL_DELAY_MAX: Duration = Duration::from_millis(500);
 
@@ -110,6 +114,7 @@
                 what: "ran, but no caller has sent it".to_owned(),
             });
         }
+        violations.extend(self.mixed_streams());
         violations.extend(self.departed_unused());
         let notices = self.notices.iter();
         violations.extend(notices.filter_map(|period| period.first_violation(self)));
@@ -215,6 +220,41 @@
         })
     }
 
+    /// ORDER: at most [`MIXED_MAX`] streams hold events of several versions, over all calls of their callers.
+    fn mixed_streams(&self) -> Option<Violation> {
+        let mut versions: BTreeMap<&str, BTreeSet<String>> = BTreeMap::new();
+        for arrival in &self.arrivals {
+            if arrival.handed_out.load(Ordering::Relaxed) > 0 {
+                let first = match arrival.header("resumes") {
+                    "" => arrival.header("x-attempt-id"),
+                    first => first,
+                };
+                let of_stream = versions.entry(first).or_default();
+                of_stream.insert(version_of(&arrival.instance));
+            }
+        }
+        let mixed = versions.iter().filter(|(_, versions)| versions.len() > 1);
+        let mixed: Vec<_> = mixed.collect();
+        let (first, versions) = mixed.first()?;
+        (mixed.len() > MIXED_MAX).then(|| Violation {
+            promise: "ORDER",
+            id: Some((*first).to_string()),
+            what: format!(
+                "{} streams of several versions, as {versions:?}",
+                mixed.len()
+            ),
+        })
+    }
+
+    /// Number of calls that took up a stream, and of those that went on with it.
+    pub fn taken_up(&self) -> (usize, usize) {
+        let taken_up = self.calls.iter().filter(|call| call.after() > 0);
+        let went_on = taken_up
+            .clone()
+            .filter(|call| call.progress.status() == Some(200));
+        (taken_up.count(), went_on.count())
+    }
+
     /// DRAIN: no request runs at a target that left longer ago than [`IN_FORCE_MAX`].
     fn departed_unused(&self) -> Vec<Violation> {
         let mut violations = Vec::new();
@@ -259,7 +299,7 @@
     }
     let body = String::from_utf8_lossy(&progress.body);
     if call.route.is_stream() {
-        let whole: String = (1..=call.work.events)
+        let whole: String = (call.after() + 1..=call.work.events)
             .map(|number| Work::event(&call.id, number))
             .collect();
         let fits = match progress.end {
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -15,7 +15,10 @@
 use crate::deployment::{Deployment, LONG, addresses, list_at, list_with_born, until};
 use crate::operator::Config;
 use crate::place::GatewaySlot;
-use crate::plan::{Change, Departure, Kind, Plan, SLOWER_PERCENT, Step, TARGETS, TOP_UP_TOKENS};
+use crate::plan::{
+    Change, Departure, Kind, MORE_ENGINES, Plan, SLOWER_PERCENT, Step, TARGETS, TOP_UP_TOKENS,
+    Versions,
+};
 use crate::promise::{IN_FORCE_MAX, Observations, Violation};
 use crate::proxy::{LinkFault, Proxy};
 use crate::routes::Path;
@@ -108,7 +111,8 @@
     for (number, caller) in run.plan.callers.clone().into_iter().enumerate() {
         let name = format!("s{seed}c{number}");
         let only = caller.gateway.map(|gateway| run.slots[gateway].front);
-        callers.spawn(Caller::new(name, caller, only, shared.clone()).run(end));
+        let caller = Caller::new(name, caller, only, shared.clone());
+        callers.spawn(caller.with_versions(run.plan.versions).run(end));
     }
     for (at, step) in run.plan.steps.clone() {
         sleep((begin + Duration::from_millis(at)).saturating_duration_since(Instant::now())).await;
@@ -127,8 +131,19 @@
         let store = Store::default();
         store.put("keyed.op", "config", Some(&config.value()));
         let mut targets = Vec::new();
-        for (number, service) in TARGETS.into_iter().enumerate() {
-            let runner = Runner::start(&format!("i{number}-1")).await;
+        let more = match plan.versions {
+            Versions::One => 0,
+            Versions::Several => MORE_ENGINES,
+        };
+        let services = TARGETS
+            .into_iter()
+            .chain(std::iter::repeat_n("engine", more));
+        for (number, service) in services.enumerate() {
+            let instance = match (plan.versions, service) {
+                (Versions::Several, "engine") => format!("i.{number}-1"),
+                _ => format!("i{number}-1"),
+            };
+            let runner = Runner::start(&instance).await;
             let proxy = match plan.kind {
                 Kind::Planned => None,
                 Kind::Faults => Some(Proxy::start(runner.address).await),
