Send no records to keepers whose links do not answer, and pin the records' messages

A stream's other keepers have the record too. Change: records are not sent to routers whose links have not answered since their last heartbeat. They are still asked for streams, since a record may be there from before. The messages are pinned, and silent_keepers asks a router that reaches no other: it refuses what it has no record of within the call's timeout.

--- a/src/gateway/control/origins.rs
+++ b/src/gateway/control/origins.rs
@@ -74,7 +74,8 @@
         .take_unsent(now, |service| several.contains(service));
     let mut batches: HashMap<String, (Router, Vec<Record>)> = HashMap::new();
     for record in records {
-        for keeper in state.members.keepers(now, record.stream) {
+        let keepers = state.members.keepers(now, record.stream).into_iter();
+        for keeper in keepers.filter(|keeper| !state.members.is_unreachable(&keeper.name)) {
             let batch = batches
                 .entry(keeper.name.clone())
                 .or_insert_with(|| (keeper.clone(), Vec::new()));
--- a/tests/pinned_gateway.rs
+++ b/tests/pinned_gateway.rs
@@ -16,9 +16,11 @@
 use lanedeck::gateway::body::Body;
 use lanedeck::gateway::budgets;
 use lanedeck::gateway::clock::Readings;
+use lanedeck::gateway::decision::origin::{Answer, Origin};
 use lanedeck::gateway::decision::refusal::{Reason, Refusal};
 use lanedeck::gateway::dialect::{Dialect, Forward, Listing};
 use lanedeck::gateway::escrow::{Commitment, Loan, Ramp, Row};
+use lanedeck::gateway::fingerprint::Fingerprint;
 use lanedeck::gateway::members::{Router, Usage};
 use lanedeck::gateway::message::{Heartbeat, Reply, Request};
 use lanedeck::gateway::metrics::{self, Metrics};
@@ -28,6 +30,7 @@
 use lanedeck::gateway::placements;
 use lanedeck::gateway::reply;
 use lanedeck::gateway::route::Kind;
+use lanedeck::gateway::streams::{self, Id};
 use lanedeck::gateway::targets::{Outstanding, View};
 use lanedeck::store::{Era, Partition, Place, Record, Store, Topic};
 use lanedeck::units::{Millis, Percent, Tokens};
@@ -237,6 +240,33 @@
     );
 }
 
+#[test]
+fn stream_records() {
+    let request = Id::of_request(Some("anna"), "r1");
+    let fingerprint = Fingerprint {
+        customer: 1,
+        request: 2,
+    };
+    let origin = Origin::new("engine", "v1");
+    let record = |stream| streams::Record {
+        stream,
+        origin,
+        left: Millis(15_000),
+    };
+    let records = [request, Id::of_content(fingerprint)].map(record);
+    pin(
+        "0d0200fdb38245b1843a69c2fdf40291857f874215fb983a01fd9cc7000ee5de2217fdf40291857f874215fb983a",
+        &Request::Streams(records.to_vec()),
+    );
+    pin("0e00fdb38245b1843a69c2", &Request::Origin(request));
+    pin(
+        "0d01fdf40291857f874215",
+        &Reply::Origin(Answer::Known(origin)),
+    );
+    pin("0d00", &Reply::Origin(Answer::Missing));
+    pin("0d02", &Reply::Origin(Answer::Several));
+}
+
 /// A position in a store that reports no era.
 fn place(offset: u64) -> Place {
     Place {
@@ -420,8 +450,10 @@
             ("x-model", "m"),
             ("x-prompt-prefix", "a1:60,ff:40"),
             ("last-event-id", "e9"),
+            ("resumes", "r0"),
         ]))
         .unwrap();
+    assert_eq!(ask.resumes.as_deref(), Some("r0"));
     assert_eq!(ask.id, "r1");
     assert_eq!(ask.time_limit, Some(Millis(4_000)));
     assert_eq!(ask.key.as_deref(), Some("key-of-anna"));
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -308,6 +308,23 @@
     assert_went_on(went_on, count);
 }
 
+/// A router that reaches no other one knows only what it has been told before.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_keepers() {
+    let fleet = Fleet::start().await;
+    let mut callers = fleet.begin(40, Some(0), 12).await;
+    for number in [0, 1, 2] {
+        fleet.deployment.gateways[number].signal("STOP");
+    }
+    let went_on = fleet.resume(&mut callers, |_| 3).await;
+    for number in [0, 1, 2] {
+        fleet.deployment.gateways[number].signal("CONT");
+    }
+    let (mixed, count) = (fleet.mixed(), callers.len());
+    println!("{went_on} of {count} went on, {mixed} mixed");
+    assert!(mixed <= MIXED_MAX, "{mixed} streams of two versions");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn restarted_fleet() {
     let mut fleet = Fleet::start().await;
