--- a/src/gateway/control/origins.rs
+++ b/src/gateway/control/origins.rs
@@ -1,5 +1,7 @@
 //! Sends the records of streams to their keepers, and asks the keepers for the version of a stream that a caller takes
-//! up.
+//! up. The records are in [`streams`](crate::gateway::streams), the rules in [`origin`].
+//!
+//! A request that takes up a stream waits here before it gets a target and tokens, for [`KEEPERS_TIMEOUT`] at most.
 
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
@@ -42,7 +44,7 @@
     origin::sole(known_for, state.targets.origins(service))
 }
 
-/// Sends records to the keepers of their streams until the process ends.
+/// Sends records to the keepers of their streams until the process ends. Those of a service with a single version wait.
 pub(super) async fn send_records(control: Rc<Control>) {
     let mut forgotten_at = Instant::now();
     loop {
@@ -171,6 +173,7 @@
     }
 }
 
+/// The other routers that keep a record of a stream.
 fn keepers(control: &Control, stream: Id) -> Vec<Router> {
     let state = control.state.borrow();
     let keepers = state.members.keepers(control.now(), stream);
