--- a/src/gateway/streams.rs
+++ b/src/gateway/streams.rs
@@ -4,8 +4,9 @@
 //! not, there is a second record by the stream's content: its request's fingerprint. The router that has begun a stream
 //! keeps both and sends them to a few keepers, which every router can name from the key
 //! ([`Members::keepers`](super::members::Members::keepers)). A router that is asked to go on with a stream asks the keepers
-//! at once; without a record it sends the request nowhere. Records are a cache that dies with its routers: nothing is
-//! agreed on, and the version in a record never changes, since the first event of a stream has one origin.
+//! at once; without a record it sends the request nowhere, unless the service has had a single version for longer than
+//! streams last. Records are a cache that dies with its routers: nothing is agreed on, and the version in a record never
+//! changes, since the first event of a stream has one origin.
 
 use std::collections::{BTreeSet, HashMap};
 use std::fmt;
