Wait for a target's notice to be counted before reading the metrics in operators_see

Traced by that output and the code: the traffic thread passes the answer on and the control thread counts the notice from a message, so a caller can ask for the metrics in between. The metrics are right a moment later; the test was wrong to read them once. The race itself was not provoked again.

--- a/tests/target_leaving.rs
+++ b/tests/target_leaving.rs
@@ -72,11 +72,15 @@
     }
     let answer = ask(deployment.gateways[0].front, &Ask::new("r1", "/often/x")).await;
     assert_eq!(answer.status, 200);
-    let first = metrics(&deployment.gateways[0]).await;
-    for kind in ["leaving", "rate_limit"] {
-        let line = format!("lanedeck_target_notices_total{{kind=\"{kind}\"}} 1\n");
-        assert!(first.contains(&line), "{first}");
-    }
+    // The control thread counts a notice after the traffic thread has passed the answer on.
+    until(|| async {
+        let first = metrics(&deployment.gateways[0]).await;
+        ["leaving", "rate_limit"].iter().all(|kind| {
+            let line = format!("lanedeck_target_notices_total{{kind=\"{kind}\"}} 1\n");
+            first.contains(&line)
+        })
+    })
+    .await;
     for gateway in &deployment.gateways {
         until(|| async {
             let text = metrics(gateway).await;
