Give each program of a stand-in's machine a port of its own, in the review's scripts

The five ports of a machine were drawn one after the other, each let go before the next, so two could be the same: the gateway then ended at its start and the case with 2, could not run. Seen in one failed start of a loop of 30, with the same port twice in its settings, and once of one in case 1 from a fresh clone. All five are now held until each is known.

--- a/review/standin/gateway.rs
+++ b/review/standin/gateway.rs
@@ -64,7 +64,10 @@
     /// A machine of class `front`, with the settings of a small deployment.
     pub fn new(number: u8, zone: &str, store: SocketAddr, folder: &Path, root: &Path) -> Self {
         let ip = ip(number);
-        let [front, ready, directory, control, proxy] = [0; 5].map(|_| free(&ip));
+        // All are held until each has its port, so that no two get the same one.
+        let held = [0; 5].map(|_| TcpListener::bind((ip.as_str(), 0)).expect("a free port"));
+        let addresses = held.map(|listener| listener.local_addr().expect("its address"));
+        let [front, ready, directory, control, proxy] = addresses;
         let name = format!("front-{zone}-{number}");
         let values = [
             ("nodeName", name.clone()),
