Log what is missing from the list of targets after an outage, and who adopts whose list

The log did not tell whether a router kept a target because its own read was in its grace, or because it had taken over another router's list, nor up to which place.

Change: target_missing, target_list_read and target_list_adopted, written only while the list is not whole, and lanedeck_targets_missing at the metrics endpoint. all_targets returns how many targets are kept. No decision changes.

--- a/src/gateway/control/apply.rs
+++ b/src/gateway/control/apply.rs
@@ -227,13 +227,13 @@
 }
 
 /// Applies the complete list of targets. Known targets that are absent from it are removed if `drop_absent`, and else
-/// only avoided. Returns whether the list now covers all targets that are still known.
+/// only avoided. Returns how many are kept although they are absent.
 pub(super) fn all_targets(
     control: &Control,
     page: &Page,
     freshness: Freshness,
     drop_absent: bool,
-) -> bool {
+) -> usize {
     targets(control, &page.records, freshness);
     let listed: HashSet<&str> = page
         .records
@@ -250,15 +250,17 @@
     drop(state);
     if !drop_absent {
         let targets = &mut control.state.borrow_mut().targets;
-        absent
-            .iter()
-            .for_each(|instance| targets.note_missing(instance));
-        return absent.is_empty();
+        for (number, instance) in absent.iter().enumerate() {
+            if targets.note_missing(instance) && number < LOGGED_MAX {
+                tracing::info!(event = "target_missing", %instance);
+            }
+        }
+        return absent.len();
     }
     for instance in absent {
         remove_target(control, &instance, "store");
     }
-    true
+    0
 }
 
 /// Applies another router's list of targets while this router is cut off from the store. Targets that appear in later
--- a/src/gateway/control/feed.rs
+++ b/src/gateway/control/feed.rs
@@ -197,6 +197,11 @@
         self.as_of
     }
 
+    /// The name of the router that was followed last.
+    pub(super) fn source(&self) -> Option<&str> {
+        self.followed.as_ref().map(|(name, _)| name.as_str())
+    }
+
     /// When the read that this router's list of targets is of was sent.
     pub(super) fn read_at(&self) -> Option<Millis> {
         self.read_at
@@ -227,11 +232,13 @@
 
     /// Asks readers for what has changed, until one has current lists.
     pub(super) async fn follow(&mut self, control: &Rc<Control>) -> Round {
-        let last = self.followed.as_ref().map(|(name, _)| name.as_str());
         let role = role(control);
         let scope = feed::scope(role, self.failed_rounds);
         let mut round = Round::Unanswered;
-        for source in sources(control, scope, last).into_iter().take(SOURCES_MAX) {
+        for source in sources(control, scope, self.source())
+            .into_iter()
+            .take(SOURCES_MAX)
+        {
             match self.follow_source(control, role, &source).await {
                 Some(true) => {
                     // Other halls are asked until the store answers this router again.
--- a/src/gateway/control/target_list.rs
+++ b/src/gateway/control/target_list.rs
@@ -236,6 +236,11 @@
     /// Continues from the list of another router, and passes it on if this one is a reader.
     fn adopt(&mut self, control: &Control, client: &feed::Client, role: Role) {
         let as_of = client.as_of();
+        if self.was_lost || self.incomplete_since.is_some() {
+            let place = as_of.unwrap_or_default();
+            let source = client.source().unwrap_or_default();
+            tracing::info!(event = "target_list_adopted", source, as_of = %place, ?role);
+        }
         self.subscription.next = as_of;
         self.subscription.era = as_of.map(|as_of| as_of.era);
         self.incomplete_since = None;
@@ -306,8 +311,13 @@
         let incomplete_since = self.incomplete_since;
         let is_in_grace =
             self.was_lost && incomplete_since.is_none_or(|at| at.elapsed() < LAPSED_GRACE);
-        let is_complete = apply::all_targets(control, page, freshness, !is_in_grace);
-        if is_complete {
+        let missing = apply::all_targets(control, page, freshness, !is_in_grace);
+        if self.was_lost || self.incomplete_since.is_some() {
+            let (records, as_of) = (page.records.len(), page.next);
+            tracing::info!(event = "target_list_read", %as_of, records, missing, is_in_grace, ?content);
+        }
+        control.shared.set_missing_targets(missing);
+        if missing == 0 {
             self.incomplete_since = None;
             self.was_lost = false;
         } else {
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -83,6 +83,7 @@
                 text.push_str(&shared.budgets.text());
                 text.push_str(&metrics::held(shared.held.held()));
                 text.push_str(&metrics::accept_pauses(shared.accept_pauses.get()));
+                text.push_str(&metrics::missing_targets(shared.missing_targets()));
                 text.push_str(&metrics::link_delay(shared.link_delay()));
                 text.push_str(&metrics::capacities(&shared.capacities.load()));
                 let paths = shared.paths.borrow().clone();
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -170,6 +170,11 @@
     format!("lanedeck_held_bytes {bytes}\n")
 }
 
+/// The metric of the targets that are kept although the store's list lacks them.
+pub fn missing_targets(count: usize) -> String {
+    format!("lanedeck_targets_missing {count}\n")
+}
+
 /// The metric of the pauses of accepting callers' connections.
 pub fn accept_pauses(count: u64) -> String {
     format!("lanedeck_accept_pauses_total {count}\n")
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -83,6 +83,8 @@
     pub stop: Progress,
     active: AtomicUsize,
     has_targets: AtomicBool,
+    /// Number of targets that are kept although the store's list lacks them.
+    missing_targets: AtomicUsize,
     /// Contact with the store, by all calls that requests rely on.
     store: Contact,
     /// Contact with the store, by the calls for the configuration and the targets alone. Where the store refuses grants,
@@ -155,6 +157,16 @@
         }
     }
 
+    /// Number of targets that are kept although the store's list lacks them.
+    pub fn missing_targets(&self) -> usize {
+        self.missing_targets.load(Ordering::Relaxed)
+    }
+
+    /// Sets the number of targets that are kept although the store's list lacks them.
+    pub fn set_missing_targets(&self, count: usize) {
+        self.missing_targets.store(count, Ordering::Relaxed);
+    }
+
     /// Whether this router accepts callers.
     pub fn is_ready(&self) -> bool {
         let is_loaded = self.config.load().is_some() && self.has_targets.load(Ordering::Relaxed);
--- a/src/gateway/targets/registry.rs
+++ b/src/gateway/targets/registry.rs
@@ -253,11 +253,12 @@
     }
 
     /// Records that a target is missing from the list that was read. It is kept for a while, since its entry may only
-    /// have expired.
-    pub fn note_missing(&mut self, instance: &str) {
-        if let Some(key) = self.by_instance.get(instance).copied() {
-            self.get_mut(key).is_missing = true;
-        }
+    /// have expired. Returns whether it was not missing before.
+    pub fn note_missing(&mut self, instance: &str) -> bool {
+        let Some(key) = self.by_instance.get(instance).copied() else {
+            return false;
+        };
+        !std::mem::replace(&mut self.get_mut(key).is_missing, true)
     }
 
     /// The list of targets, for a router that cannot read the store.
