Pass a list of targets on as of the place up to which it is whole

Cause: after an outage a reader keeps targets that the store's list lacks for a grace of 1.7 s, and passed its list on with the place up to which it had read, behind the ends of those entries. TargetList::adopt took that place and cleared the router's own outage, so nothing ever removed the targets; a reader in its grace even took its own list back. Ruled out: an older list that lists them again, late lists.

Change: decision::completeness says up to which place the list is whole; that place is published, at each hop, in the messages as they are. A reader whose own last answered read is older than entries live reads the whole list after it has followed others, and then has a grace of its own. In the grace the changes are read, not the whole list each round.

Tests: partial_lists adopted_and_read_on, adopted_back, and feed_runs readers_die_with_a_partial_list failed on (a target that left gets requests for 30 s) and pass. lapsed_while_following passes on both.

--- a/src/gateway/control/apply.rs
+++ b/src/gateway/control/apply.rs
@@ -227,13 +227,13 @@
 }
 
 /// Applies the complete list of targets. Known targets that are absent from it are removed if `drop_absent`, and else
-/// only avoided. Returns how many are kept although they are absent.
+/// only avoided. Returns the ids of those that are kept although they are absent.
 pub(super) fn all_targets(
     control: &Control,
     page: &Page,
     freshness: Freshness,
     drop_absent: bool,
-) -> usize {
+) -> BTreeSet<String> {
     targets(control, &page.records, freshness);
     let listed: HashSet<&str> = page
         .records
@@ -255,12 +255,13 @@
                 tracing::info!(event = "target_missing", %instance);
             }
         }
-        return absent.len();
+        let ids = absent.iter().map(|instance| incarnation::id(instance));
+        return ids.map(str::to_owned).collect();
     }
     for instance in absent {
         remove_target(control, &instance, "store");
     }
-    0
+    BTreeSet::new()
 }
 
 /// Applies another router's list of targets while this router is cut off from the store. Targets that appear in later
@@ -283,7 +284,7 @@
         changes.add(instance, change);
     }
     changes.log("link");
-    control.publish_target_addresses();
+    control.publish_targets();
 }
 
 pub(super) fn remove_target(control: &Control, instance: &str, source: &str) {
--- a/src/gateway/control/target_list.rs
+++ b/src/gateway/control/target_list.rs
@@ -12,6 +12,7 @@
 use super::context::Control;
 use super::feed::{self, Round};
 use super::follow::{ReadPage, Subscription};
+use crate::gateway::decision::completeness::Completeness;
 use crate::gateway::decision::feed::Role;
 use crate::gateway::targets::Freshness;
 use crate::store::{Backoff, CallError, Page, Place, Topic, hedge};
@@ -41,10 +42,6 @@
 const OWN_AGE_MAX: Millis = Millis(2_500);
 /// Age from which on the list is not current any more: a leaving target has to be known within it.
 const AGE_MAX: Millis = Millis(2_700);
-/// How long a target that is no longer listed stays in use after the store is back: its entry may have expired because
-/// the target could not write either. Running targets are listed again within about two seconds; the next read follows
-/// [`TARGETS_INTERVAL`] later.
-const LAPSED_GRACE: Duration = Duration::from_millis(1_700);
 /// Heartbeat intervals of an outage after which entries of targets may have expired: a target writes one in each, and the
 /// entry expires after three without.
 const INTERVALS_TO_EXPIRY: u32 = 2;
@@ -103,7 +100,9 @@
             match read_or_follow(&control, &mut list, &mut client, role).await {
                 Reading::Read(Ok(as_of)) => {
                     client.note_read(as_of, sent_at);
-                    feed::publish_targets(&control, as_of, sent_at);
+                    if let Some(whole_as_of) = list.completeness.whole_as_of() {
+                        feed::publish_targets(&control, whole_as_of, sent_at);
+                    }
                 }
                 Reading::Followed => list.adopt(&control, &client, role),
                 // The store may have answered another reader meanwhile.
@@ -122,7 +121,7 @@
         }
         note_age(&control, client.read_at());
         control.state.borrow_mut().targets.forget(control.now());
-        control.publish_target_addresses();
+        control.publish_targets();
         sleep(TARGETS_INTERVAL).await;
     }
 }
@@ -184,13 +183,12 @@
 struct TargetList {
     subscription: Subscription,
     backoff: Backoff,
-    /// Since when the list lacks targets that may come back.
-    incomplete_since: Option<Instant>,
-    /// Whether the store was lost or restored, and the list has not been complete since.
-    was_lost: bool,
+    completeness: Completeness,
     restored_at: Option<Instant>,
     /// When the read that the list is of was sent, by whichever router; `None` if there was none yet.
     read_at: Option<Millis>,
+    /// When this router's own last read was sent that the store has answered.
+    own_read_at: Option<Millis>,
 }
 
 impl TargetList {
@@ -198,10 +196,10 @@
         Self {
             subscription: Subscription::new(Topic::Targets),
             backoff: Backoff::default(),
-            incomplete_since: None,
-            was_lost: false,
+            completeness: Completeness::new(),
             restored_at: None,
             read_at: None,
+            own_read_at: None,
         }
     }
 
@@ -233,18 +231,27 @@
         }
     }
 
-    /// Continues from the list of another router, and passes it on if this one is a reader.
+    /// Continues from the list of another router, and passes it on if this one is a reader or relay.
     fn adopt(&mut self, control: &Control, client: &feed::Client, role: Role) {
-        let as_of = client.as_of();
-        if self.was_lost || self.incomplete_since.is_some() {
-            let place = as_of.unwrap_or_default();
+        let Some(as_of) = client.as_of() else {
+            return;
+        };
+        if role == Role::Reader && self.has_expired(control, self.own_read_at) {
+            self.completeness.lose();
+        }
+        let is_restored = self.subscription.era.is_some_and(|era| era < as_of.era);
+        if is_restored {
+            self.note_restored();
+        }
+        self.completeness.record_followed(as_of);
+        self.subscription.era = Some(as_of.era);
+        if self.completeness.continues() {
+            self.subscription.next = Some(as_of);
+        } else {
+            self.subscription.restart();
             let source = client.source().unwrap_or_default();
-            tracing::info!(event = "target_list_adopted", source, as_of = %place, ?role);
+            tracing::info!(event = "target_list_adopted", source, %as_of, ?role);
         }
-        self.subscription.next = as_of;
-        self.subscription.era = as_of.map(|as_of| as_of.era);
-        self.incomplete_since = None;
-        self.was_lost = false;
         self.read_at = client.read_at();
         control.shared.set_has_targets();
         if role.passes_on() {
@@ -252,6 +259,18 @@
         }
     }
 
+    /// Whether entries of targets may have expired since a read that was sent at `read_at`.
+    fn has_expired(&self, control: &Control, read_at: Option<Millis>) -> bool {
+        let interval = control.state.borrow().members.interval();
+        let expiry = Millis((interval * INTERVALS_TO_EXPIRY).as_millis() as u64);
+        read_at.is_some_and(|at| control.now().saturating_sub(at) > expiry)
+    }
+
+    fn note_restored(&mut self) {
+        self.restored_at = Some(Instant::now());
+        self.completeness.lose();
+    }
+
     /// Reads what has changed since the last read, and returns the place up to which it has read. After a failure, returns
     /// how long to wait.
     async fn read(&mut self, control: &Control, role: Role) -> Result<Place, Duration> {
@@ -263,6 +282,10 @@
                 page,
             }) => {
                 apply::targets(control, &page.records, Freshness::Newest);
+                let dropped = self.completeness.record_changes(control.now(), &page);
+                for id in dropped {
+                    apply::remove_target(control, &id, "store");
+                }
                 page.next
             }
             Ok(ReadPage { content, page }) => {
@@ -281,25 +304,21 @@
         };
         self.backoff.reset();
         self.read_at = Some(sent_at);
+        self.own_read_at = Some(sent_at);
         Ok(as_of)
     }
 
     /// After an outage in which entries may have expired, the whole list is read again, to find out which did.
     fn note_failure(&mut self, control: &Control, error: &CallError) {
-        let interval = control.state.borrow().members.interval();
-        let expiry = Millis((interval * INTERVALS_TO_EXPIRY).as_millis() as u64);
-        let age = self.read_at.map(|at| control.now().saturating_sub(at));
-        if *error != CallError::Limited && age.is_some_and(|age| age > expiry) {
-            self.was_lost = true;
+        if *error != CallError::Limited && self.has_expired(control, self.read_at) {
+            self.completeness.lose();
             self.subscription.restart();
         }
     }
 
     fn apply_snapshot(&mut self, control: &Control, content: PageContent, page: &Page) {
         if content == PageContent::RestoredSnapshot {
-            self.restored_at = Some(Instant::now());
-            self.incomplete_since = None;
-            self.was_lost = true;
+            self.note_restored();
         }
         let may_be_old = self
             .restored_at
@@ -308,22 +327,16 @@
             true => Freshness::MayBeOld,
             false => Freshness::Newest,
         };
-        let incomplete_since = self.incomplete_since;
-        let is_in_grace =
-            self.was_lost && incomplete_since.is_none_or(|at| at.elapsed() < LAPSED_GRACE);
-        let missing = apply::all_targets(control, page, freshness, !is_in_grace);
-        if self.was_lost || self.incomplete_since.is_some() {
+        let now = control.now();
+        let was_whole = self.completeness.is_whole();
+        let drops_missing = self.completeness.drops_missing(now);
+        let missing = apply::all_targets(control, page, freshness, drops_missing);
+        if !was_whole {
             let (records, as_of) = (page.records.len(), page.next);
-            tracing::info!(event = "target_list_read", %as_of, records, missing, is_in_grace, ?content);
-        }
-        control.shared.set_missing_targets(missing);
-        if missing == 0 {
-            self.incomplete_since = None;
-            self.was_lost = false;
-        } else {
-            self.incomplete_since.get_or_insert_with(Instant::now);
-            self.subscription.next = None;
+            let missing = missing.len();
+            tracing::info!(event = "target_list_read", %as_of, records, missing, drops_missing, ?content);
         }
+        self.completeness.record_list(now, page.next, missing);
         control.shared.set_has_targets();
     }
 }
--- a/src/gateway/decision/mod.rs
+++ b/src/gateway/decision/mod.rs
@@ -10,6 +10,7 @@
 pub mod busy;
 pub mod capacity;
 pub mod cold;
+pub mod completeness;
 pub mod feed;
 pub mod forecast;
 pub mod grant;
--- a/tests/feed_runs.rs
+++ b/tests/feed_runs.rs
@@ -192,6 +192,50 @@
     assert!(last.is_none_or(|last| last < KNOWN_WITHIN), "{last:?}");
 }
 
+/// Guards against followers of a list with targets that have left, which read on from its place when its readers end.
+#[tokio::test(flavor = "multi_thread")]
+async fn readers_die_with_a_partial_list() {
+    const LAPSED: usize = 1;
+    let (mut deployment, app) = start().await;
+    let other = Runner::start("i-other").await;
+    list(&deployment.store, "app", &other, "ready");
+    for gateway in &deployment.gateways {
+        until_reached(gateway.front, &other).await;
+    }
+    set_fault(&deployment, Fault::Unavailable);
+    sleep(ROUNDS).await;
+    deployment.store.put(TARGETS, &app.instance(), None);
+    let readers = readers(&deployment);
+    for gateway in &deployment.gateways {
+        if readers.contains(&gateway.name) {
+            deployment.store.set_fault(gateway.store, Fault::None);
+        }
+    }
+    for gateway in &deployment.gateways {
+        if readers.contains(&gateway.name) {
+            let missing = format!("lanedeck_targets_missing {LAPSED}");
+            let metrics = Ask::get("/metrics");
+            until(|| async { ask(gateway.metrics, &metrics).await.body.contains(&missing) }).await;
+        }
+    }
+    sleep(ROUND).await;
+    deployment
+        .gateways
+        .retain(|gateway| !readers.contains(&gateway.name));
+    set_fault(&deployment, Fault::None);
+    sleep(ROUNDS * 2).await;
+    for gateway in &deployment.gateways {
+        until_avoided(gateway, &app).await;
+    }
+    let arrived = app.arrivals().len();
+    for gateway in &deployment.gateways {
+        for _ in 0..10 {
+            status_of(gateway.front, "/often/x").await;
+        }
+    }
+    assert_eq!(app.arrivals().len(), arrived);
+}
+
 /// Guards against routers that wait for each other after all were killed.
 #[tokio::test(flavor = "multi_thread")]
 async fn all_killed_with_a_long_list() {
