Log with each grant what the other routers' rows hold

The log told what each router was granted, but not whether it knew of the others' grants, so a lost update could not be told from rows never seen.

Change: held_by_others in grant_written. No decision changes.

--- a/src/gateway/control/rows.rs
+++ b/src/gateway/control/rows.rs
@@ -174,8 +174,7 @@
             take_settled(cursor, end);
             state.rows_acknowledged(control.now(), &rows);
             state.rows_sent(&unanswered_rows(cursor));
-            drop(state);
-            log_written(&rows, next);
+            log_written(&state, &rows, next);
             Ok(())
         }
         Err(error) if error.may_be_done() => {
@@ -240,8 +239,9 @@
     rows.iter().map(record).collect()
 }
 
-fn log_written(rows: &[(String, Row)], place: Place) {
+fn log_written(state: &State, rows: &[(String, Row)], place: Place) {
     for (customer, row) in rows {
+        let held_by_others = state.held_by_others(place.era, customer).0;
         tracing::info!(
             event = "grant_written",
             %customer,
@@ -249,6 +249,7 @@
             spent = row.spent.0,
             spent_before = row.spent_before.0,
             demand = row.demand,
+            held_by_others,
             cap = row.cap.map(|cap| cap.limit.0),
             least_cap = row.cap.map(|cap| cap.lowest.0),
             offset = place.offset,
--- a/src/gateway/escrow/row.rs
+++ b/src/gateway/escrow/row.rs
@@ -164,7 +164,7 @@
     }
 
     /// Tokens that count as allocated to all routers but this one, in the store's era.
-    pub(super) fn allocated_to_others(&self, router: &str, era: Era) -> Tokens {
+    pub fn allocated_to_others(&self, router: &str, era: Era) -> Tokens {
         let others = self.rows.iter().filter(|(name, _)| *name != router);
         others.map(|(_, row)| row.allocated(era)).sum()
     }
--- a/src/gateway/state/money.rs
+++ b/src/gateway/state/money.rs
@@ -240,6 +240,14 @@
         (account.available(now), spent)
     }
 
+    /// Tokens of a customer that the rows of the other routers hold, as of the last read.
+    pub fn held_by_others(&self, era: Era, customer: &str) -> Tokens {
+        let ledger = self.ledgers.get(customer);
+        ledger.map_or(Tokens::ZERO, |ledger| {
+            ledger.allocated_to_others(&self.settings.me.name, era)
+        })
+    }
+
     /// Tokens of a customer that this router may have reserved in total by `now`, whether or not it has.
     pub fn reservable(&self, now: Millis, customer: &str) -> Tokens {
         let account = self.accounts.get(customer);
