Give rows of budgets keys that have one reading only

Cause: a row's key joins customer and router by a slash and was split at the first one, so no router saw another one's grants to such a customer. Evidence: held_by_others=0 in every grant_written line, while conditional appends conflict as usual. Ruled out: rows that are not read, and rows lost by an update.

Change: escrow::Key. A customer without a slash keeps CUSTOMER/ROUTER. One with a slash gets an escaped key without any, which former versions pass over instead of counting it for somebody else.

--- a/src/gateway/control/apply.rs
+++ b/src/gateway/control/apply.rs
@@ -8,8 +8,9 @@
 use tokio::time::Instant;
 
 use super::context::Control;
-use super::{evacuations, grants, rollouts, rows};
+use super::{evacuations, grants, rollouts};
 use crate::gateway::dialect::{BadEntry, Entry, Subject};
+use crate::gateway::escrow::Key;
 use crate::gateway::evacuation::{Order, View};
 use crate::gateway::incarnation;
 use crate::gateway::members::{Router, Source};
@@ -107,7 +108,7 @@
             continue;
         };
         let name = &customer.name;
-        let key_length = rows::row_key(name, &state.members.me.name).len();
+        let key_length = Key::new(name, &state.members.me.name).encode().len();
         if key_length > KEY_MAX {
             // The customer's rows cannot be written, so it gets no grants and its requests are refused.
             tracing::error!(event = "customer_name_too_long", customer = %name, key_length);
--- a/src/gateway/control/rows.rs
+++ b/src/gateway/control/rows.rs
@@ -14,7 +14,7 @@
 
 use super::context::Control;
 use crate::gateway::decision::reread::{Reads, Scarcity};
-use crate::gateway::escrow::{Row, StoreAnswer};
+use crate::gateway::escrow::{Key, Row, StoreAnswer};
 use crate::gateway::state::State;
 use crate::store::hedge::{self, Delays};
 use crate::store::{CallError, Era, Page, Partition, Place, Record, Snapshot, Timeout, Topic};
@@ -25,14 +25,6 @@
 /// Longest pause after an append that failed because another router had written first, in milliseconds. The pause is
 /// random, so that the same routers do not collide again.
 const CONFLICT_PAUSE_MS: u64 = 12;
-/// Separator between customer and router in a row's key.
-const SEPARATOR: char = '/';
-
-/// The key of a router's row of a customer's budget.
-pub(super) fn row_key(customer: &str, router: &str) -> String {
-    format!("{customer}{SEPARATOR}{router}")
-}
-
 /// How far one partition was read, and the appends to it whose outcome is unknown.
 #[derive(Debug)]
 pub(super) struct Cursor {
@@ -233,7 +225,7 @@
     let state = control.state.borrow();
     let name = &state.members.me.name;
     let record = |(customer, row): &(String, Row)| Record {
-        key: row_key(customer, name),
+        key: Key::new(customer, name).encode(),
         value: Some(row.encode().into()),
     };
     rows.iter().map(record).collect()
@@ -304,7 +296,7 @@
     let me = state.members.me.name.clone();
     let mut own = HashMap::new();
     for record in &page.records {
-        let Some((customer, router)) = record.key.split_once(SEPARATOR) else {
+        let Some(Key { customer, router }) = Key::decode(&record.key) else {
             tracing::warn!(event = "row_key_unreadable", key = %record.key);
             continue;
         };
@@ -315,16 +307,16 @@
                 None => {
                     let bytes = value.len();
                     tracing::error!(event = "row_unreadable", %customer, %router, bytes);
-                    state.set_unreadable_row(customer, router);
+                    state.set_unreadable_row(&customer, &router);
                     continue;
                 }
             },
         };
-        state.set_row(customer, router, row);
+        state.set_row(&customer, &router, row);
         if let Some(row) = row
             && router == me
         {
-            own.insert(customer.to_owned(), row);
+            own.insert(customer.into_owned(), row);
         }
     }
     let settled = take_settled(cursor, page.next);
--- a/src/gateway/escrow/mod.rs
+++ b/src/gateway/escrow/mod.rs
@@ -11,6 +11,7 @@
 mod cap;
 pub mod guard;
 mod holder;
+mod key;
 mod refused;
 mod row;
 
@@ -18,5 +19,6 @@
 pub use cap::{Cap, Caps, StoreAnswer};
 pub use guard::{Commitment, ProcessStart, Ramp};
 pub use holder::RowOwner;
+pub use key::Key;
 pub use refused::{Demand, Refused, TRIES_MAX};
 pub use row::{Ledger, Loan, Row};
--- a/tests/deployment/store.rs
+++ b/tests/deployment/store.rs
@@ -279,6 +279,15 @@
         part.append(true, vec![record.into()]);
     }
 
+    /// Keys of a topic's newest records.
+    pub fn keys(&self, topic: &str) -> Vec<String> {
+        let parts = self.0.parts.lock().unwrap();
+        let parts = parts.iter().filter(|((name, _), _)| name == topic);
+        parts
+            .flat_map(|(_, part)| part.newest.keys().cloned())
+            .collect()
+    }
+
     /// Takes a snapshot of all contents.
     pub fn snapshot(&self) -> Snapshot {
         Snapshot(self.0.parts.lock().unwrap().clone())
