Limit the bytes that are read before the final head of a response

What callers saw: a target that answers 64 requests with informational heads back to back stops the whole router. 97 of 200 others were served, the callers were told after 6.0 s of a 4 s route, 5.3 s of a processor were used.

Cause: the HTTP library parses informational heads in one loop as long as there are more, so the thread that carries all traffic does nothing else. A head itself is limited by its buffer, the number of informational ones by nothing.

Change: a connection reads at most 128 kB from the begin of a request to the final head, twice the library's buffer; then the request fails as one whose connection broke, which counts against the target. Targets, the store and other routers' listeners for requests are all read through it.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-use super::half_open::{HalfOpen, WriteState};
+use super::half_open::{ExchangeState, HalfOpen};
 use crate::boot_clock;
 use crate::units::Millis;
 
@@ -62,7 +62,7 @@
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     task: AbortHandle,
-    write_state: WriteState,
+    state: ExchangeState,
     /// When the peer may close the connection, while it is idle.
     idle_until: Option<Millis>,
 }
@@ -89,7 +89,7 @@
     stream.set_nodelay(true)?;
     socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(acknowledge_timeout))?;
     let stream = HalfOpen::new(stream);
-    let write_state = stream.write_state();
+    let state = stream.state();
     let (sender, connection) = http1::Builder::new()
         .max_headers(HEADERS_MAX)
         .max_buf_size(BUFFER_MAX)
@@ -105,7 +105,7 @@
     Ok(Connection {
         sender,
         task: task.abort_handle(),
-        write_state,
+        state,
         idle_until: None,
     })
 }
@@ -116,19 +116,18 @@
     /// # Errors
     /// The connection's error, and whether the request was not sent at all.
     pub async fn send(&mut self, request: Request) -> Result<Response, SendError> {
-        self.write_state.begin_request();
-        self.sender
-            .try_send_request(request)
-            .await
-            .map_err(|mut error| SendError {
-                was_not_sent: error.take_message().is_some(),
-                source: error.into_error(),
-            })
+        self.state.begin_request();
+        let sent = self.sender.try_send_request(request).await;
+        self.state.end_head();
+        sent.map_err(|mut error| SendError {
+            was_not_sent: error.take_message().is_some(),
+            source: error.into_error(),
+        })
     }
 
     /// Whether a request can be sent on the connection now.
     pub fn is_usable(&self, now: Millis) -> bool {
-        let is_open = self.sender.is_ready() && !self.write_state.is_broken();
+        let is_open = self.sender.is_ready() && !self.state.is_broken();
         is_open && self.idle_until.is_none_or(|until| now < until)
     }
 
--- a/src/net/half_open.rs
+++ b/src/net/half_open.rs
@@ -6,41 +6,71 @@
 //! of a request has been written, write errors are suppressed and the rest of the request is discarded; reading yields
 //! the response or the error. The system reports a reset only once, so the error of the write is reported again by the
 //! read at the end of the stream: a response without a length is not complete after a reset.
+//!
+//! The library reads informational heads one after the other without end and without a pause. So the bytes that are read
+//! between a request and the final head of its response are limited here.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// Maximum number of bytes that are read before the final head of a response is complete.
+const HEAD_BYTES_MAX: usize = 128 << 10;
+
 /// A stream that reports errors of writes at its reads.
 #[derive(Debug)]
 pub(super) struct HalfOpen {
     stream: TcpStream,
-    write_state: WriteState,
+    state: ExchangeState,
     /// The error of the first failed write.
     error: Option<io::ErrorKind>,
 }
 
-/// State of the writes on a connection, shared with the sender of requests.
+/// State of the request and the response on a connection, shared with the sender of requests.
 #[derive(Clone, Debug, Default)]
-pub(super) struct WriteState(Arc<WriteFlags>);
+pub(super) struct ExchangeState(Arc<Progress>);
 
 #[derive(Debug, Default)]
-struct WriteFlags {
+struct Progress {
     /// Whether a part of the current request has been written.
     has_begun: AtomicBool,
     /// Whether a write has failed, after which nothing more is sent.
     is_broken: AtomicBool,
+    /// Whether the head of the current response is awaited.
+    awaits_head: AtomicBool,
+    /// Bytes that were read since the current request began.
+    read: AtomicUsize,
 }
 
-impl WriteState {
+impl ExchangeState {
     /// Resets the state for the next request.
     pub(super) fn begin_request(&self) {
         self.0.has_begun.store(false, Ordering::Relaxed);
+        self.0.read.store(0, Ordering::Relaxed);
+        self.0.awaits_head.store(true, Ordering::Relaxed);
+    }
+
+    /// Notes that the final head of the response was received.
+    pub(super) fn end_head(&self) {
+        self.0.awaits_head.store(false, Ordering::Relaxed);
+    }
+
+    /// Counts bytes that were read.
+    ///
+    /// # Errors
+    /// `InvalidData` if they are too many without a final head.
+    fn count_read(&self, bytes: usize) -> io::Result<()> {
+        let read = self.0.read.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        if self.0.awaits_head.load(Ordering::Relaxed) && read > HEAD_BYTES_MAX {
+            tracing::debug!(event = "head_endless", read);
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        Ok(())
     }
 
     /// Whether a write has failed.
@@ -53,20 +83,20 @@
     pub(super) fn new(stream: TcpStream) -> Self {
         Self {
             stream,
-            write_state: WriteState::default(),
+            state: ExchangeState::default(),
             error: None,
         }
     }
 
-    /// The state of the writes.
-    pub(super) fn write_state(&self) -> WriteState {
-        self.write_state.clone()
+    /// The state of the request and the response.
+    pub(super) fn state(&self) -> ExchangeState {
+        self.state.clone()
     }
 
     /// The result that the HTTP library gets for a write of `len` bytes. An error before any part of a request has been
     /// written is returned, so that the request fails at once; later errors are suppressed.
     fn suppress_error(&mut self, written: io::Result<usize>, len: usize) -> io::Result<usize> {
-        let state = &self.write_state.0;
+        let state = &self.state.0;
         match written {
             Err(error) if state.has_begun.load(Ordering::Relaxed) => {
                 tracing::debug!(event = "target_write_failed", %error);
@@ -91,7 +121,9 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        let is_end = buffer.filled().len() == before;
+        let read = buffer.filled().len() - before;
+        self.state.count_read(read)?;
+        let is_end = read == 0;
         match self.error {
             // A broken pipe is not a reset: the peer had ended its response in order before.
             Some(error) if is_end && error != io::ErrorKind::BrokenPipe => {
--- /dev/null
+++ b/tests/endless_bytes.rs
@@ -0,0 +1,216 @@
+//! Targets, a store and routers that send bytes without end: time, memory and processor time stay bounded, callers are told
+//! in time, connections are closed, others are served, and such a target is ejected.
+
+mod deployment;
+
+use std::time::Duration;
+
+use deployment::flood::{Flood, Pace, Part};
+use deployment::runner::Runner;
+use deployment::{Ask, Deployment, Gateway, config, list, list_at, try_ask, until};
+use tokio::time::{Instant, sleep};
+
+const LARGE_BUDGET: u64 = 10_000_000;
+/// Requests at the target at once.
+const REQUESTS: usize = 64;
+/// Memory that the process is told to stay within, in megabytes.
+const MEMORY_MB: u64 = 260;
+/// Time limit of the configuration's routes.
+const ROUTE_TIMEOUT: Duration = Duration::from_millis(4_000);
+/// Requests without a final answer at their route's time limit get it within this time.
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
+/// Time until a connection is closed whose request was answered.
+const CLOSED_WITHIN: Duration = Duration::from_millis(500);
+/// Interval of the requests for sound targets.
+const OTHERS_INTERVAL: Duration = Duration::from_millis(20);
+/// Share of the requests for sound targets that are served.
+const OTHERS_SERVED: f64 = 0.98;
+const SINGLE: Pace = Pace::Single(Duration::from_millis(5));
+
+/// The memory of a process at its peak, in megabytes.
+fn peak_memory_mb(gateway: &Gateway) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.id())).unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let kilobytes = line.unwrap().trim().trim_end_matches(" kB");
+    kilobytes.parse::<u64>().unwrap() / 1_000
+}
+
+/// The processor time of a process.
+fn processor_time(gateway: &Gateway) -> Duration {
+    const TICK: Duration = Duration::from_millis(10);
+    let stat = std::fs::read_to_string(format!("/proc/{}/stat", gateway.id())).unwrap();
+    let fields: Vec<&str> = stat
+        .rsplit(')')
+        .next()
+        .unwrap()
+        .split_whitespace()
+        .collect();
+    let ticks = |index: usize| fields[index].parse::<u32>().unwrap();
+    TICK * (ticks(11) + ticks(12))
+}
+
+/// The service that a part of an answer floods, the path of its requests, and the path of requests for a sound service.
+fn paths(part: Part) -> (&'static str, &'static str, &'static str) {
+    match part {
+        Part::Event | Part::SmallEvent | Part::Comments => ("engine", "/talk/x", "/often/x"),
+        _ => ("app", "/once/x", "/talk/x"),
+    }
+}
+
+fn request(id: &str, path: &str) -> Ask {
+    match path.starts_with("/talk/") {
+        true => Ask::talk(id, path, 100, 50),
+        false => Ask::new(id, path),
+    }
+}
+
+async fn start(part: Part) -> (Deployment, Runner) {
+    let sound = Runner::start("i-sound").await;
+    let (flooded, _, other) = paths(part);
+    let service = if flooded == "app" { "engine" } else { "app" };
+    let memory = MEMORY_MB.to_string();
+    let flags = ["--memory", &memory];
+    let runners = [(service, &sound)];
+    let deployment = Deployment::start_with(1, &config(1, LARGE_BUDGET), &runners, &flags).await;
+    let front = deployment.gateways[0].front;
+    until(|| async {
+        let answer = try_ask(
+            front,
+            &request(&format!("w{}", rand::random::<u64>()), other),
+        )
+        .await;
+        answer.is_some_and(|answer| answer.status == 200)
+    })
+    .await;
+    (deployment, sound)
+}
+
+/// Sends many requests at once to a target that floods its callers, and others to a sound one.
+async fn flooded(part: Part, pace: Pace) {
+    let (deployment, _sound) = start(part).await;
+    let flood = Flood::start(part, pace).await;
+    let (service, path, other) = paths(part);
+    list_at(
+        &deployment.store,
+        service,
+        "i-flood",
+        flood.address,
+        "ready",
+    );
+    let gateway = &deployment.gateways[0];
+    let front = gateway.front;
+    sleep(Duration::from_secs(1)).await;
+    let processor_before = processor_time(gateway);
+    let begun = Instant::now();
+    let asked: Vec<_> = (0..REQUESTS)
+        .map(|number| {
+            tokio::spawn(async move {
+                let asked_at = Instant::now();
+                let answer = try_ask(front, &request(&format!("f{number}"), path)).await;
+                (
+                    answer.map(|it| (it.status, it.is_whole)),
+                    asked_at.elapsed(),
+                )
+            })
+        })
+        .collect();
+    let others: Vec<_> = (0..(ROUTE_TIMEOUT.as_millis() / OTHERS_INTERVAL.as_millis()))
+        .map(|number| {
+            tokio::spawn(async move {
+                sleep(OTHERS_INTERVAL * number as u32).await;
+                let asked = request(&format!("o{number}"), other);
+                let answer = tokio::time::timeout(ROUTE_TIMEOUT, try_ask(front, &asked)).await;
+                answer.is_ok_and(|it| it.is_some_and(|it| it.status == 200 && it.is_whole))
+            })
+        })
+        .collect();
+    let mut slowest = Duration::ZERO;
+    for asked in asked {
+        let (answer, elapsed) = asked.await.unwrap();
+        assert!(
+            !matches!(answer, Some((200, true))),
+            "{part:?} {pace:?}: an endless answer was passed on as complete"
+        );
+        slowest = slowest.max(elapsed);
+    }
+    let closing = Instant::now();
+    while flood.open() > 0 && closing.elapsed() < CLOSED_WITHIN {
+        sleep(Duration::from_millis(10)).await;
+    }
+    let open = flood.open();
+    let processor = processor_time(gateway) - processor_before;
+    let mut served = 0;
+    let count = others.len();
+    for other in others {
+        served += usize::from(other.await.unwrap());
+    }
+    let memory = peak_memory_mb(gateway);
+    let seen = format!(
+        "{part:?} {pace:?}: slowest {slowest:?}, {open} open, {memory} MB, {processor:?} of a processor in {:?}, \
+         {served} of {count} others served, {} requests there",
+        begun.elapsed(),
+        flood.requests()
+    );
+    println!("{seen}");
+    assert!(slowest <= ROUTE_TIMEOUT + ANSWER_SLACK, "{seen}");
+    assert_eq!(open, 0, "{seen}");
+    assert!(memory <= MEMORY_MB, "{seen}");
+    assert!(processor <= ROUTE_TIMEOUT, "{seen}");
+    assert!(served as f64 >= count as f64 * OTHERS_SERVED, "{seen}");
+}
+
+macro_rules! floods {
+    ($($name:ident: $part:ident),* $(,)?) => {
+        $(
+            #[tokio::test(flavor = "multi_thread")]
+            async fn $name() {
+                flooded(Part::$part, Pace::Fast).await;
+                flooded(Part::$part, SINGLE).await;
+            }
+        )*
+    };
+}
+
+floods! {
+    no_head: Head,
+    header: Header,
+    headers: Headers,
+    informational_heads: Informational,
+    chunk_extension: ChunkExtension,
+    chunks: Chunks,
+    small_chunks: SmallChunks,
+    trailers: Trailers,
+    event: Event,
+    event_in_small_chunks: SmallEvent,
+    comments: Comments,
+}
+
+/// Guards against a target that floods its callers and stays in use.
+#[tokio::test(flavor = "multi_thread")]
+async fn ejected() {
+    const ROUNDS: usize = 40;
+    let app = Runner::start("i-app").await;
+    let runners = [("app", &app)];
+    let deployment = Deployment::start(1, &config(1, LARGE_BUDGET), &runners).await;
+    for part in [Part::Informational, Part::Chunks, Part::FailureBody] {
+        let flood = Flood::start(part, Pace::Fast).await;
+        let instance = format!("i-flood-{part:?}");
+        list_at(&deployment.store, "app", &instance, flood.address, "ready");
+        until(|| async {
+            let id = format!("e{}", rand::random::<u64>());
+            try_ask(deployment.gateways[0].front, &request(&id, "/often/x")).await;
+            flood.requests() > 0
+        })
+        .await;
+        let before = flood.requests();
+        for number in 0..ROUNDS {
+            let id = format!("{part:?}{number}");
+            try_ask(deployment.gateways[0].front, &request(&id, "/often/x")).await;
+        }
+        let got = flood.requests() - before;
+        println!("{part:?}: {got} of {ROUNDS} requests after the first");
+        assert!(got <= ROUNDS / 4, "{part:?} got {got} of {ROUNDS} requests");
+        deployment.store.put("keyed.servers", &instance, None);
+        list(&deployment.store, "app", &app, "ready");
+    }
+}
