Bound the memory and processor time that arriving answers take together

What callers saw: 64 answers without end made a process that was told to stay within 260 MB take 536 MB (a body without length), 532 MB (behind a failure's head) and 395 MB (a length beyond all limits); over its limit a process is ended with all its requests. In chunks of one or eight bytes they took a whole processor for the route's time, 4.0 s.

Cause: each answer was read up to its own limit of 8 MB, and none counted before it was whole. Every part was kept as a slice of its own, so that small parts took many times their bytes.

Change: net::collect copies the parts into one buffer, ends an answer whose declared length is too long at once, and one of thousands of tiny parts as broken. Beyond 16 kB it reserves the most that the answer can have; reservations share a quarter of the process's memory (decision::memory::arriving_max) and wait in turn, within the request's deadline. Short answers never wait.

--- a/src/gateway/decision/memory.rs
+++ b/src/gateway/decision/memory.rs
@@ -2,16 +2,25 @@
 //!
 //! Callers may send and read slowly, and so may targets, so a router holds bytes for as long as the slowest of them
 //! takes. A process that exceeds its host's memory is ended with all its requests. So a body is refused before it is
-//! read once too much is held, the less urgent ranks first. Answers are never refused: their requests have run.
+//! read once too much is held, the less urgent ranks first. Answers are never refused: their requests have run. But targets in
+//! trouble send bytes without end, so long answers are read a few at a time.
 
 /// Share of the process's memory that bodies and answers may take, 0 to 1. The rest is for connections, the lists of
 /// targets and routers, and answers that arrive for requests that were admitted before.
 const HELD_SHARE: f64 = 0.35;
+/// Share of the process's memory that answers may take while they are read, 0 to 1.
+const ARRIVING_SHARE: f64 = 0.25;
 /// Part of that which each rank leaves to the more urgent ones, 0 to 1.
 const RANK_STEP: f64 = 0.05;
 /// Number of ranks that leave a part; further ranks are treated alike.
 const RANKS: u8 = 10;
 
+/// Bytes of long answers that are read at the same time, given the process's `memory` in bytes; `None` if it is not limited.
+/// `longest` is the length of the longest answer, of which one can always be read.
+pub fn arriving_max(memory: Option<usize>, longest: usize) -> Option<usize> {
+    memory.map(|memory| longest.max((memory as f64 * ARRIVING_SHARE) as usize))
+}
+
 /// Decides whether `more` bytes are refused to a request of this rank, given the bytes that are `held` and the process's
 /// `memory` in bytes; `None` if it is not limited.
 pub fn is_refused(held: usize, more: usize, rank: u8, memory: Option<usize>) -> bool {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Response, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
@@ -24,7 +24,7 @@
 use super::escrow::Demand;
 use super::fingerprint::Fingerprint;
 use super::headers;
-use super::held::Usage;
+use super::held::{RESPONSE_MAX, Usage};
 use super::incarnation;
 use super::job::Job;
 use super::proxy;
@@ -37,8 +37,6 @@
 use crate::net;
 use crate::units::Millis;
 
-/// Maximum size of a response that is not a stream: it is read completely before it is forwarded.
-const RESPONSE_MAX_BYTES: usize = 8 << 20;
 /// Subtracted from the remaining time to get the time limit for a target, so that its response is back in time. A few
 /// times the latency between two halls.
 const RETURN_MARGIN: Duration = Duration::from_millis(4);
@@ -501,10 +499,14 @@
             reply,
             attempted_at,
         } = response;
-        let collected = attempt.until_ended(Limited::new(incoming, RESPONSE_MAX_BYTES).collect());
+        let reserve = async |bytes| self.relay.held.reserve(bytes).await;
+        let collected = attempt.until_ended(net::collect(incoming, RESPONSE_MAX, reserve));
         let body = match self.deadline.within(collected).await {
-            Ok(Some(Ok(body))) => body.to_bytes(),
-            Ok(Some(Err(_))) => return Err(failed(attempt, Failure::BrokenOff)),
+            Ok(Some(Ok(body))) => body,
+            Ok(Some(Err(error))) => {
+                tracing::info!(event = "answer_broken", id = %self.request.id, %error);
+                return Err(failed(attempt, Failure::BrokenOff));
+            }
             Ok(None) => return Err(failed(attempt, Failure::Ended)),
             Err(expiry) => return Err(failed(attempt, Failure::expired_after_send(expiry))),
         };
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 //! and a server for callers that shuts down gracefully.
 
 mod accept;
+mod collect;
 mod connection;
 mod half_open;
 mod pool;
@@ -10,6 +11,7 @@
 mod upload;
 
 pub use accept::{accept, bind};
+pub use collect::{CollectError, UNRESERVED_MAX, collect, is_fragmented};
 pub use connection::{Connection, Request, Response, SendError, open};
 pub use pool::Pool;
 pub use server::{Accepted, Server};
--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -7,7 +7,7 @@
 
 use deployment::flood::{Flood, Pace, Part};
 use deployment::runner::Runner;
-use deployment::{Ask, Deployment, Gateway, config, list, list_at, try_ask, until};
+use deployment::{Ask, Deployment, Gateway, config, list, list_at, try_ask, until, until_reached};
 use tokio::time::{Instant, sleep};
 
 const LARGE_BUDGET: u64 = 10_000_000;
@@ -179,6 +179,9 @@
     chunk_extension: ChunkExtension,
     chunks: Chunks,
     small_chunks: SmallChunks,
+    body_without_length: Body,
+    body_beyond_limits: LongBody,
+    body_of_a_failure: FailureBody,
     trailers: Trailers,
     event: Event,
     event_in_small_chunks: SmallEvent,
