--- a/tests/deployment/store.rs
+++ b/tests/deployment/store.rs
@@ -96,6 +96,8 @@
     /// Closes the connection, and executes the call after this many milliseconds, if its condition
     /// still holds.
     Late(u64),
+    /// Answers with a body without end.
+    Endless,
 }
 
 /// Contents of the store at one moment, for `Store::restore`.
@@ -384,6 +386,11 @@
                 tokio::time::sleep(Duration::from_millis(millis)).await;
                 Ok(self.call(address, request).await)
             }
+            Fault::Endless => {
+                const BLOCK: Bytes = Bytes::from_static(&[b'x'; 64 << 10]);
+                let blocks = futures::stream::repeat_with(|| Ok(BLOCK));
+                Ok(Response::new(super::server::Body::stream(blocks)))
+            }
             Fault::LostAnswer => {
                 self.call(address, request).await;
                 Err(ConnectionClosed)
--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -7,6 +7,7 @@
 
 use deployment::flood::{Flood, Pace, Part};
 use deployment::runner::Runner;
+use deployment::store::Fault;
 use deployment::{Ask, Deployment, Gateway, config, list, list_at, try_ask, until, until_reached};
 use tokio::time::{Instant, sleep};
 
@@ -188,6 +189,38 @@
     comments: Comments,
 }
 
+/// Guards against a store whose answers are kept whole whatever their length.
+#[tokio::test(flavor = "multi_thread")]
+async fn store() {
+    let app = Runner::start("i-app").await;
+    let memory = MEMORY_MB.to_string();
+    let runners = [("app", &app)];
+    let flags = ["--memory", &memory];
+    let deployment = Deployment::start_with(1, &config(1, LARGE_BUDGET), &runners, &flags).await;
+    let gateway = &deployment.gateways[0];
+    until_reached(gateway.front, &app).await;
+    deployment.store.set_fault(gateway.store, Fault::Endless);
+    let processor_before = processor_time(gateway);
+    let mut served = 0;
+    let count = ROUTE_TIMEOUT.as_millis() / OTHERS_INTERVAL.as_millis();
+    for number in 0..count {
+        let answer = try_ask(gateway.front, &request(&format!("s{number}"), "/often/x")).await;
+        served += usize::from(answer.is_some_and(|it| it.status == 200));
+        sleep(OTHERS_INTERVAL).await;
+    }
+    let processor = processor_time(gateway) - processor_before;
+    let memory = peak_memory_mb(gateway);
+    let seen = format!("{memory} MB, {processor:?} of a processor, {served} of {count} served");
+    println!("{seen}");
+    assert!(memory <= MEMORY_MB, "{seen}");
+    assert!(processor <= ROUTE_TIMEOUT, "{seen}");
+    assert!(served as f64 >= count as f64 * OTHERS_SERVED, "{seen}");
+    deployment.store.set_fault(gateway.store, Fault::None);
+    let other = Runner::start("i-other").await;
+    list(&deployment.store, "app", &other, "ready");
+    until_reached(gateway.front, &other).await;
+}
+
 /// Guards against a target that floods its callers and stays in use.
 #[tokio::test(flavor = "multi_thread")]
 async fn ejected() {
