Count no comments as events of a stream, and end a stream that sends nothing else

Streams of comments, or of an event in parts of one byte, took a whole processor for the route's time: 3.7 and 3.95 s in 4 s.

Cause: the id of the last event was taken from the last block of a read, also where that was a comment; comments counted as events, and so as tokens; each part of an event was scanned again with all parts before it.

Change: blocks of comments are passed on and not counted, and leave the id. A megabyte without an event, comments included, or thousands of tiny parts count as a connection that broke. An event beyond 16 kB reserves its memory as long answers do.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -4,6 +4,8 @@
 //! event, if the rules of [`retry`](super::decision::retry) allow another attempt. The caller gets only the head of
 //! the first target's response.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use futures::stream;
 use http::Response;
@@ -20,9 +22,11 @@
     Exchange, FailedAttempt, Refused, TargetResponse, answered_outcome, caller_response, failed,
 };
 use super::headers;
+use super::held;
 use super::proxy;
 use super::relay::{Link, Relay};
-use super::sse::Events;
+use super::sse::{EVENT_MAX_BYTES, Events};
+use crate::net;
 use crate::units::Tokens;
 
 /// A stream in progress. If it is dropped before its end, its caller has disconnected.
@@ -45,6 +49,9 @@
     is_framed: bool,
     /// When the first events arrived, and their number; `None` if the stream is resumed here.
     first_events: Option<(Instant, u64)>,
+    held: Arc<held::Account>,
+    /// For an event that is longer than most, while it arrives.
+    reservation: Option<held::Reservation>,
 }
 
 /// The next item of a target's stream.
@@ -68,7 +75,8 @@
     ) -> Result<Response<Body>, (Box<Exchange>, FailedAttempt)> {
         let is_unframed = proxy::take_unframed(&mut response.parts.headers);
         let parts = response.parts.clone();
-        let mut upstream = Upstream::new(response, is_unframed);
+        let held = Arc::clone(&exchange.relay.held);
+        let mut upstream = Upstream::new(response, is_unframed, held);
         let mut events = Events::default();
         let first_events = match upstream.next(&mut events, &exchange.deadline).await {
             Step::Events(bytes) => bytes,
@@ -158,7 +166,8 @@
                     after
                 );
                 let is_unframed = proxy::take_unframed(&mut response.parts.headers);
-                self.upstream = Some(Upstream::new(response, is_unframed));
+                let held = Arc::clone(&self.exchange.relay.held);
+                self.upstream = Some(Upstream::new(response, is_unframed, held));
                 true
             }
             Err(refused) => {
@@ -234,7 +243,7 @@
 
 impl Upstream {
     /// `is_unframed` tells that the target has not framed a response that another router passes back.
-    fn new(response: TargetResponse, is_unframed: bool) -> Self {
+    fn new(response: TargetResponse, is_unframed: bool, held: Arc<held::Account>) -> Self {
         let is_framed = !is_unframed && headers::is_framed(&response.parts);
         Self {
             attempt: response.attempt,
@@ -244,6 +253,8 @@
             attempted_at: response.attempted_at,
             is_framed,
             first_events: None,
+            held,
+            reservation: None,
         }
     }
 
@@ -281,9 +292,20 @@
                 continue;
             };
             let complete = events.push(&data);
-            if events.is_overlong() {
+            if events.is_endless() {
                 return Step::Interrupted(Failure::BrokenOff);
             }
+            if events.partial_len() <= net::UNRESERVED_MAX {
+                self.reservation = None;
+            } else if self.reservation.is_none() {
+                let reserved = deadline.within(self.held.reserve(EVENT_MAX_BYTES)).await;
+                match reserved {
+                    Ok(reservation) => self.reservation = Some(reservation),
+                    Err(expiry) => {
+                        return Step::Interrupted(Failure::expired_after_send(expiry));
+                    }
+                }
+            }
             if !complete.is_empty() {
                 return Step::Events(complete);
             }
--- a/tests/event_cut.rs
+++ b/tests/event_cut.rs
@@ -1,6 +1,6 @@
 //! Streams are split after complete events, however their bytes are divided into chunks.
 
-use lanedeck::gateway::sse::Events;
+use lanedeck::gateway::sse::{EVENT_MAX_BYTES, Events};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -42,3 +42,34 @@
     assert_eq!(&out[..], b"id: 2\ndata: b\n\n");
     assert_eq!(events.last_id(), Some("2"));
 }
+
+/// Guards against a stream that is resumed one event too early since a comment was read with its last event.
+#[test]
+fn comments_between_events() {
+    let mut events = Events::default();
+    let all = b": a\n\nid: 1\ndata: a\n\n: b\n:c\n\n";
+    assert_eq!(&events.push(all)[..], all);
+    assert_eq!((events.count(), events.last_id()), (1, Some("1")));
+    assert_eq!(&events.push(b": d\n\n")[..], b": d\n\n");
+    assert_eq!((events.count(), events.last_id()), (1, Some("1")));
+}
+
+/// Guards against a stream that sends comments, or parts of an event, for ever.
+#[test]
+fn without_an_event() {
+    for part in [&b": more\n\n"[..], b"\n\n", b"x"] {
+        let mut events = Events::default();
+        let pushes = (0..2 * EVENT_MAX_BYTES).take_while(|_| {
+            events.push(part);
+            !events.is_endless()
+        });
+        assert!(pushes.count() < EVENT_MAX_BYTES, "{part:?}");
+        assert_eq!(events.count(), 0);
+        let mut events = Events::default();
+        events.push(&part.repeat(EVENT_MAX_BYTES / part.len() + 1));
+        assert!(events.is_endless(), "{part:?}");
+        events.discard_partial();
+        events.push(b"id: 1\ndata: a\n\n");
+        assert!(!events.is_endless(), "{part:?}");
+    }
+}
