Take a refusal that names another request for no answer to this one

Cause: Exchange::send believed that a request was not run before it compared the answer's id. A late second answer to an earlier request then decided about the next one on the connection.

Change: a refusal counts if it names the request, or names none. Any other is a foreign answer: the connection is given up and the request may have run.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -325,7 +325,7 @@
         if !reply.wrong_instance && (is_ours || is_refusal) {
             attempt.report_notice(reply.notice);
         }
-        if reply.not_run {
+        if is_ours && reply.not_run || is_refusal {
             if reply.load.is_some() {
                 attempt.report_response_started(reply.load);
             }
