--- a/tests/deployment/runner.rs
+++ b/tests/deployment/runner.rs
@@ -45,6 +45,8 @@
     Delay(u64),
     /// Answers plain requests with a body of this many bytes.
     LargeBody(usize),
+    /// Runs the request and answers with a body without end, or with an event without end.
+    Endless,
 }
 
 /// A request that a runner received.
@@ -509,6 +511,11 @@
                 .unwrap());
         }
         Mode::Delay(millis) => tokio::time::sleep(Duration::from_millis(millis)).await,
+        Mode::Endless => {
+            const BLOCK: Bytes = Bytes::from_static(&[b'x'; 16 << 10]);
+            let body = Body::stream(stream::repeat_with(|| Ok(BLOCK)));
+            return Ok(head.body(body).unwrap());
+        }
         Mode::LargeBody(bytes) => return Ok(head.body(whole(&"x".repeat(bytes))).unwrap()),
         Mode::Normal | Mode::Break(_) | Mode::Slow(_) => {}
     }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -45,6 +45,8 @@
 const PARTITION_SEEDS: u64 = 3;
 /// Default number of seeds with several versions: one batch.
 const VERSION_SEEDS: u64 = 3;
+/// Default number of seeds with targets that answer without end: one batch.
+const FLOOD_SEEDS: u64 = 3;
 /// Default number of seeds for routers: one batch for each kind.
 const ROUTER_SEEDS: u64 = 3;
 /// Seeds that run concurrently, which makes about a dozen processes.
@@ -218,6 +220,15 @@
     });
 }
 
+/// Planned operations and faults while targets answer with bytes without end.
+#[test]
+fn soak_floods() {
+    soak_seeds("soak_floods", FLOOD_SEEDS, |seed| {
+        let kind = [Kind::Planned, Kind::Faults][usize::from(seed % 2 == 0)];
+        Plan::new(seed, kind, processes()).with_floods()
+    });
+}
+
 #[test]
 fn routers_planned() {
     soak_routers("routers_planned", Kind::Planned);
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -335,6 +335,13 @@
         self
     }
 
+    /// Adds targets that answer with bytes without end, several at a time.
+    pub fn with_floods(mut self) -> Self {
+        self.steps.extend(floods(self.seed));
+        self.steps.sort_by_key(|(at, _)| *at);
+        self
+    }
+
     /// Adds targets that send notices about themselves.
     pub fn with_notices(mut self) -> Self {
         self.steps.extend(notices(self.seed));
@@ -441,6 +448,23 @@
     (0..INTERRUPTIONS).map(interruption).collect()
 }
 
+/// Times in a run with floods that a target answers with bytes without end.
+const FLOODS: usize = 12;
+/// Longest of these times, in milliseconds.
+const FLOOD_MAX_MS: u64 = 1_500;
+
+fn floods(seed: u64) -> Vec<(u64, Step)> {
+    // A separate generator, as in `lapses`.
+    let mut rng = StdRng::seed_from_u64(!seed);
+    let flood = |_| {
+        let target = rng.random_range(0..TARGETS.len());
+        let span = rng.random_range(100..FLOOD_MAX_MS);
+        let at = rng.random_range(FIRST_STEP_MS..LOAD_MS);
+        (at, Step::Target(target, Mode::Endless, span))
+    };
+    (0..FLOODS).map(flood).collect()
+}
+
 /// Targets that send notices in a run that has any, each of a different service.
 const NOTICE_TARGETS: [usize; 3] = [0, 2, 4];
 /// How long they send them, in milliseconds: until shortly before the end of the load, so that the bounds pass within
