Log an adopted list once an outage, and say characters where names are meant

target_list_adopted came with each round of a reader that follows others while the store does not answer it: two lines a second for the length of the outage. It is logged where the list was older than entries live, which is once. Completeness gets the derived default that clippy asks for, and plainer comments. partial_lists counts adoptions from before the first router returns.

--- a/src/gateway/control/target_list.rs
+++ b/src/gateway/control/target_list.rs
@@ -196,7 +196,7 @@
         Self {
             subscription: Subscription::new(Topic::Targets),
             backoff: Backoff::default(),
-            completeness: Completeness::new(),
+            completeness: Completeness::default(),
             restored_at: None,
             read_at: None,
             own_read_at: None,
@@ -236,6 +236,7 @@
         let Some(as_of) = client.as_of() else {
             return;
         };
+        let is_first_after_outage = self.has_expired(control, self.read_at);
         if role == Role::Reader && self.has_expired(control, self.own_read_at) {
             self.completeness.lose();
         }
@@ -249,8 +250,10 @@
             self.subscription.next = Some(as_of);
         } else {
             self.subscription.restart();
-            let source = client.source().unwrap_or_default();
-            tracing::info!(event = "target_list_adopted", source, %as_of, ?role);
+            if is_first_after_outage {
+                let source = client.source().unwrap_or_default();
+                tracing::info!(event = "target_list_adopted", source, %as_of, ?role);
+            }
         }
         self.read_at = client.read_at();
         control.shared.set_has_targets();
--- a/src/gateway/decision/completeness.rs
+++ b/src/gateway/decision/completeness.rs
@@ -2,9 +2,8 @@
 //! misses nothing, and whether targets are dropped that the store's list lacks.
 //!
 //! The load it answers: in an outage of the store the entries of running targets lapse, and all of them would be dropped
-//! as it ends. So those that are missing are kept for a grace. Meanwhile the list has more than the store's, and the ends of
-//! the entries that it has too many lie before the place up to which it was read: it is whole only up to an earlier one.
-//! A router that was in the outage itself reads the whole list whatever it takes over, for a grace of its own.
+//! as it ends. So those that are missing are kept for a grace. Meanwhile the list has targets that the store's list lacks, and
+//! the removals of their entries lie before the place up to which it was read: it is whole only up to an earlier one. A router that was in the outage itself reads the whole list whatever it takes over, for a grace of its own.
 
 use std::collections::BTreeSet;
 
@@ -16,17 +15,18 @@
 /// half a second later.
 pub const LAPSED_GRACE: Millis = Millis(1_700);
 
-/// What the list lacks or has too many.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// How the list differs from the store's.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 enum State {
-    /// Nothing, as far as the place that it is of.
+    /// Not at all, as of the place up to which it was read.
+    #[default]
     Whole,
-    /// Unknown, until the whole list is read: entries may have lapsed since the last read.
+    /// Unknown until the whole list is read: entries may have lapsed since the last read.
     Unread {
-        /// When a whole list was first read that lacked some.
+        /// When the whole list was read before, if targets were missing from it.
         missing_since: Option<Millis>,
     },
-    /// It has targets whose entries were missing when the whole list was read.
+    /// It keeps targets whose entries were missing when the whole list was read.
     Partial {
         /// Their ids, without those whose entries have changed since.
         missing: BTreeSet<String>,
@@ -35,27 +35,19 @@
 }
 
 /// Up to which place the list is whole.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Completeness {
     state: State,
     whole_as_of: Option<Place>,
 }
 
 impl Completeness {
-    /// That of a list which was not read yet.
-    pub fn new() -> Self {
-        Self {
-            state: State::Whole,
-            whole_as_of: None,
-        }
-    }
-
     /// The place up to which the list is whole; `None` if it never was.
     pub fn whole_as_of(&self) -> Option<Place> {
         self.whole_as_of
     }
 
-    /// Whether the list has nothing too many.
+    /// Whether the list has no targets that the store's list lacks.
     pub fn is_whole(&self) -> bool {
         self.state == State::Whole
     }
--- a/src/gateway/escrow/key.rs
+++ b/src/gateway/escrow/key.rs
@@ -1,6 +1,6 @@
 //! The key of a router's row in the store.
 //!
-//! A key has one reading only, whatever signs a customer's name has. It is `CUSTOMER/ROUTER` where that name has no slash, as
+//! A key has one reading only, whatever characters a customer's name has. It is `CUSTOMER/ROUTER` where that name has no slash, as
 //! it always was. Where it has one, former versions take its first part for the customer's name; the key then has no
 //! slash at all, which they pass over. Names of routers have no slash (`util::is_name`).
 
@@ -11,7 +11,7 @@
 /// Separates them where it has one.
 const ESCAPED_SEPARATOR: char = ':';
 
-/// Signs that do not occur in the parts of an escaped key, and what stands for them.
+/// Characters that do not occur in the parts of an escaped key, and what stands for them.
 const ESCAPES: [(char, &str); 3] = [
     ('~', "~0"),
     (PLAIN_SEPARATOR, "~1"),
@@ -64,10 +64,10 @@
 
 fn escape(name: &str) -> String {
     let mut escaped = String::with_capacity(name.len() + 4);
-    for sign in name.chars() {
-        match ESCAPES.iter().find(|(plain, _)| *plain == sign) {
+    for character in name.chars() {
+        match ESCAPES.iter().find(|(plain, _)| *plain == character) {
             Some((_, escape)) => escaped.push_str(escape),
-            None => escaped.push(sign),
+            None => escaped.push(character),
         }
     }
     escaped
--- a/tests/budget_names.rs
+++ b/tests/budget_names.rs
@@ -168,11 +168,11 @@
     }
 }
 
-/// Any name made of the signs that separate or escape parts of keys, and of others.
-fn any_name(u: &mut Unstructured<'_>, signs: &[char]) -> arbtest::arbitrary::Result<String> {
+/// Any name made of the characters that separate or escape parts of keys, and of others.
+fn any_name(u: &mut Unstructured<'_>, characters: &[char]) -> arbtest::arbitrary::Result<String> {
     let mut name = String::new();
     for _ in 0..u.int_in_range(0..=6)? {
-        name.push(*u.choose(signs)?);
+        name.push(*u.choose(characters)?);
     }
     Ok(name)
 }
--- a/tests/partial_lists.rs
+++ b/tests/partial_lists.rs
@@ -53,7 +53,7 @@
 }
 
 fn whole_at(offset: u64) -> Completeness {
-    let mut completeness = Completeness::new();
+    let mut completeness = Completeness::default();
     assert!(completeness.drops_missing(NOW));
     completeness.record_list(NOW, place(offset), BTreeSet::new());
     completeness
@@ -176,9 +176,9 @@
 
     /// Ends the outage for the first gateway alone, and waits until the second one has its list.
     async fn first_returns(&self) {
+        let adopted = adoptions(&self.logs[1]);
         self.set_fault(0, Fault::None);
         until(|| async { missing(self.gateway(0)).await == 1 }).await;
-        let adopted = adoptions(&self.logs[1]);
         until(|| async { adoptions(&self.logs[1]) > adopted }).await;
     }
 }
@@ -259,8 +259,8 @@
     for runner in [&outage.leaving, &outage.staying] {
         store.put(TARGETS, &runner.instance(), None);
     }
-    outage.set_fault(0, Fault::None);
     let adopted = adoptions(&outage.logs[1]);
+    outage.set_fault(0, Fault::None);
     until(|| async { adoptions(&outage.logs[1]) > adopted }).await;
     outage.set_fault(1, Fault::None);
     let end = Instant::now() + RELISTED_WITHIN;
