Take a store that refuses calls for its rate for one that answers

A reader that follows others since its own reads were refused for the rate (429) counted as having been in an outage after two heartbeats without an answer, and then read the whole list, in twenty parts of which three of four were refused. Entries do not lapse since a reader's calls are refused, which is why note_failure passes over such errors.

Change: a refusal for the rate counts as an answer there, too.

Test: leaving_while_calls_are_refused is the regression test; it stays as it is.

--- a/src/gateway/control/target_list.rs
+++ b/src/gateway/control/target_list.rs
@@ -187,8 +187,8 @@
     restored_at: Option<Instant>,
     /// When the read that the list is of was sent, by whichever router; `None` if there was none yet.
     read_at: Option<Millis>,
-    /// When this router's own last read was sent that the store has answered.
-    own_read_at: Option<Millis>,
+    /// When this router's own last read was sent that the store has answered, be it with a refusal for its rate.
+    answered_at: Option<Millis>,
 }
 
 impl TargetList {
@@ -199,7 +199,7 @@
             completeness: Completeness::default(),
             restored_at: None,
             read_at: None,
-            own_read_at: None,
+            answered_at: None,
         }
     }
 
@@ -237,7 +237,7 @@
             return;
         };
         let is_first_after_outage = self.has_expired(control, self.read_at);
-        if role == Role::Reader && self.has_expired(control, self.own_read_at) {
+        if role == Role::Reader && self.has_expired(control, self.answered_at) {
             self.completeness.lose();
         }
         let is_restored = self.subscription.era.is_some_and(|era| era < as_of.era);
@@ -297,6 +297,9 @@
             }
             Err(error) if error.invalidates_place() => return Err(Duration::ZERO),
             Err(error) => {
+                if error == CallError::Limited {
+                    self.answered_at = Some(sent_at);
+                }
                 self.note_failure(control, &error);
                 if self.subscription.parts_read() > parts_before {
                     self.backoff.reset();
@@ -307,7 +310,7 @@
         };
         self.backoff.reset();
         self.read_at = Some(sent_at);
-        self.own_read_at = Some(sent_at);
+        self.answered_at = Some(sent_at);
         Ok(as_of)
     }
 
