Keep targets that lapsed before a router's first read for the grace, too

What callers saw: 503 from a router that starts while the store is down, once the store is back: it had learnt of the targets from another router, and dropped all of them whose entries had lapsed in the outage at its first read, until they were listed again, up to two seconds later. Routers that were running kept them.

Cause: a list that was never read counted as whole, so nothing that it lacked was kept. By reading, the same held before for a router that reads the list itself; added the way over another router's list, whose place lies before the outage now. No log of the other way was made.

Change: completeness::State::New. At the first whole list missing targets have their grace; a list that is taken over though it is old counts as one of an outage. A first list that is current is taken over as before, so a starting fleet does not read more. The gauge of missing targets comes from Completeness instead of a count over all targets twice a second.

--- a/src/gateway/control/apply.rs
+++ b/src/gateway/control/apply.rs
@@ -285,7 +285,7 @@
         changes.add(instance, change);
     }
     changes.log("link");
-    control.publish_targets();
+    control.publish_target_addresses();
 }
 
 pub(super) fn remove_target(control: &Control, instance: &str, source: &str) {
--- a/src/gateway/control/context.rs
+++ b/src/gateway/control/context.rs
@@ -198,11 +198,9 @@
         self.shared.set_link_delay(delay);
     }
 
-    /// Publishes the addresses of the targets, and how many of them the store's list lacks.
-    pub(super) fn publish_targets(&self) {
+    /// Publishes the addresses of the targets.
+    pub(super) fn publish_target_addresses(&self) {
         let state = self.state.borrow();
-        self.shared
-            .set_missing_targets(state.targets.missing_count());
         let revision = state.targets.revision();
         if self.addresses_of.replace(Some(revision)) != Some(revision) {
             let addresses = state.targets.addresses();
--- a/src/gateway/control/rows.rs
+++ b/src/gateway/control/rows.rs
@@ -25,6 +25,7 @@
 /// Longest pause after an append that failed because another router had written first, in milliseconds. The pause is
 /// random, so that the same routers do not collide again.
 const CONFLICT_PAUSE_MS: u64 = 12;
+
 /// How far one partition was read, and the appends to it whose outcome is unknown.
 #[derive(Debug)]
 pub(super) struct Cursor {
--- a/src/gateway/control/target_list.rs
+++ b/src/gateway/control/target_list.rs
@@ -70,6 +70,9 @@
             true => client.follow(&control).await,
             false => Round::Unanswered,
         };
+        if round == Round::Stale && lacks_list && client.as_of().is_some() {
+            list.completeness.lose();
+        }
         let reads = match (round, role) {
             (Round::Updated, _) => {
                 list.adopt(&control, &client, role);
@@ -121,7 +124,10 @@
         }
         note_age(&control, client.read_at());
         control.state.borrow_mut().targets.forget(control.now());
-        control.publish_targets();
+        control
+            .shared
+            .set_missing_targets(list.completeness.missing());
+        control.publish_target_addresses();
         sleep(TARGETS_INTERVAL).await;
     }
 }
--- a/src/gateway/decision/completeness.rs
+++ b/src/gateway/decision/completeness.rs
@@ -3,7 +3,8 @@
 //!
 //! The load it answers: in an outage of the store the entries of running targets lapse, and all of them would be dropped
 //! as it ends. So those that are missing are kept for a grace. Meanwhile the list has targets that the store's list lacks, and
-//! the removals of their entries lie before the place up to which it was read: it is whole only up to an earlier one. A router that was in the outage itself reads the whole list whatever it takes over, for a grace of its own.
+//! the removals of their entries lie before the place up to which it was read: it is whole only up to an earlier one. A
+//! router that was in the outage itself reads the whole list whatever it takes over, for a grace of its own.
 
 use std::collections::BTreeSet;
 
@@ -18,8 +19,10 @@
 /// How the list differs from the store's.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 enum State {
-    /// Not at all, as of the place up to which it was read.
+    /// It was not read yet. Other routers may have told of targets.
     #[default]
+    New,
+    /// Not at all, as of the place up to which it was read.
     Whole,
     /// Unknown until the whole list is read: entries may have lapsed since the last read.
     Unread {
@@ -52,8 +55,16 @@
         self.state == State::Whole
     }
 
-    /// Notes an outage in which entries may have lapsed, or that the store was restored from a copy: the whole list has
-    /// to be read again.
+    /// Number of targets that are kept although the store's list lacks them, as far as that is known.
+    pub fn missing(&self) -> usize {
+        match &self.state {
+            State::Partial { missing, .. } => missing.len(),
+            State::New | State::Whole | State::Unread { .. } => 0,
+        }
+    }
+
+    /// Notes an outage in which entries may have lapsed, a list that was taken over though it was old, or that the store was
+    /// restored from a copy: the whole list has to be read.
     pub fn lose(&mut self) {
         self.state = State::Unread {
             missing_since: None,
@@ -64,6 +75,7 @@
     pub fn drops_missing(&self, now: Millis) -> bool {
         let since = match &self.state {
             State::Whole => return true,
+            State::New => None,
             State::Unread { missing_since } => *missing_since,
             State::Partial { missing_since, .. } => Some(*missing_since),
         };
@@ -74,7 +86,7 @@
     /// lacks them.
     pub fn record_list(&mut self, now: Millis, as_of: Place, missing: BTreeSet<String>) {
         let since = match self.state {
-            State::Whole => None,
+            State::New | State::Whole => None,
             State::Unread { missing_since } => missing_since,
             State::Partial { missing_since, .. } => Some(missing_since),
         };
@@ -92,7 +104,7 @@
     pub fn record_changes(&mut self, now: Millis, page: &Page) -> BTreeSet<String> {
         let is_over = self.drops_missing(now) && page.next >= page.end;
         let dropped = match &mut self.state {
-            State::Whole | State::Unread { .. } => BTreeSet::new(),
+            State::New | State::Whole | State::Unread { .. } => BTreeSet::new(),
             State::Partial { missing, .. } => {
                 for record in &page.records {
                     missing.remove(&record.key);
@@ -115,10 +127,14 @@
 
     /// Records that another router's list was taken over, which is whole up to a place.
     pub fn record_followed(&mut self, as_of: Place) {
-        if let State::Partial { missing_since, .. } = self.state {
-            self.state = State::Unread {
-                missing_since: Some(missing_since),
-            };
+        match self.state {
+            State::New => self.state = State::Whole,
+            State::Partial { missing_since, .. } => {
+                self.state = State::Unread {
+                    missing_since: Some(missing_since),
+                };
+            }
+            State::Whole | State::Unread { .. } => {}
         }
         self.whole_as_of = Some(as_of);
     }
--- a/src/gateway/targets/registry.rs
+++ b/src/gateway/targets/registry.rs
@@ -261,11 +261,6 @@
         !std::mem::replace(&mut self.get_mut(key).is_missing, true)
     }
 
-    /// Number of targets that are kept although they are missing from the list that was read.
-    pub fn missing_count(&self) -> usize {
-        self.listed().filter(|target| target.is_missing).count()
-    }
-
     /// The list of targets, for a router that cannot read the store.
     pub fn view(&self) -> View {
         View {
