Set memory for arriving answers aside by size, so that stalled ones do not keep others waiting

What callers saw: with eight answers of a target that stalled after 20 kB, sound answers of 100 kB waited for 3.97 s of a 4 s route.

An answer without a length reserved the most that one can have, 8 MB, and an event 1 MB; at 260 MB eight of the former or 65 of the latter took all that is set aside, for as long as their routes allow, also if they had sent only 16 kB. The tests had short answers beside the floods.

Change: net::Bulkhead has three classes of sizes (128 kB, 1 MB, the longest), which share the memory evenly. An answer reserves for what it declares or has brought, and takes a place in the next class before it gives up its own, so none waits for one of a lower class. Events do the same, and complete ones are passed on before memory for the next is waited for.

--- a/src/gateway/decision/memory.rs
+++ b/src/gateway/decision/memory.rs
@@ -15,10 +15,9 @@
 /// Number of ranks that leave a part; further ranks are treated alike.
 const RANKS: u8 = 10;
 
-/// Bytes of long answers that are read at the same time, given the process's `memory` in bytes; `None` if it is not limited.
-/// `longest` is the length of the longest answer, of which one can always be read.
-pub fn arriving_max(memory: Option<usize>, longest: usize) -> Option<usize> {
-    memory.map(|memory| longest.max((memory as f64 * ARRIVING_SHARE) as usize))
+/// Bytes of long answers that are read at the same time, given the process's `memory` in bytes.
+pub fn arriving_max(memory: usize) -> usize {
+    (memory as f64 * ARRIVING_SHARE) as usize
 }
 
 /// Decides whether `more` bytes are refused to a request of this rank, given the bytes that are `held` and the process's
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -499,8 +499,8 @@
             reply,
             attempted_at,
         } = response;
-        let reserve = async |bytes| self.relay.held.reserve(bytes).await;
-        let collected = attempt.until_ended(net::collect(incoming, RESPONSE_MAX, reserve));
+        let memory = self.relay.held.arriving();
+        let collected = attempt.until_ended(net::collect(incoming, RESPONSE_MAX, memory));
         let body = match self.deadline.within(collected).await {
             Ok(Some(Ok(body))) => body,
             Ok(Some(Err(error))) => {
--- a/src/gateway/held.rs
+++ b/src/gateway/held.rs
@@ -5,14 +5,11 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-
 use super::decision::memory;
+use crate::net::Bulkhead;
 
 /// Maximum size of a response that is not a stream: it is read completely before it is forwarded.
 pub const RESPONSE_MAX: usize = 8 << 20;
-/// Unit of reservations, in bytes.
-const RESERVATION_UNIT: usize = 1 << 10;
 
 /// The bytes held for all requests.
 #[derive(Debug)]
@@ -20,8 +17,7 @@
     held: AtomicUsize,
     /// Memory that the process may use, in bytes.
     memory: Option<usize>,
-    /// What is left for long answers and events that arrive, in units of [`RESERVATION_UNIT`].
-    arriving: Arc<Semaphore>,
+    arriving: Bulkhead,
 }
 
 impl Default for Account {
@@ -31,12 +27,6 @@
     }
 }
 
-/// Bytes that an answer or event may take while it arrives, given back when it is dropped.
-#[derive(Debug)]
-pub struct Reservation(
-    #[expect(dead_code, reason = "held until it is dropped")] Option<OwnedSemaphorePermit>,
-);
-
 impl Account {
     /// Creates an account for a process that may use this memory; `None` if it is not limited.
     pub fn new(memory: Option<usize>) -> Arc<Self> {
@@ -44,23 +34,16 @@
     }
 
     fn with_memory(memory: Option<usize>) -> Self {
-        let arriving = memory::arriving_max(memory, RESPONSE_MAX);
-        let units = arriving.map_or(Semaphore::MAX_PERMITS, |bytes| bytes / RESERVATION_UNIT);
         Self {
             held: AtomicUsize::new(0),
             memory,
-            arriving: Arc::new(Semaphore::new(units.min(Semaphore::MAX_PERMITS))),
+            arriving: Bulkhead::new(memory.map(memory::arriving_max), RESPONSE_MAX),
         }
     }
 
-    /// Reserves bytes for an answer or event that arrives, at most [`RESPONSE_MAX`]. Waits while others take them, in the
-    /// order of the calls.
-    pub async fn reserve(&self, bytes: usize) -> Reservation {
-        let units = bytes.min(RESPONSE_MAX).div_ceil(RESERVATION_UNIT);
-        let units = u32::try_from(units).unwrap_or(u32::MAX);
-        // The semaphore is never closed.
-        let permit = Arc::clone(&self.arriving).acquire_many_owned(units).await;
-        Reservation(permit.ok())
+    /// The memory set aside for long answers and events while they arrive.
+    pub fn arriving(&self) -> &Bulkhead {
+        &self.arriving
     }
 
     /// Bytes that are held.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -25,7 +25,7 @@
 use super::held;
 use super::proxy;
 use super::relay::{Link, Relay};
-use super::sse::{EVENT_MAX_BYTES, Events};
+use super::sse::Events;
 use crate::net;
 use crate::units::Tokens;
 
@@ -51,7 +51,7 @@
     first_events: Option<(Instant, u64)>,
     held: Arc<held::Account>,
     /// For an event that is longer than most, while it arrives.
-    reservation: Option<held::Reservation>,
+    reservation: Option<net::Reservation>,
 }
 
 /// The next item of a target's stream.
@@ -280,6 +280,9 @@
 
     async fn next(&mut self, events: &mut Events, deadline: &Deadline) -> Step {
         loop {
+            if let Err(failure) = self.make_room(events.partial_len(), deadline).await {
+                return Step::Interrupted(failure);
+            }
             let frame = self.attempt.until_ended(self.incoming.frame());
             let frame = match deadline.within(frame).await {
                 Err(expiry) => return Step::Interrupted(Failure::expired_after_send(expiry)),
@@ -295,23 +298,27 @@
             if events.is_endless() {
                 return Step::Interrupted(Failure::BrokenOff);
             }
-            if events.partial_len() <= net::UNRESERVED_MAX {
-                self.reservation = None;
-            } else if self.reservation.is_none() {
-                let reserved = deadline.within(self.held.reserve(EVENT_MAX_BYTES)).await;
-                match reserved {
-                    Ok(reservation) => self.reservation = Some(reservation),
-                    Err(expiry) => {
-                        return Step::Interrupted(Failure::expired_after_send(expiry));
-                    }
-                }
-            }
             if !complete.is_empty() {
                 return Step::Events(complete);
             }
         }
     }
 
+    /// Waits for memory for an event that is longer than most, of which a part of this length has arrived.
+    async fn make_room(&mut self, partial: usize, deadline: &Deadline) -> Result<(), Failure> {
+        if partial <= net::UNRESERVED_MAX {
+            self.reservation = None;
+            return Ok(());
+        }
+        let reserved = self.reservation.as_ref().map(net::Reservation::size);
+        if reserved.is_none_or(|size| size < partial) {
+            let reserving = deadline.within(self.held.arriving().reserve(partial));
+            let larger = reserving.await.map_err(Failure::expired_after_send)?;
+            self.reservation = Some(larger);
+        }
+        Ok(())
+    }
+
     /// Handles the end of the body. An end within an event counts as an interruption unless the body is framed.
     fn end(&self, events: &mut Events) -> Step {
         if events.has_partial() && !self.is_framed {
--- a/src/net/collect.rs
+++ b/src/net/collect.rs
@@ -6,8 +6,7 @@
 use hyper::body::{Body, Incoming};
 use snafu::{ResultExt, Snafu, ensure};
 
-/// Bytes of a body or event that are read without a reservation: most are shorter.
-pub const UNRESERVED_MAX: usize = 16 << 10;
+use super::bulkhead::{Bulkhead, Reservation, UNRESERVED_MAX};
 
 /// Parts of a body or event that may be of any size.
 const SMALL_PARTS_MAX: usize = 4_096;
@@ -44,24 +43,24 @@
     },
 }
 
-/// Reads a body of at most `max` bytes. Before more than a few kilobytes are kept, `reserve` is called with the most that
-/// the body can have; what it returns is dropped once the body was read.
+/// Reads a body of at most `max` bytes. Beyond a few kilobytes it waits for memory that is set aside.
 ///
 /// # Errors
 /// The body is too long or fragmented, or its connection has failed.
-pub async fn collect<R>(
+pub async fn collect(
     mut body: Incoming,
     max: usize,
-    reserve: impl AsyncFnOnce(usize) -> R,
+    memory: &Bulkhead,
 ) -> Result<Bytes, CollectError> {
     let declared = body.size_hint().upper();
     let declared = declared.map(|length| usize::try_from(length).unwrap_or(usize::MAX));
-    let longest = declared.unwrap_or(max);
-    ensure!(longest <= max, TooLongSnafu { max });
+    ensure!(
+        declared.is_none_or(|length| length <= max),
+        TooLongSnafu { max }
+    );
     let mut bytes = BytesMut::new();
     let mut parts = 0;
-    let mut reserve = Some(reserve);
-    let mut _reservation = None;
+    let mut reservation: Option<Reservation> = None;
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.context(BrokenSnafu)?.into_data() else {
             continue;
@@ -77,11 +76,13 @@
                 bytes: length
             }
         );
-        if length > UNRESERVED_MAX
-            && let Some(reserve) = reserve.take()
-        {
-            _reservation = Some(reserve(longest).await);
-            bytes.reserve(longest - bytes.len());
+        let room = reservation
+            .as_ref()
+            .map_or(UNRESERVED_MAX, Reservation::size);
+        if length > room {
+            let larger = memory.reserve(declared.unwrap_or(length)).await;
+            bytes.reserve(declared.unwrap_or(larger.size()) - bytes.len());
+            reservation = Some(larger);
         }
         bytes.extend_from_slice(&data);
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 //! and a server for callers that shuts down gracefully.
 
 mod accept;
+mod bulkhead;
 mod collect;
 mod connection;
 mod half_open;
@@ -11,7 +12,8 @@
 mod upload;
 
 pub use accept::{accept, bind};
-pub use collect::{CollectError, UNRESERVED_MAX, collect, is_fragmented};
+pub use bulkhead::{Bulkhead, Reservation, UNRESERVED_MAX};
+pub use collect::{CollectError, collect, is_fragmented};
 pub use connection::{Connection, Request, Response, SendError, open};
 pub use pool::Pool;
 pub use server::{Accepted, Server};
--- a/tests/deployment/flood.rs
+++ b/tests/deployment/flood.rs
@@ -82,6 +82,8 @@
     Fast,
     /// One in each interval.
     Single(Duration),
+    /// So many, and then none.
+    Stalled(usize),
 }
 
 /// The stand-in.
@@ -156,6 +158,12 @@
                     let block = repeated.repeat(BLOCK / repeated.len());
                     while writer.write_all(block.as_bytes()).await.is_ok() {}
                 }
+                Pace::Stalled(count) => {
+                    let block = repeated.repeat(count / repeated.len());
+                    if writer.write_all(block.as_bytes()).await.is_ok() {
+                        std::future::pending::<()>().await;
+                    }
+                }
                 Pace::Single(interval) => {
                     for byte in repeated.as_bytes().iter().cycle() {
                         if writer.write_all(&[*byte]).await.is_err() {
--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use deployment::flood::{Flood, Pace, Part};
-use deployment::runner::Runner;
+use deployment::runner::{Mode, Runner};
 use deployment::store::Fault;
 use deployment::{Ask, Deployment, Gateway, config, list, list_at, try_ask, until, until_reached};
+use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
 const LARGE_BUDGET: u64 = 10_000_000;
@@ -189,6 +190,84 @@
     comments: Comments,
 }
 
+/// A configuration with one more plain service and its route.
+fn config_with_long_answers() -> Value {
+    let mut config = config(1, LARGE_BUDGET);
+    let mut route = config["routes"][1].clone();
+    route["name"] = "long".into();
+    route["pathPrefix"] = "/long/".into();
+    route["service"] = "long".into();
+    config["routes"].as_array_mut().unwrap().push(route);
+    let service = json!({ "name": "long", "healthPath": "/healthz", "maxConns": 100 });
+    config["services"].as_array_mut().unwrap().push(service);
+    config
+}
+
+/// Guards against long answers and events that stall, and keep sound long answers waiting for the memory set aside for them.
+async fn stalled(part: Part, pace: Pace) {
+    const LONG_ANSWER: usize = 100_000;
+    let long = Runner::start("i-long").await;
+    long.set(Mode::LargeBody(LONG_ANSWER));
+    let memory = MEMORY_MB.to_string();
+    let runners = [("long", &long)];
+    let flags = ["--memory", &memory];
+    let config = config_with_long_answers();
+    let deployment = Deployment::start_with(1, &config, &runners, &flags).await;
+    let front = deployment.gateways[0].front;
+    let flood = Flood::start(part, pace).await;
+    let (service, path, _) = paths(part);
+    list_at(
+        &deployment.store,
+        service,
+        "i-flood",
+        flood.address,
+        "ready",
+    );
+    until(|| async {
+        let id = format!("w{}", rand::random::<u64>());
+        tokio::spawn(async move { try_ask(front, &request(&id, path)).await });
+        flood.requests() > 0
+    })
+    .await;
+    let asked: Vec<_> = (0..REQUESTS)
+        .map(|number| {
+            tokio::spawn(async move { try_ask(front, &request(&format!("f{number}"), path)).await })
+        })
+        .collect();
+    until(|| async { flood.requests() > REQUESTS }).await;
+    sleep(OTHERS_INTERVAL).await;
+    let begun = Instant::now();
+    let (mut served, mut count) = (0, 0);
+    while begun.elapsed() < ROUTE_TIMEOUT / 2 {
+        let answer = try_ask(front, &request(&format!("l{count}"), "/long/x")).await;
+        served += usize::from(answer.is_some_and(|it| it.body.len() == LONG_ANSWER));
+        count += 1;
+        sleep(OTHERS_INTERVAL).await;
+    }
+    let seen = format!(
+        "{part:?} {pace:?}: {served} of {count} long answers in {:?}",
+        begun.elapsed()
+    );
+    println!("{seen}");
+    assert!(count > 10, "{seen}");
+    assert!(served as f64 >= count as f64 * OTHERS_SERVED, "{seen}");
+    for asked in asked {
+        assert!(!matches!(asked.await.unwrap(), Some(it) if it.status == 200 && it.is_whole));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stalled_bodies() {
+    stalled(Part::Body, Pace::Stalled(20_000)).await;
+    stalled(Part::Chunks, Pace::Stalled(200_000)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stalled_events() {
+    stalled(Part::Event, Pace::Stalled(20_000)).await;
+    stalled(Part::Event, Pace::Stalled(200_000)).await;
+}
+
 /// Guards against a store whose answers are kept whole whatever their length.
 #[tokio::test(flavor = "multi_thread")]
 async fn store() {
