--- a/src/cmd/intent.rs
+++ b/src/cmd/intent.rs
@@ -14,7 +14,7 @@
 plan is confirmed.
 
 Examples:
-  lanedeck intent --to 10.0.0.1:7000 --secret S plan budget kiosks skargard 5000000 > plan.json
+  lanedeck intent --to 10.0.0.1:7000 --secret S plan budget kiosks ferries 5000000 > plan.json
   lanedeck intent --to 10.0.0.1:7000 --secret S confirm plan.json
   lanedeck intent --to 10.0.0.1:7000 --secret S plan drain engine-7
   lanedeck intent --to 10.0.0.1:7000 --to 10.0.0.2:7000 --secret S status
