Read the rejection limits that targets announce, and tell the other routers

Cause: the head of an answer was decoded for a target's rate limit, for that it leaves and for a rest, and for nothing else, so neither log nor metric could tell whether a router had been told that a target fails after N rejections in a second.

Change: the limit is decoded into the notice, logged by target_says (word="rejections=N/s", with the request that heard it or the router that told it), told to the other routers as rate limits are, and shown by lanedeck_target_rejection_limit and lanedeck_target_notices_total. Nothing is decided by it. A router of the former version cannot read a message that holds such a report, and so misses the rate limits in it; messages without one are as they were (pinned).

Tests: notice_headers, pinned_gateway; target_limits, limit_shares, target_leaving, rest_asked and leaving_word pass.

--- a/src/gateway/notice/mod.rs
+++ b/src/gateway/notice/mod.rs
@@ -46,11 +46,17 @@
     }
 }
 
+/// Requests that a target may reject in a second for want of room before it fails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Rejections(pub u32);
+
 /// What the headers of a response announce about the target that sent it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Notice {
     /// The rate limit of the target; a response without one ends the previous limit.
     pub rate_limit: Result<Option<Rate>, BadNotice>,
+    /// The rejection limit of the target; a response without one ends the previous limit.
+    pub rejection_limit: Result<Option<Rejections>, BadNotice>,
     /// Whether the target leaves: it completes the requests that it has, then exits.
     pub is_leaving: Result<bool, BadNotice>,
     /// The `Retry-After` of a refusal: how long the router whose request was refused should send no requests.
@@ -62,6 +68,7 @@
     pub fn errors(&self) -> impl Iterator<Item = BadNotice> {
         let errors = [
             self.rate_limit.err(),
+            self.rejection_limit.err(),
             self.is_leaving.err(),
             self.retry_after.err(),
         ];
@@ -73,6 +80,7 @@
     fn default() -> Self {
         Self {
             rate_limit: Ok(None),
+            rejection_limit: Ok(None),
             is_leaving: Ok(false),
             retry_after: Ok(None),
         }
@@ -127,6 +135,13 @@
     },
     /// The target leaves. The announcement holds until the incarnation of the target ends.
     Leaving,
+    /// The rejection limit of the target, or the end of its previous one.
+    RejectionLimit {
+        /// Revision of the change, across all routers.
+        revision: u32,
+        /// The new limit; `None` if the limit has ended.
+        limit: Option<Rejections>,
+    },
 }
 
 impl fmt::Display for Announcement {
@@ -137,6 +152,10 @@
             } => write!(f, "limit={}/s", limit.per_second()),
             Self::RateLimit { limit: None, .. } => write!(f, "limit=none"),
             Self::Leaving => write!(f, "leaving"),
+            Self::RejectionLimit {
+                limit: Some(limit), ..
+            } => write!(f, "rejections={}/s", limit.0),
+            Self::RejectionLimit { limit: None, .. } => write!(f, "rejections=none"),
         }
     }
 }
--- a/src/gateway/notice/said.rs
+++ b/src/gateway/notice/said.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write;
 
-use super::{Announcement, Notice, Rate};
+use super::{Announcement, Notice, Rate, Rejections};
 use crate::gateway::metrics::Counter;
 use crate::units::Millis;
 
@@ -13,6 +13,8 @@
     pub instance: String,
     /// The rate limit of the target; `None` if it announces none.
     pub rate_limit: Option<Rate>,
+    /// The rejection limit of the target; `None` if it announces none.
+    pub rejection_limit: Option<Rejections>,
     /// Whether the target leaves.
     pub is_leaving: bool,
     /// Remaining time, as of publication, for which the target asked this router to send no requests.
@@ -23,6 +25,7 @@
 #[derive(Debug, Default)]
 pub struct Counts {
     rate_limit: Counter,
+    rejection_limit: Counter,
     leaving: Counter,
     rest: Counter,
     unreadable: Counter,
@@ -35,6 +38,7 @@
             match announcement {
                 Announcement::RateLimit { .. } => self.rate_limit.add(1),
                 Announcement::Leaving => self.leaving.add(1),
+                Announcement::RejectionLimit { .. } => self.rejection_limit.add(1),
             }
         }
         if let Ok(Some(_)) = notice.retry_after {
@@ -49,6 +53,7 @@
     let mut text = String::new();
     let kinds = [
         ("rate_limit", &counts.rate_limit),
+        ("rejection_limit", &counts.rejection_limit),
         ("leaving", &counts.leaving),
         ("rest", &counts.rest),
         ("unreadable", &counts.unreadable),
@@ -76,6 +81,13 @@
             "lanedeck_target_rate_limit{{instance=\"{instance}\"}} {limit}"
         );
     }
+    if let Some(limit) = announced.rejection_limit {
+        let _ = writeln!(
+            text,
+            "lanedeck_target_rejection_limit{{instance=\"{instance}\"}} {}",
+            limit.0
+        );
+    }
     if announced.is_leaving {
         let _ = writeln!(text, "lanedeck_target_leaving{{instance=\"{instance}\"}} 1");
     }
--- a/src/gateway/targets/mod.rs
+++ b/src/gateway/targets/mod.rs
@@ -1,6 +1,7 @@
 //! A gateway's state about targets: which ones exist, how busy each is, and the outcomes of recent attempts. `choice`
 //! filters those that a request may be sent to; [`placement`](super::decision::placement) picks one of them.
 
+mod announced;
 mod attempts;
 mod cache;
 mod choice;
--- a/src/gateway/targets/notices.rs
+++ b/src/gateway/targets/notices.rs
@@ -4,6 +4,7 @@
 //! remains. They end with the target's incarnation.
 
 use super::registry::Targets;
+use super::target::Target;
 use crate::gateway::decision::limit::{self, Usage};
 use crate::gateway::key::TargetKey;
 use crate::gateway::members::Members;
@@ -32,6 +33,11 @@
         {
             changes.extend(target.limit.announcement(now));
         }
+        if let Ok(limit) = notice.rejection_limit
+            && target.rejection_limit.observe(now, sent, limit)
+        {
+            changes.extend(rejection_announcement(target, now));
+        }
         if let Ok(Some(retry_after)) = notice.retry_after {
             target.backoff_until = target.backoff_until.max(now + retry_after.min(BACKOFF_MAX));
         }
@@ -48,6 +54,9 @@
         let is_change = match report.announcement {
             Announcement::RateLimit { revision, limit } => target.limit.merge(now, revision, limit),
             Announcement::Leaving => !std::mem::replace(&mut target.is_leaving, true),
+            Announcement::RejectionLimit { revision, limit } => {
+                target.rejection_limit.merge(now, revision, limit)
+            }
         };
         is_change.then_some(key)
     }
@@ -59,7 +68,9 @@
         let reports = current.flat_map(|target| {
             let instance = target.hash();
             let leaving = target.is_leaving.then_some(Announcement::Leaving);
-            let announcements = target.limit.announcement(now).into_iter().chain(leaving);
+            let rate_limit = target.limit.announcement(now);
+            let announcements = [rate_limit, leaving, rejection_announcement(target, now)];
+            let announcements = announcements.into_iter().flatten();
             announcements.map(move |announcement| Report {
                 instance,
                 announcement,
@@ -80,12 +91,13 @@
             let announced = AnnouncedState {
                 instance: target.listing.instance.clone(),
                 rate_limit: target.limit.in_force().map(|(rate, _)| rate),
+                rejection_limit: target.rejection_limit.in_force().map(|(limit, _)| limit),
                 is_leaving: target.is_leaving,
                 backoff_left: target.backoff_until.saturating_sub(now),
             };
             let is_backing_off = announced.backoff_left > Millis::ZERO;
-            (announced.rate_limit.is_some() || announced.is_leaving || is_backing_off)
-                .then_some(announced)
+            let has_limit = announced.rate_limit.is_some() || announced.rejection_limit.is_some();
+            (has_limit || announced.is_leaving || is_backing_off).then_some(announced)
         });
         announced.collect()
     }
@@ -137,6 +149,12 @@
     }
 }
 
+/// The rejection limit to report to other routers, if there is one or one has recently ended.
+fn rejection_announcement(target: &Target, now: Millis) -> Option<Announcement> {
+    let (revision, limit) = target.rejection_limit.report(now)?;
+    Some(Announcement::RejectionLimit { revision, limit })
+}
+
 /// Targets that accept no requests from this router at the moment.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Barred {
--- a/src/gateway/targets/target.rs
+++ b/src/gateway/targets/target.rs
@@ -3,6 +3,7 @@
 use tokio_util::sync::CancellationToken;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::announced::Announced;
 use super::attempts::Attempts;
 use super::cold::Warmup;
 use super::limit::Limit;
@@ -13,6 +14,7 @@
 use crate::gateway::decision::placement::Candidate;
 use crate::gateway::dialect::{Listing, Load};
 use crate::gateway::key::TargetKey;
+use crate::gateway::notice::Rejections;
 use crate::units::Millis;
 
 /// How long a load report is considered valid.
@@ -42,6 +44,8 @@
     pub(super) warmup: Warmup,
     /// The rate limit that the target announces.
     pub(super) limit: Limit,
+    /// The rejection limit that the target announces.
+    pub(super) rejection_limit: Announced<Rejections>,
     /// Until when the target asked this router to send no requests.
     pub(super) backoff_until: Millis,
     /// Whether a response announced that the target leaves, which its entry may show much later.
@@ -69,6 +73,7 @@
             attempts: Attempts::default(),
             warmup: Warmup::default(),
             limit: Limit::default(),
+            rejection_limit: Announced::default(),
             backoff_until: Millis::ZERO,
             is_leaving: false,
             is_listed: true,
--- a/tests/leaving_word.rs
+++ b/tests/leaving_word.rs
@@ -11,6 +11,7 @@
 const NOW: Millis = Millis(1_000_000);
 const LEAVING: Notice = Notice {
     rate_limit: Ok(None),
+    rejection_limit: Ok(None),
     is_leaving: Ok(true),
     retry_after: Ok(None),
 };
--- a/tests/notice_headers.rs
+++ b/tests/notice_headers.rs
@@ -6,7 +6,7 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue};
 use lanedeck::gateway::dialect::Dialect;
-use lanedeck::gateway::notice::{BadNotice, Notice, Rate};
+use lanedeck::gateway::notice::{BadNotice, Notice, Rate, Rejections};
 use lanedeck::units::Millis;
 use platform::Platform;
 
@@ -46,6 +46,34 @@
     assert!(matches!(notice.rate_limit, Err(BadNotice::Repeated { .. })));
 }
 
+#[test]
+fn rejection_limits() {
+    for (text, limit) in [("3", 3), ("0", 0), (" 12 ", 12), ("2.9", 2)] {
+        for status in [200, 503] {
+            let notice = read(status, &[("server-brittle", text.as_bytes())]);
+            assert_eq!(
+                notice.rejection_limit,
+                Ok(Some(Rejections(limit))),
+                "{text:?}"
+            );
+        }
+    }
+    assert_eq!(read(200, &[]).rejection_limit, Ok(None));
+    for text in ["", "few", "-1", "NaN", "1,5"] {
+        let notice = read(200, &[("server-brittle", text.as_bytes())]);
+        assert!(
+            matches!(notice.rejection_limit, Err(BadNotice::Value { .. })),
+            "{text:?}"
+        );
+    }
+    let twice: [(&str, &[u8]); 2] = [("server-brittle", b"1"), ("server-brittle", b"1")];
+    let notice = read(200, &twice);
+    assert!(matches!(
+        notice.rejection_limit,
+        Err(BadNotice::Repeated { .. })
+    ));
+}
+
 #[test]
 fn leaving() {
     for status in [200, 500, 503] {
--- a/tests/pinned_gateway.rs
+++ b/tests/pinned_gateway.rs
@@ -24,7 +24,7 @@
 use lanedeck::gateway::members::{Router, Usage};
 use lanedeck::gateway::message::{Heartbeat, Reply, Request};
 use lanedeck::gateway::metrics::{self, Metrics};
-use lanedeck::gateway::notice::{Announcement, Rate, Report};
+use lanedeck::gateway::notice::{Announcement, Rate, Rejections, Report};
 use lanedeck::gateway::operators;
 use lanedeck::gateway::paths::{self, Paths};
 use lanedeck::gateway::placements;
@@ -164,6 +164,14 @@
         "0603fd0807060504030201000301000000000000fc3ffd0807060504030201000400fd080706050403020101",
         &Request::Notices(reports()),
     );
+    let rejections = |limit| Report {
+        instance: 0x0102_0304_0506_0708,
+        announcement: Announcement::RejectionLimit { revision: 5, limit },
+    };
+    pin(
+        "0602fd080706050403020102050103fd0807060504030201020500",
+        &Request::Notices(vec![rejections(Some(Rejections(3))), rejections(None)]),
+    );
 }
 
 fn reports() -> Vec<Report> {
