Send a target with a rejection limit no more requests at a time than it has slots

What callers saw: while the targets of a service announced that they fail after N rejections in a second, each failed again as soon as it was back, and a tenth of what the targets could run was served.

Cause: the announcement was read and nothing was decided by it. Each router filled the targets' queues by its own view of their load; a rejection cost no more than a retry. A target's queue may shrink without a word, and four rejections of all routers together end it, so no router can keep the sum low by itself. Evidence: the routers' logs of the failing test have the announcement (target_says) seconds before the first failure, and attempt_sent to that target after it as before.

Change: while a target has a rejection limit, or is a new incarnation at a service that has one, a request to it needs one of its slots. Slots are certain to be there whatever becomes of the queue. Each slot has one owner, by the allocation and the order that rate limits use; a router without a free slot asks an owner for a lease, twice for a free one and then waiting, 0.3 s at most. An owner that is gone leaves its slots unused: nobody takes them over, so routers that disagree on who is live do not use one twice. A request whose end is not known keeps its slot until its deadline; a rejection withholds one for 8 s. A request that gets none is refused at once, with the time until one can be free. Attempts from before the announcement count. slot_asked, lanedeck_target_slots and lanedeck_slots_total tell operators who owns what and why one was refused.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -12,12 +12,17 @@
 use super::key::JobKey;
 use super::notice::Notice;
 use super::proxy::Located;
+use super::slots::Occupancy;
 use crate::ejection::Outcome;
-use crate::units::Tokens;
+use crate::units::{Millis, Tokens};
 
 /// Sends the control thread's reply to the request that waits for it.
 pub type ReplySender = oneshot::Sender<Result<Placement, Declined>>;
 
+/// Sends the control thread's answer to an attempt that asks for a slot of its target: that it has one, or the time until
+/// one can be free.
+pub type SlotSender = oneshot::Sender<Result<(), Millis>>;
+
 /// A message from the traffic thread to the control thread.
 #[derive(Debug)]
 pub enum Message {
@@ -41,6 +46,13 @@
         /// Receives the placement, or why there is none.
         reply: ReplySender,
     },
+    /// Asks for the slot that an attempt needs.
+    Slot {
+        /// The request.
+        job: JobKey,
+        /// Receives the answer.
+        reply: SlotSender,
+    },
     /// The head of a target's response has arrived, with any status; it may carry notices of the target about itself.
     Notice {
         /// The request.
@@ -106,6 +118,7 @@
     /// When the request was sent to the target.
     sent_at: Option<Instant>,
     timing: Timing,
+    occupancy: Occupancy,
     has_ended: bool,
 }
 
@@ -159,6 +172,7 @@
             delivery: Delivery::Nothing,
             sent_at: None,
             timing: Timing::Unknown,
+            occupancy: Occupancy::Ended,
             has_ended: false,
         }
     }
@@ -187,6 +201,21 @@
         &self.placement
     }
 
+    /// Waits for the slot that the attempt needs, if any.
+    ///
+    /// # Errors
+    /// The time until a slot can be free: there is none in time.
+    pub async fn acquire_slot(&self) -> Result<(), Millis> {
+        if !self.placement.needs_slot {
+            return Ok(());
+        }
+        let (reply, receiver) = oneshot::channel();
+        let job = self.placement.job;
+        self.controller.send(Message::Slot { job, reply });
+        // If the sender was dropped, the process is ending.
+        receiver.await.unwrap_or(Err(Millis::ZERO))
+    }
+
     /// Waits for an operation on the target's connection; `None` once the target's incarnation is known to have ended,
     /// which a connection to a host that has lost power does not show.
     pub async fn until_ended<T>(&self, future: impl Future<Output = T>) -> Option<T> {
@@ -228,8 +257,13 @@
     }
 
     fn ending(&self, outcome: Option<Outcome>) -> Ending {
+        let occupancy = match outcome {
+            Some(Outcome::Answered { .. }) => Occupancy::Ended,
+            Some(Outcome::Failed) | None => self.occupancy,
+        };
         Ending {
             outcome,
+            occupancy,
             delivery: self.delivery,
             timing: self.timing,
         }
@@ -238,6 +272,12 @@
     /// Records that the request is being sent to the target.
     pub fn note_sent(&mut self) {
         self.sent_at = Some(Instant::now());
+        self.occupancy = Occupancy::Unknown;
+    }
+
+    /// Records whether the target still works on the request.
+    pub fn note_occupancy(&mut self, occupancy: Occupancy) {
+        self.occupancy = occupancy;
     }
 
     /// Records that an answer which is not a stream has been read to its end.
--- a/src/gateway/control/context.rs
+++ b/src/gateway/control/context.rs
@@ -18,6 +18,7 @@
 use super::reachability::Monitor;
 use super::rollouts::Reports;
 use super::shortage;
+use super::slots;
 use super::throttle::Throttle;
 use super::waiting::{Queue, Scope};
 use crate::boot_clock;
@@ -99,6 +100,10 @@
     pub(super) notice_changed: Notify,
     /// Number of messages with targets' notices that were sent to other routers.
     pub(super) notice_messages: Cell<usize>,
+    /// Requests waiting for slots of targets that this router owns.
+    pub(super) slot_queue: RefCell<slots::Queue>,
+    /// Wakes the task that ends leases of slots and waits for them.
+    pub(super) slots_used: Notify,
     /// Which halls the operators have evacuated; `None` until it is known.
     pub(super) evacuations: RefCell<Option<evacuation::View>>,
     /// The evacuated halls according to the records read from the store.
--- a/src/gateway/control/link.rs
+++ b/src/gateway/control/link.rs
@@ -16,7 +16,7 @@
 use super::context::{Control, FAN_OUT, ROUND_INTERVAL};
 use super::{
     apply, capacities, clock, evacuations, feed, loans, notices, operators, origins, quarantine,
-    reachability, rollouts, target_list,
+    reachability, rollouts, slots, target_list,
 };
 use crate::gateway::decision;
 use crate::gateway::link_delay::RoundTrip;
@@ -109,6 +109,14 @@
             Reply::Noted
         }
         Request::Origin(stream) => Reply::Origin(origins::answer(control, stream)),
+        Request::Slot(query) => {
+            slots::answer(control, query, reply);
+            return;
+        }
+        Request::SlotEnd(end) => {
+            slots::end(control, &end);
+            Reply::Noted
+        }
         Request::Suspects(reports) => {
             quarantine::merge(control, &reports);
             Reply::Noted
@@ -277,7 +285,8 @@
             | Reply::Capacities(_)
             | Reply::Proxy(_)
             | Reply::Operators(_)
-            | Reply::Origin(_)),
+            | Reply::Origin(_)
+            | Reply::Slot(_)),
         ) => {
             tracing::warn!(event = "peer_answer_unfit", name = %router.name, ?reply);
         }
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -22,6 +22,7 @@
 mod rollouts;
 mod rows;
 mod shortage;
+mod slots;
 mod target_list;
 mod throttle;
 mod waiting;
@@ -128,6 +129,8 @@
         probing: RefCell::default(),
         notice_changed: Notify::new(),
         notice_messages: Cell::default(),
+        slot_queue: RefCell::default(),
+        slots_used: Notify::new(),
         evacuations: RefCell::default(),
         halls_in_store: RefCell::default(),
         halls_retained: RefCell::default(),
@@ -165,6 +168,7 @@
     tasks.spawn_local(clock::compare(Rc::clone(&control)));
     tasks.spawn_local(loans::return_excess(Rc::clone(&control)));
     tasks.spawn_local(origins::send_records(Rc::clone(&control)));
+    tasks.spawn_local(slots::expire(Rc::clone(&control)));
     tasks.spawn_local(log_store(Rc::clone(&control)));
     tasks.block_on(&runtime, serve(control, parts.messages, received));
 }
@@ -178,7 +182,10 @@
         let expiry = control.waiting.borrow().next_expiry();
         tokio::select! {
             message = messages.recv() => match message {
-                Some(message) => handle(&control, message),
+                Some(message) => {
+                    handle(&control, message);
+                    slots::settle(&control);
+                }
                 None => return,
             },
             Some((request, reply)) = peer_requests.recv() => {
@@ -245,6 +252,7 @@
             let next = state.retry(now, job, ending, charge);
             answer(&mut state, now, reply, next);
         }
+        Message::Slot { job, reply } => slots::acquire(control, job, reply),
         Message::Notice { job, notice } => notices::note_from_target(control, job, &notice),
         Message::ResponseStarted { job, load } => control
             .state
--- a/src/gateway/control/waiting.rs
+++ b/src/gateway/control/waiting.rs
@@ -11,6 +11,7 @@
 use crate::gateway::decision::order::{Ahead, Line, Trial, Turn, WAITING_MAX};
 use crate::gateway::decision::refusal::{Declined, Refusal};
 use crate::gateway::job::{Delivery, Ending, Job, Placement, Timing};
+use crate::gateway::slots::Occupancy;
 use crate::gateway::state::State;
 use crate::units::{Millis, Tokens};
 
@@ -195,6 +196,7 @@
     if let Err(Ok(placement)) = reply.send(result.map_err(Declined::from)) {
         let ending = Ending {
             outcome: None,
+            occupancy: Occupancy::Ended,
             delivery: Delivery::Nothing,
             timing: Timing::Unknown,
         };
--- a/src/gateway/decision/mod.rs
+++ b/src/gateway/decision/mod.rs
@@ -30,4 +30,5 @@
 pub mod returns;
 pub mod rollout;
 pub mod share;
+pub mod slots;
 pub mod stop;
--- a/src/gateway/decision/refusal.rs
+++ b/src/gateway/decision/refusal.rs
@@ -221,6 +221,10 @@
                 Failure::Unreachable | Failure::NoPath | Failure::IdleClosed | Failure::Unwritable,
                 _,
             ) => Self::Unreachable,
+            (Failure::NoSlot { after }, _) => {
+                let expected = after;
+                Self::Refused(Refusal::Busy { expected, after })
+            }
             (Failure::Late, _) => Self::Late,
             (Failure::Stopping, _) => Self::Stopping,
         }
--- a/src/gateway/decision/retry.rs
+++ b/src/gateway/decision/retry.rs
@@ -23,6 +23,11 @@
 /// How an attempt failed that produced no answer to forward.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
+    /// No slot of a target was free in time; nothing was sent.
+    NoSlot {
+        /// Time until one can be free.
+        after: Millis,
+    },
     /// The connection could not be established; nothing was sent.
     Unreachable,
     /// This router is partitioned from the targets, and no other router has sent the request.
@@ -91,7 +96,8 @@
     /// Whether the attempt may have run.
     pub fn verdict(self) -> Verdict {
         match self {
-            Self::Unreachable
+            Self::NoSlot { .. }
+            | Self::Unreachable
             | Self::NoPath
             | Self::IdleClosed
             | Self::Late
@@ -115,7 +121,8 @@
             | Self::Ended
             | Self::TimedOut
             | Self::ServerError => Some(Outcome::Failed),
-            Self::NoPath
+            Self::NoSlot { .. }
+            | Self::NoPath
             | Self::IdleClosed
             | Self::Late
             | Self::Stopping
@@ -130,7 +137,8 @@
     /// Whether a retry after this failure is charged to the retry budget.
     pub fn charge(self) -> Charge {
         match self {
-            Self::Unreachable
+            Self::NoSlot { .. }
+            | Self::Unreachable
             | Self::NoPath
             | Self::IdleClosed
             | Self::Late
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -31,6 +31,7 @@
 use super::relay::{Link, Origin, Relay};
 use super::route::{Config, Kind, Route};
 use super::shared::ActiveRequest;
+use super::slots::Occupancy;
 use super::streams::{self, Stream};
 use crate::boot_clock;
 use crate::ejection::Outcome;
@@ -218,6 +219,14 @@
         mut attempt: Attempt,
     ) -> Result<TargetResponse, FailedAttempt> {
         let attempted_at = Instant::now();
+        match self.deadline.within(attempt.acquire_slot()).await {
+            Ok(Ok(())) => {}
+            Ok(Err(after)) => {
+                self.unreached += 1;
+                return Err(failed(attempt, Failure::NoSlot { after }));
+            }
+            Err(expiry) => return Err(failed(attempt, Failure::expired_before_send(expiry))),
+        }
         let address = attempt.placement().address;
         let connected = match self.deadline.within(self.relay.connect(address)).await {
             Ok(connected) => connected,
@@ -268,7 +277,7 @@
                 estimate.and_then(|estimate| estimate.report_age.map(|age| age.0)),
             choice = estimate.map(|estimate| estimate.reason.as_str())
         );
-        let (parts, incoming, reply) = match self.send(&attempt, &mut link, request).await {
+        let (parts, incoming, reply) = match self.send(&mut attempt, &mut link, request).await {
             Ok(head) => head,
             Err(failure) => return Err(failed(attempt, failure)),
         };
@@ -284,7 +293,7 @@
 
     async fn send(
         &mut self,
-        attempt: &Attempt,
+        attempt: &mut Attempt,
         link: &mut Link,
         request: net::Request,
     ) -> Result<(http::response::Parts, Incoming, dialect::Reply), Failure> {
@@ -299,6 +308,7 @@
             Err(error) if error.was_not_sent => {
                 self.sent -= 1;
                 self.unreached += 1;
+                attempt.note_occupancy(Occupancy::Ended);
                 return Err(Failure::IdleClosed);
             }
             Err(error) => {
@@ -310,7 +320,11 @@
         if link.origin == Origin::Proxied {
             self.relay.shared.path_counts.proxied.add(1);
             if let Some(error) = proxy::Error::read(&parts.headers) {
-                return Err(self.proxy_failure(error));
+                let failure = self.proxy_failure(error);
+                if failure.verdict() == Verdict::NotRun {
+                    attempt.note_occupancy(Occupancy::Ended);
+                }
+                return Err(failure);
             }
         }
         let status = parts.status;
@@ -329,6 +343,10 @@
             if reply.load.is_some() {
                 attempt.report_response_started(reply.load);
             }
+            attempt.note_occupancy(match reply.wrong_instance {
+                true => Occupancy::Ended,
+                false => Occupancy::Rejected,
+            });
             return Err(if reply.wrong_instance {
                 Failure::WrongInstance
             } else if matches!(reply.notice.retry_after, Ok(Some(_))) {
@@ -511,6 +529,7 @@
             Err(expiry) => return Err(failed(attempt, Failure::expired_after_send(expiry))),
         };
         proxy::take_unframed(&mut parts.headers);
+        attempt.note_occupancy(Occupancy::Ended);
         self.relay.store(link, Relay::reusable_for(&reply));
         if parts.status.is_success() {
             attempt.note_answer_read();
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -11,6 +11,7 @@
 use super::escrow::Demand;
 use super::fingerprint::Fingerprint;
 use super::key::{JobKey, TargetKey};
+use super::slots::Occupancy;
 use super::streams::Stream;
 use crate::ejection::Outcome;
 use crate::units::{Millis, Tokens};
@@ -64,6 +65,8 @@
     pub address: SocketAddr,
     /// Cancelled when the target's incarnation is known to have ended.
     pub ended: CancellationToken,
+    /// Whether the attempt needs a slot of the target before it is sent.
+    pub needs_slot: bool,
     /// What was expected of the target, if it was chosen by expected time.
     pub estimate: Option<Estimate>,
 }
@@ -122,6 +125,8 @@
 pub struct Ending {
     /// How the target is judged by the attempt; `None` if the attempt says nothing about the target.
     pub outcome: Option<Outcome>,
+    /// Whether the target may still work on the request.
+    pub occupancy: Occupancy,
     /// How much of the response was delivered, over all attempts.
     pub delivery: Delivery,
     /// How long the answer took.
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -92,6 +92,7 @@
                 let returns = shared.store_returns.get();
                 text.push_str(&metrics::store_era(shared.store_era(), returns));
                 text.push_str(&notice::text(&shared.announced.load(), &shared.notices));
+                text.push_str(&shared.slots.text());
                 let refused = shared.quarantine_refused.get();
                 text.push_str(&quarantine::text(&shared.quarantine.load(), refused));
                 text.push_str(&rollout::text(&shared.rollouts.load()));
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -449,6 +449,26 @@
         Some(before.count())
     }
 
+    /// The other live routers among the first `count` in the order of [`place`](Self::place).
+    pub fn live_first(&self, now: Millis, key: &str, count: usize) -> Vec<&Router> {
+        let seed = xxh3_64(key.as_bytes());
+        let counted = self
+            .known
+            .values()
+            .filter(|member| !self.has_departed(now, member));
+        let others = counted.map(|member| (&member.router, self.is_live(now, member)));
+        let mut ranked: Vec<(u64, &Router, bool)> = others
+            .chain([(&self.me, false)])
+            .map(|(router, is_live)| (hash_router(router, seed), router, is_live))
+            .collect();
+        if (1..ranked.len()).contains(&count) {
+            ranked.select_nth_unstable_by_key(count - 1, |(hash, _, _)| *hash);
+            ranked.truncate(count);
+        }
+        let live = ranked.into_iter().filter(|(_, _, is_live)| *is_live);
+        live.map(|(_, router, _)| router).collect()
+    }
+
     /// Whether a router has been silent for so long, while the entries could be read, that it has left for good.
     fn has_departed(&self, now: Millis, member: &Member) -> bool {
         self.silence(now, member) > DEPARTED_AFTER
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -11,7 +11,7 @@
 use super::evacuation;
 use super::members::Router;
 use super::targets::{Outstanding, View};
-use super::{capacities, feed, notice, operators, quarantine, rollout, streams};
+use super::{capacities, feed, notice, operators, quarantine, rollout, slots, streams};
 use crate::units::Tokens;
 
 /// A router's heartbeat.
@@ -71,6 +71,10 @@
     Streams(Vec<streams::Record>),
     /// Asks for the version that began a stream.
     Origin(streams::Id),
+    /// Asks for the lease of a target's slot that the receiver owns.
+    Slot(slots::Query),
+    /// Ends the lease of a slot.
+    SlotEnd(slots::End),
 }
 
 /// The answer to a [`Request`].
@@ -111,4 +115,6 @@
     Operators(Option<Box<operators::Update>>),
     /// What the answering router knows of the version that began a stream.
     Origin(Answer),
+    /// Whether the slot is leased.
+    Slot(slots::Answer),
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -45,6 +45,7 @@
 pub mod route;
 mod serve;
 mod shared;
+pub mod slots;
 pub mod sse;
 pub mod state;
 mod stop;
--- a/src/gateway/notice/said.rs
+++ b/src/gateway/notice/said.rs
@@ -4,6 +4,7 @@
 
 use super::{Announcement, Notice, Rate, Rejections};
 use crate::gateway::metrics::Counter;
+use crate::gateway::targets::Owned;
 use crate::units::Millis;
 
 /// What a target currently announces.
@@ -15,6 +16,8 @@
     pub rate_limit: Option<Rate>,
     /// The rejection limit of the target; `None` if it announces none.
     pub rejection_limit: Option<Rejections>,
+    /// The target's slots that this router owns, if the target has a rejection limit and they were asked for.
+    pub slots: Option<Owned>,
     /// Whether the target leaves.
     pub is_leaving: bool,
     /// Remaining time, as of publication, for which the target asked this router to send no requests.
@@ -88,6 +91,19 @@
             limit.0
         );
     }
+    if let Some(slots) = announced.slots {
+        let states = [
+            ("owned", slots.owned),
+            ("occupied", slots.occupied),
+            ("withheld", slots.withheld),
+        ];
+        for (state, count) in states {
+            let _ = writeln!(
+                text,
+                "lanedeck_target_slots{{instance=\"{instance}\",state=\"{state}\"}} {count}"
+            );
+        }
+    }
     if announced.is_leaving {
         let _ = writeln!(text, "lanedeck_target_leaving{{instance=\"{instance}\"}} 1");
     }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -25,6 +25,7 @@
 use super::quarantine::QuarantinedRequest;
 use super::rollout::Overview;
 use super::route::Config;
+use super::slots;
 use super::stop::Progress;
 use super::store_calls;
 use crate::store::{CallError, Era, Topic};
@@ -55,6 +56,8 @@
     pub announced: ArcSwap<Vec<AnnouncedState>>,
     /// Counts of new reports by targets.
     pub notices: Counts,
+    /// Counts of requests for slots of targets.
+    pub slots: slots::Counts,
     /// Quarantined requests.
     pub quarantine: ArcSwap<Vec<QuarantinedRequest>>,
     /// Number of requests that were refused because they are quarantined.
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -8,6 +8,7 @@
 mod money;
 mod origins;
 mod rollouts;
+pub mod slots;
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -71,6 +72,10 @@
     tried: Vec<TargetKey>,
     /// The target of the current attempt.
     target: Option<TargetKey>,
+    /// The slot of the current attempt, if it needs one.
+    slot: Option<slots::Slot>,
+    /// How often an attempt got no slot where it asked.
+    slots_refused: u32,
     /// When the current attempt began.
     sent: Millis,
     /// Prompt tokens of the current attempt; zero once the target has begun to answer.
@@ -110,6 +115,7 @@
     /// When requests come back that were refused because all targets of a service were too busy, by service.
     returns: HashMap<String, busy::Returns>,
     running: HashMap<JobKey, Running>,
+    freed: slots::Freed,
     next_job: u64,
     random: StdRng,
 }
@@ -135,6 +141,7 @@
             retry_budgets: HashMap::new(),
             returns: HashMap::new(),
             running: HashMap::new(),
+            freed: slots::Freed::default(),
             next_job: 1,
             settings,
         }
@@ -160,6 +167,8 @@
             arm,
             tried: Vec::new(),
             target: None,
+            slot: None,
+            slots_refused: 0,
             sent: now,
             backlog: 0,
             estimate: None,
@@ -251,6 +260,10 @@
             self.rollouts.note_candidate(&running.service);
         }
         self.targets.begin(now, target, running.backlog);
+        let needs_slot = running.slot.is_some();
+        if needs_slot {
+            self.targets.begin_placed(target);
+        }
         self.targets.note_send(now, &self.members, target);
         let estimate = running.estimate;
         self.running.insert(key, running);
@@ -262,6 +275,7 @@
             version: chosen.version.clone(),
             address: chosen.listing.address,
             ended: chosen.ended.clone(),
+            needs_slot,
             estimate,
         }
     }
@@ -450,6 +464,7 @@
             return;
         };
         running.tried.push(target);
+        self.release_slot(now, running, target, ending.occupancy);
         self.learn_origin(running, target);
         self.note_rollout_attempt(now, running, target, ending);
         let backlog = std::mem::take(&mut running.backlog);
@@ -501,13 +516,16 @@
         let other = self.of_other_origins(running)?;
         let excluded = [&barred.targets[..], &running.tried[..], &other[..]].concat();
         let mut candidates = self.targets.candidates(now, service, &excluded);
-        if candidates.is_empty() && running.job.origin != Constraint::Any {
-            // A target that broke off a stream may go on with it, which no other version can.
+        let may_repeat_target = running.job.origin != Constraint::Any || running.slots_refused > 0;
+        if candidates.is_empty() && may_repeat_target {
+            // A target that broke off a stream may go on with it, which no other version can, and one of whose slots none
+            // was free at one router may have some at others.
             let excluded = [&barred.targets[..], &other[..]].concat();
             candidates = self.targets.candidates(now, service, &excluded);
         }
         let (arm, candidates) = self.restrict_to_arm(service, running.arm, candidates);
         let candidates = self.targets.avoid_cold(now, &self.members, candidates);
+        let candidates = self.prefer_free_slots(now, running, candidates);
         running.arm = arm;
         let hall = &self.settings.me.hall;
         let prompt = running.job.prompt.as_ref();
@@ -533,6 +551,7 @@
             return Err(Refusal::Busy { expected, after });
         }
         let choice = choice.map(|choice| choice.target);
+        running.slot = choice.and_then(|target| self.plan_slot(now, running, target));
         choice.ok_or_else(|| {
             if self.targets.is_evacuated(&running.service) {
                 Refusal::Evacuated
--- a/src/gateway/targets/announced.rs
+++ b/src/gateway/targets/announced.rs
@@ -41,6 +41,11 @@
         self.limit.map(|limit| (limit, self.since))
     }
 
+    /// Whether a limit was ever announced, whether or not it has ended.
+    pub(super) fn was_announced(&self) -> bool {
+        self.revision > 0
+    }
+
     /// Applies the limit announced in the response to a request that was sent at `sent`. Returns whether the limit has
     /// changed.
     pub(super) fn observe(&mut self, now: Millis, sent: Millis, limit: Option<L>) -> bool {
--- a/src/gateway/targets/mod.rs
+++ b/src/gateway/targets/mod.rs
@@ -10,10 +10,12 @@
 mod notices;
 mod outstanding;
 mod registry;
+mod slots;
 pub mod speed;
 mod target;
 
 pub use notices::Barred;
 pub use outstanding::{Outstanding, View};
 pub use registry::{Change, Freshness, Targets};
+pub use slots::Owned;
 pub use target::Target;
--- a/src/gateway/targets/notices.rs
+++ b/src/gateway/targets/notices.rs
@@ -27,6 +27,7 @@
         notice: &Notice,
     ) -> Vec<Announcement> {
         let target = self.get_mut(key);
+        target.has_answered = true;
         let mut changes = Vec::new();
         if let Ok(rate) = notice.rate_limit
             && target.limit.observe(now, sent, rate)
@@ -92,6 +93,9 @@
                 instance: target.listing.instance.clone(),
                 rate_limit: target.limit.in_force().map(|(rate, _)| rate),
                 rejection_limit: target.rejection_limit.in_force().map(|(limit, _)| limit),
+                slots: target
+                    .owned_slots()
+                    .filter(|_| target.rejection_limit.in_force().is_some()),
                 is_leaving: target.is_leaving,
                 backoff_left: target.backoff_until.saturating_sub(now),
             };
--- a/src/gateway/targets/registry.rs
+++ b/src/gateway/targets/registry.rs
@@ -328,6 +328,15 @@
         target.expect("a target is not removed while it has requests")
     }
 
+    pub(super) fn all_mut(&mut self, key: TargetKey) -> Option<&mut Target> {
+        self.all.get_mut(key.0)?.as_deref_mut()
+    }
+
+    pub(super) fn all_with_keys_mut(&mut self) -> impl Iterator<Item = (TargetKey, &mut Target)> {
+        let all = self.all.iter_mut().enumerate();
+        all.filter_map(|(index, target)| Some((TargetKey(index), target.as_deref_mut()?)))
+    }
+
     /// Counts a request sent to a target, and the tokens of its prompt.
     pub fn begin(&mut self, now: Millis, key: TargetKey, prompt_tokens: u64) {
         let target = self.get_mut(key);
--- a/src/gateway/targets/target.rs
+++ b/src/gateway/targets/target.rs
@@ -8,6 +8,7 @@
 use super::cold::Warmup;
 use super::limit::Limit;
 use super::outstanding::Outstanding;
+use super::slots::Slots;
 use super::speed::{Report, Speed};
 use crate::ejection::Health;
 use crate::gateway::decision::origin::Origin;
@@ -46,6 +47,9 @@
     pub(super) limit: Limit,
     /// The rejection limit that the target announces.
     pub(super) rejection_limit: Announced<Rejections>,
+    /// Whether this router has had an answer of the target.
+    pub(super) has_answered: bool,
+    pub(super) slots: Slots,
     /// Until when the target asked this router to send no requests.
     pub(super) backoff_until: Millis,
     /// Whether a response announced that the target leaves, which its entry may show much later.
@@ -74,6 +78,8 @@
             warmup: Warmup::default(),
             limit: Limit::default(),
             rejection_limit: Announced::default(),
+            has_answered: false,
+            slots: Slots::default(),
             backoff_until: Millis::ZERO,
             is_leaving: false,
             is_listed: true,
--- a/tests/busy/mod.rs
+++ b/tests/busy/mod.rs
@@ -11,6 +11,7 @@
 use lanedeck::gateway::fingerprint::Hasher;
 use lanedeck::gateway::job::{Delivery, Ending, Job, Timing};
 use lanedeck::gateway::members::Router;
+use lanedeck::gateway::slots::Occupancy;
 use lanedeck::gateway::state::{Settings, State};
 use lanedeck::gateway::targets::Freshness;
 use lanedeck::units::{Millis, Percent, Tokens};
@@ -98,6 +99,7 @@
 pub fn ending() -> Ending {
     Ending {
         outcome: None,
+        occupancy: Occupancy::Ended,
         delivery: Delivery::Nothing,
         timing: Timing::Unknown,
     }
--- a/tests/capped_fleet/mod.rs
+++ b/tests/capped_fleet/mod.rs
@@ -18,6 +18,7 @@
 use lanedeck::gateway::fingerprint::Fingerprint;
 use lanedeck::gateway::job::{Delivery, Ending, Job, Timing};
 use lanedeck::gateway::members::{Router, Source};
+use lanedeck::gateway::slots::Occupancy;
 use lanedeck::gateway::state::{Settings, State};
 use lanedeck::gateway::targets::Freshness;
 use lanedeck::store::Era;
@@ -215,6 +216,7 @@
         };
         let ending = Ending {
             outcome: None,
+            occupancy: Occupancy::Ended,
             delivery: Delivery::Uncounted,
             timing: Timing::Unknown,
         };
--- a/tests/pinned_gateway.rs
+++ b/tests/pinned_gateway.rs
@@ -30,6 +30,7 @@
 use lanedeck::gateway::placements;
 use lanedeck::gateway::reply;
 use lanedeck::gateway::route::Kind;
+use lanedeck::gateway::slots;
 use lanedeck::gateway::streams::{self, Id};
 use lanedeck::gateway::targets::{Outstanding, View};
 use lanedeck::store::{Era, Partition, Place, Record, Store, Topic};
@@ -172,6 +173,20 @@
         "0602fd080706050403020102050103fd0807060504030201020500",
         &Request::Notices(vec![rejections(Some(Rejections(3))), rejections(None)]),
     );
+    let query = slots::Query {
+        instance: 0x0102_0304_0506_0708,
+        lease: slots::LeaseId(9),
+        left: Millis(1_500),
+        rank: 2,
+        patience: slots::Patience::Wait,
+    };
+    pin("0ffd080706050403020109fbdc050201", &Request::Slot(query));
+    let end = slots::End {
+        instance: query.instance,
+        lease: query.lease,
+        occupancy: slots::Occupancy::Unknown,
+    };
+    pin("10fd08070605040302010902", &Request::SlotEnd(end));
 }
 
 fn reports() -> Vec<Report> {
@@ -218,6 +233,9 @@
     pin("02", &Reply::Taken);
     pin("03", &Reply::Declined);
     pin("0b00", &Reply::Proxy(None));
+    pin("0e00", &Reply::Slot(slots::Answer::Granted));
+    let after = Millis(40);
+    pin("0e0128", &Reply::Slot(slots::Answer::Busy { after }));
     pin("0c00", &Reply::Operators(None));
     let update = operators::Update {
         as_of: Place {
--- a/tests/rejection_limits.rs
+++ b/tests/rejection_limits.rs
@@ -189,15 +189,104 @@
     assert!(after.count() as f64 >= can_run * load.min(1.0) * ENDED_FOR.as_secs_f64() / 2.0);
 }
 
+const OVERLOAD: Scenario = Scenario {
+    routers: 24,
+    rejections: 3,
+    queue: 2,
+    load: 160,
+    fault: Fault::None,
+    served: 90,
+};
+
 #[tokio::test(flavor = "multi_thread")]
 async fn rejections_fail_targets() {
+    check(OVERLOAD).await;
+}
+
+/// No request waits at a target, and one rejection a second is allowed.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_room_to_wait() {
+    check(Scenario {
+        routers: 5,
+        rejections: 1,
+        queue: 0,
+        load: 300,
+        ..OVERLOAD
+    })
+    .await;
+}
+
+/// What a single router sends fits without any lease.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_router() {
+    check(Scenario {
+        routers: 1,
+        queue: 0,
+        ..OVERLOAD
+    })
+    .await;
+}
+
+/// Requests that the targets can run are served.
+#[tokio::test(flavor = "multi_thread")]
+async fn room_is_used() {
+    check(Scenario {
+        load: 60,
+        queue: 0,
+        served: 95,
+        ..OVERLOAD
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn rolled_routers() {
+    check(Scenario {
+        routers: 12,
+        rejections: 1,
+        queue: 0,
+        fault: Fault::Roll,
+        served: 50,
+        ..OVERLOAD
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_routers() {
+    check(Scenario {
+        routers: 12,
+        rejections: 1,
+        queue: 0,
+        fault: Fault::Kill,
+        served: 40,
+        ..OVERLOAD
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_routers() {
+    check(Scenario {
+        routers: 12,
+        rejections: 1,
+        queue: 0,
+        fault: Fault::Pause,
+        served: 40,
+        ..OVERLOAD
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn joining_routers() {
     check(Scenario {
-        routers: 24,
-        rejections: 3,
-        queue: 2,
-        load: 160,
-        fault: Fault::None,
-        served: 90,
+        routers: 8,
+        rejections: 1,
+        queue: 0,
+        fault: Fault::Join,
+        served: 80,
+        ..OVERLOAD
     })
     .await;
 }
--- a/tests/untaken_attempt.rs
+++ b/tests/untaken_attempt.rs
@@ -43,6 +43,7 @@
         instance: "i-1".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         ended: CancellationToken::new(),
+        needs_slot: false,
         estimate: None,
     }
 }
