Let the first requests after a start wait for the limits that targets announce

What callers saw: while routers were restarted in series, targets with a rejection limit failed: the first requests of each router went out as if there were no limit.

Cause: a router that has just started asks others for the targets' announcements at once, but did not wait for their answer. One request of each of four routers that start together is more than a target takes.

Change: until one other router has answered, an attempt waits for its slot, for 0.3 s at most after a start (limits_unknown) and not at all if there is no other router; then it is decided whether it needs one.

--- a/src/gateway/control/context.rs
+++ b/src/gateway/control/context.rs
@@ -104,6 +104,8 @@
     pub(super) slot_queue: RefCell<slots::Queue>,
     /// Wakes the task that ends leases of slots and waits for them.
     pub(super) slots_used: Notify,
+    /// Notified when other routers have told the limits that targets announce.
+    pub(super) limits_told: Notify,
     /// Which halls the operators have evacuated; `None` until it is known.
     pub(super) evacuations: RefCell<Option<evacuation::View>>,
     /// The evacuated halls according to the records read from the store.
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -131,6 +131,7 @@
         notice_messages: Cell::default(),
         slot_queue: RefCell::default(),
         slots_used: Notify::new(),
+        limits_told: Notify::new(),
         evacuations: RefCell::default(),
         halls_in_store: RefCell::default(),
         halls_retained: RefCell::default(),
--- a/src/gateway/control/notices.rs
+++ b/src/gateway/control/notices.rs
@@ -94,6 +94,9 @@
                     let knows_targets = control.state.borrow().targets.known_count() > 0;
                     let is_answered = exchange(&control, router, &request).await && knows_targets;
                     answers.set(answers.get() + u32::from(is_answered));
+                    if is_answered {
+                        note_limits_told(&control);
+                    }
                 });
             }
         }
@@ -101,6 +104,35 @@
     }
 }
 
+/// Longest time for which the first requests after a start wait for the limits that targets announce: a few rounds.
+const STARTUP_WAIT: Duration = Duration::from_millis(300);
+
+fn note_limits_told(control: &Control) {
+    if !control.state.borrow().knows_limits() {
+        control.state.borrow_mut().set_knows_limits();
+        control.limits_told.notify_waiters();
+    }
+}
+
+/// Waits until another router has told the limits that targets announce, if there are other routers and they answer.
+pub(super) async fn limits_told(control: &Control) {
+    let told = control.limits_told.notified();
+    let is_alone = {
+        let members = &control.state.borrow().members;
+        members.is_acquainted() && members.known().next().is_none()
+    };
+    if control.state.borrow().knows_limits() {
+        return;
+    }
+    if !is_alone && timeout(STARTUP_WAIT, told).await.is_err() {
+        tracing::info!(
+            event = "limits_unknown",
+            waited_ms = STARTUP_WAIT.as_millis() as u64
+        );
+    }
+    note_limits_told(control);
+}
+
 /// Sends reports to one router and merges those in its answer. Returns whether it answered.
 async fn exchange(control: &Control, router: Router, request: &Request) -> bool {
     // A failure needs no action: heartbeats tell whether a router answers, and other routers send it the same reports.
--- a/src/gateway/control/slots.rs
+++ b/src/gateway/control/slots.rs
@@ -11,6 +11,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::context::Control;
+use super::notices;
 use crate::gateway::attempt::SlotSender;
 use crate::gateway::decision::slots::{Entry, WAIT_MAX};
 use crate::gateway::key::{JobKey, TargetKey};
@@ -101,8 +102,27 @@
     }
 }
 
-/// Gets the slot that a request's current attempt needs, or finds that there is none in time.
+/// Gets the slot that a request's current attempt needs, or finds that there is none in time. After a start it is not
+/// known which attempts need one until other routers have told it.
 pub(super) fn acquire(control: &Rc<Control>, job: JobKey, reply: SlotSender) {
+    if control.state.borrow().knows_limits() {
+        acquire_known(control, job, reply);
+        return;
+    }
+    let control = Rc::clone(control);
+    tokio::task::spawn_local(async move {
+        notices::limits_told(&control).await;
+        let needs_slot = control.state.borrow_mut().replan_slot(control.now(), job);
+        if needs_slot {
+            acquire_known(&control, job, reply);
+        } else {
+            // An attempt that has ended meanwhile has no receiver.
+            let _ = reply.send(Ok(()));
+        }
+    });
+}
+
+fn acquire_known(control: &Rc<Control>, job: JobKey, reply: SlotSender) {
     let wanted = control.state.borrow().wanted_slot(job);
     // An attempt that has ended meanwhile has no receiver.
     let Some(wanted) = wanted else {
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -116,6 +116,7 @@
     returns: HashMap<String, busy::Returns>,
     running: HashMap<JobKey, Running>,
     freed: slots::Freed,
+    knows_limits: bool,
     next_job: u64,
     random: StdRng,
 }
@@ -142,6 +143,7 @@
             returns: HashMap::new(),
             running: HashMap::new(),
             freed: slots::Freed::default(),
+            knows_limits: false,
             next_job: 1,
             settings,
         }
--- a/src/gateway/state/slots.rs
+++ b/src/gateway/state/slots.rs
@@ -107,6 +107,13 @@
         running: &Running,
         target: TargetKey,
     ) -> Option<Slot> {
+        if !self.knows_limits {
+            return Some(Slot {
+                owner: Owner::Me,
+                patience: Patience::Wait,
+                held: None,
+            });
+        }
         if !self.targets.needs_slot(target) {
             return None;
         }
@@ -126,6 +133,30 @@
         })
     }
 
+    /// Records that other routers have told the limits that targets announce, or that none does in time.
+    pub fn set_knows_limits(&mut self) {
+        self.knows_limits = true;
+    }
+
+    /// Whether other routers have told the limits that targets announce. Until then each attempt waits for a slot.
+    pub fn knows_limits(&self) -> bool {
+        self.knows_limits
+    }
+
+    /// Determines again whose slot a request's current attempt uses. Returns `false` if it needs none or has ended.
+    pub fn replan_slot(&mut self, now: Millis, key: JobKey) -> bool {
+        let Some(mut running) = self.running.remove(&key) else {
+            return false;
+        };
+        let target = running.target;
+        let slot = target.and_then(|target| self.plan_slot(now, &running, target));
+        let needs_slot = slot.is_some();
+        // An attempt that needs none stays counted as one that has a slot, until it ends.
+        running.slot = slot.or(running.slot);
+        self.running.insert(key, running);
+        needs_slot
+    }
+
     /// Another live router that owns slots of a target, drawn at random.
     fn draw_owner(&mut self, now: Millis, target: TargetKey) -> Option<Router> {
         let count = self.targets.owners(&self.members, target);
--- a/tests/rejection_limits.rs
+++ b/tests/rejection_limits.rs
@@ -239,11 +239,12 @@
     .await;
 }
 
+/// The first requests of a router that has just started keep to the limit, too.
 #[tokio::test(flavor = "multi_thread")]
 async fn rolled_routers() {
     check(Scenario {
         routers: 12,
-        rejections: 1,
+        rejections: 0,
         queue: 0,
         fault: Fault::Roll,
         served: 50,
@@ -256,7 +257,7 @@
 async fn killed_routers() {
     check(Scenario {
         routers: 12,
-        rejections: 1,
+        rejections: 0,
         queue: 0,
         fault: Fault::Kill,
         served: 40,
@@ -269,7 +270,7 @@
 async fn paused_routers() {
     check(Scenario {
         routers: 12,
-        rejections: 1,
+        rejections: 0,
         queue: 0,
         fault: Fault::Pause,
         served: 40,
@@ -282,7 +283,7 @@
 async fn joining_routers() {
     check(Scenario {
         routers: 8,
-        rejections: 1,
+        rejections: 0,
         queue: 0,
         fault: Fault::Join,
         served: 80,
