Send the first requests after a start only where what targets announce allows it

They now wait for what other routers tell, but were sent where they had been placed.

Change: once it is known, the attempt is sent only if its target accepts requests and the rate limit leaves one to this router; otherwise another target is chosen. It then counts towards the limit.

--- a/src/gateway/control/slots.rs
+++ b/src/gateway/control/slots.rs
@@ -19,13 +19,13 @@
 use crate::gateway::message::{Reply, Request};
 use crate::gateway::slots::{Answer, End, LeaseId, Occupancy, Patience, Query};
 use crate::gateway::state::State;
-use crate::gateway::state::slots::{Owner, Wanted};
+use crate::gateway::state::slots::{Owner, Plan, Wanted};
 use crate::units::Millis;
 
 /// Interval at which leases and waiting requests are checked for their end.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(50);
-/// Retry delay if the owner of a slot does not answer, or does not know the target.
-const UNANSWERED_RETRY: Millis = Millis(250);
+/// Retry delay if it is not known when a slot can be free.
+const UNKNOWN_RETRY: Millis = Millis(250);
 
 /// Who asks for a slot.
 #[derive(Debug)]
@@ -112,12 +112,12 @@
     let control = Rc::clone(control);
     tokio::task::spawn_local(async move {
         notices::limits_told(&control).await;
-        let needs_slot = control.state.borrow_mut().replan_slot(control.now(), job);
-        if needs_slot {
-            acquire_known(&control, job, reply);
-        } else {
+        let plan = control.state.borrow_mut().replan(control.now(), job);
+        match plan {
+            Some(Plan::Slot) => acquire_known(&control, job, reply),
+            Some(Plan::Barred) => refuse_attempt(&control, job, reply, UNKNOWN_RETRY),
             // An attempt that has ended meanwhile has no receiver.
-            let _ = reply.send(Ok(()));
+            Some(Plan::Send) | None => drop(reply.send(Ok(()))),
         }
     });
 }
@@ -205,7 +205,7 @@
 async fn ask(control: &Control, router: &Router, query: Query) -> Answer {
     let request = Request::Slot(query);
     let unanswered = Answer::Busy {
-        after: UNANSWERED_RETRY,
+        after: UNKNOWN_RETRY,
     };
     match control.peer_client.ask(router.link, &request).await {
         Ok(Reply::Slot(answer)) => answer,
@@ -240,7 +240,7 @@
 pub(super) fn answer(control: &Rc<Control>, query: Query, reply: oneshot::Sender<Reply>) {
     let target = control.state.borrow().targets.by_hash(query.instance);
     let Some(target) = target else {
-        let after = UNANSWERED_RETRY;
+        let after = UNKNOWN_RETRY;
         // A router that has disconnected asks another.
         let _ = reply.send(Reply::Slot(Answer::Busy { after }));
         return;
--- a/src/gateway/state/slots.rs
+++ b/src/gateway/state/slots.rs
@@ -53,6 +53,17 @@
     pub deadline: Millis,
 }
 
+/// What an attempt needs before it is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Plan {
+    /// Nothing.
+    Send,
+    /// A slot.
+    Slot,
+    /// Another target, since its own takes no request of this router now.
+    Barred,
+}
+
 /// Slots whose use has ended, for the control thread to act on.
 #[derive(Debug, Default)]
 pub struct Freed {
@@ -143,18 +154,23 @@
         self.knows_limits
     }
 
-    /// Determines again whose slot a request's current attempt uses. Returns `false` if it needs none or has ended.
-    pub fn replan_slot(&mut self, now: Millis, key: JobKey) -> bool {
-        let Some(mut running) = self.running.remove(&key) else {
-            return false;
-        };
-        let target = running.target;
-        let slot = target.and_then(|target| self.plan_slot(now, &running, target));
-        let needs_slot = slot.is_some();
-        // An attempt that needs none stays counted as one that has a slot, until it ends.
-        running.slot = slot.or(running.slot);
+    /// Determines again what a request's current attempt needs, which was placed before the limits that targets announce
+    /// were known; `None` if it has ended.
+    pub fn replan(&mut self, now: Millis, key: JobKey) -> Option<Plan> {
+        let mut running = self.running.remove(&key)?;
+        let plan = running.target.map(|target| {
+            if !self.targets.allows_send(now, &self.members, target) {
+                return Plan::Barred;
+            }
+            self.targets.note_send(now, &self.members, target);
+            let Some(slot) = self.plan_slot(now, &running, target) else {
+                return Plan::Send;
+            };
+            running.slot = Some(slot);
+            Plan::Slot
+        });
         self.running.insert(key, running);
-        needs_slot
+        plan
     }
 
     /// Another live router that owns slots of a target, drawn at random.
--- a/src/gateway/targets/notices.rs
+++ b/src/gateway/targets/notices.rs
@@ -122,6 +122,12 @@
         barred
     }
 
+    /// Whether a target's announcements allow a request of this router now.
+    pub fn allows_send(&self, now: Millis, routers: &Members, key: TargetKey) -> bool {
+        let next = self.next_send(routers, now, key);
+        self.get(key).accepts_requests() && matches!(next, NextSend::At(at) if at <= now)
+    }
+
     /// Counts a request sent to a target towards the target's rate limit.
     pub fn note_send(&mut self, now: Millis, routers: &Members, key: TargetKey) {
         if let Some(usage) = self.limit_usage(now, routers, key) {
