Let the soak play targets that fail after rejections

soak_rejections: all targets take three requests at once, those of one service announce that they fail after 0 to 3 rejections a second, and three seconds later let 0 to 2 requests wait; planned operations in odd seeds, faults in even ones. The failures of both targets together are counted: two are acceptable. Older plans are as they were: the new steps are drawn from a generator of their own.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -47,6 +47,8 @@
 const VERSION_SEEDS: u64 = 3;
 /// Default number of seeds with targets that answer without end: one batch.
 const FLOOD_SEEDS: u64 = 3;
+/// Default number of seeds with targets that fail after rejections: one batch.
+const REJECTION_SEEDS: u64 = 3;
 /// Default number of seeds for routers: one batch for each kind.
 const ROUTER_SEEDS: u64 = 3;
 /// Seeds that run concurrently, which makes about a dozen processes.
@@ -195,6 +197,15 @@
     });
 }
 
+/// Planned operations and faults while targets announce that they fail after rejections, and their queues are short.
+#[test]
+fn soak_rejections() {
+    soak_seeds("soak_rejections", REJECTION_SEEDS, |seed| {
+        let kind = [Kind::Planned, Kind::Faults][usize::from(seed % 2 == 0)];
+        Plan::new(seed, kind, processes()).with_rejections()
+    });
+}
+
 /// Planned operations and faults while the store is restored from copies.
 #[test]
 fn soak_restores() {
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -195,6 +195,8 @@
     pub has_own_paths: bool,
     /// The versions of the model engines' software.
     pub versions: Versions,
+    /// Whether targets take only a few requests at once.
+    pub has_limited_room: bool,
     /// Maximum age of a restored copy that gateways are configured with, in milliseconds.
     pub copy_age_max_ms: u64,
 }
@@ -240,6 +242,7 @@
             kind,
             has_own_paths: false,
             versions: Versions::One,
+            has_limited_room: false,
             copy_age_max_ms: 0,
         };
         let mut at = FIRST_STEP_MS;
@@ -342,6 +345,18 @@
         self
     }
 
+    /// Adds targets that take a few requests at once and announce that they fail after rejections. No other step takes a
+    /// target out of service then.
+    pub fn with_rejections(mut self) -> Self {
+        self.steps.retain(|(_, step)| {
+            !matches!(step, Step::Leave(..) | Step::Lapse(..) | Step::Crash(_))
+        });
+        self.steps.extend(rejections(self.seed));
+        self.steps.sort_by_key(|(at, _)| *at);
+        self.has_limited_room = true;
+        self
+    }
+
     /// Adds targets that send notices about themselves.
     pub fn with_notices(mut self) -> Self {
         self.steps.extend(notices(self.seed));
@@ -486,6 +501,16 @@
     NOTICE_TARGETS.map(step).to_vec()
 }
 
+/// Targets of one service announce how many rejections they bear.
+fn rejections(seed: u64) -> Vec<(u64, Step)> {
+    // A separate generator, as in `lapses`.
+    let mut rng = StdRng::seed_from_u64(!seed);
+    let first = 2 * rng.random_range(0..TARGETS.len() / 2);
+    let notice = TargetNotice::Rejections(rng.random_range(0..4), rng.random_range(0..3));
+    let step = |target| (0, Step::Notice(target, notice, NOTICE_MS));
+    [first, first + 1].map(step).to_vec()
+}
+
 /// Share of faults among the steps of a run with faults, 0 to 1.
 const FAULT_SHARE: f64 = 0.6;
 
--- a/tests/soak/promise.rs
+++ b/tests/soak/promise.rs
@@ -12,7 +12,7 @@
 use crate::plan::{LOCAL_PREPAID, Owner};
 use crate::run::FOREIGN_PREFIX;
 use crate::run::faults::CRASHING_BLOCK_ID;
-use crate::said::NoticePeriod;
+use crate::said::{NoticePeriod, too_many_failures};
 
 /// How long a request that was sent completely may stay unread before its connection is closed. A process reads what
 /// has arrived within milliseconds; a loaded machine may delay it many times longer.
@@ -118,6 +118,7 @@
         violations.extend(self.departed_unused());
         let notices = self.notices.iter();
         violations.extend(notices.filter_map(|period| period.first_violation(self)));
+        violations.extend(too_many_failures(&self.notices));
         violations
     }
 
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -12,7 +12,9 @@
 use crate::caller::{Caller, Shared};
 use crate::deployment::runner::{Arrival, Mode, Pace, Runner};
 use crate::deployment::store::{Fault, Store};
-use crate::deployment::{Deployment, LONG, addresses, list_at, list_with_born, until};
+use crate::deployment::{
+    Deployment, LONG, addresses, list_at, list_with_born, list_with_slots, until,
+};
 use crate::operator::Config;
 use crate::place::GatewaySlot;
 use crate::plan::{
@@ -150,7 +152,15 @@
             };
             let address = proxy.as_ref().map_or(runner.address, |proxy| proxy.address);
             runner.set_pace(pace(&plan, number, USUAL_PERCENT));
-            list_at(&store, service, &runner.instance(), address, "ready");
+            if plan.has_limited_room {
+                let room = faults::usual_room();
+                runner.set_room(room);
+                let started = (None, room.slots);
+                let instance = runner.instance();
+                list_with_slots(&store, service, &instance, address, "ready", started);
+            } else {
+                list_at(&store, service, &runner.instance(), address, "ready");
+            }
             runner.list_at_start(&store, service, address);
             targets.push(Target {
                 service,
