--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -262,9 +262,6 @@
                     .runner
                     .set_answer_headers(&[("server-limit", &limit)]);
             }
-            TargetNotice::Rejections(limit, _) => target
-                .runner
-                .set_answer_headers(&[("server-brittle", &limit.to_string())]),
             TargetNotice::Rest(one_in, millis) => target.runner.set(Mode::Rest(one_in, millis)),
         }
         let from = Instant::now();
@@ -272,18 +269,8 @@
         let (journal, reserved) = (self.journal.clone(), Arc::clone(&self.reserved_targets));
         let observations = Arc::clone(&self.observations);
         self.tasks.spawn(async move {
+            sleep(span).await;
             let target = &targets[number];
-            let applied = span.min(NOTICE_APPLIED_MAX);
-            sleep(applied).await;
-            let failures = target.runner.crashes().len();
-            if let TargetNotice::Rejections(limit, queue) = notice {
-                target.runner.set_room(room(queue, Some(limit)));
-            }
-            sleep(span - applied).await;
-            let failures = target.runner.crashes().len() - failures;
-            if let TargetNotice::Rejections(..) = notice {
-                target.runner.set_room(room(QUEUE, None));
-            }
             target.runner.set_answer_headers(&[]);
             target.runner.set(Mode::Normal);
             observations.lock().unwrap().notices.push(NoticePeriod {
@@ -291,7 +278,6 @@
                 notice,
                 from,
                 until: Instant::now(),
-                failures,
             });
             if notice == TargetNotice::Leaving {
                 let next = next_instance(&instance);
@@ -304,6 +290,48 @@
         });
     }
 
+    /// Lets the targets of a service announce a rejection limit; once gateways had time to apply it, only as many requests
+    /// wait there as `queue` says, and the targets fail if they reject more.
+    pub(super) fn limit_rejections(
+        &mut self,
+        first: usize,
+        limit: u32,
+        queue: u32,
+        span: Duration,
+    ) {
+        if !self.reserve_target(first) {
+            return;
+        }
+        let numbers = [first, first + 1];
+        self.journal.record(format!(
+            "targets {numbers:?} announce {limit} rejections a second, and {queue} may wait"
+        ));
+        let targets = Arc::clone(&self.targets);
+        let (journal, reserved) = (self.journal.clone(), Arc::clone(&self.reserved_targets));
+        let observations = Arc::clone(&self.observations);
+        self.tasks.spawn(async move {
+            let runners = || numbers.iter().map(|number| &targets[*number].runner);
+            let header = limit.to_string();
+            runners().for_each(|runner| runner.set_answer_headers(&[("server-brittle", &header)]));
+            sleep(NOTICE_APPLIED_MAX).await;
+            let failures = || {
+                runners()
+                    .map(|runner| runner.crashes().len())
+                    .sum::<usize>()
+            };
+            let before = failures();
+            runners().for_each(|runner| runner.set_room(room(queue, Some(limit))));
+            sleep(span.saturating_sub(NOTICE_APPLIED_MAX)).await;
+            observations.lock().unwrap().failures_after_rejections += failures() - before;
+            runners().for_each(|runner| {
+                runner.set_room(usual_room());
+                runner.set_answer_headers(&[]);
+            });
+            journal.record(format!("targets {numbers:?} announce nothing any more"));
+            reserved.lock().unwrap().retain(|other| *other != first);
+        });
+    }
+
     /// Crashes a target. An instance of another service has its address until some time after its entry is removed, and
     /// then a new instance of its own service.
     pub(super) fn crash(&mut self, number: usize) {
@@ -334,7 +362,7 @@
 }
 
 /// Requests that a target in a run with limited room runs at once.
-const SLOTS: u32 = 3;
+const SLOTS: u32 = 2;
 /// Requests that wait at such a target, unless its queue is short.
 const QUEUE: u32 = 24;
 
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -149,6 +149,9 @@
     Restart(usize),
     /// A target sends a notice about itself for this many milliseconds.
     Notice(usize, TargetNotice, u64),
+    /// The two targets of a service, of which this is the first, announce how many requests they may reject in a second,
+    /// for this many milliseconds; after a while they let only as many wait as the second number says.
+    Rejections(usize, u32, u32, u64),
     /// A gateway has no path to any target for this many milliseconds.
     Partition(usize, Partition, u64),
     /// Requests with a block under which targets crash come to the gateways in turn, this many.
@@ -195,7 +198,7 @@
     pub has_own_paths: bool,
     /// The versions of the model engines' software.
     pub versions: Versions,
-    /// Whether targets take only a few requests at once.
+    /// Whether targets of plain services take only a few requests at once.
     pub has_limited_room: bool,
     /// Maximum age of a restored copy that gateways are configured with, in milliseconds.
     pub copy_age_max_ms: u64,
@@ -345,13 +348,14 @@
         self
     }
 
-    /// Adds targets that take a few requests at once and announce that they fail after rejections. No other step takes a
-    /// target out of service then.
+    /// Adds targets that take a few requests at once, of which those of one service announce that they fail after
+    /// rejections. No other step takes a target out of service then.
     pub fn with_rejections(mut self) -> Self {
         self.steps.retain(|(_, step)| {
             !matches!(step, Step::Leave(..) | Step::Lapse(..) | Step::Crash(_))
         });
-        self.steps.extend(rejections(self.seed));
+        self.steps.push(rejections(self.seed));
+        self.callers.extend(busy_callers(self.seed));
         self.steps.sort_by_key(|(at, _)| *at);
         self.has_limited_room = true;
         self
@@ -501,14 +505,35 @@
     NOTICE_TARGETS.map(step).to_vec()
 }
 
-/// Targets of one service announce how many rejections they bear.
-fn rejections(seed: u64) -> Vec<(u64, Step)> {
+/// Callers that are added where targets take few requests at once: more than the targets of all services can serve.
+const BUSY_CALLERS: usize = 60;
+/// Their longest pause between two requests, in milliseconds.
+const BUSY_PAUSE_MAX_MS: u64 = 10;
+
+fn busy_callers(seed: u64) -> Vec<Caller> {
+    // A separate generator, as in `lapses`.
+    let mut rng = StdRng::seed_from_u64(!seed);
+    let caller = |_| Caller {
+        seed: rng.random(),
+        habit: Habit::Kept,
+        owner: Owner::Rich,
+        pause_max_ms: BUSY_PAUSE_MAX_MS,
+        retries: true,
+        abandon_share: 0.0,
+        gateway: None,
+    };
+    (0..BUSY_CALLERS).map(caller).collect()
+}
+
+/// Plain services, which have two targets each.
+const PLAIN_SERVICES: usize = 2;
+
+fn rejections(seed: u64) -> (u64, Step) {
     // A separate generator, as in `lapses`.
     let mut rng = StdRng::seed_from_u64(!seed);
-    let first = 2 * rng.random_range(0..TARGETS.len() / 2);
-    let notice = TargetNotice::Rejections(rng.random_range(0..4), rng.random_range(0..3));
-    let step = |target| (0, Step::Notice(target, notice, NOTICE_MS));
-    [first, first + 1].map(step).to_vec()
+    let first = 2 * rng.random_range(0..PLAIN_SERVICES);
+    let (limit, queue) = (rng.random_range(0..4), rng.random_range(0..3));
+    (0, Step::Rejections(first, limit, queue, NOTICE_MS))
 }
 
 /// Share of faults among the steps of a run with faults, 0 to 1.
--- a/tests/soak/promise.rs
+++ b/tests/soak/promise.rs
@@ -12,7 +12,7 @@
 use crate::plan::{LOCAL_PREPAID, Owner};
 use crate::run::FOREIGN_PREFIX;
 use crate::run::faults::CRASHING_BLOCK_ID;
-use crate::said::{NoticePeriod, too_many_failures};
+use crate::said::NoticePeriod;
 
 /// How long a request that was sent completely may stay unread before its connection is closed. A process reads what
 /// has arrived within milliseconds; a loaded machine may delay it many times longer.
@@ -45,6 +45,8 @@
     pub departures: Vec<(String, Instant)>,
     /// Notices that targets sent about themselves.
     pub notices: Vec<NoticePeriod>,
+    /// Failures after rejections of targets that announced a rejection limit, all of one service.
+    pub failures_after_rejections: usize,
     /// When the store accepted that the key of [`Owner::Revoked`] is revoked.
     pub revoked: Option<Instant>,
     /// Gateways that were restarted, and when.
@@ -75,7 +77,20 @@
     prompts.values().sum::<u64>() + handed_out
 }
 
+/// Failures after rejections that are acceptable at the targets of a service, of which there are two.
+const FAILURES_MAX: usize = 2;
+
 impl Observations {
+    /// LIMIT: targets that announce a rejection limit seldom fail after rejections.
+    fn too_many_failures(&self) -> Option<Violation> {
+        let failures = self.failures_after_rejections;
+        (failures > FAILURES_MAX).then(|| Violation {
+            promise: "LIMIT",
+            id: None,
+            what: format!("targets failed {failures} times, {FAILURES_MAX} allowed"),
+        })
+    }
+
     /// Returns all violations.
     pub fn violations(&self) -> Vec<Violation> {
         let mut runs: HashMap<&str, Vec<&Arrival>> = HashMap::new();
@@ -118,7 +133,7 @@
         violations.extend(self.departed_unused());
         let notices = self.notices.iter();
         violations.extend(notices.filter_map(|period| period.first_violation(self)));
-        violations.extend(too_many_failures(&self.notices));
+        violations.extend(self.too_many_failures());
         violations
     }
 
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -152,7 +152,7 @@
             };
             let address = proxy.as_ref().map_or(runner.address, |proxy| proxy.address);
             runner.set_pace(pace(&plan, number, USUAL_PERCENT));
-            if plan.has_limited_room {
+            if plan.has_limited_room && service != "engine" {
                 let room = faults::usual_room();
                 runner.set_room(room);
                 let started = (None, room.slots);
@@ -296,6 +296,9 @@
                     targets[number].runner.set_pace(paces[usize::from(is_on)]);
                 });
             }
+            Step::Rejections(first, limit, queue, span) => {
+                self.limit_rejections(first, limit, queue, Duration::from_millis(span))
+            }
             Step::Notice(number, notice, span) => {
                 self.send_notice(number, notice, Duration::from_millis(span))
             }
--- a/tests/soak/said.rs
+++ b/tests/soak/said.rs
@@ -26,9 +26,6 @@
     Leaving,
     /// It accepts this many requests in ten seconds.
     Limit(u32),
-    /// It fails once it rejects more requests in a second than the first number, and after a while lets only as many wait
-    /// as the second one.
-    Rejections(u32, u32),
     /// It answers one request in this many by asking for no requests for this many milliseconds.
     Rest(u32, u64),
 }
@@ -40,21 +37,6 @@
     pub notice: TargetNotice,
     pub from: Instant,
     pub until: Instant,
-    /// How often the target failed after rejections.
-    pub failures: usize,
-}
-
-/// Failures after rejections that are acceptable at the targets of a service, of which there are two.
-const FAILURES_MAX: usize = 2;
-
-/// LIMIT: targets of a service that announce a rejection limit seldom fail. Only one service does so in a run.
-pub fn too_many_failures(periods: &[NoticePeriod]) -> Option<Violation> {
-    let failures: usize = periods.iter().map(|period| period.failures).sum();
-    (failures > FAILURES_MAX).then(|| Violation {
-        promise: "LIMIT",
-        id: None,
-        what: format!("targets failed {failures} times after rejections, {FAILURES_MAX} allowed"),
-    })
 }
 
 impl NoticePeriod {
@@ -76,8 +58,6 @@
             TargetNotice::Limit(in_ten_seconds) => {
                 self.limit(&here, f64::from(in_ten_seconds) / 10.0)
             }
-            // Counted for all targets of the service together.
-            TargetNotice::Rejections(..) => None,
             TargetNotice::Rest(_, millis) => {
                 self.rest(observations, &here, &calls, Duration::from_millis(millis))
             }
