Play limits with 24 routers that roll, are killed, paused or join, and count their use by what came before

The faults are shared by both files (deployment::churn).

They run one after the other now, and what is run is compared with what the same targets ran before the announcement, in the same play. The bound at load 0.6 is 0.95, as stated; under overload, for which none is stated, half, and a third where half of the routers are down.

--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -1,6 +1,7 @@
 //! A test deployment on loopback: platform stand-ins in this process, gateways as child processes.
 #![allow(dead_code, missing_docs)]
 
+pub mod churn;
 pub mod flood;
 pub mod runner;
 pub mod server;
--- a/tests/limit_shares.rs
+++ b/tests/limit_shares.rs
@@ -5,6 +5,7 @@
 mod listed;
 
 use fleet::{HEARTBEAT, NOW, members, most_within, router};
+use lanedeck::gateway::decision::share::Allocation;
 use lanedeck::gateway::key::TargetKey;
 use lanedeck::gateway::members::Members;
 use lanedeck::gateway::notice::{Announcement, Notice, Rate, Report};
@@ -110,6 +111,18 @@
     }
 }
 
+/// What all routers together may send does not depend on their number.
+#[test]
+fn allocated_once() {
+    for routers in [1, 24, 72, 350, 985] {
+        for requests in [1, 5, 39, 152] {
+            let allocation = Allocation::new(requests, routers);
+            let sum: usize = (0..routers).map(|place| allocation.quota(place)).sum();
+            assert_eq!(sum, requests, "{routers} routers");
+        }
+    }
+}
+
 /// The limit also holds if each half of the fleet does not know the other half.
 #[test]
 fn kept_in_a_cut() {
