--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -115,7 +115,9 @@
     /// When requests come back that were refused because all targets of a service were too busy, by service.
     returns: HashMap<String, busy::Returns>,
     running: HashMap<JobKey, Running>,
+    /// Slots of targets whose use has ended, until the control thread acts on them.
     freed: slots::Freed,
+    /// Whether other routers have told the limits that targets announce.
     knows_limits: bool,
     next_job: u64,
     random: StdRng,
