Forget the line of a target's slot as soon as nothing waits in it

Cause, by reading: the line of a target stayed in the queue, empty, once its last request was granted, and was dropped only if the expiry task came round while a slot was still in use. A later round looked up every target that has a line; if the target had been forgotten by then, a minute after its end, the registry panics, and with it the router's control thread.

Change: the line goes with its last request, wherever that leaves it.

--- a/src/gateway/control/slots.rs
+++ b/src/gateway/control/slots.rs
@@ -72,7 +72,13 @@
     }
 
     fn pop(&mut self, target: TargetKey) -> Option<Waiting> {
-        self.0.get_mut(&target)?.pop_front()
+        let line = self.0.get_mut(&target)?;
+        let next = line.pop_front();
+        // The target may be forgotten once nothing waits for it, so it must not be looked up by its key later.
+        if line.is_empty() {
+            self.0.remove(&target);
+        }
+        next
     }
 
     fn len(&self, target: TargetKey) -> usize {
@@ -94,6 +100,7 @@
                 }
             }
         }
+        self.0.retain(|_, line| !line.is_empty());
         expired
     }
 
@@ -393,11 +400,6 @@
             for target in freed.into_iter().chain(waited_for) {
                 serve(&control, target);
             }
-            control
-                .slot_queue
-                .borrow_mut()
-                .0
-                .retain(|_, line| !line.is_empty());
         }
     }
 }
