Let a router own slots only once it has read the other routers' entries

Cause, by reading: the order of a target's owners was used two heartbeats after a router had written its own entry, whether or not it could read the others'. A router that can write and not read would count itself as the only one and use all slots of every target beside their owners.

Change: it owns none until it is acquainted, as for grants. strangers_own_nothing names it; without the change that test has 6 slots owned where none may be (by the code, it was not run so). tests/fleet gives its members a read.

--- a/src/gateway/targets/slots.rs
+++ b/src/gateway/targets/slots.rs
@@ -123,7 +123,9 @@
         let target = self.get(key);
         let known = target.slots.owned;
         if known.is_none_or(|(at, _)| now.saturating_sub(at) >= OWNED_VALID_FOR) {
+            // A router that does not know the others would take all slots for its own.
             let place = routers.place(now, &target.listing.instance);
+            let place = place.filter(|_| routers.is_acquainted());
             let owned = slots::owned(target.listing.slots, routers.count(), place);
             self.get_mut(key).slots.owned = Some((now, owned));
         }
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -31,6 +31,7 @@
     for other in known {
         members.update(NOW, router(other), Source::Store);
     }
+    members.record_entries(members.count());
     members
 }
 
--- a/tests/slot_shares.rs
+++ b/tests/slot_shares.rs
@@ -60,6 +60,18 @@
     assert_eq!(owned(6, 1, members.place(settled, "i-0")), 6);
 }
 
+/// A router that has written its own entry and could not read those of others owns nothing, however long that lasts.
+#[test]
+fn strangers_own_nothing() {
+    let mut targets = targets(6);
+    let mut members = Members::new(router(0), HEARTBEAT);
+    members.record_write(Millis::ZERO);
+    assert_eq!(targets.line(NOW, &members, KEY).owned, 0);
+    members.record_entries(members.count());
+    let later = NOW + HEARTBEAT;
+    assert_eq!(targets.line(later, &members, KEY).owned, 6);
+}
+
 /// Routers that have fallen silent keep their slots, so those that others have lost sight of add nothing.
 #[test]
 fn silence_moves_no_slots() {
