Probe for ports that close connections, and tell other routers

Cause: the probe after a broken connection only asked whether the port accepts one. A supervisor's does, so nothing but the router's own consecutive failures ejected the target, at each router anew; routers told each other nothing of it.

Change: the probe also watches whether the connection is closed with nothing sent, 100 ms. If so, the target is ejected, as far as half of its service remains, and three other routers are told. Each of them probes the port itself before it ejects and tells more, so a wrong finding does not spread and a live target gets no probe from others. It counts as no crash: quarantine goes by closed ports and restarts, as before.

--- a/src/gateway/control/link.rs
+++ b/src/gateway/control/link.rs
@@ -15,8 +15,8 @@
 
 use super::context::{Control, FAN_OUT, ROUND_INTERVAL};
 use super::{
-    apply, capacities, clock, evacuations, feed, loans, notices, operators, origins, quarantine,
-    reachability, rollouts, slots, target_list,
+    apply, capacities, clock, evacuations, feed, loans, notices, operators, origins, probe,
+    quarantine, reachability, rollouts, slots, target_list,
 };
 use crate::gateway::decision;
 use crate::gateway::link_delay::RoundTrip;
@@ -117,6 +117,10 @@
             slots::end(control, &end);
             Reply::Noted
         }
+        Request::Closing(instance) => {
+            probe::check(control, instance);
+            Reply::Noted
+        }
         Request::Suspects(reports) => {
             quarantine::merge(control, &reports);
             Reply::Noted
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -17,6 +17,7 @@
 mod notices;
 mod operators;
 mod origins;
+mod probe;
 mod quarantine;
 mod reachability;
 mod rollouts;
--- a/src/gateway/control/quarantine.rs
+++ b/src/gateway/control/quarantine.rs
@@ -10,11 +10,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::net::TcpStream;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 use super::context::{Control, FAN_OUT, ROUND_INTERVAL};
-use super::reachability;
+use super::probe;
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::job::Job;
 use crate::gateway::key::{JobKey, TargetKey};
@@ -24,8 +23,6 @@
 use crate::units::Millis;
 use crate::{util, wall_clock};
 
-/// Timeout of a probe. A closed port refuses within one round trip; a host that does not answer may be cut off.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Interval at which quarantined requests are reported again and old findings are dropped. A router that starts while
 /// the store does not answer learns of them from one of the others within half of this interval.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(1_500);
@@ -42,34 +39,13 @@
     let Some(target) = suspected else {
         return;
     };
-    // A port that refuses connections from behind a partition does not show a crash.
-    if !control.reachability.is_reachable() {
-        return;
-    }
-    if control.probing.borrow_mut().insert(target) {
-        let control = Rc::clone(control);
-        tokio::task::spawn_local(async move { probe(&control, target).await });
-    }
+    probe::start(control, target);
 }
 
-/// Probes whether a target still listens on its port.
-async fn probe(control: &Rc<Control>, target: TargetKey) {
-    let address = control.state.borrow().targets.get(target).listing.address;
-    let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
-    control.probing.borrow_mut().remove(&target);
-    if matches!(connected, Ok(Ok(_))) {
-        return;
-    }
-    // Only a refused connection shows a crash, and only from a router that reaches the other targets.
-    if let Ok(Err(error)) = connected
-        && error.kind() == std::io::ErrorKind::ConnectionRefused
-        && reachability::reaches_others(control, target).await
-    {
-        control.state.borrow_mut().note_crash(control.now(), target);
-        publish_changes(control);
-    } else {
-        reachability::suspect(control);
-    }
+/// Records that a target has crashed.
+pub(super) fn note_crash(control: &Control, target: TargetKey) {
+    control.state.borrow_mut().note_crash(control.now(), target);
+    publish_changes(control);
 }
 
 /// Merges another router's reports.
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -75,6 +75,8 @@
     Slot(slots::Query),
     /// Ends the lease of a slot.
     SlotEnd(slots::End),
+    /// Reports that a target, given by the hash of its instance, closes new connections.
+    Closing(u64),
 }
 
 /// The answer to a [`Request`].
--- a/src/gateway/targets/registry.rs
+++ b/src/gateway/targets/registry.rs
@@ -396,10 +396,21 @@
         let target = self.get_mut(key);
         target.attempts.record(now, outcome);
         let fails_too_often = target.health.record(outcome);
-        if !fails_too_often || target.health.is_ejected(now) {
+        fails_too_often && self.eject_if_enough_remain(now, key)
+    }
+
+    /// Ejects a target that closes new connections, unless too few targets of its service would remain; returns whether
+    /// the target is ejected because of it.
+    pub fn note_closing(&mut self, now: Millis, key: TargetKey) -> bool {
+        self.eject_if_enough_remain(now, key)
+    }
+
+    fn eject_if_enough_remain(&mut self, now: Millis, key: TargetKey) -> bool {
+        let target = self.get(key);
+        if target.health.is_ejected(now) {
             return false;
         }
-        let open = self.accepting(&self.get(key).listing.service);
+        let open = self.accepting(&target.listing.service);
         let (mut usable, mut ejected) = (0, 0);
         for key in open {
             usable += 1;
--- a/src/gateway/targets/target.rs
+++ b/src/gateway/targets/target.rs
@@ -104,6 +104,11 @@
         self.is_listed && !self.has_announced_leaving()
     }
 
+    /// Whether the target accepts requests and is not ejected.
+    pub fn is_in_use(&self, now: Millis) -> bool {
+        self.accepts_requests() && !self.health.is_ejected(now)
+    }
+
     /// Whether the target has announced, in its entry or in a response, that it leaves, so its end is planned. A
     /// missing entry is no such announcement, since entries also disappear some time after a crash.
     pub fn has_announced_leaving(&self) -> bool {
