Let few readers repeat refused reads sooner

Cause: traced with logs of all twelve gateways (LANEDECK_TEST_LOGS). Not the 12 s after which a follower reads the first list itself, which was suspected: the readers themselves take so long. The list of 9,001 targets has 19 parts, each needs four calls, and a refused reader pauses for up to 300 ms, whatever the number of readers: targets.limited=40 in the first ten seconds of one, the first whole list 9.0 s after the start. The pause was meant for 32 readers.

Change: the longest pause follows from the reads that all readers together make while they are refused, 120 a second, and is 100 to 300 ms. Large fleets whose routers all read keep 300 ms.

--- a/src/gateway/control/feed.rs
+++ b/src/gateway/control/feed.rs
@@ -21,9 +21,6 @@
 use crate::store::{Backoff, Place};
 use crate::units::Millis;
 
-/// Longest pause of a reader whose reads the store refuses for its rate: 32 readers make 142 calls a second then.
-const READER_PAUSE_MAX: Duration = Duration::from_millis(300);
-
 /// Name in the log of what a reader has told.
 const SOURCE: &str = "feed";
 /// Interval of the checks whether the entries of the other routers were read.
@@ -94,10 +91,22 @@
     }
 }
 
+/// Number of routers that read the store.
+fn readers(control: &Control) -> usize {
+    let state = control.state.borrow();
+    let members = &state.members;
+    let fleet = fleet(control, &state);
+    if fleet.is_small() {
+        return fleet.routers;
+    }
+    let others = members.first_in_other_halls(control.now(), READERS_PER_HALL);
+    READERS_PER_HALL + others.len()
+}
+
 /// Longest pause between reads that the store refuses for its rate.
-pub(super) fn longest_pause(role: Role) -> Duration {
+pub(super) fn longest_pause(control: &Control, role: Role) -> Duration {
     match role {
-        Role::Reader => READER_PAUSE_MAX,
+        Role::Reader => Duration::from_millis(feed::reader_pause_max(readers(control)).0),
         Role::Relay | Role::Follower => Backoff::LONGEST,
     }
 }
--- a/src/gateway/control/operators.rs
+++ b/src/gateway/control/operators.rs
@@ -67,7 +67,7 @@
                 }
                 Err(error) if error.invalidates_place() => {}
                 Err(error) => {
-                    backoff = backoff.with_longest(feed::longest_pause(role));
+                    backoff = backoff.with_longest(feed::longest_pause(&control, role));
                     read_due = Instant::now() + backoff.pause(&error, rand::random());
                 }
             }
--- a/src/gateway/control/target_list.rs
+++ b/src/gateway/control/target_list.rs
@@ -219,7 +219,9 @@
                 return;
             }
             // Whether a fleet is small depends on the list.
-            self.backoff = self.backoff.with_longest(feed::longest_pause(Role::Reader));
+            self.backoff = self
+                .backoff
+                .with_longest(feed::longest_pause(control, Role::Reader));
             let pause = match self.subscription.read_first_part(control).await {
                 Ok(None) => return,
                 Ok(Some(count)) => {
@@ -310,7 +312,9 @@
                 if self.subscription.parts_read() > parts_before {
                     self.backoff.reset();
                 }
-                self.backoff = self.backoff.with_longest(feed::longest_pause(role));
+                self.backoff = self
+                    .backoff
+                    .with_longest(feed::longest_pause(control, role));
                 return Err(self.backoff.pause(&error, rand::random()));
             }
         };
--- a/src/gateway/decision/feed.rs
+++ b/src/gateway/decision/feed.rs
@@ -5,6 +5,8 @@
 //! that of targets. So in each hall a few routers read them and pass on only what changes, to relays that pass it on to the
 //! others.
 
+use std::ops::RangeInclusive;
+
 use crate::units::Millis;
 
 /// Number of routers of a hall that read the store. With 8 halls, 32 routers read 4,000 entries of 250 bytes a second,
@@ -40,6 +42,19 @@
 /// together. With 250 bytes an entry, that is half of what the store sends.
 const OWN_ENTRIES_MAX: usize = 80_000;
 
+/// Reads a second that all readers together make while the store refuses them for its rate, of which it takes thousands.
+const REFUSED_READS_MAX: u64 = 120;
+
+/// Bounds of the longest pause of a reader whose reads are refused: a long list has many parts, each of which may be
+/// refused several times.
+const READER_PAUSES: RangeInclusive<u64> = 100..=300;
+
+/// Longest pause of each of `readers` readers between reads that the store refuses for its rate.
+pub fn reader_pause_max(readers: usize) -> Millis {
+    let shared = readers as u64 * 1_000 / REFUSED_READS_MAX;
+    Millis(shared.clamp(*READER_PAUSES.start(), *READER_PAUSES.end()))
+}
+
 /// Where a router gets the lists from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
--- a/tests/list_feed.rs
+++ b/tests/list_feed.rs
@@ -467,6 +467,18 @@
     assert_eq!(pause(&mut backoff), pauses[0]);
 }
 
+/// Guards against readers of a long list that pause for as long in a small fleet as in a large one.
+#[test]
+fn pauses_follow_the_readers() {
+    let shortest = feed::reader_pause_max(12);
+    assert_eq!(shortest, Millis(100));
+    for readers in [12, 24, 32] {
+        let reads = readers as f64 * 1_000.0 / feed::reader_pause_max(readers).0 as f64;
+        assert!(reads <= 121.0, "{readers}: {reads}");
+    }
+    assert_eq!(feed::reader_pause_max(300), Millis(300));
+}
+
 #[test]
 fn late_lists_do_not_make_all_read() {
     for (routers, targets) in [(7, 600), (300, 3_000), (985, 10_000), (2_000, 20_000)] {
