Ask one router at a time for a newer configuration

From 3 s on the store does not answer it about the configuration, up to three peers of a round are silent, and small messages arrive after 100 to 250 ms. Versions 20, 27 and 30 come over links by 7.4 s; then none until 30.0 s, though most routers have 33 in the ninth second, 35 in the 13th and 38 in the 17th.

Cause: each heartbeat names the sender's version, and each answer to an older one brings the whole configuration. Three go out each 300 ms, so up to 2.5 MB/s come to a router that is behind, which is all that a link of 20 Mbit/s takes. No copy arrives within the 400 ms that a call has, and reads of the store over the same link fail with them. The class: work that is repeated as it fails, at several peers at once.

Change: one heartbeat at a time names the version; the others that are in progress name one that nothing exceeds, so no answer to them brings a configuration. Routers of the former version understand it.

Measured: config_transfers several_at_once, stand-ins of six newer routers whose transfers take 250 ms: three transfers at once before, one after.

Not changed: a store that takes longer than a read's time for 256 kB, and a configuration that takes a link more than 400 ms.

--- a/src/gateway/control/context.rs
+++ b/src/gateway/control/context.rs
@@ -90,6 +90,8 @@
     pub(super) reachability: Monitor,
     /// Address at which this router takes requests of others; `None` if it takes none.
     pub(super) proxy_address: Option<SocketAddr>,
+    /// Whether another router is being asked for a newer configuration.
+    pub(super) config_asked: Cell<bool>,
     /// Targets whose port is being probed.
     pub(super) probing: RefCell<HashSet<TargetKey>>,
     /// The quarantined requests, as last logged and published.
--- a/src/gateway/control/link.rs
+++ b/src/gateway/control/link.rs
@@ -35,6 +35,9 @@
 /// How late the runtime's timers fire on an idle thread.
 const TIMER_RESOLUTION: Duration = Duration::from_millis(1);
 
+/// Version in a heartbeat to which no router answers with a newer configuration.
+const CONFIG_UNWANTED: u64 = u64::MAX;
+
 /// Another router's request, and the sender for its answer.
 pub(super) type PeerRequest = (Request, oneshot::Sender<Reply>);
 
@@ -243,9 +246,18 @@
 }
 
 async fn exchange_heartbeats(control: &Rc<Control>, router: Router) {
-    let request = Request::Heartbeat(own_heartbeat(control));
+    let mut heartbeat = own_heartbeat(control);
+    // Several copies of a long configuration at a time fill a slow link, and none arrives before the timeout.
+    let asks_for_config = !control.config_asked.replace(true);
+    if !asks_for_config {
+        heartbeat.config = CONFIG_UNWANTED;
+    }
+    let request = Request::Heartbeat(heartbeat);
     let call = control.peer_client.ask_on(router.link, &request);
     let (result, time) = measure(call).await;
+    if asks_for_config {
+        control.config_asked.set(false);
+    }
     let (result, connection) = match result {
         Ok((reply, connection)) => (Ok(reply), connection),
         Err(missing) => (Err(missing), Connection::Opened),
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -127,6 +127,7 @@
         bad_routers: RefCell::default(),
         reachability: Monitor::default(),
         proxy_address: parts.proxy,
+        config_asked: Cell::default(),
         probing: RefCell::default(),
         notice_changed: Notify::new(),
         notice_messages: Cell::default(),
