Say where the bounds of new constants end

Read once more, no logic changed. REFUSED_READS_MAX was described as a bound over all readers. It is one for 12 to 36 of them only: the pause ends at 300 ms, so a small fleet in which all 300 routers read makes 1,000 to 2,000 reads a second while all are refused, as before.

--- a/src/gateway/control/slots.rs
+++ b/src/gateway/control/slots.rs
@@ -342,6 +342,7 @@
         Asker::Attempt { job, reply } => refuse_attempt(control, job, reply, after),
         Asker::Router { reply, .. } => {
             control.shared.slots.declined.add(1);
+            // A router that has disconnected asks another.
             let _ = reply.send(Reply::Slot(Answer::Busy { after }));
         }
     }
--- a/src/gateway/decision/feed.rs
+++ b/src/gateway/decision/feed.rs
@@ -42,7 +42,8 @@
 /// together. With 250 bytes an entry, that is half of what the store sends.
 const OWN_ENTRIES_MAX: usize = 80_000;
 
-/// Reads a second that all readers together make while the store refuses them for its rate, of which it takes thousands.
+/// Reads a second that all readers together aim at while the store refuses them for its rate, of which it takes thousands.
+/// [`READER_PAUSES`] bounds the pause, so few readers make fewer and a small fleet in which all read makes more.
 const REFUSED_READS_MAX: u64 = 120;
 
 /// Bounds of the longest pause of a reader whose reads are refused: a long list has many parts, each of which may be
