--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -4,12 +4,12 @@
 use std::fs::File;
 use std::io::{self, Write};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::fleet::{Folder, Gateway};
 use crate::http::{Line, Message};
+use crate::path::Path;
 use crate::runner::{self, Manner, Runs};
 use crate::store::Store;
 
@@ -24,11 +24,14 @@
     let mut record = File::create(record)?;
     match case {
         "surplus-refusal" => surplus_refusal(&mut record, with_trouble),
+        "repeated-refusal" => repeated_refusal(&mut record, with_trouble),
         _ => Err(io::Error::other("no such case")),
     }
 }
 
 const KEY: &str = "n2ctnfzs989anu6wsjnb";
+/// The runners of the cases.
+const IDS: [&str; 4] = ["i-7f3a91c2", "i-02d9e6b4", "i-51c08e77", "i-c3d4190a"];
 const HOST: &str = "ficu95.example";
 
 /// A configuration with one route of non-idempotent requests.
@@ -83,27 +86,33 @@
 /// Id, path and status of an answered request; the status is 0 if there was no answer.
 type Answer = (String, String, u16);
 
-/// Sends the orders of one client, each once more if it is promised that it will not run.
+/// Sends the orders of one client.
 fn issue_orders(front: SocketAddr, client: usize) -> Vec<Answer> {
     let mut connection = Client {
         address: front,
         line: None,
     };
+    let orders = (client..ORDERS).step_by(CLIENTS);
+    orders
+        .flat_map(|order| issue(&mut connection, order))
+        .collect()
+}
+
+/// Sends an order, and once more if it is promised that it will not run.
+fn issue(connection: &mut Client, order: usize) -> Vec<Answer> {
+    let path = format!("/issue/{order}");
     let mut answers = Vec::new();
-    for order in (client..ORDERS).step_by(CLIENTS) {
-        let path = format!("/issue/{order}");
-        for attempt in ["a", "b"] {
-            let id = format!("{order:08x}{attempt}");
-            let status = match connection.ask(&id, &path, 600) {
-                Ok(Some(answer)) => answer.status(),
-                Ok(None) | Err(_) => 0,
-            };
-            answers.push((id, path.clone(), status));
-            if !PROMISES.contains(&status) {
-                break;
-            }
-            thread::sleep(Duration::from_millis(100));
+    for attempt in ["a", "b"] {
+        let id = format!("{order:08x}{attempt}");
+        let status = match connection.ask(&id, &path, 600) {
+            Ok(Some(answer)) => answer.status(),
+            Ok(None) | Err(_) => 0,
+        };
+        answers.push((id, path.clone(), status));
+        if !PROMISES.contains(&status) {
+            break;
         }
+        thread::sleep(Duration::from_millis(100));
     }
     answers
 }
@@ -121,10 +130,7 @@
         false => Manner::Sound,
     };
     let manners = [faulty, faulty, Manner::Sound, Manner::Sound];
-    for (id, manner) in ["i-7f3a91c2", "i-02d9e6b4", "i-51c08e77", "i-c3d4190a"]
-        .into_iter()
-        .zip(manners)
-    {
+    for (id, manner) in IDS.into_iter().zip(manners) {
         runner::start(id, "kassa-app", manner, &store, &runs)?;
     }
     let gateway = Gateway::start("front-hall-nacka-1", store.address, &folder.0)?;
@@ -141,14 +147,18 @@
         );
     }
     thread::sleep(Duration::from_millis(500));
-    let runs = Arc::clone(&runs);
+    judge(record, &answers, &runs)
+}
+
+/// Records all requests, and checks that none has run that was answered with a promise.
+fn judge(record: &mut File, answers: &[Answer], runs: &Runs) -> io::Result<Verdict> {
     let runs = runs.lock().expect("no thread panics");
     let mut run_at: HashMap<&str, Vec<&str>> = HashMap::new();
     for run in runs.iter() {
         run_at.entry(run.id.as_str()).or_default().push(&run.runner);
     }
     let mut broken = 0;
-    for (id, path, status) in &answers {
+    for (id, path, status) in answers {
         let ran = run_at.get(id.as_str()).cloned().unwrap_or_default();
         let is_broken = PROMISES.contains(status) && !ran.is_empty();
         broken += usize::from(is_broken);
@@ -191,3 +201,90 @@
         Verdict::Held
     })
 }
+
+/// How long the clients of the second case send orders, and after which time the paths are cut.
+const LASTS: Duration = Duration::from_secs(14);
+const CUT_AFTER: Duration = Duration::from_secs(3);
+/// The four runners refuse this part of the requests, and two of them repeat the refusal.
+const REFUSED_ONE_IN: usize = 40;
+
+/// REFUSED: one gateway of four loses its paths to the runners, which now and then are full; two of them repeat their
+/// refusals.
+fn repeated_refusal(record: &mut File, with_trouble: bool) -> io::Result<Verdict> {
+    let folder = Folder::new()?;
+    let store = Store::start()?;
+    let runs = Runs::default();
+    store.put("keyed.op", "config", &config(1));
+    let manner = match with_trouble {
+        true => Manner::RepeatedRefusal {
+            one_in: REFUSED_ONE_IN,
+        },
+        false => Manner::Full {
+            one_in: REFUSED_ONE_IN,
+        },
+    };
+    let mut paths = Vec::new();
+    let mut routes = Vec::new();
+    let other = Manner::Full {
+        one_in: REFUSED_ONE_IN,
+    };
+    let manners = [manner, manner, other, other];
+    for (id, manner) in IDS.into_iter().zip(manners) {
+        let address = runner::start(id, "kassa-app", manner, &store, &runs)?;
+        let path = Path::start(address)?;
+        routes.push((address, path.address));
+        paths.push(path);
+    }
+    let seen_by_first = store.open_routed(routes)?;
+    let seen = [
+        seen_by_first.address,
+        store.address,
+        store.address,
+        store.address,
+    ];
+    let mut gateways = Vec::new();
+    for (number, store) in (1..).zip(seen) {
+        let name = format!("front-hall-nacka-{number}");
+        gateways.push(Gateway::start(&name, store, &folder.0)?);
+    }
+    for gateway in &gateways {
+        gateway.wait_ready()?;
+    }
+    thread::sleep(Duration::from_secs(3));
+    let until = Instant::now() + LASTS;
+    let fronts: Vec<SocketAddr> = gateways.iter().map(|gateway| gateway.front).collect();
+    let clients = (0..CLIENTS).map(|client| {
+        let front = fronts[client % fronts.len()];
+        thread::spawn(move || issue_until(front, client, until))
+    });
+    let clients: Vec<_> = clients.collect();
+    thread::sleep(CUT_AFTER);
+    if with_trouble {
+        paths.iter().for_each(Path::cut);
+    }
+    let mut answers: Vec<Answer> = Vec::new();
+    for client in clients {
+        answers.extend(
+            client
+                .join()
+                .map_err(|_| io::Error::other("a client panicked"))?,
+        );
+    }
+    thread::sleep(Duration::from_millis(500));
+    judge(record, &answers, &runs)
+}
+
+fn issue_until(front: SocketAddr, client: usize, until: Instant) -> Vec<Answer> {
+    let mut connection = Client {
+        address: front,
+        line: None,
+    };
+    let mut answers = Vec::new();
+    let mut order = client;
+    while Instant::now() < until {
+        answers.extend(issue(&mut connection, order));
+        order += CLIENTS;
+        thread::sleep(Duration::from_millis(5));
+    }
+    answers
+}
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -28,9 +29,23 @@
     }
 }
 
-/// A free loopback address.
+/// Ports that no outgoing connection takes before a gateway binds them.
+const PORTS: std::ops::Range<u32> = 10_000..30_000;
+
+/// A free loopback address, another one at each call.
 pub fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    let count = PORTS.end - PORTS.start;
+    // Scripts that run at the same time begin at different ports.
+    let begin = std::process::id().wrapping_mul(97) % count;
+    for _ in 0..count {
+        let number = TAKEN.fetch_add(1, Ordering::SeqCst);
+        let port = PORTS.start + (begin + number) % count;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port as u16)) {
+            return listener.local_addr();
+        }
+    }
+    Err(io::Error::other("no port is free"))
 }
 
 /// A temporary folder, removed when dropped.
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 mod cases;
 mod fleet;
 mod http;
+mod path;
 mod runner;
 mod store;
 
--- a/review/standin-2/runner.rs
+++ b/review/standin-2/runner.rs
@@ -28,6 +28,10 @@
     /// After one in so many of its answers it sends a second, surplus answer, which arrives in the place of the next one
     /// due: the refusal of a runner that is full, as the published examples show it.
     SurplusRefusal { one_in: usize },
+    /// It is full now and then and refuses one in so many requests.
+    Full { one_in: usize },
+    /// The same, and the refusal comes twice, the second time in the place of the next answer due.
+    RepeatedRefusal { one_in: usize },
 }
 
 /// Starts a runner of a service, and lists it.
@@ -37,7 +41,7 @@
     manner: Manner,
     store: &Store,
     runs: &Runs,
-) -> io::Result<()> {
+) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let address = listener.local_addr()?;
     let (listed, entry_id, entry_service) = (store.clone(), id.to_owned(), service.to_owned());
@@ -61,7 +65,7 @@
             });
         }
     });
-    Ok(())
+    Ok(address)
 }
 
 fn put_entry(store: &Store, id: &str, service: &str, address: SocketAddr, sequence: u64) {
@@ -96,23 +100,32 @@
             continue;
         }
         if std::mem::take(&mut owes_surplus) {
-            line.write(&http::answer(
-                "503 Service Unavailable",
-                &[("X-Not-Executed", "1")],
-                b"",
-            ))?;
+            line.write(&refusal())?;
         }
-        let answer = run(&request, id, runs);
-        line.write(&answer)?;
         let mut count = answered.lock().expect("no thread panics");
         *count += 1;
-        if let Manner::SurplusRefusal { one_in } = manner {
-            owes_surplus = *count % one_in == 0;
+        let (is_full, sends_surplus) = match manner {
+            Manner::Sound => (false, false),
+            Manner::SurplusRefusal { one_in } => (false, *count % one_in == 0),
+            Manner::Full { one_in } => (*count % one_in == 0, false),
+            Manner::RepeatedRefusal { one_in } => (*count % one_in == 0, *count % one_in == 0),
+        };
+        drop(count);
+        owes_surplus = sends_surplus;
+        if is_full {
+            line.write(&refusal())?;
+        } else {
+            line.write(&run(&request, id, runs))?;
         }
     }
     Ok(())
 }
 
+/// The refusal of a runner that is full, as the published examples show it.
+fn refusal() -> Vec<u8> {
+    http::answer("503 Service Unavailable", &[("X-Not-Executed", "1")], b"")
+}
+
 /// Runs a request, and returns its answer.
 fn run(request: &Message, id: &str, runs: &Runs) -> Vec<u8> {
     let attempt = request.header("x-attempt-id").unwrap_or("").to_owned();
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -35,6 +35,8 @@
 struct Inner {
     partitions: Mutex<HashMap<(String, u32), Partition>>,
     changed: Condvar,
+    /// Addresses that the readers at an address of the store see in place of others, which have the same length.
+    routes: Mutex<HashMap<SocketAddr, Vec<(String, String)>>>,
 }
 
 /// The store, on a loopback address.
@@ -46,11 +48,25 @@
 
 impl Store {
     pub fn start() -> io::Result<Self> {
+        Self::open(Arc::default())
+    }
+
+    /// Serves the same store at one more address, where other addresses of runners are seen: a network that leads to them.
+    pub fn open_routed(&self, routes: Vec<(SocketAddr, SocketAddr)>) -> io::Result<Self> {
+        let store = Self::open(Arc::clone(&self.inner))?;
+        let routes = routes
+            .into_iter()
+            .map(|(from, to)| (from.to_string(), to.to_string()));
+        let mut all = self.inner.routes.lock().expect("no thread panics");
+        all.insert(store.address, routes.collect());
+        drop(all);
+        Ok(store)
+    }
+
+    fn open(inner: Arc<Inner>) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let store = Self {
-            inner: Arc::default(),
-            address: listener.local_addr()?,
-        };
+        let address = listener.local_addr()?;
+        let store = Self { inner, address };
         let serving = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -75,6 +91,21 @@
         self.inner.changed.notify_all();
     }
 
+    /// A record as the readers at this address see it.
+    fn routed(&self, record: &[u8]) -> Vec<u8> {
+        let routes = self.inner.routes.lock().expect("no thread panics");
+        let mut record = record.to_vec();
+        for (from, to) in routes.get(&self.address).into_iter().flatten() {
+            let found = record
+                .windows(from.len())
+                .position(|part| part == from.as_bytes());
+            if let Some(at) = found.filter(|_| from.len() == to.len()) {
+                record[at..at + to.len()].copy_from_slice(to.as_bytes());
+            }
+        }
+        record
+    }
+
     fn serve(&self, stream: TcpStream) {
         let Ok(mut line) = Line::new(stream) else {
             return;
@@ -130,9 +161,9 @@
                 let records = &partitions.entry(key).or_default().records;
                 let mut body = (records.len() as u64).to_be_bytes().to_vec();
                 body.extend(0_u64.to_be_bytes());
-                for record in records.iter().skip(from) {
+                for record in records.iter().skip(from).map(|record| self.routed(record)) {
                     body.extend((record.len() as u32).to_be_bytes());
-                    body.extend(record);
+                    body.extend(&record);
                 }
                 http::answer("200 OK", &[], &body)
             }
@@ -145,7 +176,7 @@
                         let key = String::from_utf8_lossy(&key).into_owned();
                         format!(
                             "{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}",
-                            base64(&value)
+                            base64(&self.routed(&value))
                         )
                     });
                 let items: Vec<String> = items.collect();
