--- a/tests/deployment/store.rs
+++ b/tests/deployment/store.rs
@@ -2,9 +2,10 @@
 //! conditional appends, newest records of keyed topics. Each router gets its own address, so that
 //! faults can be injected for one router alone.
 
+use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -28,7 +29,7 @@
 
 struct LostRecord {
     topic: String,
-    key: String,
+    key: Bytes,
     /// Value before the restore; `None` if the key was deleted.
     value: Option<Bytes>,
     /// Value in the snapshot.
@@ -43,7 +44,7 @@
             let place = (topic.to_owned(), 0);
             let now = &parts.get(&place).unwrap_or(&none).newest;
             let then = &copy.0.get(&place).unwrap_or(&none).newest;
-            let keys: BTreeSet<&String> = now.keys().chain(then.keys()).collect();
+            let keys: BTreeSet<&Bytes> = now.keys().chain(then.keys()).collect();
             for key in keys {
                 let value = now.get(key).map(|(_, value)| value.clone());
                 let copied = then.get(key).map(|(_, value)| value.clone());
@@ -108,7 +109,7 @@
 struct Partition {
     first: u64,
     records: Vec<Bytes>,
-    newest: BTreeMap<String, (u64, Bytes)>,
+    newest: BTreeMap<Bytes, (u64, Bytes)>,
 }
 
 impl Partition {
@@ -121,7 +122,7 @@
             let offset = self.end();
             if is_keyed {
                 let len = usize::from(record[0]);
-                let key = String::from_utf8_lossy(&record[1..=len]).into_owned();
+                let key = record.slice(1..=len);
                 let value = record.slice(1 + len..);
                 if value.is_empty() {
                     self.newest.remove(&key);
@@ -147,6 +148,8 @@
     bytes_read: Mutex<HashMap<(SocketAddr, String), usize>>,
     /// Decides which calls `Fault::Busy` refuses.
     refusals: Mutex<Refusals>,
+    /// Whether the newest records are listed in the order of their offsets, and not of their keys.
+    orders_by_offset: AtomicBool,
     /// Number of restores from a snapshot.
     restores: AtomicU64,
     /// Addresses of targets as one router gets them, by the router's address here.
@@ -186,6 +189,11 @@
         .await
     }
 
+    /// Lists the newest records in the order of their offsets from now on, and answers 400 to a key that has none.
+    pub fn order_by_offset(&self) {
+        self.0.orders_by_offset.store(true, Ordering::SeqCst);
+    }
+
     /// Replaces addresses in the list of targets for the router that reads at `address`.
     pub fn set_routes(&self, address: SocketAddr, routes: Vec<(SocketAddr, SocketAddr)>) {
         self.0.routes.lock().unwrap().insert(address, routes);
@@ -286,7 +294,8 @@
         let parts = self.0.parts.lock().unwrap();
         let parts = parts.iter().filter(|((name, _), _)| name == topic);
         parts
-            .flat_map(|(_, part)| part.newest.keys().cloned())
+            .flat_map(|(_, part)| part.newest.keys())
+            .map(|key| String::from_utf8_lossy(key).into_owned())
             .collect()
     }
 
@@ -314,7 +323,7 @@
                 continue;
             }
             let mut record = vec![entry.key.len() as u8];
-            record.extend_from_slice(entry.key.as_bytes());
+            record.extend_from_slice(&entry.key);
             record.extend_from_slice(entry.value.as_deref().unwrap_or_default());
             part.append(true, vec![record.into()]);
         }
@@ -430,14 +439,10 @@
     }
 
     async fn execute(&self, address: SocketAddr, uri: &http::Uri, body: Bytes) -> Reply {
-        let query: HashMap<&str, &str> = uri
-            .query()
-            .unwrap_or_default()
-            .split('&')
-            .filter_map(|pair| pair.split_once('='))
-            .collect();
+        let query = uri.query().unwrap_or_default().as_bytes();
+        let query: HashMap<Cow<str>, Cow<str>> = form_urlencoded::parse(query).collect();
         let number = |name: &str| query.get(name).and_then(|text| text.parse::<u64>().ok());
-        let topic = query.get("topic").copied().unwrap_or_default().to_owned();
+        let topic = query.get("topic").cloned().unwrap_or_default().into_owned();
         let place = (topic.clone(), number("part").unwrap_or_default() as u32);
         match uri.path() {
             "/api/log-append" => {
@@ -458,26 +463,40 @@
                 self.read(address, place, from, wait).await
             }
             "/api/log-newest" => {
-                let mut parts = self.0.parts.lock().unwrap();
-                let part = parts.entry(place).or_default();
-                let after = query.get("afterRev").copied().unwrap_or_default();
-                let mut rest = part.newest.iter().filter(|(key, _)| key.as_str() > after);
-                let items: Vec<_> = rest
-                    .by_ref()
-                    .take(NEWEST_MAX)
-                    .map(|(key, (offset, value))| {
-                        let value = self.routed(address, &topic, value);
-                        json!({ "key": key, "value": STANDARD.encode(value), "offset": offset })
-                    })
-                    .collect();
-                let body =
-                    json!({ "items": items, "more": rest.next().is_some(), "end": part.end() });
-                reply_with(StatusCode::OK, body.to_string().into())
+                self.newest(address, place, query.get("afterRev").map(Cow::as_ref))
             }
             _ => status(StatusCode::NOT_FOUND),
         }
     }
 
+    fn newest(&self, address: SocketAddr, place: (String, u32), after: Option<&str>) -> Reply {
+        let mut parts = self.0.parts.lock().unwrap();
+        let part = parts.entry(place.clone()).or_default();
+        let mut rest: Vec<(&Bytes, &(u64, Bytes))> = part.newest.iter().collect();
+        if self.0.orders_by_offset.load(Ordering::SeqCst) {
+            rest.sort_by_key(|(_, (offset, _))| *offset);
+            if let Some(after) = after {
+                let Some(index) = rest.iter().position(|(key, _)| *key == after.as_bytes()) else {
+                    return status(StatusCode::BAD_REQUEST);
+                };
+                rest.drain(..=index);
+            }
+        } else if let Some(after) = after {
+            rest.retain(|(key, _)| key.as_ref() > after.as_bytes());
+        }
+        let items: Vec<_> = rest
+            .iter()
+            .take(NEWEST_MAX)
+            .map(|(key, (offset, value))| {
+                let key = String::from_utf8_lossy(key);
+                let value = self.routed(address, &place.0, value);
+                json!({ "key": key, "value": STANDARD.encode(value), "offset": offset })
+            })
+            .collect();
+        let body = json!({ "items": items, "more": rest.len() > NEWEST_MAX, "end": part.end() });
+        reply_with(StatusCode::OK, body.to_string().into())
+    }
+
     async fn read(&self, address: SocketAddr, place: (String, u32), from: u64, wait: u64) -> Reply {
         const STEP: u64 = 10;
         let mut waited = 0;
