Read a list on past a key of another writer

Callers saw that almost no request was served while an entry of another writer stood at the end of a page of the list of targets, under a key with &, +, #, % or a blank.

Cause: the key from which the next page begins was written into the query as it is. The store then got another key or another parameter, or the call could not be sent, and the read asked the same question again for as long as the entry stood. Class: one entry of another writer decides about all others.

Change: keys are percent-encoded. A read whose key the store does not accept goes back to earlier keys of the page, in steps that double; one whose list does not go on reports it and begins anew after a pause, where it looped. A malformed item is passed over alone. Keys that are not UTF-8 or have reserved characters name no target. New events name the list and the key.

The test of pinned_gateway reads has_more in place of after, with the same meaning.

--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -25,6 +25,7 @@
 
 /// Why a call failed.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub))]
 pub enum CallError {
     /// Too many calls; the call had no effect.
     #[snafu(display("too many calls"))]
@@ -62,6 +63,9 @@
         /// The key's length in bytes.
         length: usize,
     },
+    /// The answer to a read of a list has no record that was not read before, and says that there are more.
+    #[snafu(display("the list does not go on"))]
+    NoProgress,
     /// The answer has a status or a body that the store does not use; the call may have taken effect.
     #[snafu(display("answered {status}"))]
     Refused {
@@ -79,6 +83,15 @@
         )
     }
 
+    /// Whether a read of the newest records may succeed if it is asked to continue after another key.
+    fn may_depend_on_key(&self) -> bool {
+        match self {
+            Self::NoProgress | Self::KeyTooLong { .. } => true,
+            Self::Refused { status } => *status < 500,
+            _ => false,
+        }
+    }
+
     /// Whether the store has answered that the place the call was based on is outdated.
     pub fn is_outdated(&self) -> bool {
         matches!(self, Self::Moved { .. }) || self.invalidates_place()
@@ -148,12 +161,14 @@
 /// A part of the newest records of a partition.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Part {
-    /// The records, in the order of their keys.
+    /// The records that the product reads, in the store's order.
     pub records: Vec<Record>,
+    /// The keys of all records, in the store's order. The next part begins after one of them.
+    pub keys: Vec<String>,
     /// The end of the partition at the time of the answer.
     pub end: Place,
-    /// The key after which the next part begins; `None` if this is the last part.
-    pub after: Option<String>,
+    /// Whether there are records after these.
+    pub has_more: bool,
 }
 
 /// The store. `limit` is the timeout of each request to it, not counting the time that the store is asked to wait.
--- a/tests/foreign_entries.rs
+++ b/tests/foreign_entries.rs
@@ -81,10 +81,10 @@
     let unreadable = Platform.read_listing("i-1", b"\xff{").unwrap_err();
     assert!(matches!(unreadable, BadEntry::Unreadable { .. }));
     let whole = entry("127.0.0.1:1").to_string();
-    assert!(matches!(
-        Platform.read_listing("i@1", whole.as_bytes()),
-        Err(BadEntry::Id)
-    ));
+    for id in ["", "i@1", "i&1", "i+1", "i#1", "i%41", "i 1", "i\n1", "é"] {
+        let read = Platform.read_listing(id, whole.as_bytes());
+        assert!(matches!(read, Err(BadEntry::Id)), "{id:?}");
+    }
 }
 
 #[test]
--- a/tests/list_feed.rs
+++ b/tests/list_feed.rs
@@ -399,8 +399,9 @@
                     key: key.clone(),
                     value: Some("x".into()),
                 }],
+                keys: vec![key],
                 end: place(100 + number as u64),
-                after: (number + 1 < self.parts).then_some(key),
+                has_more: number + 1 < self.parts,
             })
         }
         .boxed()
--- a/tests/pinned_gateway.rs
+++ b/tests/pinned_gateway.rs
@@ -445,7 +445,7 @@
     );
     let newest = newest.unwrap();
     assert_eq!(newest.records, [record("anna/g1", Some(b"\x01\x02"))]);
-    assert_eq!((newest.end, newest.after), (place(12), None));
+    assert_eq!((newest.end, newest.has_more), (place(12), false));
 }
 
 fn headers(pairs: &[(&'static str, &str)]) -> HeaderMap {
