Move a target whose entry names another service

Cause: an entry of another writer, with a service that no configuration names, replaced that of a crashed target. The registry changed the service but left the target in the group of the former one. A minute after the entry had gone the target was dropped from the group of the new service alone, and the next request met a key of nothing. The other way round, a target whose first entry named a wrong service never got requests.

Change: the group follows the service, in one place; a group without targets goes. The store's newest entry stays authoritative, so the target's next heartbeat brings it back.

--- a/src/gateway/targets/registry.rs
+++ b/src/gateway/targets/registry.rs
@@ -94,6 +94,7 @@
             return self.add(listing);
         };
         self.removed.remove(&listing.instance);
+        self.move_to_service(key, &listing.service);
         let target = self.get_mut(key);
         let was_ready = target.is_listed_ready();
         let is_ready = listing.is_ready;
@@ -138,12 +139,37 @@
         self.by_id.insert(id, key);
         self.by_instance.insert(listing.instance.clone(), key);
         self.by_hash.insert(hash(&listing.instance), key);
-        let group = self.by_service.entry(listing.service.clone()).or_default();
-        group.push(key);
+        self.join_service(key, &listing.service);
         self.all.push(Some(Box::new(Target::new(listing))));
         former.map_or(Change::Added, |former| Change::Restarted { former })
     }
 
+    fn join_service(&mut self, key: TargetKey, service: &str) {
+        let group = self.by_service.entry(service.to_owned()).or_default();
+        group.push(key);
+    }
+
+    fn leave_service(&mut self, key: TargetKey, service: &str) {
+        let Some(group) = self.by_service.get_mut(service) else {
+            return;
+        };
+        group.retain(|other| *other != key);
+        if group.is_empty() {
+            self.by_service.remove(service);
+        }
+    }
+
+    /// Moves a known target to the service that its newest entry names. An incarnation has one service, but another
+    /// writer's entry may have named another one.
+    fn move_to_service(&mut self, key: TargetKey, service: &str) {
+        let former = &self.get(key).listing.service;
+        if former != service {
+            let former = former.clone();
+            self.leave_service(key, &former);
+            self.join_service(key, service);
+        }
+    }
+
     /// Ends an incarnation, and notifies the requests that wait there.
     fn end_incarnation(&mut self, key: TargetKey) {
         let target = self.get_mut(key);
@@ -245,9 +271,7 @@
         remove_if_owned(&mut self.by_instance, &listing.instance, key);
         remove_if_owned(&mut self.by_id, id, key);
         remove_if_owned(&mut self.by_hash, &target.hash(), key);
-        if let Some(group) = self.by_service.get_mut(&listing.service) {
-            group.retain(|other| *other != key);
-        }
+        self.leave_service(key, &listing.service);
         self.cache.remove_target(key);
         self.active.remove(&key);
     }
--- a/tests/foreign_entries.rs
+++ b/tests/foreign_entries.rs
@@ -2,6 +2,7 @@
 //! force.
 
 mod deployment;
+mod listed;
 #[allow(dead_code, unused_imports)]
 #[path = "../platform/mod.rs"]
 mod platform;
@@ -11,7 +12,11 @@
 use arbtest::arbtest;
 use deployment::runner::Runner;
 use deployment::{Ask, Deployment, LONG, ask, config, list};
-use lanedeck::gateway::dialect::{BadEntry, Dialect};
+use lanedeck::gateway::dialect::{BadEntry, Dialect, Listing};
+use lanedeck::gateway::incarnation;
+use lanedeck::gateway::key::TargetKey;
+use lanedeck::gateway::targets::Targets;
+use lanedeck::units::Millis;
 use platform::Platform;
 use serde_json::{Value, json};
 
@@ -129,6 +134,47 @@
     });
 }
 
+const NOW: Millis = Millis(1_000_000);
+/// Longer than an incarnation is kept that is not listed.
+const FORGOTTEN_AFTER: Millis = Millis(70_000);
+
+fn started(start: Option<u64>) -> Listing {
+    Listing {
+        instance: incarnation::name("i-1", start.map(Millis)),
+        ..listed::listing(1)
+    }
+}
+
+#[test]
+fn foreign_service_leaves_dead_key() {
+    let mut targets = Targets::default();
+    targets.list(started(Some(17)));
+    let foreign = Listing {
+        service: "unnamed".into(),
+        ..started(Some(17))
+    };
+    targets.list(foreign);
+    assert!(targets.candidates(NOW, "s", &[]).is_empty());
+    targets.unlist(NOW, "i-1");
+    targets.forget(NOW);
+    targets.forget(NOW + FORGOTTEN_AFTER);
+    assert_eq!(targets.known_count(), 0);
+    assert!(targets.candidates(NOW, "s", &[]).is_empty());
+}
+
+#[test]
+fn foreign_service_comes_first() {
+    let mut targets = Targets::default();
+    let foreign = Listing {
+        service: "unnamed".into(),
+        ..started(Some(17))
+    };
+    targets.list(foreign);
+    targets.list(started(Some(17)));
+    assert_eq!(targets.candidates(NOW, "s", &[]), [TargetKey(0)]);
+    assert!(targets.candidates(NOW, "unnamed", &[]).is_empty());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn other_targets_stay_in_use() {
     let (good, bad) = (Runner::start("i-good").await, Runner::start("i-bad").await);
