Refuse an entry without the start time that its target has told

Cause: an entry of another writer without a start time was taken for a new incarnation named by the id alone, which ended the present one and the requests in progress there. The target's next heartbeat made a third one. When the target left, its id was taken for the name of the second incarnation, which had ended, and the present one stayed listed.

Change: a target that has told its start time is not named by an entry without one; such an entry counts as malformed (listing_refused, cause start), and the target gets no requests until its next heartbeat. A key of the store names the newest incarnation; names from other routers name exactly one.

--- a/src/gateway/control/apply.rs
+++ b/src/gateway/control/apply.rs
@@ -142,7 +142,7 @@
 
 impl Changes {
     fn add(&mut self, instance: String, change: Change) {
-        if change != Change::Same {
+        if !matches!(change, Change::Same | Change::Refused) {
             self.0.push((instance, change));
         }
     }
@@ -178,16 +178,21 @@
         return;
     };
     match control.dialect.read_listing(&record.key, value) {
-        Ok(entry) => {
-            control.bad_entries.borrow_mut().remove(&record.key);
-            self::entry(control, entry, freshness, changes);
-        }
+        Ok(entry) => match self::entry(control, entry, freshness, changes) {
+            Change::Refused => reject_entry(control, &record.key, &BadEntry::Start),
+            _ => control.bad_entries.borrow_mut().remove(&record.key),
+        },
         Err(error) => reject_entry(control, &record.key, &error),
     }
 }
 
-/// Applies a decoded entry.
-pub(super) fn entry(control: &Control, entry: Entry, freshness: Freshness, changes: &mut Changes) {
+/// Applies a decoded entry, and returns what it has changed.
+pub(super) fn entry(
+    control: &Control,
+    entry: Entry,
+    freshness: Freshness,
+    changes: &mut Changes,
+) -> Change {
     let instance = entry.listing.instance.clone();
     let now = control.now();
     let mut state = control.state.borrow_mut();
@@ -197,6 +202,7 @@
         state.targets.note_version(&instance, version);
     }
     changes.add(instance, change);
+    change
 }
 
 /// Removes the listed targets that are not among these instances.
@@ -212,7 +218,7 @@
         .collect();
     drop(state);
     for instance in absent {
-        remove_target(control, &instance, source);
+        remove_instance(control, &instance, source);
     }
 }
 
@@ -260,7 +266,7 @@
         return ids.map(str::to_owned).collect();
     }
     for instance in absent {
-        remove_target(control, &instance, "store");
+        remove_instance(control, &instance, "store");
     }
     BTreeSet::new()
 }
@@ -270,7 +276,7 @@
 pub(super) fn peer_targets(control: &Control, view: targets::View) {
     let knew_some = control.state.borrow().targets.known_count() > 0;
     for instance in view.gone {
-        remove_target(control, &instance, "link");
+        remove_instance(control, &instance, "link");
     }
     let mut changes = Changes::default();
     for listing in view.listed {
@@ -288,9 +294,19 @@
     control.publish_target_addresses();
 }
 
-pub(super) fn remove_target(control: &Control, instance: &str, source: &str) {
+/// Removes the target of this id from the list.
+pub(super) fn remove_target(control: &Control, id: &str, source: &str) {
+    let now = control.now();
+    if control.state.borrow_mut().targets.unlist(now, id) {
+        tracing::info!(event = "target_removed", instance = id, source);
+    }
+}
+
+/// Removes an incarnation from the list.
+pub(super) fn remove_instance(control: &Control, instance: &str, source: &str) {
     let now = control.now();
-    if control.state.borrow_mut().targets.unlist(now, instance) {
+    let targets = &mut control.state.borrow_mut().targets;
+    if targets.unlist_instance(now, instance) {
         tracing::info!(event = "target_removed", %instance, source);
     }
 }
--- a/src/gateway/control/feed.rs
+++ b/src/gateway/control/feed.rs
@@ -362,7 +362,7 @@
             Change::Listed(entry) => {
                 apply::entry(control, entry, Freshness::Newest, &mut listed);
             }
-            Change::Gone(instance) => apply::remove_target(control, &instance, SOURCE),
+            Change::Gone(instance) => apply::remove_instance(control, &instance, SOURCE),
         }
     }
     listed.log(SOURCE);
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -261,12 +261,22 @@
     /// The entry's key is not a valid target id.
     #[snafu(display("the key is not a valid target id"))]
     Id,
+    /// The entry has no start time, and that target's own entry had one.
+    #[snafu(display("the start time is missing, which the target has told before"))]
+    Start,
 }
 
 impl BadEntry {
     /// Metric labels of the causes, indexed by [`cause`](Self::cause).
-    pub const CAUSES: [&'static str; 6] =
-        ["unreadable", "missing", "type", "state", "service", "id"];
+    pub const CAUSES: [&'static str; 7] = [
+        "unreadable",
+        "missing",
+        "type",
+        "state",
+        "service",
+        "id",
+        "start",
+    ];
 
     /// Index of the cause in [`CAUSES`](Self::CAUSES).
     pub fn cause(&self) -> usize {
@@ -277,6 +287,7 @@
             Self::State { .. } => 3,
             Self::Service => 4,
             Self::Id => 5,
+            Self::Start => 6,
         }
     }
 }
--- a/src/gateway/targets/registry.rs
+++ b/src/gateway/targets/registry.rs
@@ -81,13 +81,21 @@
     Leaving,
     /// The target accepts requests again.
     Returned,
+    /// The entry is not the target's own: it has no start time, and the target has told one.
+    Refused,
     /// No relevant change.
     Same,
 }
 
 impl Targets {
     /// Applies an entry read from the store. The store's newest entry is authoritative, whatever start time it has.
+    /// One without a start time does not name an incarnation of a target that has told its own, and changes nothing.
     pub fn list(&mut self, listing: Listing) -> Change {
+        if incarnation::start_time(&listing.instance).is_none()
+            && self.has_told_start(incarnation::id(&listing.instance))
+        {
+            return Change::Refused;
+        }
         let known = self.by_instance.get(&listing.instance).copied();
         let known = known.filter(|key| !self.get(*key).ended.is_cancelled());
         let Some(key) = known else {
@@ -126,6 +134,11 @@
         self.list(listing)
     }
 
+    fn has_told_start(&self, id: &str) -> bool {
+        let newest = self.by_id.get(id).map(|key| self.get(*key));
+        newest.is_some_and(|target| incarnation::start_time(&target.listing.instance).is_some())
+    }
+
     /// Adds an incarnation, and ends the former one of the same target.
     fn add(&mut self, listing: Listing) -> Change {
         let id = incarnation::id(&listing.instance).to_owned();
@@ -177,12 +190,24 @@
         target.ended.cancel();
     }
 
-    /// Removes a target from the list, by its id or by the name of its incarnation. Returns whether it was listed.
+    /// Removes a target from the list, by its id or by the name of an incarnation that has a start time. Returns whether
+    /// it was listed.
     pub fn unlist(&mut self, now: Millis, name: &str) -> bool {
-        let by_instance = self.by_instance.get(name);
-        let Some(key) = by_instance.or_else(|| self.by_id.get(name)).copied() else {
-            return false;
+        // An id may be the name of an incarnation without a start time too, which need not be the newest.
+        let key = match incarnation::start_time(name) {
+            Some(_) => self.by_instance.get(name),
+            None => self.by_id.get(name),
         };
+        key.copied().is_some_and(|key| self.unlist_key(now, key))
+    }
+
+    /// Removes an incarnation from the list, by its name. Returns whether it was listed.
+    pub fn unlist_instance(&mut self, now: Millis, instance: &str) -> bool {
+        let key = self.by_instance.get(instance).copied();
+        key.is_some_and(|key| self.unlist_key(now, key))
+    }
+
+    fn unlist_key(&mut self, now: Millis, key: TargetKey) -> bool {
         self.removed
             .retain(|_, at| now.saturating_sub(*at) < REMOVED_REPORTED_FOR);
         let instance = self.get(key).listing.instance.clone();
--- a/tests/foreign_entries.rs
+++ b/tests/foreign_entries.rs
@@ -15,7 +15,7 @@
 use lanedeck::gateway::dialect::{BadEntry, Dialect, Listing};
 use lanedeck::gateway::incarnation;
 use lanedeck::gateway::key::TargetKey;
-use lanedeck::gateway::targets::Targets;
+use lanedeck::gateway::targets::{Change, Targets};
 use lanedeck::units::Millis;
 use platform::Platform;
 use serde_json::{Value, json};
@@ -175,6 +175,37 @@
     assert!(targets.candidates(NOW, "unnamed", &[]).is_empty());
 }
 
+#[test]
+fn entry_without_start_keeps_leaving_target() {
+    let mut targets = Targets::default();
+    targets.list(started(Some(17)));
+    let running = targets.get(TargetKey(0)).ended.clone();
+    assert_eq!(targets.list(started(None)), Change::Refused);
+    assert!(!running.is_cancelled(), "its requests go on");
+    targets.list(started(Some(17)));
+    assert_eq!(targets.candidates(NOW, "s", &[]), [TargetKey(0)]);
+    assert!(targets.unlist(NOW, "i-1"));
+    assert!(targets.candidates(NOW, "s", &[]).is_empty());
+}
+
+#[test]
+fn first_entry_without_start_keeps_leaving_target() {
+    let mut targets = Targets::default();
+    targets.list(started(None));
+    targets.list(started(Some(17)));
+    assert!(targets.unlist(NOW, "i-1"));
+    assert!(targets.candidates(NOW, "s", &[]).is_empty());
+}
+
+#[test]
+fn removal_of_entry_without_start_by_link() {
+    let mut targets = Targets::default();
+    targets.list(started(None));
+    targets.list(started(Some(17)));
+    targets.unlist_instance(NOW, "i-1");
+    assert_eq!(targets.candidates(NOW, "s", &[]), [TargetKey(1)]);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn other_targets_stay_in_use() {
     let (good, bad) = (Runner::start("i-good").await, Runner::start("i-bad").await);
