--- a/tests/foreign_entries.rs
+++ b/tests/foreign_entries.rs
@@ -13,9 +13,11 @@
 use deployment::runner::Runner;
 use deployment::{Ask, Deployment, LONG, ask, config, list};
 use lanedeck::gateway::dialect::{BadEntry, Dialect, Listing};
+use lanedeck::gateway::feed::Journal;
 use lanedeck::gateway::incarnation;
 use lanedeck::gateway::key::TargetKey;
 use lanedeck::gateway::targets::{Change, Targets};
+use lanedeck::store::Place;
 use lanedeck::units::Millis;
 use platform::Platform;
 use serde_json::{Value, json};
@@ -206,6 +208,24 @@
     assert_eq!(targets.candidates(NOW, "s", &[]), [TargetKey(1)]);
 }
 
+#[test]
+fn extreme_values_end_process() {
+    let mut extreme = entry("127.0.0.1:1");
+    extreme["slots"] = json!(u32::MAX);
+    extreme["coldLeftMs"] = json!(1e300);
+    extreme["sequence"] = json!(u64::MAX);
+    extreme["born"] = json!(u64::MAX);
+    let read = Platform.read_listing("i-1", extreme.to_string().as_bytes());
+    let entry = read.unwrap();
+    let mut targets = Targets::default();
+    targets.list(entry.listing.clone());
+    targets.note_cold(NOW, &entry.listing.instance, entry.cold_left);
+    let mut journal = Journal::new(1);
+    let listed = [entry].into_iter();
+    journal.publish_targets(NOW, Place::default(), NOW, 1, listed);
+    assert!(targets.candidates(NOW, "app", &[]).len() <= 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn other_targets_stay_in_use() {
     let (good, bad) = (Runner::start("i-good").await, Runner::start("i-bad").await);
