Take a response without a final status for no response

Callers of a target in trouble got answers with status 101, 600, 700 and 999, with the target's seal. Reported for other systems as status 000; that one, 0, 099, 20, 1000 and a line without a blank have always ended as 502 here, as the HTTP library does not parse them.

Cause: a status was checked by the parser alone, which takes 100 to 999. 101 ends the HTTP of its connection although no request asks for an upgrade; above 599 there is no class of answers, and clients treat them as they like.

Change: one rule in net::Connection, over which targets, other routers, the store and health checks are asked: a final response has a status from 200 to 599. What has not counts as bytes that are no answer: 502 or a retry, and ejection.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -305,7 +305,7 @@
         };
         let response = match response {
             Ok(response) => response,
-            Err(error) if error.was_not_sent => {
+            Err(error) if error.was_not_sent() => {
                 self.sent -= 1;
                 self.unreached += 1;
                 attempt.note_occupancy(Occupancy::Ended);
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -210,7 +210,7 @@
     let response = until_ended(&ended, link.connection.send(request)).await;
     let response = match response.ok_or(Error::Terminated)? {
         Ok(response) => response,
-        Err(error) if error.was_not_sent => return Err(Error::Unreachable),
+        Err(error) if error.was_not_sent() => return Err(Error::Unreachable),
         Err(error) => {
             tracing::info!(event = "connection_broken", %id, cause = ?error.kind());
             return Err(Error::Terminated);
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -7,11 +7,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use snafu::Snafu;
+use snafu::{Snafu, ensure};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
@@ -31,20 +32,50 @@
 
 /// A request that got no response.
 #[derive(Debug, Snafu)]
-#[snafu(display("{source}"))]
-pub struct SendError {
-    /// Whether no part of the request has been written.
-    pub was_not_sent: bool,
-    source: hyper::Error,
+pub enum SendError {
+    /// The connection failed, or the bytes on it are no response.
+    #[snafu(display("{source}"))]
+    Failed {
+        /// Whether no part of the request has been written.
+        was_not_sent: bool,
+        /// The HTTP library's error.
+        source: hyper::Error,
+    },
+    /// The head of the response has a status that no final response has.
+    #[snafu(display("{status} is no status of a final response"))]
+    Status {
+        /// The status.
+        status: StatusCode,
+    },
 }
 
 impl SendError {
+    /// Whether no part of the request has been written.
+    pub fn was_not_sent(&self) -> bool {
+        matches!(
+            self,
+            Self::Failed {
+                was_not_sent: true,
+                ..
+            }
+        )
+    }
+
     /// The kind of the system's error, if the connection failed with one.
     pub fn kind(&self) -> Option<io::ErrorKind> {
-        error_kind(&self.source)
+        match self {
+            Self::Failed { source, .. } => error_kind(source),
+            Self::Status { .. } => None,
+        }
     }
 }
 
+/// Whether a response of this status is a final one of a class that HTTP defines. No request asks for an upgrade, so
+/// 101 is none either.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// The kind of the system's error that an error of the HTTP library is due to, if any.
 pub fn error_kind(error: &hyper::Error) -> Option<io::ErrorKind> {
     let mut source = error.source();
@@ -114,15 +145,19 @@
     /// Sends a request. The next may be sent once the response's body has been read to its end.
     ///
     /// # Errors
-    /// The connection's error, and whether the request was not sent at all.
+    /// Why there is no response, and whether the request was not sent at all. After an error the connection must not be
+    /// used again.
     pub async fn send(&mut self, request: Request) -> Result<Response, SendError> {
         self.state.begin_request();
         let sent = self.sender.try_send_request(request).await;
         self.state.end_head();
-        sent.map_err(|mut error| SendError {
+        let response = sent.map_err(|mut error| SendError::Failed {
             was_not_sent: error.take_message().is_some(),
             source: error.into_error(),
-        })
+        })?;
+        let status = response.status();
+        ensure!(is_final(status), StatusSnafu { status });
+        Ok(response)
     }
 
     /// Whether a request can be sent on the connection now.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,7 +14,7 @@
 pub use accept::{accept, bind};
 pub use bulkhead::{Bulkhead, Reservation, UNRESERVED_MAX};
 pub use collect::{CollectError, collect, is_fragmented};
-pub use connection::{Connection, Request, Response, SendError, open};
+pub use connection::{Connection, Request, Response, SendError, is_final, open};
 pub use pool::Pool;
 pub use server::{Accepted, Server};
 pub use socket::{ReadState, Socket};
--- a/tests/early_answer.rs
+++ b/tests/early_answer.rs
@@ -232,6 +232,6 @@
         assert_eq!(body.as_deref(), Some(&b"whole"[..]));
         assert!(!connection.is_usable(boot_clock::now()));
         let second = timeout(LONG, connection.send(long_request())).await;
-        assert!(second.is_ok_and(|sent| sent.is_err_and(|error| error.was_not_sent)));
+        assert!(second.is_ok_and(|sent| sent.is_err_and(|error| error.was_not_sent())));
     }
 }
