--- a/src/router/http/relay.rs
+++ b/src/router/http/relay.rs
@@ -15,6 +15,7 @@
 use super::answer::{Answer, ServiceAnswer, Work};
 use super::chat::Frame;
 use super::{ATTEMPT, FENCE, HOLDER, RANK, REQUEST_ID, VERDICT};
+use crate::net;
 use crate::router::control::End;
 use crate::router::intent::Kind;
 use crate::router::key::Incarnation;
@@ -182,6 +183,7 @@
             Err(_) => return Err(broken),
             Ok(Err(error)) if *error.kind() == ErrorKind::Connect => return Err(End::Unsent),
             Ok(Err(_)) => return Err(broken),
+            Ok(Ok(response)) if !net::is_final(response.status()) => return Err(broken),
             Ok(Ok(response)) => response,
         };
         let not_run = response
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -26,6 +26,8 @@
     pub delay_ms: u64,
     /// Runs each request and answers it with an error.
     pub acts_and_fails: bool,
+    /// Runs each request and answers it well, but with this status; none if zero.
+    pub status: u16,
     /// Refuses every request with the verdict that it has not run.
     pub refuses: bool,
 }
@@ -123,6 +125,9 @@
                 .headers_mut()
                 .insert(crate::router::http::REQUEST_ID, value);
         }
+        if let Ok(status) = StatusCode::from_u16(faults.status) {
+            *response.status_mut() = status;
+        }
         response
     }
 
--- a/tests/whole_answers.rs
+++ b/tests/whole_answers.rs
@@ -70,6 +70,21 @@
     assert!(area.seen("kiosks")["billed"].as_u64() <= Some(2 + 20));
 }
 
+#[test]
+fn status_of_no_class() {
+    let area = Area::new(1, 2);
+    area.faults(&area.services[0], &json!({"status": 600}));
+    let to = area.routers[0].address;
+    let path = "/v1/services/tickets";
+    let answer = area.send(Method::POST, to, path, &key("kiosks"), &[], "refund");
+    assert_eq!(
+        answer.header("lanedeck-verdict"),
+        "may_have_run",
+        "{answer:?}"
+    );
+    assert_eq!(answer.header("lanedeck-reason"), "target_failed");
+}
+
 #[test]
 fn acts_and_fails() {
     let area = Area::new(1, 2);
