Limit the size of answers that lanedeck router reads

A service in trouble that sends bytes without end filled a router's memory: the body of a service's answer was read to its end for as long as the silence timeout allowed, as were streams, answers to queries, and those of the log and the host list.

Change: 4 MiB for an answer, 64 KiB for a query's, 64 MiB for a service of the platform. Beyond that an answer counts as broken off.

--- a/src/router/client/mod.rs
+++ b/src/router/client/mod.rs
@@ -8,6 +8,7 @@
 pub use hosts::{HostList, HttpHosts, Listed};
 pub use log::{Appended, Cursor, HttpLog, Log, Page, ReadAnswer, ReadRequest, StreamPage};
 
+use http_body_util::Limited;
 use snafu::Snafu;
 
 /// Why a call of a platform service failed.
@@ -39,6 +40,9 @@
     },
 }
 
+/// Maximum size of a service's response, in bytes: pages of the log are the largest.
+const RESPONSE_MAX: usize = 64 << 20;
+
 type Client = volo_http::client::Client;
 
 /// Builds a client for a platform service.
@@ -56,13 +60,14 @@
     service: &'static str,
     response: volo_http::response::Response,
 ) -> Result<T, Error> {
-    use volo_http::body::BodyConversion;
+    use volo_http::body::{Body, BodyConversion};
     let status = response.status();
     if !status.is_success() {
         let status = status.as_u16();
         return Err(Error::Status { service, status });
     }
-    let bytes = response.into_body().into_bytes().await;
+    let body = Body::from_body(Limited::new(response.into_body(), RESPONSE_MAX));
+    let bytes = body.into_bytes().await;
     let bytes = bytes.map_err(|error| Error::Answer {
         service,
         why: error.to_string(),
--- a/src/router/http/relay.rs
+++ b/src/router/http/relay.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use http::{Method, StatusCode};
+use http_body_util::Limited;
 use serde::{Deserialize, Serialize};
 use volo_http::body::{Body, BodyConversion};
 use volo_http::client::sse::{SseExt, SseReader};
@@ -35,6 +36,11 @@
 /// Timeout of a query to a target for its load or for the state of a request.
 const QUERY_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Maximum size of an answer to a request, in bytes. A target in trouble may send bytes without end.
+const ANSWER_MAX: usize = 4 << 20;
+/// Maximum size of the answer to a query, in bytes.
+const QUERY_ANSWER_MAX: usize = 64 << 10;
+
 type Client = volo_http::client::Client;
 
 /// HTTP clients for requests to targets.
@@ -193,7 +199,7 @@
         if not_run && !response.status().is_success() {
             return Err(End::Refused);
         }
-        Ok(response)
+        Ok(limited(response, ANSWER_MAX))
     }
 
     async fn service(&self, answer: &Answer, dispatch: Dispatch, body: Vec<u8>) -> End {
@@ -339,7 +345,8 @@
         let sent = tokio::time::timeout(self.silence, self.unpooled.get(uri).send()).await;
         let (resumed, outcome) = match sent {
             Ok(Ok(response)) if response.status().is_success() => {
-                (ResumeOutcome::Stream(response), "resumed".to_owned())
+                let stream = limited(response, ANSWER_MAX);
+                (ResumeOutcome::Stream(stream), "resumed".to_owned())
             }
             Ok(Ok(response)) => (ResumeOutcome::Unknown, response.status().to_string()),
             Ok(Err(error)) => (ResumeOutcome::Unreachable, error.to_string()),
@@ -405,11 +412,17 @@
         if response.status() != StatusCode::OK {
             return Ok(None);
         }
+        let response = limited(response, QUERY_ANSWER_MAX);
         let body = response.into_body().into_bytes().await?;
         Ok(Some(serde_json::from_slice(&body)?))
     }
 }
 
+/// The response with a body that fails beyond so many bytes.
+fn limited(response: Response, max: usize) -> Response {
+    response.map(|body| Body::from_body(Limited::new(body, max)))
+}
+
 /// The delay before a stream is resumed, after `without_progress` consecutive resumes without a new frame.
 fn resume_delay(without_progress: u32) -> Duration {
     RESUME_DELAY
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -26,6 +26,8 @@
     pub delay_ms: u64,
     /// Runs each request and answers it with an error.
     pub acts_and_fails: bool,
+    /// Adds this many bytes to the body of each answer.
+    pub more_bytes: usize,
     /// Runs each request and answers it well, but with this status; none if zero.
     pub status: u16,
     /// Refuses every request with the verdict that it has not run.
@@ -112,7 +114,7 @@
             return empty(StatusCode::INTERNAL_SERVER_ERROR);
         }
         let value = http::HeaderValue::from_str(&dispatch.id);
-        let receipt = receipt(body);
+        let receipt = receipt(body) + &"x".repeat(faults.more_bytes);
         let mut response = json(
             StatusCode::OK,
             &Receipt {
--- a/tests/whole_answers.rs
+++ b/tests/whole_answers.rs
@@ -70,6 +70,19 @@
     assert!(area.seen("kiosks")["billed"].as_u64() <= Some(2 + 20));
 }
 
+#[test]
+fn body_beyond_limit() {
+    let area = Area::new(1, 2);
+    let to = area.routers[0].address;
+    let path = "/v1/services/tickets";
+    for (more_bytes, verdict) in [(1 << 20, "ran"), (64 << 20, "may_have_run")] {
+        area.faults(&area.services[0], &json!({"more_bytes": more_bytes}));
+        let answer = area.send(Method::POST, to, path, &key("kiosks"), &[], "refund");
+        let got = answer.header("lanedeck-verdict");
+        assert_eq!(got, verdict, "{more_bytes}: {:?}", answer.headers);
+    }
+}
+
 #[test]
 fn status_of_no_class() {
     let area = Area::new(1, 2);
