--- a/src/router/client/hosts.rs
+++ b/src/router/client/hosts.rs
@@ -48,6 +48,18 @@
         let uri = format!("http://{}/v1/hosts", self.address);
         let request = self.client.get(uri).send();
         let response = request.await.context(CallSnafu { service: SERVICE })?;
-        json(SERVICE, response).await
+        let entries: Vec<serde_json::Value> = json(SERVICE, response).await?;
+        Ok(entries.into_iter().filter_map(read_entry).collect())
+    }
+}
+
+/// Reads an entry of the list; `None` if it is malformed, which leaves the others in force.
+fn read_entry(entry: serde_json::Value) -> Option<Listed> {
+    match serde_json::from_value(entry) {
+        Ok(listed) => Some(listed),
+        Err(error) => {
+            tracing::warn!(event = "listing_refused", %error);
+            None
+        }
     }
 }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -6,7 +6,7 @@
 
 mod api;
 pub mod budget;
-pub(crate) mod client;
+pub mod client;
 pub mod config;
 pub mod control;
 mod core;
