Take over a reader's evacuated halls wherever its place is taken over

Cause: a follower that the store turns away learns of an evacuation from another router's view. When it asks a reader for the operators' records after that, it moves the place from which it reads on, but kept its own halls of the former place, since the view in force was not older. Its next own read applied no changes to these and put them in force.

Change: the halls that were read carry the place that they are of. They are replaced whenever that place moves on; which view is in force is a question of its own.

--- a/src/gateway/control/apply.rs
+++ b/src/gateway/control/apply.rs
@@ -36,7 +36,7 @@
     let mut view = View {
         as_of: page.next,
         halls: match content {
-            PageContent::Changes => control.halls_in_store.borrow().clone(),
+            PageContent::Changes => control.halls_in_store.borrow().halls.clone(),
             PageContent::Snapshot | PageContent::RestoredSnapshot => BTreeSet::new(),
         },
     };
@@ -60,7 +60,7 @@
             (Some(Subject::Config | Subject::Rollout { .. }), None) | (None, _) => {}
         }
     }
-    control.halls_in_store.replace(view.halls.clone());
+    control.halls_in_store.replace(view.clone());
     if content == PageContent::RestoredSnapshot {
         let known = control.evacuations.borrow();
         let before = known
--- a/src/gateway/control/context.rs
+++ b/src/gateway/control/context.rs
@@ -1,7 +1,7 @@
 //! State shared by the tasks of the control thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -110,8 +110,8 @@
     pub(super) limits_told: Notify,
     /// Which halls the operators have evacuated; `None` until it is known.
     pub(super) evacuations: RefCell<Option<evacuation::View>>,
-    /// The evacuated halls according to the records read from the store.
-    pub(super) halls_in_store: RefCell<BTreeSet<String>>,
+    /// The evacuated halls as of the place from which this router reads the records on.
+    pub(super) halls_in_store: RefCell<evacuation::View>,
     /// Evacuations kept in force after the store was restored from a copy that lacks them.
     pub(super) halls_retained: RefCell<evacuation::RetainedHalls>,
     /// Revision of the list of targets whose addresses were published last.
--- a/src/gateway/control/operators.rs
+++ b/src/gateway/control/operators.rs
@@ -128,7 +128,7 @@
     Some(Box::new(Update {
         as_of,
         config: config.flatten().map(|bytes| bytes.to_vec()),
-        halls: control.halls_in_store.borrow().clone(),
+        halls: control.halls_in_store.borrow().halls.clone(),
         rollouts,
     }))
 }
@@ -143,9 +143,12 @@
         as_of: update.as_of,
         halls: update.halls,
     };
+    // This router's next read applies to the halls as of the place from which it reads on, whatever view is in force.
+    if control.halls_in_store.borrow().is_older(&view) {
+        control.halls_in_store.replace(view.clone());
+    }
     let known = control.evacuations.borrow().clone();
     if known.is_none_or(|known| known.is_older(&view)) {
-        control.halls_in_store.replace(view.halls.clone());
         let retained = control.halls_retained.borrow();
         view.halls
             .extend(retained.active_at(control.now()).cloned());
--- a/tests/feed_runs.rs
+++ b/tests/feed_runs.rs
@@ -15,6 +15,7 @@
 use lanedeck::gateway::decision::feed::READERS_PER_HALL;
 use lanedeck::gateway::members::{Members, Router, Source};
 use lanedeck::gateway::message::{Heartbeat, Reply, Request};
+use lanedeck::store::hedge;
 use lanedeck::units::Millis;
 use lanedeck::wire;
 use serde_json::{Value, json};
@@ -386,6 +387,42 @@
 }
 
 /// Guards against followers that write their own entries without a pause, since they have nothing to read.
+/// Guards against followers that the store turned away, and that undo an evacuation once it serves them again.
+#[tokio::test(flavor = "multi_thread")]
+async fn evacuation_undone_after_an_outage() {
+    let (deployment, app) = start().await;
+    for gateway in followers(&deployment) {
+        until_reached(gateway.front, &app).await;
+        deployment.store.set_fault(gateway.store, Fault::Silent);
+    }
+    sleep(ROUNDS).await;
+    let order = json!({ "zone": "hall" });
+    deployment
+        .store
+        .put(OPERATORS, "evacuate/hall", Some(&order));
+    for gateway in &deployment.gateways {
+        until_avoided(gateway, &app).await;
+    }
+    // The followers give their reads up, and ask the readers for the records.
+    sleep(hedge::ANSWER_MAX + ROUNDS).await;
+    let before = app.arrivals().len();
+    for gateway in followers(&deployment) {
+        deployment.store.set_fault(gateway.store, Fault::None);
+    }
+    let end = Instant::now() + 2 * ROUNDS;
+    while Instant::now() < end {
+        for gateway in followers(&deployment) {
+            status_of(gateway.front, "/often/x").await;
+        }
+    }
+    let late = app.arrivals().len() - before;
+    assert_eq!(late, 0, "requests in the evacuated hall");
+    deployment.store.put(OPERATORS, "evacuate/hall", None);
+    for gateway in &deployment.gateways {
+        until_reached(gateway.front, &app).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn entries_at_heartbeats() {
     const HEARTBEATS: usize = 10;
