Doubt a refusal without an id right after another answer

Cause: a target in trouble sends a second answer to a request late, in the place of the next one's. A refusal without an id was believed to be that of the next request. Sound targets refuse without an id too, so its bytes do not tell the two apart.

Change: such a refusal is believed where no answer came on the connection within the last second (decision::surplus). Else the request may have run: 502 or, if it may run twice, a retry. A router that sends for another one judges by its own connection to the target.

--- a/src/gateway/decision/mod.rs
+++ b/src/gateway/decision/mod.rs
@@ -32,3 +32,4 @@
 pub mod share;
 pub mod slots;
 pub mod stop;
+pub mod surplus;
--- a/src/gateway/decision/refusal.rs
+++ b/src/gateway/decision/refusal.rs
@@ -212,7 +212,13 @@
         match (failure, verdict) {
             (Failure::TimedOut, _) => Self::TimedOut,
             (Failure::Cut, _) => Self::Cut,
-            (Failure::BrokenOff | Failure::Ended | Failure::ServerError, _)
+            (
+                Failure::BrokenOff
+                | Failure::DoubtfulRefusal
+                | Failure::Ended
+                | Failure::ServerError,
+                _,
+            )
             | (_, Verdict::MayHaveRun) => Self::BrokenOff,
             (Failure::Refused | Failure::AskedRest | Failure::WrongInstance, _) => {
                 Self::TargetRefused
--- a/src/gateway/decision/retry.rs
+++ b/src/gateway/decision/retry.rs
@@ -44,6 +44,8 @@
     Refused,
     /// The target reports that it has not run the request, and asks this router to send nothing for some time.
     AskedRest,
+    /// The target reports that it has not run a request, which may be an earlier one.
+    DoubtfulRefusal,
     /// Another instance now has the target's address, and has not run the request.
     WrongInstance,
     /// The connection or the answer broke off.
@@ -106,9 +108,12 @@
             | Self::Refused
             | Self::AskedRest
             | Self::WrongInstance => Verdict::NotRun,
-            Self::BrokenOff | Self::Ended | Self::TimedOut | Self::Cut | Self::ServerError => {
-                Verdict::MayHaveRun
-            }
+            Self::DoubtfulRefusal
+            | Self::BrokenOff
+            | Self::Ended
+            | Self::TimedOut
+            | Self::Cut
+            | Self::ServerError => Verdict::MayHaveRun,
         }
     }
 
@@ -117,6 +122,7 @@
         match self {
             Self::Unreachable
             | Self::Refused
+            | Self::DoubtfulRefusal
             | Self::BrokenOff
             | Self::Ended
             | Self::TimedOut
@@ -146,6 +152,7 @@
             | Self::Unwritable => Charge::Free,
             Self::Refused
             | Self::AskedRest
+            | Self::DoubtfulRefusal
             | Self::WrongInstance
             | Self::BrokenOff
             | Self::Ended
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -20,6 +20,7 @@
 use super::decision::origin::Constraint;
 use super::decision::refusal::{Declined, Reason, Refusal};
 use super::decision::retry::{self, Decision, Failure, History, Verdict};
+use super::decision::surplus::{self, Trust};
 use super::dialect::{self, BadForward, Forward, Prompt};
 use super::escrow::Demand;
 use super::fingerprint::Fingerprint;
@@ -297,6 +298,11 @@
         link: &mut Link,
         request: net::Request,
     ) -> Result<(http::response::Parts, Incoming, dialect::Reply), Failure> {
+        let since_last = match link.origin {
+            Origin::Pooled | Origin::Opened => link.connection.since_last_response(),
+            // The other router judges by its connection to the target.
+            Origin::Proxied => None,
+        };
         let sent = attempt.until_ended(link.connection.send(request));
         let response = match self.deadline.within(sent).await {
             Ok(None) => return Err(Failure::Ended),
@@ -347,7 +353,11 @@
                 true => Occupancy::Ended,
                 false => Occupancy::Rejected,
             });
-            return Err(if reply.wrong_instance {
+            let is_doubtful = !is_ours && surplus::judge(since_last) == Trust::Doubtful;
+            return Err(if is_doubtful {
+                tracing::info!(event = "refusal_doubted", id = %self.request.id);
+                Failure::DoubtfulRefusal
+            } else if reply.wrong_instance {
                 Failure::WrongInstance
             } else if matches!(reply.notice.retry_after, Ok(Some(_))) {
                 Failure::AskedRest
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -23,6 +23,8 @@
 
 use super::body::{self, Body, Truncated};
 use super::deadline::Deadline;
+use super::decision::surplus::{self, Trust};
+use super::dialect::Reply;
 use super::headers;
 use super::held::Usage;
 use super::relay::{Link, Relay};
@@ -207,6 +209,7 @@
         instance = %target,
         connection = link.origin.as_str()
     );
+    let since_last = link.connection.since_last_response();
     let response = until_ended(&ended, link.connection.send(request)).await;
     let response = match response.ok_or(Error::Terminated)? {
         Ok(response) => response,
@@ -216,12 +219,20 @@
             return Err(Error::Terminated);
         }
     };
+    let reply = relay
+        .dialect
+        .read_reply(response.status().as_u16(), response.headers());
+    let is_anonymous_refusal = reply.not_run && reply.id.is_none();
+    if is_anonymous_refusal && surplus::judge(since_last) == Trust::Doubtful {
+        tracing::info!(event = "refusal_doubted", %id);
+        return Err(Error::Terminated);
+    }
     let guard = Guard {
         _slot: slot,
         _active: active,
         _usage: usage,
     };
-    Ok(pass_back(relay, response, link, ended, guard))
+    Ok(pass_back(relay, response, &reply, link, ended, guard))
 }
 
 /// Where a target is, for a request of another router.
@@ -267,15 +278,13 @@
 fn pass_back(
     relay: &Arc<Relay>,
     response: net::Response,
+    reply: &Reply,
     link: Link,
     ended: CancellationToken,
     guard: Guard,
 ) -> Response<Body> {
     let (mut parts, incoming) = response.into_parts();
     let is_framed = headers::is_framed(&parts);
-    let reply = relay
-        .dialect
-        .read_reply(parts.status.as_u16(), &parts.headers);
     headers::strip_response(&mut parts.headers);
     parts.headers.remove(STATUS_HEADER);
     parts.headers.remove(UNFRAMED_HEADER);
@@ -289,7 +298,7 @@
         link,
         incoming,
         ended,
-        reusable_for: is_framed.then(|| Relay::reusable_for(&reply)),
+        reusable_for: is_framed.then(|| Relay::reusable_for(reply)),
         _guard: guard,
     };
     let body = stream::unfold(Some(upstream), |upstream| async move {
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -94,6 +94,8 @@
     sender: http1::SendRequest<Full<Bytes>>,
     task: AbortHandle,
     state: ExchangeState,
+    /// When the last response was read to its end.
+    idle_since: Option<Millis>,
     /// When the peer may close the connection, while it is idle.
     idle_until: Option<Millis>,
 }
@@ -137,6 +139,7 @@
         sender,
         task: task.abort_handle(),
         state,
+        idle_since: None,
         idle_until: None,
     })
 }
@@ -169,6 +172,14 @@
     /// Marks the connection as idle from now on, and reusable for `idle`. The time that this host is suspended counts,
     /// since the peer's timeout goes on meanwhile.
     pub fn set_idle(&mut self, idle: Duration) {
-        self.idle_until = Some(boot_clock::now() + Millis(idle.as_millis() as u64));
+        let now = boot_clock::now();
+        self.idle_since = Some(now);
+        self.idle_until = Some(now + Millis(idle.as_millis() as u64));
+    }
+
+    /// Time since the last response on the connection was read to its end; `None` if it has had none.
+    pub fn since_last_response(&self) -> Option<Millis> {
+        let idle_since = self.idle_since?;
+        Some(boot_clock::now().saturating_sub(idle_since))
     }
 }
--- a/tests/decision_rules.rs
+++ b/tests/decision_rules.rs
@@ -8,6 +8,7 @@
 use lanedeck::gateway::decision::refusal::{self, Reason, Refusal, RetryContext, Shortage};
 use lanedeck::gateway::decision::retry::{self, Decision, Failure, History, Limit, Verdict};
 use lanedeck::gateway::decision::stop::Plan;
+use lanedeck::gateway::decision::surplus::{self, Trust};
 use lanedeck::gateway::route::{
     Backend, Config, Customer, Kind, Limits, Route, Service, ServiceKey,
 };
@@ -67,6 +68,8 @@
         (Failure::BrokenOff, resumable, Decision::Retry),
         (Failure::BrokenOff, not_resumable, not_repeatable),
         (Failure::BrokenOff, Kind::Once, not_repeatable),
+        (Failure::DoubtfulRefusal, Kind::Once, not_repeatable),
+        (Failure::DoubtfulRefusal, Kind::Repeatable, Decision::Retry),
         (Failure::Ended, Kind::Repeatable, Decision::Retry),
         (Failure::Ended, Kind::Once, not_repeatable),
         (
@@ -449,3 +452,12 @@
     assert_eq!([1, 2, 4, 7].map(room), [500_000, 250_000, 125_000, 120_000]);
     assert_eq!([8, 16, 100].map(room), [118_750, 59_375, 9_500]);
 }
+
+#[test]
+fn refusals_without_id() {
+    let judge = |since_last: Option<u64>| surplus::judge(since_last.map(Millis));
+    assert_eq!(judge(None), Trust::Believed, "the connection's first");
+    assert_eq!(judge(Some(0)), Trust::Doubtful);
+    assert_eq!(judge(Some(15)), Trust::Doubtful);
+    assert_eq!(judge(Some(5_000)), Trust::Believed);
+}
