Doubt refusals without an id only for requests that may run once

A false refusal costs such a request nothing, so it is believed as before. A router that sends for another one does not know the kind of a request and doubts each.

--- a/src/gateway/decision/surplus.rs
+++ b/src/gateway/decision/surplus.rs
@@ -4,6 +4,7 @@
 //! next request's answer. Sound targets refuse without an id too, so only time tells the two apart. The load that this
 //! answers: connections that are reused within milliseconds, at targets that garble some of their answers.
 
+use crate::gateway::route::Kind;
 use crate::units::Millis;
 
 /// Time after a response in which another one to the same request may still arrive on the connection.
@@ -18,11 +19,12 @@
     Doubtful,
 }
 
-/// Judges a refusal on a connection whose last response ended `since_last` before the request was sent; `None` if the
-/// request was the connection's first.
-pub fn judge(since_last: Option<Millis>) -> Trust {
+/// Judges a refusal of a request of this kind, on a connection whose last response ended `since_last` before the request
+/// was sent; `None` if the request was the connection's first. A request that may run twice loses nothing by a false
+/// refusal, and would lose its retry time by doubt.
+pub fn judge(kind: Kind, since_last: Option<Millis>) -> Trust {
     match since_last {
-        Some(since) if since < SURPLUS_WITHIN => Trust::Doubtful,
+        Some(since) if since < SURPLUS_WITHIN && !kind.may_repeat() => Trust::Doubtful,
         Some(_) | None => Trust::Believed,
     }
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -353,7 +353,8 @@
                 true => Occupancy::Ended,
                 false => Occupancy::Rejected,
             });
-            let is_doubtful = !is_ours && surplus::judge(since_last) == Trust::Doubtful;
+            let trust = surplus::judge(self.route.kind, since_last);
+            let is_doubtful = !is_ours && trust == Trust::Doubtful;
             return Err(if is_doubtful {
                 tracing::info!(event = "refusal_doubted", id = %self.request.id);
                 Failure::DoubtfulRefusal
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -28,6 +28,7 @@
 use super::headers;
 use super::held::Usage;
 use super::relay::{Link, Relay};
+use super::route::Kind;
 use super::shared::ActiveRequest;
 use super::upload;
 use crate::net;
@@ -223,7 +224,9 @@
         .dialect
         .read_reply(response.status().as_u16(), response.headers());
     let is_anonymous_refusal = reply.not_run && reply.id.is_none();
-    if is_anonymous_refusal && surplus::judge(since_last) == Trust::Doubtful {
+    // The other router knows whether the request may run twice.
+    let trust = surplus::judge(Kind::Once, since_last);
+    if is_anonymous_refusal && trust == Trust::Doubtful {
         tracing::info!(event = "refusal_doubted", %id);
         return Err(Error::Terminated);
     }
