Limit the memory that callers' connections take

Cause: every connection was accepted and kept for the idle timeout, whatever memory the process has; only bodies and answers were counted. A connection takes some 30 kB.

Change: above a quarter of the memory connections are closed with their next answer; above half of it new ones are accepted slowly, as on a delayed link, so that a router that is ready still accepts ten a second.

--- a/src/gateway/decision/backlog.rs
+++ b/src/gateway/decision/backlog.rs
@@ -3,7 +3,8 @@
 //! A caller whose connection the kernel has accepted sends its request, whether or not the router accepts it too. On a
 //! full link these bodies delay all others, and those of refused or late requests have been carried for nothing. While
 //! the accept queue is full, the kernel drops the opening packet instead: the caller waits or goes elsewhere without
-//! having sent a body. So the queue is as long as the link is fast, and a router whose link is delayed accepts slowly.
+//! having sent a body. So the queue is as long as the link is fast, and a router whose link is delayed accepts slowly, as
+//! does one whose connections take much of its memory.
 
 use crate::units::Millis;
 
@@ -50,7 +51,16 @@
 /// Decides whether the next connection is accepted, given the link delay and how long the pause before this connection
 /// has lasted.
 pub fn step(link_delay: Millis, paused: Millis) -> Step {
-    if link_delay > LINK_DELAY_MAX && paused < PAUSE_MAX {
+    step_if(link_delay > LINK_DELAY_MAX, paused)
+}
+
+/// Like [`step`], given the number of open connections and the one up to which they are accepted at once.
+pub fn step_of_count(open: usize, accepted_max: usize, paused: Millis) -> Step {
+    step_if(open >= accepted_max, paused)
+}
+
+fn step_if(is_overloaded: bool, paused: Millis) -> Step {
+    if is_overloaded && paused < PAUSE_MAX {
         Step::Pause
     } else {
         Step::Accept
--- a/src/gateway/held.rs
+++ b/src/gateway/held.rs
@@ -46,6 +46,11 @@
         &self.arriving
     }
 
+    /// Memory that the process may use, in bytes; `None` if it is not limited.
+    pub fn memory(&self) -> Option<usize> {
+        self.memory
+    }
+
     /// Bytes that are held.
     pub fn held(&self) -> usize {
         self.held.load(Ordering::Relaxed)
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpListener;
 
 use super::body::Body;
-use super::decision::backlog;
+use super::decision::{backlog, memory};
 use super::dialect::Dialect;
 use super::metrics;
 use super::notice;
@@ -116,44 +116,62 @@
 pub fn listen(server: &Server, listener: TcpListener, shared: &Arc<Shared>, endpoint: Endpoint) {
     let shared = Arc::clone(shared);
     server.listen(listener, move |socket| {
-        serve_connection(socket, Arc::clone(&shared), endpoint.clone())
+        serve_connection(socket, Arc::clone(&shared), endpoint.clone(), || true)
     });
 }
 
-/// Serves callers on a listener until the server closes. Accepting pauses while the link is delayed, except during a
-/// shutdown: callers that wait then are to be answered before the listener closes.
+/// Serves callers on a listener until the server closes. Accepting pauses while the link is delayed or there are very many
+/// connections, except during a shutdown: callers that wait then are to be answered before the listener closes.
 pub fn listen_callers<D>(server: &Server, listener: TcpListener, relay: &Arc<Relay>, link_delay: D)
 where
     D: Fn() -> Millis + Send + 'static,
 {
     let shared = Arc::clone(&relay.shared);
+    let memory = relay.held.memory();
+    let kept_max = memory::connections_kept_max(memory);
+    let accepted_max = memory::connections_accepted_max(memory);
+    let open_connections = server.clone();
     let pace = move |paused: Duration| {
         if shared.stop.has_begun() {
             return None;
         }
         let paused_ms = Millis(u64::try_from(paused.as_millis()).unwrap_or(u64::MAX));
-        match backlog::step(link_delay(), paused_ms) {
-            backlog::Step::Accept => None,
-            backlog::Step::Pause => {
-                if paused.is_zero() {
-                    shared.accept_pauses.add(1);
-                }
-                Some(PAUSE_CHECK_INTERVAL)
-            }
+        let open = open_connections.connections();
+        let steps = [
+            backlog::step(link_delay(), paused_ms),
+            backlog::step_of_count(open, accepted_max, paused_ms),
+        ];
+        if !steps.contains(&backlog::Step::Pause) {
+            return None;
         }
+        if paused.is_zero() {
+            shared.accept_pauses.add(1);
+        }
+        Some(PAUSE_CHECK_INTERVAL)
     };
     let (shared, endpoint) = (
         Arc::clone(&relay.shared),
         Endpoint::Callers(Arc::clone(relay)),
     );
-    let open = move |socket| serve_connection(socket, Arc::clone(&shared), endpoint.clone());
+    let connections = server.clone();
+    let keeps_open = move || connections.connections() <= kept_max;
+    let open = move |socket| {
+        serve_connection(
+            socket,
+            Arc::clone(&shared),
+            endpoint.clone(),
+            keeps_open.clone(),
+        )
+    };
     server.listen_paced(listener, open, pace);
 }
 
+/// Serves a connection. It is closed after an answer if `keeps_open` returns `false` by then.
 fn serve_connection(
     socket: Socket,
     shared: Arc<Shared>,
     endpoint: Endpoint,
+    keeps_open: impl Fn() -> bool + Clone + Send + 'static,
 ) -> Accepted<impl HttpService<Incoming, ResBody = Body, Error = Infallible, Future: Send> + Send> {
     let config = shared.config.load();
     let limits = config
@@ -169,9 +187,10 @@
     let service = service_fn(move |request| {
         let (shared, endpoint) = (Arc::clone(&shared), endpoint.clone());
         let connection = Arc::clone(&connection);
+        let keeps_open = keeps_open.clone();
         async move {
             let mut response = endpoint.answer(request, &connection).await;
-            if shared.stop.has_begun() {
+            if shared.stop.has_begun() || !keeps_open() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
--- a/tests/held_bytes.rs
+++ b/tests/held_bytes.rs
@@ -7,9 +7,11 @@
 use std::time::Duration;
 
 use deployment::runner::{Mode, Runner};
-use deployment::{Ask, Deployment, HOST, KEY, ask, config, until, until_reached};
+use deployment::{Ask, Deployment, HOST, KEY, LONG, ask, ask_on, config, until, until_reached};
+use lanedeck::boot_clock;
 use lanedeck::gateway::decision::memory;
 use lanedeck::gateway::held::Account;
+use lanedeck::net;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -18,6 +20,8 @@
 const LARGE_BUDGET: u64 = 1_000_000;
 /// Length of the bodies that slow callers declare, within the configuration's limit.
 const LENGTH: usize = 60_000;
+/// Time within which connections are closed to make room, far below the idle timeout.
+const CLOSED_WITHIN: Duration = Duration::from_secs(3);
 /// Time within which an answer that was sent before is read.
 const ANSWERED_WITHIN: Duration = Duration::from_millis(200);
 
@@ -156,3 +160,36 @@
     until(|| async { held(&deployment).await == 0 }).await;
     assert!(!is_memory_full(&deployment, "again").await);
 }
+
+#[test]
+fn connections_follow_memory() {
+    let kept = |megabytes: usize| memory::connections_kept_max(Some(megabytes * MEGABYTE));
+    assert!((800..1_000).contains(&kept(110)), "{}", kept(110));
+    assert!(memory::connections_accepted_max(Some(110 * MEGABYTE)) > kept(110));
+    assert_eq!(memory::connections_kept_max(None), usize::MAX);
+}
+
+/// Guards against a gateway that ends for want of memory, since it keeps the connections of idle callers.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connections_fill_memory() {
+    const CALLERS: usize = 400;
+    const MEMORY_MB: usize = 20;
+    let (deployment, _app) = start(&MEMORY_MB.to_string()).await;
+    let front = deployment.gateways[0].front;
+    let mut lines = Vec::new();
+    for number in 0..CALLERS {
+        let mut line = net::open(front, LONG, LONG).await.unwrap();
+        let request = Ask::new(&format!("c{number}"), "/often/x");
+        let answer = ask_on(&mut line, &request).await.unwrap();
+        assert_eq!(answer.status, 200, "{answer:?}");
+        line.set_idle(LONG);
+        lines.push(line);
+    }
+    let now = boot_clock::now();
+    let is_few = || {
+        let open = lines.iter().filter(|line| line.is_usable(now)).count();
+        open <= memory::connections_kept_max(Some(MEMORY_MB * MEGABYTE))
+    };
+    let closed = timeout(CLOSED_WITHIN, until(|| async { is_few() })).await;
+    assert!(closed.is_ok(), "idle connections stay open");
+}
