Ask again before the first send whether a stop can wait for a request

Reported for other systems: in a planned stop requests that came late in the grace were passed on and cut at its end, among them requests that may not be repeated. Here it came with a body that arrives slowly, in two seconds of a grace of four: the request was sent then and cut at the end, with 504 after a run.

Cause: whether a request may outlast the stop was asked once, as its head had arrived. The body, tokens or a slot may take until long after that.

Change: it is asked again before the first send. Such a request gets 503, which is true, and a time to come back. Later tries are as before.

--- a/src/gateway/deadline.rs
+++ b/src/gateway/deadline.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// When the caller stops waiting, by the clock that timers use.
+    pub fn at(&self) -> Instant {
+        self.at
+    }
+
     /// When the caller stops waiting, by the host's steady clock.
     pub fn at_boot(&self) -> Millis {
         self.at_boot
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -243,6 +243,9 @@
         if let Some(expiry) = self.deadline.expiry() {
             return Err(failed(attempt, Failure::expired_before_send(expiry)));
         }
+        if self.is_too_late() {
+            return Err(failed(attempt, Failure::Stopping));
+        }
         let request = match self.build_request(&attempt, link.origin) {
             Ok(request) => request,
             Err(error) => {
@@ -415,10 +418,17 @@
             attempts_max: self.route.attempts,
             sent: self.sent,
             unreached: self.unreached,
-            is_expired: self.deadline.expiry().is_some(),
+            is_expired: self.deadline.expiry().is_some() || self.is_too_late(),
         }
     }
 
+    /// Whether nothing was sent yet and a stop can no longer wait for an answer: the body has arrived slowly, or the
+    /// request has waited for tokens or for a slot.
+    fn is_too_late(&self) -> bool {
+        let stop = &self.relay.shared.stop;
+        self.sent == 0 && stop.is_too_late(self.deadline.at())
+    }
+
     /// Starts another attempt after one that failed.
     ///
     /// # Errors
--- a/tests/gateway_stop.rs
+++ b/tests/gateway_stop.rs
@@ -2,9 +2,14 @@
 
 mod deployment;
 
+use std::time::Duration;
+
 use deployment::runner::{EVENTS, Mode, Runner};
 use deployment::store::Fault;
-use deployment::{Ask, Deployment, addresses, ask, config, try_ask, until};
+use deployment::{Ask, Deployment, HOST, KEY, addresses, ask, config, try_ask, until};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::sleep;
 
 const LARGE_BUDGET: u64 = 1_000_000;
 const FLAGS: [&str; 4] = ["--keep", "200", "--grace", "20000"];
@@ -87,6 +92,34 @@
     assert!(asked.await.unwrap().is_whole);
 }
 
+/// Guards against a request that is admitted early in a stop, is sent late since its body is slow, and is cut at the end.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_body_is_sent_late() {
+    const BODY_AFTER: Duration = Duration::from_millis(2_000);
+    let app = Runner::start("i-app").await;
+    app.set(Mode::Delay(2_000));
+    let runners = [("app", &app)];
+    let flags = ["--grace", "4000"];
+    let mut deployment =
+        Deployment::start_with(1, &config(1, LARGE_BUDGET), &runners, &flags).await;
+    let gateway = &deployment.gateways[0];
+    let mut caller = TcpStream::connect(gateway.front).await.unwrap();
+    gateway.signal("TERM");
+    let head = format!(
+        "POST /once/x HTTP/1.1\r\nhost: {HOST}\r\nx-attempt-id: slow\r\nx-deadline-ms: 60000\r\n\
+         authorization: Bearer {KEY}\r\ncontent-length: 4\r\n\r\nbo"
+    );
+    caller.write_all(head.as_bytes()).await.unwrap();
+    sleep(BODY_AFTER).await;
+    caller.write_all(b"dy").await.unwrap();
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("retry-after"), "{answer}");
+    assert_eq!(app.runs(), 0, "it has not run");
+    deployment.wait_end().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn grants_returned() {
     const PREPAID: u64 = 1_000;
