Test a router that is out of step as targets of another version join

Reported for other systems: streams that had begun at targets of a new version broke, were taken up at a router that had been frozen or cut off as those joined, and went on at another version.

No code is changed.

--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use deployment::runner::{Mode, Runner};
+use deployment::store::Fault;
 use deployment::{Ask, Deployment, LONG, config, list, list_version, until};
 use futures::future::join_all;
 use http_body_util::{BodyExt, Full};
@@ -139,6 +140,11 @@
 
 impl Fleet {
     async fn start() -> Self {
+        Self::start_with(&["v1", "v2"]).await
+    }
+
+    /// Starts a fleet whose list has the targets of these versions.
+    async fn start_with(listed: &[&str]) -> Self {
         let mut targets = Vec::new();
         for version in ["v1", "v2"] {
             for number in 0..TARGETS {
@@ -148,7 +154,9 @@
         }
         let mut deployment = Deployment::start(0, &config(1, LARGE_BUDGET), &[]).await;
         for (target, version) in &targets {
-            list_version(&deployment.store, "engine", target, version);
+            if listed.contains(version) {
+                list_version(&deployment.store, "engine", target, version);
+            }
         }
         for number in 0..GATEWAYS {
             let hall = format!("hall-{}", number % 3);
@@ -171,11 +179,24 @@
 
     /// Lets callers read some events at the routers in turn, or all at the router `at`.
     async fn begin(&self, count: usize, at: Option<usize>, most: usize) -> Vec<Caller> {
-        let begun = (0..count).map(|number| async move {
-            let mut caller = Caller::new(number);
-            let front = self.front(at.unwrap_or(number));
-            let got = caller.read(front, most).await;
-            (caller, got)
+        self.begin_at(count, |number| at.unwrap_or(number), most)
+            .await
+    }
+
+    /// Lets callers read some events, each at the router that `at` gives for its number.
+    async fn begin_at(
+        &self,
+        count: usize,
+        at: impl Fn(usize) -> usize,
+        most: usize,
+    ) -> Vec<Caller> {
+        let begun = (0..count).map(|number| {
+            let front = self.front(at(number));
+            async move {
+                let mut caller = Caller::new(number);
+                let got = caller.read(front, most).await;
+                (caller, got)
+            }
         });
         let begun = join_all(begun).await;
         let served = begun
@@ -224,6 +245,25 @@
         versions.values().filter(|of| of.len() > 1).count()
     }
 
+    fn list_version(&self, version: &str) {
+        for target in self.of_version(version) {
+            list_version(&self.deployment.store, "engine", target, version);
+        }
+    }
+
+    /// Waits until a router sends requests to targets of a version.
+    async fn until_used(&self, version: &str, router: usize) {
+        let front = self.front(router);
+        until(|| async {
+            let id = format!("w{}", rand::random::<u32>());
+            let prompt = format!("{:x}:99,b2:1", rand::random::<u32>());
+            let ask = Ask::talk(&id, "/talk/x", 100, 50).with("x-prompt-prefix", &prompt);
+            read(front, &ask, 1).await;
+            self.of_version(version).any(|target| target.runs() > 0)
+        })
+        .await;
+    }
+
     fn of_version(&self, version: &str) -> impl Iterator<Item = &Runner> {
         let of = self.targets.iter().filter(move |(_, it)| *it == version);
         of.map(|(target, _)| target)
@@ -372,6 +412,40 @@
     assert_eq!(went_on, count - of_v1, "those of the other version go on");
 }
 
+/// Guards against a router that is out of step as targets of another version join, and goes on with streams there.
+async fn check_out_of_step(leave: impl Fn(&Fleet), join: impl Fn(&Fleet)) {
+    let fleet = Fleet::start_with(&["v1"]).await;
+    leave(&fleet);
+    fleet.list_version("v2");
+    // The other routers send streams to both versions.
+    fleet.until_used("v2", 1).await;
+    let mut callers = fleet.begin_at(40, |number| 1 + number % 3, 12).await;
+    join(&fleet);
+    let went_on = fleet.resume(&mut callers, |_| 0).await;
+    let (mixed, count) = (fleet.mixed(), callers.len());
+    println!("{went_on} of {count} went on, {mixed} mixed");
+    assert!(mixed <= MIXED_MAX, "{mixed} streams of two versions");
+    tokio::time::sleep(SETTLED).await;
+    let mut callers = fleet.begin_at(20, |number| 1 + number % 3, 12).await;
+    let went_on = fleet.resume(&mut callers, |_| 0).await;
+    assert_went_on(went_on, callers.len());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_as_version_joins() {
+    let first = |fleet: &Fleet, signal| fleet.deployment.gateways[0].signal(signal);
+    check_out_of_step(|it| first(it, "STOP"), |it| first(it, "CONT")).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn without_store_as_version_joins() {
+    let set = |fleet: &Fleet, fault| {
+        let store = fleet.deployment.gateways[0].store;
+        fleet.deployment.store.set_fault(store, fault);
+    };
+    check_out_of_step(|it| set(it, Fault::Unavailable), |it| set(it, Fault::None)).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn second_version() {
     let fleet = Fleet::start().await;
@@ -381,18 +455,8 @@
     }
     tokio::time::sleep(SETTLED).await;
     let mut callers = fleet.begin(30, None, 5).await;
-    for target in fleet.of_version("v2") {
-        list_version(&fleet.deployment.store, "engine", target, "v2");
-    }
-    let front = fleet.front(0);
-    until(|| async {
-        let id = format!("w{}", rand::random::<u32>());
-        let prompt = format!("{:x}:99,b2:1", rand::random::<u32>());
-        let ask = Ask::talk(&id, "/talk/x", 100, 50).with("x-prompt-prefix", &prompt);
-        read(front, &ask, 1).await;
-        fleet.of_version("v2").any(|target| target.runs() > 0)
-    })
-    .await;
+    fleet.list_version("v2");
+    fleet.until_used("v2", 0).await;
     let went_on = fleet.resume(&mut callers, |it| it.number + 1).await;
     let (mixed, count) = (fleet.mixed(), callers.len());
     println!("{went_on} of {count} went on, {mixed} mixed");
