Flood one router from four targets at a time in endless_bytes

Now two routers are flooded at a time, each by four targets with 64 requests each: eight floods again, and four times as many at one router. Bounds are as they were.

--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -14,10 +14,14 @@
 use tokio::time::{Instant, sleep};
 
 const LARGE_BUDGET: u64 = 10_000_000;
-/// Requests at the target at once.
+/// Requests at each such target at once.
 const REQUESTS: usize = 64;
+/// Targets that flood one router at once.
+const FLOODS: usize = 4;
 /// Memory that the process is told to stay within, in megabytes.
 const MEMORY_MB: u64 = 260;
+/// Time between the first requests of two floods: the callers of one fit into the accept queue.
+const FLOOD_INTERVAL: Duration = Duration::from_millis(200);
 /// Time limit of the configuration's routes.
 const ROUTE_TIMEOUT: Duration = Duration::from_millis(4_000);
 /// Requests without a final answer at their route's time limit get it within this time.
@@ -29,7 +33,7 @@
 /// Share of the requests for sound targets that are served.
 const OTHERS_SERVED: f64 = 0.98;
 const SINGLE: Pace = Pace::Single(Duration::from_millis(5));
-/// Plays at a time: a few more floods would leave no processor time for callers and routers.
+/// Plays at a time: with more routers, their floods would leave no processor time for callers and routers.
 static PLAYS: Semaphore = Semaphore::const_new(2);
 
 /// The memory of a process at its peak, in megabytes.
@@ -90,27 +94,34 @@
     (deployment, sound)
 }
 
-/// Sends many requests at once to a target that floods its callers, and others to a sound one.
+/// Sends many requests at once to targets that flood their callers, and others to a sound one.
 async fn flooded(part: Part, pace: Pace) {
     let _play = PLAYS.acquire().await.unwrap();
     let (deployment, _sound) = start(part).await;
-    let flood = Flood::start(part, pace).await;
     let (service, path, other) = paths(part);
-    list_at(
-        &deployment.store,
-        service,
-        "i-flood",
-        flood.address,
-        "ready",
-    );
+    let mut floods = Vec::new();
+    for number in 0..FLOODS {
+        let flood = Flood::start(part, pace).await;
+        let instance = format!("i-flood-{number}");
+        list_at(
+            &deployment.store,
+            service,
+            &instance,
+            flood.address,
+            "ready",
+        );
+        floods.push(flood);
+    }
+    let open = || floods.iter().map(Flood::open).sum::<usize>();
     let gateway = &deployment.gateways[0];
     let front = gateway.front;
     sleep(Duration::from_secs(1)).await;
     let processor_before = processor_time(gateway);
     let begun = Instant::now();
-    let asked: Vec<_> = (0..REQUESTS)
+    let asked: Vec<_> = (0..FLOODS * REQUESTS)
         .map(|number| {
             tokio::spawn(async move {
+                sleep(FLOOD_INTERVAL * (number / REQUESTS) as u32).await;
                 let asked_at = Instant::now();
                 let answer = try_ask(front, &request(&format!("f{number}"), path)).await;
                 (
@@ -145,10 +156,10 @@
         slowest = slowest.max(elapsed);
     }
     let closing = Instant::now();
-    while flood.open() > 0 && closing.elapsed() < CLOSED_WITHIN {
+    while open() > 0 && closing.elapsed() < CLOSED_WITHIN {
         sleep(Duration::from_millis(10)).await;
     }
-    let open = flood.open();
+    let open = open();
     let processor = processor_time(gateway) - processor_before;
     let mut failed = Vec::new();
     let count = others.len();
@@ -161,7 +172,7 @@
         "{part:?} {pace:?}: slowest {slowest:?}, {open} open, {memory} MB, {processor:?} of a processor in {:?}, \
          {served} of {count} others served, failed {failed:?}, {} requests there",
         begun.elapsed(),
-        flood.requests()
+        floods.iter().map(Flood::requests).sum::<usize>()
     );
     println!("{seen}");
     assert!(slowest <= ROUTE_TIMEOUT + ANSWER_SLACK, "{seen}");
