Tell blocks apart that were together in each crash of a target

Ruled out: a hold of the whole request. It has no trial, so the route that was asked next, and the other gateways, would have been refused as well.

Change: a block that another held one was beside in each crash is tried five seconds after the last crash, with a request that has no other held block. An answer clears it. A crash makes it the one with more crashes, which explains those of the other; for that, six are kept. Routers take turns in the order of rendezvous hashing, since the first may get no such request. The time to come back, for a request with that block alone, is that of the trial.

Conclusion: an innocent block is refused for seconds and not for a minute; at most one more target crashes for it.

--- a/src/gateway/decision/quarantine.rs
+++ b/src/gateway/decision/quarantine.rs
@@ -63,15 +63,36 @@
 /// How long after the last crash one request with a quarantined block is sent to a target again, to learn whether the
 /// block is answered now.
 const TRIAL_INTERVAL: Millis = Millis(60_000);
+/// The same for a request whose only quarantined block was beside another one in each crash. An answer clears the block,
+/// and a crash clears the other one, so at most one more target crashes for this.
+pub const TIED_TRIAL_INTERVAL: Millis = Millis(5_000);
 
 /// Whether this many answers in separate seconds prove that a suspect is not the cause of crashes.
 pub fn is_proven(kind: Kind, answers: u32) -> bool {
     kind == Kind::Block && answers >= PROVEN_ANSWERS
 }
 
-/// Whether a request with a quarantined block is sent after all, given the time of the last crash or trial.
-pub fn is_trial_due(kind: Kind, now: Millis, last: Millis) -> bool {
-    kind == Kind::Block && now.saturating_sub(last) >= TRIAL_INTERVAL
+/// A quarantined suspect of a request that may be sent as a trial.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// What is quarantined.
+    pub kind: Kind,
+    /// Time of the last crash or trial.
+    pub last: Millis,
+    /// Whether another quarantined block was involved in each of its crashes.
+    pub is_tied: bool,
+}
+
+/// Whether a request is sent after all, given all that is quarantined of it. Routers take turns in the order of their
+/// `rank`, since those before may get no such request.
+pub fn is_trial_due(now: Millis, held: &[Held], rank: usize) -> bool {
+    let interval = match held {
+        [only] if only.is_tied => TIED_TRIAL_INTERVAL,
+        _ => TRIAL_INTERVAL,
+    };
+    let wait = interval.0.saturating_mul(rank as u64 + 1);
+    let is_due = |held: &Held| held.kind == Kind::Block && now.saturating_sub(held.last).0 >= wait;
+    !held.is_empty() && held.iter().all(is_due)
 }
 
 /// A request or block, and the number of its successive crashes.
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -295,13 +295,30 @@
     /// The router that decides for a key, such as a service in a rollout: the first by rendezvous hashing of the live
     /// routers that accept callers. Capacities do not count, since it has little to do and its decisions must not move.
     pub fn decider(&self, now: Millis, key: &str) -> Option<&Router> {
+        let ready = self.deciders(now);
+        let decider = first(ready, key, 1, |candidate| candidate.hash);
+        decider.into_iter().next()
+    }
+
+    /// This router's place among the live routers that accept callers in the order in which they decide for a key, from
+    /// 0; `None` if it accepts none.
+    pub fn rank(&self, now: Millis, key: &str) -> Option<usize> {
+        let seed = xxh3_64(key.as_bytes());
+        let own = hash_router(&self.me, seed);
+        let before = self
+            .deciders(now)
+            .filter(|(router, _)| hash_router(router, seed) < own);
+        self.me.is_ready.then(|| before.count())
+    }
+
+    /// The live routers that accept callers, this one included.
+    fn deciders(&self, now: Millis) -> impl Iterator<Item = (&Router, Weight)> {
         let ready = self
             .live_members(now)
             .filter(|member| member.router.is_ready)
             .map(|member| (&member.router, member.weight));
         let me = self.me.is_ready.then_some((&self.me, self.own_weight));
-        let decider = first(ready.chain(me), key, 1, |candidate| candidate.hash);
-        decider.into_iter().next()
+        ready.chain(me)
     }
 
     /// The other routers that keep a record of a stream: the first by rendezvous hashing of all that have not left for good,
--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -27,8 +27,8 @@
 pub const RETENTION: Millis = Millis(600_000);
 /// Maximum number of requests and blocks with known crashes, about 100 bytes each.
 const SUSPECTS_MAX: usize = 2_048;
-/// Maximum number of crashes kept for a request: as many as any rule needs.
-const CRASHES_MAX: usize = 5;
+/// Maximum number of crashes kept for a request: as many as any rule needs, and one that tells two tied blocks apart.
+const CRASHES_MAX: usize = 6;
 /// How long after an attempt broke off the crash of its target may still be detected: a target that restarts under its
 /// id is back within seconds, and its entry is read every half second.
 const CONFIRMATION_WINDOW: Millis = Millis(5_000);
@@ -62,6 +62,8 @@
     pub crashes: usize,
     /// Time of the last crash.
     pub last: Millis,
+    /// Whether another quarantined block was involved in each of the crashes.
+    pub is_tied: bool,
 }
 
 impl Hold {
@@ -167,15 +169,23 @@
 }
 
 impl Quarantine {
-    /// Whether a request with a quarantined block is sent after all; if so, the next one is due later.
-    pub fn begin_trial(&mut self, now: Millis, fingerprint: Fingerprint, hold: Hold) -> bool {
-        let last = self.trials.get(&fingerprint).copied();
-        let last = last.unwrap_or_default().max(hold.last);
-        let is_due = quarantine::is_trial_due(fingerprint.kind(), now, last);
+    /// Whether a request is sent after all, given all that is quarantined of it and this router's rank among those that
+    /// may send it. If so, the next one is due later.
+    pub fn begin_trial(&mut self, now: Millis, held: &[(Fingerprint, Hold)], rank: usize) -> bool {
+        let suspects = held.iter().map(|(fingerprint, hold)| quarantine::Held {
+            kind: fingerprint.kind(),
+            last: hold
+                .last
+                .max(self.trials.get(fingerprint).copied().unwrap_or_default()),
+            is_tied: hold.is_tied,
+        });
+        let suspects: Vec<quarantine::Held> = suspects.collect();
+        let is_due = quarantine::is_trial_due(now, &suspects, rank);
         if is_due {
             self.trials
                 .retain(|other, _| self.holds.contains_key(other));
-            self.trials.insert(fingerprint, now);
+            let tried = held.iter().map(|(fingerprint, _)| (*fingerprint, now));
+            self.trials.extend(tried);
         }
         is_due
     }
@@ -369,6 +379,7 @@
             let hold = Hold {
                 crashes: quarantine::in_a_row(left),
                 last: suspect.last(),
+                is_tied: false,
             };
             let answers = self.answered.get(**fingerprint);
             let answers = answers.map_or(0, |successes| successes.count);
@@ -378,9 +389,28 @@
                 holds.insert(**fingerprint, hold);
             }
         }
+        self.mark_tied(&mut holds);
         self.holds = holds;
     }
 
+    /// Marks the held blocks in whose crashes another held block was always involved.
+    fn mark_tied(&self, holds: &mut BTreeMap<Fingerprint, Hold>) {
+        let blocks = holds.keys().filter(|held| held.kind() == Kind::Block);
+        let blocks: Vec<Fingerprint> = blocks.copied().collect();
+        let was_beside = |own: &Fingerprint, other: &Fingerprint| {
+            let (own, other) = (&self.suspects[own], &self.suspects[other]);
+            let mut crashes = own.crashes.iter();
+            crashes.all(|crash| other.was_in_flight_at(crash.instance))
+        };
+        for own in &blocks {
+            let mut others = blocks.iter().filter(|other| *other != own);
+            let is_tied = others.any(|other| was_beside(own, other));
+            if let Some(hold) = holds.get_mut(own) {
+                hold.is_tied = is_tied;
+            }
+        }
+    }
+
     /// The reports to send to other routers in this round.
     pub fn next_reports(&mut self, now: Millis) -> Vec<Report> {
         let suspects = self.suspects.iter_mut();
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -22,6 +22,7 @@
 use super::decision::grant::Sizing;
 use super::decision::origin::Constraint;
 use super::decision::placement::Estimate;
+use super::decision::quarantine::TIED_TRIAL_INTERVAL;
 use super::decision::refusal::Refusal;
 use super::decision::retry::{Bound, Budget, Charge};
 use super::decision::rollout;
@@ -370,28 +371,30 @@
 
     /// Checks that neither a request nor a block of its prompt is quarantined.
     fn check_quarantine(&self, now: Millis, job: &Job) -> Result<(), Refusal> {
-        match self.quarantined(now, job) {
-            Some((_, hold)) => Err(Refusal::Quarantined {
+        let held: Vec<_> = self.quarantined(now, job).collect();
+        match held[..] {
+            [] => Ok(()),
+            [(_, hold)] if hold.is_tied => Err(Refusal::Quarantined {
+                left: hold.left(now).min(TIED_TRIAL_INTERVAL),
+            }),
+            [(_, hold), ..] => Err(Refusal::Quarantined {
                 left: hold.left(now),
             }),
-            None => Ok(()),
         }
     }
 
-    /// Whether a request is sent to a target although a block of its prompt is quarantined. One router decides this for a
-    /// block, so that few requests of a fleet are.
+    /// Whether a request is sent to a target although a block of its prompt is quarantined. The routers take turns, so
+    /// that few requests of a fleet are.
     fn begin_trial(&mut self, now: Millis, job: &Job) -> bool {
-        let Some((fingerprint, hold)) = self.quarantined(now, job) else {
-            return false;
-        };
-        let decider = self.members.decider(now, &fingerprint.to_string());
-        let is_mine = decider.is_some_and(|router| router.name == self.members.me.name);
-        is_mine && self.quarantine.begin_trial(now, fingerprint, hold)
+        let held: Vec<_> = self.quarantined(now, job).collect();
+        let first = held.first().map(|(fingerprint, _)| fingerprint.to_string());
+        let rank = first.and_then(|first| self.members.rank(now, &first));
+        rank.is_some_and(|rank| self.quarantine.begin_trial(now, &held, rank))
     }
 
-    /// What of a request is quarantined: itself or a block of its prompt.
-    pub fn quarantined(&self, now: Millis, job: &Job) -> Option<(Fingerprint, Hold)> {
-        suspects(job).find_map(|fingerprint| {
+    /// What of a request is quarantined: itself and blocks of its prompt.
+    pub fn quarantined(&self, now: Millis, job: &Job) -> impl Iterator<Item = (Fingerprint, Hold)> {
+        suspects(job).filter_map(move |fingerprint| {
             let hold = self.quarantine.hold(now, fingerprint)?;
             Some((fingerprint, hold))
         })
--- a/tests/crashing_part.rs
+++ b/tests/crashing_part.rs
@@ -2,6 +2,7 @@
 
 mod deployment;
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
@@ -24,6 +25,8 @@
 const KNOWN_BY: Duration = Duration::from_secs(3);
 /// Requests with the part that may reach targets after that.
 const SENT_LATE_MAX: usize = 3;
+/// Time by which requests are served again whose blocks crash no target.
+const FREED_BY: Duration = Duration::from_secs(20);
 /// Prompts of other requests: parts that they share with those that crash targets.
 const PROMPTS: usize = 8;
 
@@ -184,3 +187,43 @@
         assert_eq!(ask(front, &request).await.status, 200);
     }
 }
+
+/// Nothing but crashing requests has come with the first block of all prompts, so it is in as many crashes as the last.
+#[tokio::test(flavor = "multi_thread")]
+async fn first_block_stays_refused() {
+    let (deployment, runners) = turns::start_fleet(GATEWAYS, 2, "engine").await;
+    let fronts = turns::fronts(&deployment);
+    let crashing = || with_parts("/talk/x", &format!("a1:70,{CRASHING_PART}:29"));
+    let innocent = || with_parts("/talk/x", "a1:99");
+    let begin = Instant::now();
+    for number in 0.. {
+        let answer = try_ask(fronts[number % fronts.len()], &crashing()).await;
+        if answer.is_some_and(|answer| answer.body.contains("quarantined")) {
+            break;
+        }
+        assert!(begin.elapsed() < SEND_FOR, "the blocks are quarantined");
+        tokio::time::sleep(CRASHING_GAP).await;
+    }
+    let ended = crashes(&runners).len();
+    let held = ask(fronts[0], &innocent()).await;
+    assert_eq!(held.status, 503, "the first block is held: {held:?}");
+    for front in &fronts {
+        let answer = until_served(*front, innocent).await;
+        assert_eq!(answer, Some(200), "within {FREED_BY:?}");
+        let answer = ask(*front, &crashing()).await;
+        assert_eq!(answer.status, 503, "the last block stays held: {answer:?}");
+    }
+    assert!(crashes(&runners).len() <= ended + 1);
+}
+
+/// Sends requests to a gateway until one is served, or the time is over. Returns the last status.
+async fn until_served(front: SocketAddr, make: impl Fn() -> Ask) -> Option<u16> {
+    let end = Instant::now() + FREED_BY;
+    loop {
+        let status = try_ask(front, &make()).await.map(|answer| answer.status);
+        if status == Some(200) || Instant::now() >= end {
+            return status;
+        }
+        tokio::time::sleep(CRASHING_GAP).await;
+    }
+}
--- a/tests/quarantine_rules.rs
+++ b/tests/quarantine_rules.rs
@@ -5,7 +5,7 @@
 use arbtest::arbtest;
 use lanedeck::gateway::fingerprint::Fingerprint;
 use lanedeck::gateway::message::Request;
-use lanedeck::gateway::quarantine::{BrokenAttempt, Quarantine, RETENTION, Report};
+use lanedeck::gateway::quarantine::{BrokenAttempt, Hold, Quarantine, RETENTION, Report};
 use lanedeck::units::Millis;
 use lanedeck::util;
 use rand::rngs::StdRng;
@@ -425,14 +425,73 @@
         crash(&mut quarantine, 1_000 * number, number, &[block(7)]);
     }
     let hold = quarantine.hold(at(5_000), block(7)).unwrap();
-    assert!(!quarantine.begin_trial(at(62_000), block(7), hold));
-    assert!(quarantine.begin_trial(at(63_000), block(7), hold));
-    assert!(!quarantine.begin_trial(at(122_000), block(7), hold));
-    assert!(quarantine.begin_trial(at(123_000), block(7), hold));
+    assert!(!quarantine.begin_trial(at(62_000), &[(block(7), hold)], 0));
+    assert!(quarantine.begin_trial(at(63_000), &[(block(7), hold)], 0));
+    assert!(!quarantine.begin_trial(at(122_000), &[(block(7), hold)], 0));
+    assert!(quarantine.begin_trial(at(123_000), &[(block(7), hold)], 0));
     let mut quarantine = Quarantine::default();
     for number in 1..=3 {
         crash(&mut quarantine, 1_000 * number, number, &[request(7)]);
     }
     let hold = quarantine.hold(at(5_000), request(7)).unwrap();
-    assert!(!quarantine.begin_trial(at(90_000), request(7), hold));
+    assert!(!quarantine.begin_trial(at(90_000), &[(request(7), hold)], 0));
+}
+
+/// What is quarantined of a request with these blocks.
+fn held(quarantine: &Quarantine, ms: u64, blocks: &[Fingerprint]) -> Vec<(Fingerprint, Hold)> {
+    let hold = |block: &Fingerprint| Some((*block, quarantine.hold(at(ms), *block)?));
+    blocks.iter().filter_map(hold).collect()
+}
+
+/// Two blocks that were together in each of five crashes.
+fn tied() -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=5 {
+        let at_crash = [request(number), block(1), block(7)];
+        crash(&mut quarantine, 1_000 * number, number, &at_crash);
+    }
+    quarantine
+}
+
+#[test]
+fn tied_blocks_are_told_apart() {
+    let mut quarantine = tied();
+    let both = held(&quarantine, 5_000, &[block(1), block(7)]);
+    assert_eq!(both.len(), 2, "both are held");
+    let first = held(&quarantine, 5_000, &[block(1)]);
+    assert!(!quarantine.begin_trial(at(9_999), &first, 0));
+    assert!(
+        !quarantine.begin_trial(at(12_000), &first, 1),
+        "others wait longer"
+    );
+    assert!(
+        !quarantine.begin_trial(at(30_000), &both, 0),
+        "a request with both tells nothing"
+    );
+    assert!(quarantine.begin_trial(at(30_000), &first, 0));
+    assert!(!quarantine.begin_trial(at(34_999), &first, 0));
+    quarantine.note_answered(at(35_000), block(1));
+    assert!(!is_held(&quarantine, 35_000, block(1)));
+    let last = held(&quarantine, 35_000, &[block(7)]);
+    assert_eq!(last.len(), 1, "the other one stays held");
+    assert!(
+        !quarantine.begin_trial(at(64_999), &last, 0),
+        "nothing is tied to it"
+    );
+    assert!(quarantine.begin_trial(at(65_000), &last, 0));
+}
+
+#[test]
+fn trial_of_tied_block_crashes() {
+    let mut quarantine = tied();
+    let first = held(&quarantine, 5_000, &[block(1)]);
+    assert!(quarantine.begin_trial(at(10_000), &first, 0));
+    crash(&mut quarantine, 10_200, 6, &[request(6), block(1)]);
+    assert!(
+        !is_held(&quarantine, 10_200, block(7)),
+        "the first block explains all crashes"
+    );
+    let first = held(&quarantine, 10_200, &[block(1)]);
+    assert!(!quarantine.begin_trial(at(70_199), &first, 0));
+    assert!(quarantine.begin_trial(at(70_200), &first, 0));
 }
