Saturate sums of tokens, offsets and times

A row of prepaid tokens whose numbers are near the largest made the sums of all rows overflow: with three such rows a debug build ended (panic in units.rs, from Ledger::allocated_to_others), and a release build wrapped, so that less counted as allocated than was.

Cause: amounts and times of other processes' entries were added unchecked; an entry's cold time had overflowed in the same way. One rule now holds for all of them: sums saturate. A budget of which that much is allocated has nothing left, and a time that late does not come. The plain sums of demand saturate too.

Conclusion: no row of another writer ends a process or frees tokens. It does block its customer's budget until it is removed, as an unreadable row does.

--- a/src/gateway/decision/grant.rs
+++ b/src/gateway/decision/grant.rs
@@ -220,7 +220,7 @@
     let (burst, ramp_delay, lendable) = if is_near_end {
         (demand_burst, RAMP_DELAY, LENDABLE_SHARE)
     } else {
-        let requests = Tokens(spending.last_cost.0 * BURST_REQUESTS);
+        let requests = Tokens(spending.last_cost.0.saturating_mul(BURST_REQUESTS));
         let ready = Tokens(spending.headroom.0 / BURST_DIVISOR);
         ((requests + demand_burst).max(ready), Millis::ZERO, 1.0)
     };
@@ -299,8 +299,8 @@
 /// Decides a router's role for a customer if it is not among the customer's regular holders: a router with enough of
 /// the demand holds grants of its own, besides the holders that every router knows.
 pub fn role_by_demand(demand: Tokens, demand_of_others: u64, holders: usize) -> Role {
-    let total = demand_of_others + demand.0;
-    if demand.0 > 0 && demand.0 * holders as u64 >= total {
+    let total = demand_of_others.saturating_add(demand.0);
+    if demand.0 > 0 && demand.0.saturating_mul(holders as u64) >= total {
         Role::Holder
     } else {
         Role::Borrower
--- a/src/gateway/escrow/row.rs
+++ b/src/gateway/escrow/row.rs
@@ -178,6 +178,6 @@
     /// Demand at all routers but this one, in tokens a second.
     pub fn demand_of_others(&self, router: &str) -> u64 {
         let others = self.rows.iter().filter(|(name, _)| *name != router);
-        others.map(|(_, row)| row.demand).sum()
+        others.fold(0, |all, (_, row)| all.saturating_add(row.demand))
     }
 }
--- a/src/units.rs
+++ b/src/units.rs
@@ -1,4 +1,7 @@
 //! Newtypes for quantities that must not be confused: tokens of a budget, offsets of the log, milliseconds.
+//!
+//! Sums saturate, since entries of other processes may hold any number. A budget of which that much is allocated has
+//! nothing left, and a time that late does not come.
 
 use std::fmt;
 use std::iter::Sum;
@@ -33,7 +36,7 @@
         impl Add for $name {
             type Output = Self;
             fn add(self, other: Self) -> Self {
-                Self(self.0 + other.0)
+                Self(self.0.saturating_add(other.0))
             }
         }
 
@@ -46,7 +49,7 @@
 
         impl AddAssign for $name {
             fn add_assign(&mut self, other: Self) {
-                self.0 += other.0;
+                *self = *self + other;
             }
         }
 
--- a/tests/escrow_rows.rs
+++ b/tests/escrow_rows.rs
@@ -12,7 +12,7 @@
 use lanedeck::boot_clock::Reading;
 use lanedeck::gateway::decision::allotment::Claim;
 use lanedeck::gateway::decision::grant::{Limit, Sizing, Supply, min_give_back};
-use lanedeck::gateway::escrow::{Account, Loan, ReserveError};
+use lanedeck::gateway::escrow::{Account, Loan, ReserveError, Row};
 use lanedeck::units::{Millis, Tokens};
 
 fn step(
@@ -447,3 +447,63 @@
     let sum: Tokens = granted.into_values().sum();
     assert!(sum <= lowered, "unused grants are given back: {sum}");
 }
+
+/// A row whose numbers are as large as they can be.
+fn largest_row() -> Row {
+    let most = Tokens(u64::MAX);
+    Row {
+        incarnation: u64::MAX,
+        spent_before: most,
+        granted: most,
+        spent: most,
+        demand: u64::MAX,
+        ..Row::default()
+    }
+}
+
+/// Serves at all routers for a while, and checks the spend after each request.
+fn serve_all(world: &mut World, prepaid: Tokens) {
+    let begin = 1_000_000;
+    for number in 0..20 {
+        let now = Millis(begin + number * 500);
+        for index in 0..ROUTERS {
+            let answered = AppendOutcome::Answered;
+            world.renew(index, now, prepaid, Tokens(100), answered);
+            world.serve(index, now, Tokens(100), prepaid);
+            world.check(prepaid);
+        }
+    }
+}
+
+#[test]
+fn rows_of_another_writer_overflow() {
+    let prepaid = Tokens(1_000_000);
+    for names in [vec!["x"], vec!["x", "y", "z"], vec!["r0", "x"]] {
+        for roles in [Roles::Fixed, Roles::ByClaim] {
+            let mut world = World::new();
+            world.roles = roles;
+            for name in &names {
+                let end = world.store.log.len();
+                assert!(
+                    world
+                        .store
+                        .append(Millis(999_500), end, name, largest_row())
+                );
+            }
+            serve_all(&mut world, prepaid);
+            assert_eq!(world.spent, 0, "the rows of {names:?} leave nothing");
+        }
+    }
+}
+
+/// Operators may write a number beyond all use for a customer without a limit.
+#[test]
+fn largest_prepaid_overflows() {
+    for roles in [Roles::Fixed, Roles::ByClaim] {
+        let mut world = World::new();
+        world.roles = roles;
+        serve_all(&mut world, Tokens(u64::MAX));
+        let served = world.spent / 100;
+        assert!(served >= 60, "served {served} of 80");
+    }
+}
