--- a/src/router/client/hosts.rs
+++ b/src/router/client/hosts.rs
@@ -49,17 +49,22 @@
         let request = self.client.get(uri).send();
         let response = request.await.context(CallSnafu { service: SERVICE })?;
         let entries: Vec<serde_json::Value> = json(SERVICE, response).await?;
-        Ok(entries.into_iter().filter_map(read_entry).collect())
+        Ok(read_entries(entries))
     }
 }
 
-/// Reads an entry of the list; `None` if it is malformed, which leaves the others in force.
-fn read_entry(entry: serde_json::Value) -> Option<Listed> {
-    match serde_json::from_value(entry) {
-        Ok(listed) => Some(listed),
-        Err(error) => {
-            tracing::warn!(event = "listing_refused", %error);
-            None
+/// Reads the entries of the list. Malformed ones leave the others in force, and are logged in one line a list.
+fn read_entries(entries: Vec<serde_json::Value>) -> Vec<Listed> {
+    let mut listed = Vec::with_capacity(entries.len());
+    let mut errors = Vec::new();
+    for entry in entries {
+        match serde_json::from_value(entry) {
+            Ok(entry) => listed.push(entry),
+            Err(error) => errors.push(error),
         }
     }
+    if let Some(error) = errors.first() {
+        tracing::warn!(event = "listing_refused", entries = errors.len(), %error);
+    }
+    listed
 }
