End an unread stream at its deadline

A stream whose caller read nothing was never ended: the HTTP library asks the body for no more while the connection takes no bytes, so the deadline, which was looked at as the next event was awaited, was not looked at again. The target kept working on the request, and its slot, its connection and the tokens reserved for it stayed taken for as long as the caller was connected.

A body whose sender ends without the stream's end is broken off, so it does not look complete. `caller_not_reading` tells of it.

Left: the connection of such a caller stays open until it is closed there, or to make room for others.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -3,6 +3,9 @@
 //! Complete events are forwarded as they arrive. An interrupted stream is resumed at another target after its last
 //! event, if the rules of [`retry`](super::decision::retry) allow another attempt. The caller gets only the head of
 //! the first target's response.
+//!
+//! A task of its own reads each stream, one step ahead of the caller at most. So the deadline also holds for a caller
+//! that reads nothing, whose connection asks for no more of the body.
 
 use std::sync::Arc;
 
@@ -11,6 +14,7 @@
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use super::attempt::Attempt;
@@ -54,6 +58,25 @@
     reservation: Option<net::Reservation>,
 }
 
+/// Items that are read before the caller takes them.
+const STEPS_AHEAD: usize = 1;
+
+/// What the caller's body gets next; `None` at the end of the stream.
+type Item = Option<Result<Bytes, Truncated>>;
+
+/// The caller's body. It is broken off if its sender ends without telling that the stream has ended.
+fn downstream(receiver: mpsc::Receiver<Item>) -> Body {
+    let items = stream::unfold(Some(receiver), |receiver| async move {
+        let mut receiver = receiver?;
+        match receiver.recv().await {
+            Some(Some(Ok(bytes))) => Some((Ok(bytes), Some(receiver))),
+            Some(Some(Err(Truncated))) | None => Some((Err(Truncated), None)),
+            Some(None) => None,
+        }
+    });
+    body::stream(items)
+}
+
 /// The next item of a target's stream.
 enum Step {
     /// Complete events.
@@ -115,11 +138,38 @@
             events,
             first_events: Some(first_events),
         };
-        let body = stream::unfold(stream, |mut stream| async move {
-            let item = stream.next().await?;
-            Some((item, stream))
-        });
-        Ok(caller_response(parts, body::stream(body)))
+        let (sender, receiver) = mpsc::channel(STEPS_AHEAD);
+        tokio::spawn(stream.pump(sender));
+        Ok(caller_response(parts, downstream(receiver)))
+    }
+
+    /// Passes the events to the caller's body as it takes them, until the stream ends, the caller disconnects, or the
+    /// deadline expires while the caller reads nothing.
+    async fn pump(mut self, sender: mpsc::Sender<Item>) {
+        loop {
+            let permit = match self.exchange.deadline.within(sender.reserve()).await {
+                Ok(Ok(permit)) => permit,
+                Ok(Err(_)) => return,
+                Err(expiry) => {
+                    tracing::info!(
+                        event = "caller_not_reading",
+                        id = %self.exchange.request.id,
+                        ?expiry,
+                        events = self.events.count()
+                    );
+                    return;
+                }
+            };
+            let item = tokio::select! {
+                item = self.next() => item,
+                () = sender.closed() => return,
+            };
+            let is_last = !matches!(item, Some(Ok(_)));
+            permit.send(item);
+            if is_last {
+                return;
+            }
+        }
     }
 
     async fn next(&mut self) -> Option<Result<Bytes, Truncated>> {
--- a/tests/deployment/flood.rs
+++ b/tests/deployment/flood.rs
@@ -44,6 +44,8 @@
     SmallEvent,
     /// Comments in place of events.
     Comments,
+    /// A stream of whole events.
+    Events,
 }
 
 impl Part {
@@ -71,6 +73,10 @@
                 format!("{STREAM_HEAD}connection: close\r\n\r\n"),
                 ": more\n\n",
             ),
+            Self::Events => (
+                format!("{STREAM_HEAD}connection: close\r\n\r\n"),
+                "data: piece\n\n",
+            ),
         }
     }
 }
--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -3,13 +3,18 @@
 
 mod deployment;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use deployment::flood::{Flood, Pace, Part};
 use deployment::runner::{Mode, Runner};
 use deployment::store::Fault;
-use deployment::{Ask, Deployment, Gateway, config, list, list_at, try_ask, until, until_reached};
+use deployment::{
+    Ask, Deployment, Gateway, HOST, KEY, config, list, list_at, try_ask, until, until_reached,
+};
 use serde_json::{Value, json};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::time::{Instant, sleep};
 
@@ -61,7 +66,9 @@
 /// The service that a part of an answer floods, the path of its requests, and the path of requests for a sound service.
 fn paths(part: Part) -> (&'static str, &'static str, &'static str) {
     match part {
-        Part::Event | Part::SmallEvent | Part::Comments => ("engine", "/talk/x", "/often/x"),
+        Part::Event | Part::SmallEvent | Part::Comments | Part::Events => {
+            ("engine", "/talk/x", "/often/x")
+        }
         _ => ("app", "/once/x", "/talk/x"),
     }
 }
@@ -290,6 +297,61 @@
     stalled(Part::Event, Pace::Stalled(200_000)).await;
 }
 
+/// A stream's request whose caller reads nothing of the answer.
+async fn send_unread(front: SocketAddr, id: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(front).await.unwrap();
+    let head = format!(
+        "POST /talk/x HTTP/1.1\r\nhost: {HOST}\r\nx-attempt-id: {id}\r\nauthorization: Bearer {KEY}\r\n\
+         x-model: m\r\nx-token-count: 100,50\r\nx-prompt-prefix: a1:99,b2:1\r\ncontent-length: 6\r\n\r\nprompt"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream
+}
+
+/// Its caller reads nothing, so nothing asks for the stream's next event.
+#[tokio::test(flavor = "multi_thread")]
+async fn unread_stream_outlives_deadline() {
+    let _play = PLAYS.acquire().await.unwrap();
+    let (deployment, _sound) = start(Part::Events).await;
+    let (service, _, other) = paths(Part::Events);
+    let gateway = &deployment.gateways[0];
+    let front = gateway.front;
+    let flood = Flood::start(Part::Events, Pace::Fast).await;
+    let address = flood.address;
+    list_at(&deployment.store, service, "i-flood", address, "ready");
+    let mut unread = Vec::new();
+    until(|| async {
+        try_ask(front, &request("o-first", other)).await;
+        let id = format!("w{}", rand::random::<u64>());
+        let _unread = send_unread(front, &id).await;
+        sleep(OTHERS_INTERVAL).await;
+        flood.requests() > 0
+    })
+    .await;
+    for number in 0..REQUESTS {
+        unread.push(send_unread(front, &format!("u{number}")).await);
+    }
+    sleep(Duration::from_secs(1)).await;
+    assert!(flood.requests() > REQUESTS, "{} there", flood.requests());
+    let begun = Instant::now();
+    let (mut served, mut count) = (0, 0);
+    while begun.elapsed() < ROUTE_TIMEOUT + ANSWER_SLACK {
+        let answer = try_ask(front, &request(&format!("o{count}"), other)).await;
+        served += usize::from(answer.is_some_and(|it| it.status == 200));
+        count += 1;
+        sleep(OTHERS_INTERVAL).await;
+    }
+    let (open, memory) = (flood.open(), peak_memory_mb(gateway));
+    let seen = format!(
+        "{memory} MB, {open} open, {served} of {count} others served, {} requests there",
+        flood.requests()
+    );
+    println!("{seen}");
+    assert!(memory <= MEMORY_MB, "{seen}");
+    assert!(served as f64 >= count as f64 * OTHERS_SERVED, "{seen}");
+    assert_eq!(open, 0, "{seen}");
+}
+
 /// Guards against a store whose answers are kept whole whatever their length.
 #[tokio::test(flavor = "multi_thread")]
 async fn store() {
