Move the crashes of targets out of the control state's main module

What it knows of requests that were in progress at crashed targets is a module of its own now, as money, slots and loans are. A pure move, but for note_answered, which `end` calls.

--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -4,6 +4,7 @@
 //! This is pure code: callers pass in the time, and only the state itself changes. It applies the rules in
 //! [`decision`](super::decision), and never waits or sends anything.
 
+mod crashes;
 mod loans;
 mod money;
 mod origins;
@@ -22,18 +23,16 @@
 use super::decision::grant::Sizing;
 use super::decision::origin::Constraint;
 use super::decision::placement::Estimate;
-use super::decision::quarantine::TIED_TRIAL_INTERVAL;
 use super::decision::refusal::Refusal;
 use super::decision::retry::{Bound, Budget, Charge};
 use super::decision::rollout;
-use super::dialect::{Listing, Load, Prompt};
+use super::dialect::{Listing, Load};
 use super::escrow::{Account, Ledger, Refused, StoreAnswer};
-use super::fingerprint::{Fingerprint, Kind};
 use super::job::{Delivery, Ending, Job, Placement, Timing};
 use super::key::{JobKey, TargetKey};
 use super::members::{Members, Router};
 use super::notice::{Announcement, Notice, Report};
-use super::quarantine::{BrokenAttempt, Hold, Quarantine};
+use super::quarantine::Quarantine;
 use super::rollout::{Arm, Rollouts};
 use super::streams::Streams;
 use super::targets::speed::Sample;
@@ -369,61 +368,6 @@
         }
     }
 
-    /// Checks that neither a request nor a block of its prompt is quarantined.
-    fn check_quarantine(&self, now: Millis, job: &Job) -> Result<(), Refusal> {
-        let held: Vec<_> = self.quarantined(now, job).collect();
-        match held[..] {
-            [] => Ok(()),
-            [(_, hold)] if hold.is_tied => Err(Refusal::Quarantined {
-                left: hold.left(now).min(TIED_TRIAL_INTERVAL),
-            }),
-            [(_, hold), ..] => Err(Refusal::Quarantined {
-                left: hold.left(now),
-            }),
-        }
-    }
-
-    /// Whether a request is sent to a target although a block of its prompt is quarantined. The routers take turns, so
-    /// that few requests of a fleet are.
-    fn begin_trial(&mut self, now: Millis, job: &Job) -> bool {
-        let held: Vec<_> = self.quarantined(now, job).collect();
-        let first = held.first().map(|(fingerprint, _)| fingerprint.to_string());
-        let rank = first.and_then(|first| self.members.rank(now, &first));
-        rank.is_some_and(|rank| self.quarantine.begin_trial(now, &held, rank))
-    }
-
-    /// What of a request is quarantined: itself and blocks of its prompt.
-    pub fn quarantined(&self, now: Millis, job: &Job) -> impl Iterator<Item = (Fingerprint, Hold)> {
-        suspects(job).filter_map(move |fingerprint| {
-            let hold = self.quarantine.hold(now, fingerprint)?;
-            Some((fingerprint, hold))
-        })
-    }
-
-    /// Records that the current attempt of a request was interrupted. Returns the target if it may have crashed and
-    /// that is not known yet.
-    pub fn note_interrupted(&mut self, now: Millis, key: JobKey) -> Option<TargetKey> {
-        let running = self.running.get(&key)?;
-        let target = running.target?;
-        let listed = self.targets.get(target);
-        if listed.has_announced_leaving() {
-            return None;
-        }
-        let mut has_crashed = false;
-        for fingerprint in suspects(&running.job) {
-            let broken = BrokenAttempt {
-                fingerprint,
-                instance: listed.hash(),
-                sent: running.sent,
-            };
-            has_crashed = self.quarantine.note_broken(now, broken);
-            if has_crashed {
-                log_crash(now, &broken, &listed.listing.instance);
-            }
-        }
-        (!has_crashed).then_some(target)
-    }
-
     /// Applies a target's listing. A target that restarted without a notice that it was leaving has crashed.
     pub fn list(&mut self, now: Millis, listing: Listing, freshness: Freshness) -> Change {
         let change = match freshness {
@@ -438,27 +382,11 @@
         change
     }
 
-    /// Records that a target has crashed.
-    pub fn note_crash(&mut self, now: Millis, target: TargetKey) {
-        self.targets.note_crash(now, target);
-        let listed = self.targets.get(target);
-        let (hash, instance) = (listed.hash(), listed.listing.instance.clone());
-        let interrupted = self.quarantine.note_crash(now, hash);
-        let kinds = interrupted.iter().map(|broken| broken.fingerprint.kind());
-        let requests = kinds.filter(|kind| *kind == Kind::Request).count();
-        tracing::warn!(event = "target_crashed", %instance, beside = requests);
-        for broken in &interrupted {
-            log_crash(now, broken, &instance);
-        }
-    }
-
     /// Records that a request has ended.
     pub fn end(&mut self, now: Millis, key: JobKey, ending: Ending) {
         if let Some(mut running) = self.running.remove(&key) {
             if let Some(Outcome::Answered { .. }) = ending.outcome {
-                for fingerprint in suspects(&running.job) {
-                    self.quarantine.note_answered(now, fingerprint);
-                }
+                self.note_answered(now, &running.job);
             }
             self.end_attempt(now, &mut running, ending);
             self.settle(&running);
@@ -583,21 +511,3 @@
         Timing::Unknown | Timing::Answer(_) | Timing::Events { .. } => None,
     }
 }
-
-/// What of a request may be the cause of a crash: itself, and the blocks that its prompt shares with others.
-fn suspects(job: &Job) -> impl Iterator<Item = Fingerprint> {
-    let blocks = job.prompt.as_ref().map(Prompt::shared_blocks);
-    let blocks = blocks.unwrap_or_default().iter();
-    std::iter::once(job.fingerprint).chain(blocks.map(|block| Fingerprint::of_block(block.id)))
-}
-
-/// Logs that a request was in progress at a target that crashed: the evidence for a later quarantine of the request, or
-/// of a block of its prompt.
-fn log_crash(now: Millis, broken: &BrokenAttempt, instance: &str) {
-    tracing::info!(
-        event = "crash_noted",
-        fingerprint = %broken.fingerprint,
-        %instance,
-        sent_ago_ms = now.saturating_sub(broken.sent).0
-    );
-}
