Try a held block soon where another one may be the cause

At 60.0 s the trial of a1 was answered, a1 was released and dead was held.

Cause: a block that most prompts share has at least as many crashes as each narrower one, whatever their cause, and only an answer tells them apart.

Change: a held block is in doubt for a request if blocks that the request does not have were involved in at least three of its crashes, and in all but one. A request whose held blocks are all in doubt is sent five seconds after the last crash. The second crash in such trials ends the doubt. This replaces the mark for tied blocks, so two blocks of all prompts are tried together.

Tried and dropped: telling other routers of a crash at once and not with the next round (300 ms).

Conclusion: callers of an innocent block are refused for seconds; two more targets crash at most where the block is the cause.

--- a/src/gateway/control/quarantine.rs
+++ b/src/gateway/control/quarantine.rs
@@ -188,7 +188,7 @@
 pub(super) fn log_refusal(control: &Control, job: &Job) {
     let now = control.now();
     let state = control.state.borrow();
-    if let Some((fingerprint, hold)) = state.quarantined(now, job).next() {
+    if let Some((fingerprint, hold)) = state.quarantined(now, job) {
         tracing::info!(
             event = "quarantine_refused",
             id = %job.id,
--- a/src/gateway/decision/quarantine.rs
+++ b/src/gateway/decision/quarantine.rs
@@ -63,15 +63,25 @@
 /// How long after the last crash one request with a quarantined block is sent to a target again, to learn whether the
 /// block is answered now.
 const TRIAL_INTERVAL: Millis = Millis(60_000);
-/// The same for a request whose only quarantined block was beside another one in each crash. An answer clears the block,
-/// and a crash clears the other one, so at most one more target crashes for this.
-pub const TIED_TRIAL_INTERVAL: Millis = Millis(5_000);
+/// The same for a request of whose quarantined blocks each is in doubt: an answer clears them, and a crash counts for
+/// them alone.
+pub const DOUBT_TRIAL_INTERVAL: Millis = Millis(5_000);
+/// Greatest number of crashes of a block in doubt at which none of the blocks was involved that may be the cause in its
+/// place. One crash may happen to any request, so two more targets crash at most until there is no doubt.
+const OWN_CRASHES_MAX: usize = 1;
 
 /// Whether this many answers in separate seconds prove that a suspect is not the cause of crashes.
 pub fn is_proven(kind: Kind, answers: u32) -> bool {
     kind == Kind::Block && answers >= PROVEN_ANSWERS
 }
 
+/// Whether a block is in doubt, given the number of its crashes at which another suspected block was involved that the
+/// request does not have, and of its other crashes. A block of most prompts is involved in most crashes, whatever their
+/// cause, and where nothing is answered nothing clears it.
+pub fn is_in_doubt(shared: usize, own: usize) -> bool {
+    is_suspected(shared) && own <= OWN_CRASHES_MAX
+}
+
 /// A quarantined suspect of a request that may be sent as a trial.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Held {
@@ -79,16 +89,16 @@
     pub kind: Kind,
     /// Time of the last crash or trial.
     pub last: Millis,
-    /// Whether another quarantined block was involved in each of its crashes.
-    pub is_tied: bool,
+    /// Whether it is in doubt.
+    pub is_in_doubt: bool,
 }
 
 /// Whether a request is sent after all, given all that is quarantined of it. Routers take turns in the order of their
 /// `rank`, since those before may get no such request.
 pub fn is_trial_due(now: Millis, held: &[Held], rank: usize) -> bool {
-    let interval = match held {
-        [only] if only.is_tied => TIED_TRIAL_INTERVAL,
-        _ => TRIAL_INTERVAL,
+    let interval = match held.iter().all(|held| held.is_in_doubt) {
+        true => DOUBT_TRIAL_INTERVAL,
+        false => TRIAL_INTERVAL,
     };
     let wait = interval.0.saturating_mul(rank as u64 + 1);
     let is_due = |held: &Held| held.kind == Kind::Block && now.saturating_sub(held.last).0 >= wait;
--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -27,7 +27,7 @@
 pub const RETENTION: Millis = Millis(600_000);
 /// Maximum number of requests and blocks with known crashes, about 100 bytes each.
 const SUSPECTS_MAX: usize = 2_048;
-/// Maximum number of crashes kept for a request: as many as any rule needs, and one that tells two tied blocks apart.
+/// Maximum number of crashes kept for a request: as many as any rule needs, and one that tells blocks apart.
 const CRASHES_MAX: usize = 6;
 /// How long after an attempt broke off the crash of its target may still be detected: a target that restarts under its
 /// id is back within seconds, and its entry is read every half second.
@@ -62,8 +62,6 @@
     pub crashes: usize,
     /// Time of the last crash.
     pub last: Millis,
-    /// Whether another quarantined block was involved in each of the crashes.
-    pub is_tied: bool,
 }
 
 impl Hold {
@@ -164,32 +162,70 @@
     /// Targets that crashed recently, and when.
     crashed: VecDeque<(Millis, u64)>,
     holds: BTreeMap<Fingerprint, Hold>,
+    /// Blocks with enough successive crashes to be the cause, held or not.
+    suspected_blocks: Vec<Fingerprint>,
     /// When this router last sent a request with a quarantined block, by block.
     trials: BTreeMap<Fingerprint, Millis>,
 }
 
 impl Quarantine {
-    /// Whether a request is sent after all, given all that is quarantined of it and this router's rank among those that
-    /// may send it. If so, the next one is due later.
-    pub fn begin_trial(&mut self, now: Millis, held: &[(Fingerprint, Hold)], rank: usize) -> bool {
-        let suspects = held.iter().map(|(fingerprint, hold)| quarantine::Held {
-            kind: fingerprint.kind(),
-            last: hold
-                .last
-                .max(self.trials.get(fingerprint).copied().unwrap_or_default()),
-            is_tied: hold.is_tied,
+    /// Whether a request is sent after all, given itself and its blocks, and this router's rank among those that may send
+    /// it. If so, the next one is due later.
+    pub fn begin_trial(&mut self, now: Millis, request: &[Fingerprint], rank: usize) -> bool {
+        let of_request = request.iter().copied();
+        let held: Vec<Fingerprint> = of_request
+            .filter(|own| self.hold(now, *own).is_some())
+            .collect();
+        let suspects = held.iter().map(|own| {
+            let trial = self.trials.get(own).copied().unwrap_or_default();
+            quarantine::Held {
+                kind: own.kind(),
+                last: self.holds[own].last.max(trial),
+                is_in_doubt: self.is_in_doubt(*own, request),
+            }
         });
         let suspects: Vec<quarantine::Held> = suspects.collect();
         let is_due = quarantine::is_trial_due(now, &suspects, rank);
         if is_due {
             self.trials
                 .retain(|other, _| self.holds.contains_key(other));
-            let tried = held.iter().map(|(fingerprint, _)| (*fingerprint, now));
-            self.trials.extend(tried);
+            self.trials.extend(held.iter().map(|own| (*own, now)));
         }
         is_due
     }
 
+    /// Whether a suspect of a request is in doubt, since a block that the request does not have may be the cause.
+    fn is_in_doubt(&self, own: Fingerprint, request: &[Fingerprint]) -> bool {
+        let Some(suspect) = self.suspects.get(&own) else {
+            return false;
+        };
+        let others = self.suspected_blocks.iter();
+        let others = others.filter(|other| !request.contains(other));
+        let others: Vec<&Suspect> = others
+            .filter_map(|other| self.suspects.get(other))
+            .collect();
+        let is_shared = |crash: &&Crash| {
+            let mut others = others.iter();
+            others.any(|other| other.was_in_flight_at(crash.instance))
+        };
+        let shared = suspect.crashes.iter().filter(is_shared).count();
+        quarantine::is_in_doubt(shared, suspect.crashes.len() - shared)
+    }
+
+    /// How long a request is refused at least, given itself and its blocks; `None` if nothing of it is quarantined.
+    pub fn refused_for(&self, now: Millis, request: &[Fingerprint]) -> Option<Millis> {
+        let held = request.iter().copied();
+        let mut held = held.filter_map(|own| Some((own, self.hold(now, own)?)));
+        let (first, hold) = held.next()?;
+        let is_in_doubt = |own| self.is_in_doubt(own, request);
+        let left = hold.left(now);
+        let is_trial_near = is_in_doubt(first) && held.all(|(own, _)| is_in_doubt(own));
+        Some(match is_trial_near {
+            true => left.min(quarantine::DOUBT_TRIAL_INTERVAL),
+            false => left,
+        })
+    }
+
     /// Why a request is quarantined, if it is.
     pub fn hold(&self, now: Millis, fingerprint: Fingerprint) -> Option<Hold> {
         let hold = self.holds.get(&fingerprint).copied()?;
@@ -379,7 +415,6 @@
             let hold = Hold {
                 crashes: quarantine::in_a_row(left),
                 last: suspect.last(),
-                is_tied: false,
             };
             let answers = self.answered.get(**fingerprint);
             let answers = answers.map_or(0, |successes| successes.count);
@@ -389,28 +424,13 @@
                 holds.insert(**fingerprint, hold);
             }
         }
-        self.mark_tied(&mut holds);
+        let suspected = in_a_row.iter().map(|(fingerprint, ..)| **fingerprint);
+        self.suspected_blocks = suspected
+            .filter(|suspect| suspect.kind() == Kind::Block)
+            .collect();
         self.holds = holds;
     }
 
-    /// Marks the held blocks in whose crashes another held block was always involved.
-    fn mark_tied(&self, holds: &mut BTreeMap<Fingerprint, Hold>) {
-        let blocks = holds.keys().filter(|held| held.kind() == Kind::Block);
-        let blocks: Vec<Fingerprint> = blocks.copied().collect();
-        let was_beside = |own: &Fingerprint, other: &Fingerprint| {
-            let (own, other) = (&self.suspects[own], &self.suspects[other]);
-            let mut crashes = own.crashes.iter();
-            crashes.all(|crash| other.was_in_flight_at(crash.instance))
-        };
-        for own in &blocks {
-            let mut others = blocks.iter().filter(|other| *other != own);
-            let is_tied = others.any(|other| was_beside(own, other));
-            if let Some(hold) = holds.get_mut(own) {
-                hold.is_tied = is_tied;
-            }
-        }
-    }
-
     /// The reports to send to other routers in this round.
     pub fn next_reports(&mut self, now: Millis) -> Vec<Report> {
         let suspects = self.suspects.iter_mut();
--- a/src/gateway/state/crashes.rs
+++ b/src/gateway/state/crashes.rs
@@ -2,7 +2,6 @@
 //! whether they are answered now.
 
 use super::State;
-use crate::gateway::decision::quarantine::TIED_TRIAL_INTERVAL;
 use crate::gateway::decision::refusal::Refusal;
 use crate::gateway::dialect::Prompt;
 use crate::gateway::fingerprint::{Fingerprint, Kind};
@@ -14,30 +13,28 @@
 impl State {
     /// Checks that neither a request nor a block of its prompt is quarantined.
     pub(super) fn check_quarantine(&self, now: Millis, job: &Job) -> Result<(), Refusal> {
-        let held: Vec<_> = self.quarantined(now, job).collect();
-        match held[..] {
-            [] => Ok(()),
-            [(_, hold)] if hold.is_tied => Err(Refusal::Quarantined {
-                left: hold.left(now).min(TIED_TRIAL_INTERVAL),
-            }),
-            [(_, hold), ..] => Err(Refusal::Quarantined {
-                left: hold.left(now),
-            }),
+        if self.quarantined(now, job).is_none() {
+            return Ok(());
         }
+        let request: Vec<Fingerprint> = suspects(job).collect();
+        let left = self.quarantine.refused_for(now, &request);
+        left.map_or(Ok(()), |left| Err(Refusal::Quarantined { left }))
     }
 
     /// Whether a request is sent to a target although a block of its prompt is quarantined. The routers take turns, so
     /// that few requests of a fleet are.
     pub(super) fn begin_trial(&mut self, now: Millis, job: &Job) -> bool {
-        let held: Vec<_> = self.quarantined(now, job).collect();
-        let first = held.first().map(|(fingerprint, _)| fingerprint.to_string());
-        let rank = first.and_then(|first| self.members.rank(now, &first));
-        rank.is_some_and(|rank| self.quarantine.begin_trial(now, &held, rank))
+        let Some((first, _)) = self.quarantined(now, job) else {
+            return false;
+        };
+        let request: Vec<Fingerprint> = suspects(job).collect();
+        let rank = self.members.rank(now, &first.to_string());
+        rank.is_some_and(|rank| self.quarantine.begin_trial(now, &request, rank))
     }
 
-    /// What of a request is quarantined: itself and blocks of its prompt.
-    pub fn quarantined(&self, now: Millis, job: &Job) -> impl Iterator<Item = (Fingerprint, Hold)> {
-        suspects(job).filter_map(move |fingerprint| {
+    /// What of a request is quarantined: itself or a block of its prompt.
+    pub fn quarantined(&self, now: Millis, job: &Job) -> Option<(Fingerprint, Hold)> {
+        suspects(job).find_map(|fingerprint| {
             let hold = self.quarantine.hold(now, fingerprint)?;
             Some((fingerprint, hold))
         })
--- a/tests/quarantine_rules.rs
+++ b/tests/quarantine_rules.rs
@@ -5,7 +5,7 @@
 use arbtest::arbtest;
 use lanedeck::gateway::fingerprint::Fingerprint;
 use lanedeck::gateway::message::Request;
-use lanedeck::gateway::quarantine::{BrokenAttempt, Hold, Quarantine, RETENTION, Report};
+use lanedeck::gateway::quarantine::{BrokenAttempt, Quarantine, RETENTION, Report};
 use lanedeck::units::Millis;
 use lanedeck::util;
 use rand::rngs::StdRng;
@@ -424,29 +424,23 @@
     for number in 1..=3 {
         crash(&mut quarantine, 1_000 * number, number, &[block(7)]);
     }
-    let hold = quarantine.hold(at(5_000), block(7)).unwrap();
-    assert!(!quarantine.begin_trial(at(62_000), &[(block(7), hold)], 0));
-    assert!(quarantine.begin_trial(at(63_000), &[(block(7), hold)], 0));
-    assert!(!quarantine.begin_trial(at(122_000), &[(block(7), hold)], 0));
-    assert!(quarantine.begin_trial(at(123_000), &[(block(7), hold)], 0));
+    assert!(is_held(&quarantine, 5_000, block(7)));
+    assert!(!quarantine.begin_trial(at(62_000), &[block(7)], 0));
+    assert!(quarantine.begin_trial(at(63_000), &[block(7)], 0));
+    assert!(!quarantine.begin_trial(at(122_000), &[block(7)], 0));
+    assert!(quarantine.begin_trial(at(123_000), &[block(7)], 0));
     let mut quarantine = Quarantine::default();
     for number in 1..=3 {
         crash(&mut quarantine, 1_000 * number, number, &[request(7)]);
     }
-    let hold = quarantine.hold(at(5_000), request(7)).unwrap();
-    assert!(!quarantine.begin_trial(at(90_000), &[(request(7), hold)], 0));
+    assert!(is_held(&quarantine, 5_000, request(7)));
+    assert!(!quarantine.begin_trial(at(90_000), &[request(7)], 0));
 }
 
-/// What is quarantined of a request with these blocks.
-fn held(quarantine: &Quarantine, ms: u64, blocks: &[Fingerprint]) -> Vec<(Fingerprint, Hold)> {
-    let hold = |block: &Fingerprint| Some((*block, quarantine.hold(at(ms), *block)?));
-    blocks.iter().filter_map(hold).collect()
-}
-
-/// Two blocks that were together in each of five crashes.
-fn tied() -> Quarantine {
+/// Two blocks that were together in each of so many crashes.
+fn together(crashes: u64) -> Quarantine {
     let mut quarantine = Quarantine::default();
-    for number in 1..=5 {
+    for number in 1..=crashes {
         let at_crash = [request(number), block(1), block(7)];
         crash(&mut quarantine, 1_000 * number, number, &at_crash);
     }
@@ -455,10 +449,19 @@
 
 #[test]
 fn tied_blocks_are_told_apart() {
-    let mut quarantine = tied();
-    let both = held(&quarantine, 5_000, &[block(1), block(7)]);
-    assert_eq!(both.len(), 2, "both are held");
-    let first = held(&quarantine, 5_000, &[block(1)]);
+    let mut quarantine = together(5);
+    for tied in [block(1), block(7)] {
+        assert!(is_held(&quarantine, 5_000, tied), "{tied}");
+    }
+    let (first, both) = ([request(8), block(1)], [block(1), block(7)]);
+    assert_eq!(
+        quarantine.refused_for(at(6_000), &first),
+        Some(Millis(5_000))
+    );
+    assert_eq!(
+        quarantine.refused_for(at(6_000), &both),
+        Some(Millis(RETENTION.0 - 1_000))
+    );
     assert!(!quarantine.begin_trial(at(9_999), &first, 0));
     assert!(
         !quarantine.begin_trial(at(12_000), &first, 1),
@@ -472,26 +475,51 @@
     assert!(!quarantine.begin_trial(at(34_999), &first, 0));
     quarantine.note_answered(at(35_000), block(1));
     assert!(!is_held(&quarantine, 35_000, block(1)));
-    let last = held(&quarantine, 35_000, &[block(7)]);
-    assert_eq!(last.len(), 1, "the other one stays held");
+    assert!(is_held(&quarantine, 35_000, block(7)));
     assert!(
-        !quarantine.begin_trial(at(64_999), &last, 0),
-        "nothing is tied to it"
+        !quarantine.begin_trial(at(64_999), &[block(7)], 0),
+        "no other may be the cause"
     );
-    assert!(quarantine.begin_trial(at(65_000), &last, 0));
+    assert!(quarantine.begin_trial(at(65_000), &[block(7)], 0));
+}
+
+/// A block of most prompts is also in a crash that the cause has no part in, so it has more of them.
+#[test]
+fn common_block_held_in_place_of_cause() {
+    let mut quarantine = together(3);
+    crash(&mut quarantine, 4_000, 4, &[request(4), block(1)]);
+    assert!(is_held(&quarantine, 4_000, block(1)) && !is_held(&quarantine, 4_000, block(7)));
+    assert!(!quarantine.begin_trial(at(30_000), &[block(1), block(7)], 0));
+    assert!(!quarantine.begin_trial(at(8_999), &[block(1)], 0));
+    assert!(quarantine.begin_trial(at(9_000), &[block(1)], 0));
+    quarantine.note_answered(at(9_100), block(1));
+    assert!(!is_held(&quarantine, 9_100, block(1)) && is_held(&quarantine, 9_100, block(7)));
+}
+
+/// Two blocks of all prompts are in doubt together, and one request clears both.
+#[test]
+fn common_blocks_in_one_request() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=5 {
+        let at_crash = [block(1), block(2), block(7)];
+        crash(&mut quarantine, 1_000 * number, number, &at_crash);
+    }
+    let common = [request(8), block(1), block(2)];
+    assert!(quarantine.begin_trial(at(10_000), &common, 0));
 }
 
 #[test]
-fn trial_of_tied_block_crashes() {
-    let mut quarantine = tied();
-    let first = held(&quarantine, 5_000, &[block(1)]);
-    assert!(quarantine.begin_trial(at(10_000), &first, 0));
-    crash(&mut quarantine, 10_200, 6, &[request(6), block(1)]);
+fn trials_crash_target_after_target() {
+    let mut quarantine = together(5);
+    let first = [request(8), block(1)];
+    for (number, ms) in [(6, 10_000), (7, 15_200)] {
+        assert!(quarantine.begin_trial(at(ms), &first, 0), "{number}");
+        crash(&mut quarantine, ms + 200, number, &first);
+    }
+    assert!(is_held(&quarantine, 15_400, block(1)) && !is_held(&quarantine, 15_400, block(7)));
     assert!(
-        !is_held(&quarantine, 10_200, block(7)),
-        "the first block explains all crashes"
+        !quarantine.begin_trial(at(75_399), &first, 0),
+        "there is no doubt"
     );
-    let first = held(&quarantine, 10_200, &[block(1)]);
-    assert!(!quarantine.begin_trial(at(70_199), &first, 0));
-    assert!(quarantine.begin_trial(at(70_200), &first, 0));
+    assert!(quarantine.begin_trial(at(75_400), &first, 0));
 }
