Try a held block soon after a burst of crashes

Change: the first trial of a held block comes five seconds after a burst of crashes. A crash in the trial is further apart, which ends the burst at all routers, and the next trial comes a minute later. The request has no other held block, or lacks one that may be the cause of all that are, and its other blocks have one crash at most. This replaces the rule on blocks in doubt.

In first_block_stays_refused a trial of the guilty block may crash one target, and the block has to be held at each router after it.

Conclusion: callers of an innocent block are refused for some five seconds, whatever is known of others. One more target crashes at most for a block that is the cause.

--- a/src/gateway/decision/quarantine.rs
+++ b/src/gateway/decision/quarantine.rs
@@ -63,25 +63,17 @@
 /// How long after the last crash one request with a quarantined block is sent to a target again, to learn whether the
 /// block is answered now.
 const TRIAL_INTERVAL: Millis = Millis(60_000);
-/// The same for a request of whose quarantined blocks each is in doubt: an answer clears them, and a crash counts for
-/// them alone.
-pub const DOUBT_TRIAL_INTERVAL: Millis = Millis(5_000);
-/// Greatest number of crashes of a block in doubt at which none of the blocks was involved that may be the cause in its
-/// place. One crash may happen to any request, so two more targets crash at most until there is no doubt.
-const OWN_CRASHES_MAX: usize = 1;
+/// The same after a burst of crashes, in which few requests were answered that could have cleared the block. A crash in
+/// the trial ends the burst, so at most one more target crashes for this.
+pub const EARLY_TRIAL_INTERVAL: Millis = Millis(5_000);
+/// Greatest number of successive crashes of the other blocks of a request in an early trial: one may happen to any.
+const OTHERS_CRASHES_MAX: usize = 1;
 
 /// Whether this many answers in separate seconds prove that a suspect is not the cause of crashes.
 pub fn is_proven(kind: Kind, answers: u32) -> bool {
     kind == Kind::Block && answers >= PROVEN_ANSWERS
 }
 
-/// Whether a block is in doubt, given the number of its crashes at which another suspected block was involved that the
-/// request does not have, and of its other crashes. A block of most prompts is involved in most crashes, whatever their
-/// cause, and where nothing is answered nothing clears it.
-pub fn is_in_doubt(shared: usize, own: usize) -> bool {
-    is_suspected(shared) && own <= OWN_CRASHES_MAX
-}
-
 /// A quarantined suspect of a request that may be sent as a trial.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Held {
@@ -89,15 +81,29 @@
     pub kind: Kind,
     /// Time of the last crash or trial.
     pub last: Millis,
-    /// Whether it is in doubt.
-    pub is_in_doubt: bool,
+    /// Time between the last crash and the one before.
+    pub gap: Millis,
+    /// Greatest number of its crashes at which one block was involved that the request does not have.
+    pub shared: usize,
+}
+
+/// Whether an early trial with a request tells something, given all that is quarantined of it and the greatest number of
+/// successive crashes of its other blocks. A block of most prompts is involved in most crashes, whatever their cause. So
+/// a request with one held block tells whether it is the cause, and one with several does if a block that it does not
+/// have may be the cause of them all.
+pub fn is_early_trial(held: &[Held], others_crashes: usize) -> bool {
+    let is_burst = |held: &Held| held.kind == Kind::Block && held.gap < EARLY_TRIAL_INTERVAL;
+    let has_rival = |held: &Held| is_suspected(held.shared);
+    others_crashes <= OTHERS_CRASHES_MAX
+        && held.iter().all(is_burst)
+        && (held.len() == 1 || held.iter().all(has_rival))
 }
 
 /// Whether a request is sent after all, given all that is quarantined of it. Routers take turns in the order of their
 /// `rank`, since those before may get no such request.
-pub fn is_trial_due(now: Millis, held: &[Held], rank: usize) -> bool {
-    let interval = match held.iter().all(|held| held.is_in_doubt) {
-        true => DOUBT_TRIAL_INTERVAL,
+pub fn is_trial_due(now: Millis, held: &[Held], is_early: bool, rank: usize) -> bool {
+    let interval = match is_early {
+        true => EARLY_TRIAL_INTERVAL,
         false => TRIAL_INTERVAL,
     };
     let wait = interval.0.saturating_mul(rank as u64 + 1);
--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -147,6 +147,14 @@
         quarantine::in_a_row(self.crashes.iter().copied())
     }
 
+    /// Time between its last crash and the one before.
+    fn last_gap(&self) -> Millis {
+        match self.crashes[..] {
+            [.., before, last] => last.at.saturating_sub(before.at),
+            _ => Millis(u64::MAX),
+        }
+    }
+
     fn was_in_flight_at(&self, instance: u64) -> bool {
         self.crashes.iter().any(|crash| crash.instance == instance)
     }
@@ -172,60 +180,68 @@
     /// Whether a request is sent after all, given itself and its blocks, and this router's rank among those that may send
     /// it. If so, the next one is due later.
     pub fn begin_trial(&mut self, now: Millis, request: &[Fingerprint], rank: usize) -> bool {
-        let of_request = request.iter().copied();
-        let held: Vec<Fingerprint> = of_request
-            .filter(|own| self.hold(now, *own).is_some())
-            .collect();
-        let suspects = held.iter().map(|own| {
-            let trial = self.trials.get(own).copied().unwrap_or_default();
-            quarantine::Held {
-                kind: own.kind(),
-                last: self.holds[own].last.max(trial),
-                is_in_doubt: self.is_in_doubt(*own, request),
-            }
-        });
-        let suspects: Vec<quarantine::Held> = suspects.collect();
-        let is_due = quarantine::is_trial_due(now, &suspects, rank);
+        let held = self.held_of(now, request);
+        let is_early = self.is_early_trial(&held, request);
+        let is_due = quarantine::is_trial_due(now, &held, is_early, rank);
         if is_due {
             self.trials
                 .retain(|other, _| self.holds.contains_key(other));
-            self.trials.extend(held.iter().map(|own| (*own, now)));
+            let holds = self.holds.keys().filter(|own| request.contains(own));
+            self.trials.extend(holds.map(|own| (*own, now)));
         }
         is_due
     }
 
-    /// Whether a suspect of a request is in doubt, since a block that the request does not have may be the cause.
-    fn is_in_doubt(&self, own: Fingerprint, request: &[Fingerprint]) -> bool {
-        let Some(suspect) = self.suspects.get(&own) else {
-            return false;
-        };
-        let others = self.suspected_blocks.iter();
-        let others = others.filter(|other| !request.contains(other));
-        let others: Vec<&Suspect> = others
-            .filter_map(|other| self.suspects.get(other))
-            .collect();
-        let is_shared = |crash: &&Crash| {
-            let mut others = others.iter();
-            others.any(|other| other.was_in_flight_at(crash.instance))
-        };
-        let shared = suspect.crashes.iter().filter(is_shared).count();
-        quarantine::is_in_doubt(shared, suspect.crashes.len() - shared)
-    }
-
     /// How long a request is refused at least, given itself and its blocks; `None` if nothing of it is quarantined.
     pub fn refused_for(&self, now: Millis, request: &[Fingerprint]) -> Option<Millis> {
-        let held = request.iter().copied();
-        let mut held = held.filter_map(|own| Some((own, self.hold(now, own)?)));
-        let (first, hold) = held.next()?;
-        let is_in_doubt = |own| self.is_in_doubt(own, request);
-        let left = hold.left(now);
-        let is_trial_near = is_in_doubt(first) && held.all(|(own, _)| is_in_doubt(own));
-        Some(match is_trial_near {
-            true => left.min(quarantine::DOUBT_TRIAL_INTERVAL),
+        let first = request.iter().find_map(|own| self.hold(now, *own))?;
+        let held = self.held_of(now, request);
+        let left = first.left(now);
+        Some(match self.is_early_trial(&held, request) {
+            true => left.min(quarantine::EARLY_TRIAL_INTERVAL),
             false => left,
         })
     }
 
+    fn is_early_trial(&self, held: &[quarantine::Held], request: &[Fingerprint]) -> bool {
+        let others = request
+            .iter()
+            .filter(|own| own.kind() == Kind::Block && !self.holds.contains_key(own));
+        let others = others.filter_map(|other| self.suspects.get(other));
+        let crashes = others.map(Suspect::in_a_row).max().unwrap_or(0);
+        quarantine::is_early_trial(held, crashes)
+    }
+
+    /// What is quarantined of a request.
+    fn held_of(&self, now: Millis, request: &[Fingerprint]) -> Vec<quarantine::Held> {
+        let held = request.iter().filter_map(|own| {
+            let hold = self.hold(now, *own)?;
+            let suspect = self.suspects.get(own)?;
+            let trial = self.trials.get(own).copied().unwrap_or_default();
+            Some(quarantine::Held {
+                kind: own.kind(),
+                last: hold.last.max(trial),
+                gap: suspect.last_gap(),
+                shared: self.shared_crashes(suspect, request),
+            })
+        });
+        held.collect()
+    }
+
+    /// The greatest number of a suspect's crashes at which one suspected block was involved that the request does not
+    /// have.
+    fn shared_crashes(&self, suspect: &Suspect, request: &[Fingerprint]) -> usize {
+        let others = self.suspected_blocks.iter();
+        let others = others.filter(|other| !request.contains(other));
+        let others = others.filter_map(|other| self.suspects.get(other));
+        let shared = others.map(|other| {
+            let crashes = suspect.crashes.iter();
+            let is_shared = |crash: &&Crash| other.was_in_flight_at(crash.instance);
+            crashes.filter(is_shared).count()
+        });
+        shared.max().unwrap_or(0)
+    }
+
     /// Why a request is quarantined, if it is.
     pub fn hold(&self, now: Millis, fingerprint: Fingerprint) -> Option<Hold> {
         let hold = self.holds.get(&fingerprint).copied()?;
--- a/tests/crashing_part.rs
+++ b/tests/crashing_part.rs
@@ -212,6 +212,13 @@
     for front in &fronts {
         let answer = until_served(*front, innocent).await;
         assert_eq!(answer, Some(200), "within {FREED_BY:?}");
+    }
+    // One of these may be sent as a trial.
+    for front in &fronts {
+        try_ask(*front, &crashing()).await;
+    }
+    tokio::time::sleep(KNOWN_BY).await;
+    for front in &fronts {
         let answer = ask(*front, &crashing()).await;
         assert_eq!(answer.status, 503, "the last block stays held: {answer:?}");
     }
