Let a crash in a trial end the burst for good

Found by reading the change once more: a trial's request may be sent to a second target, which crashes within milliseconds of the first. Its last two crashes were then close together again, which counted as a burst, so a block that is the cause would have been tried each five seconds, for two targets each time.

Change: a burst is over once any two crashes that follow each other are five seconds apart.

--- a/src/gateway/decision/quarantine.rs
+++ b/src/gateway/decision/quarantine.rs
@@ -81,8 +81,8 @@
     pub kind: Kind,
     /// Time of the last crash or trial.
     pub last: Millis,
-    /// Time between the last crash and the one before.
-    pub gap: Millis,
+    /// Longest time between two crashes that follow each other.
+    pub longest_gap: Millis,
     /// Greatest number of its crashes at which one block was involved that the request does not have.
     pub shared: usize,
 }
@@ -92,7 +92,8 @@
 /// a request with one held block tells whether it is the cause, and one with several does if a block that it does not
 /// have may be the cause of them all.
 pub fn is_early_trial(held: &[Held], others_crashes: usize) -> bool {
-    let is_burst = |held: &Held| held.kind == Kind::Block && held.gap < EARLY_TRIAL_INTERVAL;
+    let is_burst =
+        |held: &Held| held.kind == Kind::Block && held.longest_gap < EARLY_TRIAL_INTERVAL;
     let has_rival = |held: &Held| is_suspected(held.shared);
     others_crashes <= OTHERS_CRASHES_MAX
         && held.iter().all(is_burst)
--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -147,12 +147,11 @@
         quarantine::in_a_row(self.crashes.iter().copied())
     }
 
-    /// Time between its last crash and the one before.
-    fn last_gap(&self) -> Millis {
-        match self.crashes[..] {
-            [.., before, last] => last.at.saturating_sub(before.at),
-            _ => Millis(u64::MAX),
-        }
+    /// Longest time between two of its crashes that follow each other.
+    fn longest_gap(&self) -> Millis {
+        let pairs = self.crashes.windows(2);
+        let gaps = pairs.map(|pair| pair[1].at.saturating_sub(pair[0].at));
+        gaps.max().unwrap_or_default()
     }
 
     fn was_in_flight_at(&self, instance: u64) -> bool {
@@ -221,7 +220,7 @@
             Some(quarantine::Held {
                 kind: own.kind(),
                 last: hold.last.max(trial),
-                gap: suspect.last_gap(),
+                longest_gap: suspect.longest_gap(),
                 shared: self.shared_crashes(suspect, request),
             })
         });
