Leave out the early trial where prompts are answered

Cause: the early trial is meant for a burst in which nothing is answered, so that nothing can clear an innocent block. Where other prompts are answered, the block that is not is the cause, and there is nothing to learn.

Change: a router sends an early trial only if it has seen the burst from its first crash on, and no prompt with a shared block answered since.

--- a/src/gateway/decision/quarantine.rs
+++ b/src/gateway/decision/quarantine.rs
@@ -63,8 +63,8 @@
 /// How long after the last crash one request with a quarantined block is sent to a target again, to learn whether the
 /// block is answered now.
 const TRIAL_INTERVAL: Millis = Millis(60_000);
-/// The same after a burst of crashes, in which few requests were answered that could have cleared the block. A crash in
-/// the trial ends the burst, so at most one more target crashes for this.
+/// The same after a burst of crashes without an answer that could have cleared the block. A crash in the trial ends the
+/// burst, so at most one more target crashes for this.
 pub const EARLY_TRIAL_INTERVAL: Millis = Millis(5_000);
 /// Greatest number of successive crashes of the other blocks of a request in an early trial: one may happen to any.
 const OTHERS_CRASHES_MAX: usize = 1;
@@ -85,6 +85,8 @@
     pub longest_gap: Millis,
     /// Greatest number of its crashes at which one block was involved that the request does not have.
     pub shared: usize,
+    /// Whether this router has seen all of its crashes, and no prompt answered since the first.
+    pub is_unanswered: bool,
 }
 
 /// Whether an early trial with a request tells something, given all that is quarantined of it and the greatest number of
@@ -92,8 +94,10 @@
 /// a request with one held block tells whether it is the cause, and one with several does if a block that it does not
 /// have may be the cause of them all.
 pub fn is_early_trial(held: &[Held], others_crashes: usize) -> bool {
-    let is_burst =
-        |held: &Held| held.kind == Kind::Block && held.longest_gap < EARLY_TRIAL_INTERVAL;
+    let is_burst = |held: &Held| {
+        let is_short = held.longest_gap < EARLY_TRIAL_INTERVAL;
+        held.kind == Kind::Block && held.is_unanswered && is_short
+    };
     let has_rival = |held: &Held| is_suspected(held.shared);
     others_crashes <= OTHERS_CRASHES_MAX
         && held.iter().all(is_burst)
--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -173,6 +173,10 @@
     suspected_blocks: Vec<Fingerprint>,
     /// When this router last sent a request with a quarantined block, by block.
     trials: BTreeMap<Fingerprint, Millis>,
+    /// When this router began to track crashes.
+    begun: Option<Millis>,
+    /// When a prompt with a shared block was last answered here.
+    last_answer: Millis,
 }
 
 impl Quarantine {
@@ -222,11 +226,17 @@
                 last: hold.last.max(trial),
                 longest_gap: suspect.longest_gap(),
                 shared: self.shared_crashes(suspect, request),
+                is_unanswered: self.is_unanswered_since(suspect.crashes.first()?.at),
             })
         });
         held.collect()
     }
 
+    /// Whether this router was there at a time, and has seen no prompt answered since.
+    fn is_unanswered_since(&self, at: Millis) -> bool {
+        self.last_answer < at && self.begun.is_some_and(|begun| begun <= at)
+    }
+
     /// The greatest number of a suspect's crashes at which one suspected block was involved that the request does not
     /// have.
     fn shared_crashes(&self, suspect: &Suspect, request: &[Fingerprint]) -> usize {
@@ -254,6 +264,7 @@
 
     /// Records an attempt that broke off; returns whether its target is known to have crashed.
     pub fn note_broken(&mut self, now: Millis, broken: BrokenAttempt) -> bool {
+        self.begun.get_or_insert(now);
         let has_crashed = self
             .crashed
             .iter()
@@ -305,6 +316,9 @@
 
     /// Records that a request, or one with a block, succeeded.
     pub fn note_answered(&mut self, now: Millis, fingerprint: Fingerprint) {
+        if fingerprint.kind() == Kind::Block {
+            self.last_answer = self.last_answer.max(now);
+        }
         self.answered.record(now, fingerprint);
         let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
             return;
@@ -322,6 +336,7 @@
 
     /// Merges the reports of a message. The holds are computed once for all of them.
     pub fn merge_all(&mut self, now: Millis, reports: &[Report]) {
+        self.begun.get_or_insert(now);
         let mut is_change = false;
         for report in reports {
             is_change |= self.merge_one(now, report);
@@ -380,6 +395,7 @@
 
     /// Removes expired entries.
     pub fn forget(&mut self, now: Millis) {
+        self.begun.get_or_insert(now);
         self.suspects
             .retain(|_, suspect| now.saturating_sub(suspect.last()) < RETENTION);
         self.update_holds(now);
--- a/tests/quarantine_rules.rs
+++ b/tests/quarantine_rules.rs
@@ -480,6 +480,24 @@
     quarantine.note_answered(at(35_000), block(1));
     assert!(!is_held(&quarantine, 35_000, block(1)));
     assert!(is_held(&quarantine, 35_000, block(7)));
+    let last = [block(7)];
+    assert!(
+        !quarantine.begin_trial(at(64_999), &last, 0),
+        "others are answered"
+    );
+    assert!(quarantine.begin_trial(at(65_000), &last, 0));
+}
+
+/// A router that starts later does not know what was answered.
+#[test]
+fn late_router_tries_block() {
+    let mut late = Quarantine::default();
+    for report in together(5).next_reports(at(5_100)) {
+        late.merge(at(5_200), &report);
+    }
+    assert!(is_held(&late, 5_200, block(1)));
+    assert!(!late.begin_trial(at(64_000), &[block(1)], 0));
+    assert!(late.begin_trial(at(66_000), &[block(1)], 0));
 }
 
 /// A block of most prompts is also in a crash that the cause has no part in, so it has more of them.
