Limit the trials of a held block to three routers of a fleet

Found by reading the whole change once more. Every router took its turn in sending trials of a held block, each a turn later than the one before. Where a trial crashes its target, all learn of it and wait anew.

Change: the first three routers of the order take turns. `quarantine_trial` tells of each one that is sent; before, no log line showed one.

Left: such a trial is repeated for as long as the block is held.

--- a/src/gateway/decision/quarantine.rs
+++ b/src/gateway/decision/quarantine.rs
@@ -64,11 +64,14 @@
 /// block is answered now.
 const TRIAL_INTERVAL: Millis = Millis(60_000);
 /// The same after a burst of crashes without an answer that could have cleared the block. A crash in the trial ends the
-/// burst, so at most one more target crashes for this.
+/// burst. A trial with neither an answer nor a crash is repeated.
 pub const EARLY_TRIAL_INTERVAL: Millis = Millis(5_000);
 /// Greatest number of successive crashes of the other blocks of a request in an early trial: one may happen to any.
 const OTHERS_CRASHES_MAX: usize = 1;
 
+/// Number of routers of a fleet that send trials of a block.
+const TRIAL_ROUTERS: usize = 3;
+
 /// Whether this many answers in separate seconds prove that a suspect is not the cause of crashes.
 pub fn is_proven(kind: Kind, answers: u32) -> bool {
     kind == Kind::Block && answers >= PROVEN_ANSWERS
@@ -104,8 +107,8 @@
         && (held.len() == 1 || held.iter().all(has_rival))
 }
 
-/// Whether a request is sent after all, given all that is quarantined of it. Routers take turns in the order of their
-/// `rank`, since those before may get no such request.
+/// Whether a request is sent after all, given all that is quarantined of it. The first few routers take turns in the order
+/// of their `rank`, since those before may get no such request.
 pub fn is_trial_due(now: Millis, held: &[Held], is_early: bool, rank: usize) -> bool {
     let interval = match is_early {
         true => EARLY_TRIAL_INTERVAL,
@@ -113,7 +116,7 @@
     };
     let wait = interval.0.saturating_mul(rank as u64 + 1);
     let is_due = |held: &Held| held.kind == Kind::Block && now.saturating_sub(held.last).0 >= wait;
-    !held.is_empty() && held.iter().all(is_due)
+    rank < TRIAL_ROUTERS && !held.is_empty() && held.iter().all(is_due)
 }
 
 /// A request or block, and the number of its successive crashes.
--- a/src/gateway/state/crashes.rs
+++ b/src/gateway/state/crashes.rs
@@ -21,15 +21,27 @@
         left.map_or(Ok(()), |left| Err(Refusal::Quarantined { left }))
     }
 
-    /// Whether a request is sent to a target although a block of its prompt is quarantined. The routers take turns, so
-    /// that few requests of a fleet are.
+    /// Whether a request is sent to a target although a block of its prompt is quarantined. A few routers take
+    /// turns, so that few requests of a fleet are.
     pub(super) fn begin_trial(&mut self, now: Millis, job: &Job) -> bool {
-        let Some((first, _)) = self.quarantined(now, job) else {
+        let Some((first, hold)) = self.quarantined(now, job) else {
+            return false;
+        };
+        let Some(rank) = self.members.rank(now, &first.to_string()) else {
             return false;
         };
         let request: Vec<Fingerprint> = suspects(job).collect();
-        let rank = self.members.rank(now, &first.to_string());
-        rank.is_some_and(|rank| self.quarantine.begin_trial(now, &request, rank))
+        let begins = self.quarantine.begin_trial(now, &request, rank);
+        if begins {
+            tracing::info!(
+                event = "quarantine_trial",
+                id = %job.id,
+                fingerprint = %first,
+                rank,
+                last_ms = now.saturating_sub(hold.last).0
+            );
+        }
+        begins
     }
 
     /// What of a request is quarantined: itself or a block of its prompt.
--- a/tests/quarantine_rules.rs
+++ b/tests/quarantine_rules.rs
@@ -488,6 +488,15 @@
     assert!(quarantine.begin_trial(at(65_000), &last, 0));
 }
 
+/// Trials that tell nothing are sent by few routers, whatever the size of the fleet.
+#[test]
+fn all_routers_try_block() {
+    let block = [block(1)];
+    let tries = |rank| together(5).begin_trial(at(300_000), &block, rank);
+    let routers = (0..350).filter(|rank| tries(*rank)).count();
+    assert_eq!(routers, 3);
+}
+
 /// A router that starts later does not know what was answered.
 #[test]
 fn late_router_tries_block() {
